--- /dev/null
+++ b/bilberrylead/once/claim_verdict.hpp
@@ -0,0 +1,51 @@
+#ifndef BILBERRYLEAD_ONCE_CLAIM_VERDICT_HPP
+#define BILBERRYLEAD_ONCE_CLAIM_VERDICT_HPP
+
+#include "bilberrylead/once/recorded_answer.hpp"
+
+#include <variant>
+
+namespace bilberrylead::once
+{
+
+/// The claim is this request's: forward it, once.
+struct claim_granted
+{
+};
+
+/// Another request holds the claim and may still be running.
+struct claim_in_progress
+{
+};
+
+/// The work ran; this is what it answered.
+struct claim_recorded
+{
+    /// The first run's answer.
+    recorded_answer answer;
+};
+
+/// The work may have run, and nobody can say what it answered.
+struct claim_outcome_unknown
+{
+};
+
+/// The key was used before with another body.
+struct claim_mismatch
+{
+};
+
+/// No quorum could be asked in time, or there is no room for another
+/// record: nothing was claimed, nothing runs.
+struct claim_refused
+{
+};
+
+/// What a control host says to a claim.
+using claim_verdict =
+    std::variant<claim_granted, claim_in_progress, claim_recorded,
+                 claim_outcome_unknown, claim_mismatch, claim_refused>;
+
+} // namespace bilberrylead::once
+
+#endif
