--- /dev/null
+++ b/bilberrylead/entry/effect.hpp
@@ -0,0 +1,177 @@
+#ifndef BILBERRYLEAD_ENTRY_EFFECT_HPP
+#define BILBERRYLEAD_ENTRY_EFFECT_HPP
+
+#include "bilberrylead/config/endpoint.hpp"
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/refusal_reason.hpp"
+#include "bilberrylead/entry/request_number.hpp"
+#include "bilberrylead/once/claim_key.hpp"
+#include "bilberrylead/once/recorded_answer.hpp"
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace bilberrylead::entry
+{
+
+/// Send the request to this upstream. Any earlier exchange of the request
+/// has ended.
+struct start_upstream
+{
+    /// The request.
+    request_number request{};
+    /// Where it goes.
+    upstream_id upstream;
+    /// The upstream's address.
+    config::endpoint address;
+    /// When the caller stops waiting; told to the upstream as time left.
+    instant deadline{};
+    /// Longest silence within the answer.
+    duration progress_timeout{};
+    /// True for work that may not be repeated: only a connection that was
+    /// in use a moment ago, or a new one, may carry it.
+    bool run_once = false;
+    /// True after a failed try: the old connections may all have gone
+    /// silent, so only a new one may carry it.
+    bool fresh = false;
+};
+
+/// Stream the upstream's answer to the caller as it comes.
+struct pass_answer_on
+{
+    /// The request.
+    request_number request{};
+};
+
+/// Read the upstream's answer whole, up to the limit for records, and
+/// report it by upstream_answer_finished.
+struct collect_answer
+{
+    /// The request.
+    request_number request{};
+};
+
+/// Give the caller the answer that was collected.
+struct answer_collected
+{
+    /// The request.
+    request_number request{};
+};
+
+/// Final answer: it was not run and will not be.
+struct answer_not_run
+{
+    /// The request.
+    request_number request{};
+    /// Why.
+    refusal_reason reason{};
+    /// When the caller should come back.
+    duration retry_after{};
+};
+
+/// Final answer: it may have run, nobody can say.
+struct answer_unknown
+{
+    /// The request.
+    request_number request{};
+    /// Why.
+    refusal_reason reason{};
+};
+
+/// Final answer: what the first run of this work answered.
+struct answer_recorded
+{
+    /// The request.
+    request_number request{};
+    /// The record.
+    once::recorded_answer answer;
+};
+
+/// Final answer: the request is refused for what it is (400, 404, 409,
+/// 422); it was not run.
+struct answer_problem
+{
+    /// The request.
+    request_number request{};
+    /// HTTP status.
+    std::uint16_t status = 0;
+    /// Why.
+    refusal_reason reason{};
+    /// When to come back; zero if coming back is no use.
+    duration retry_after{};
+};
+
+/// Ask the control hosts for the claim; claim_answered follows.
+struct request_claim
+{
+    /// The request.
+    request_number request{};
+    /// The piece of work.
+    once::claim_key key;
+    /// Digest of method, target and body.
+    std::uint64_t body_digest = 0;
+};
+
+/// The claimed work ran: make its answer durable; completion_stored follows.
+struct report_completion
+{
+    /// The request that ran it.
+    request_number request{};
+    /// The piece of work.
+    once::claim_key key;
+    /// What it answered.
+    once::recorded_answer answer;
+};
+
+/// The claimed work was not run: free the claim.
+struct report_release
+{
+    /// The request that held it.
+    request_number request{};
+    /// The piece of work.
+    once::claim_key key;
+};
+
+/// The claimed work may have run, its answer is lost.
+struct report_unknown
+{
+    /// The request that held it.
+    request_number request{};
+    /// The piece of work.
+    once::claim_key key;
+};
+
+/// End the exchange now; its connection is never used again.
+struct cancel_upstream
+{
+    /// The request.
+    request_number request{};
+};
+
+/// From now on every answer ends its connection.
+struct close_callers_after_answer
+{
+};
+
+/// Nothing is under way any more and no caller is sent here: the process
+/// may end.
+struct drained
+{
+};
+
+/// Everything an entry host can be told to do.
+using effect =
+    std::variant<start_upstream, pass_answer_on, collect_answer,
+                 answer_collected, answer_not_run, answer_unknown,
+                 answer_recorded, answer_problem, request_claim,
+                 report_completion, report_release, report_unknown,
+                 cancel_upstream, close_callers_after_answer, drained>;
+
+/// Effects in the order in which they are to be carried out.
+using effects = std::vector<effect>;
+
+} // namespace bilberrylead::entry
+
+#endif
--- /dev/null
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -0,0 +1,155 @@
+#ifndef BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
+#define BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
+
+#include "bilberrylead/entry/effect.hpp"
+#include "bilberrylead/entry/entry_counters.hpp"
+#include "bilberrylead/entry/entry_settings.hpp"
+#include "bilberrylead/entry/event.hpp"
+#include "bilberrylead/entry/live_request.hpp"
+#include "bilberrylead/entry/routing_table.hpp"
+#include "bilberrylead/entry/upstream_table.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace bilberrylead::entry
+{
+
+/// Decides for one entry host: which upstream runs a request, when it is
+/// tried again, and which final answer its caller gets. Pure: time is passed
+/// in, effects are returned as data, no body byte passes through it.
+class entry_reducer
+{
+public:
+    /// Makes an entry host that has no configuration yet.
+    explicit entry_reducer(entry_settings chosen);
+
+    /// Takes one event and says what has to be done, in that order.
+    effects reduce(event const& happened, instant now);
+
+    /// True once a configuration is in force and until a drain begins.
+    bool ready() const;
+
+    /// Revision in force; 0 is none.
+    bilberrylead::revision revision_in_force() const
+    {
+        return this->revision;
+    }
+
+    /// The configuration in force, arranged; null before the first.
+    routing_table const* routes() const
+    {
+        return this->routing.get();
+    }
+
+    /// The service of that name in force, or null.
+    config::service const* find_service(service_id const& id) const;
+
+    /// True once a drain was asked for.
+    bool draining() const
+    {
+        return this->drain_started;
+    }
+
+    /// Requests that have not come to their end.
+    std::size_t under_way() const
+    {
+        return this->live.size();
+    }
+
+    /// True until the request has come to its end here.
+    bool knows(request_number number) const
+    {
+        return this->live.contains(number);
+    }
+
+    /// What was counted so far.
+    entry_counters const& counters();
+
+    /// What it was made with.
+    entry_settings const& settings() const
+    {
+        return this->chosen;
+    }
+
+private:
+    using wake_entry = std::pair<instant, request_number>;
+
+    void on(configuration_received const& happened);
+    void on(request_arrived const& happened);
+    void on(claim_answered const& happened);
+    void on(completion_stored const& happened);
+    void on(upstream_head_received const& happened);
+    void on(upstream_answer_finished const& happened);
+    void on(upstream_failed const& happened);
+    void on(caller_gone const& happened);
+    void on(load_reported const& happened);
+    void on(tick const& happened);
+    void on(drain_requested const& happened);
+    void on(control_reachable const& happened);
+    void on(control_unreachable const& happened);
+
+    live_request* find(request_number number);
+    void admit(live_request request);
+    void place(live_request& request);
+    bool start(live_request& request);
+    void try_again(live_request& request, refusal_reason reason,
+                   bool body_usable);
+    void answer_verdict(live_request& request,
+                        once::claim_verdict const& verdict);
+    void serve_waiting(service_id const& service);
+    void serve_all_waiting();
+    void serve_freed();
+    void leave_line(live_request const& request);
+    bool may_be_served_later(live_request const& request) const;
+    std::vector<config::upstream const*>
+    reachable(live_request const& request) const;
+    void set_wake(live_request& request, instant when);
+    void expire(live_request& request);
+    void expire_run(live_request& request);
+    void free_slot(live_request const& request);
+
+    void refuse(live_request& request, refusal_reason reason);
+    void give_up_unknown(live_request& request, refusal_reason reason);
+    void finish(live_request& request);
+    void refuse_arrival(request_arrived const& happened, refusal_reason reason);
+    void problem(request_number number, service_id const& service,
+                 std::uint16_t status, refusal_reason reason,
+                 duration retry_after);
+    void problem_end(live_request& request, std::uint16_t status,
+                     refusal_reason reason, duration retry_after);
+    void count_end(live_request const& request,
+                   std::uint64_t service_counters::* kind);
+    void look_for_drain_end();
+
+    entry_settings chosen;
+    instant now{};
+    effects out;
+    bilberrylead::revision revision = 0;
+    std::unique_ptr<routing_table const> routing;
+    upstream_table upstreams;
+    std::unordered_map<request_number, live_request> live;
+    std::set<wake_entry> wakes;
+    std::unordered_map<service_id, std::deque<request_number>> lines;
+    // Services that had a slot freed, or lost an upstream, in this event.
+    std::set<service_id> freed;
+    // Claims whose requests were given up on before the verdict came: a
+    // grant that comes late must be released, or the work stays claimed.
+    std::unordered_map<request_number, once::claim_key> late_claims;
+    std::deque<std::pair<instant, request_number>> late_claim_ends;
+    bool control_answers = true;
+    bool drain_started = false;
+    bool drain_reported = false;
+    instant drain_began{};
+    instant last_work{};
+    entry_counters counted;
+};
+
+} // namespace bilberrylead::entry
+
+#endif
--- /dev/null
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -0,0 +1,453 @@
+#include "bilberrylead/entry/entry_reducer.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <variant>
+
+namespace bilberrylead::entry
+{
+
+namespace
+{
+
+constexpr std::uint16_t status_conflict = 409;
+constexpr std::uint16_t status_unprocessable = 422;
+
+/// How long a late grant is still looked for. A claim that the control hosts
+/// answer after that is theirs to expire.
+constexpr duration late_claim_time = std::chrono::seconds(60);
+
+refusal_reason reason_of(exchange_fault fault)
+{
+    switch (fault)
+    {
+    case exchange_fault::connect_failed:
+        return refusal_reason::connect_failed;
+    case exchange_fault::silent:
+        return refusal_reason::upstream_silent;
+    case exchange_fault::connection_lost:
+    case exchange_fault::bad_answer:
+        break;
+    }
+    return refusal_reason::connection_lost;
+}
+
+} // namespace
+
+live_request* entry_reducer::find(request_number number)
+{
+    auto const found = this->live.find(number);
+    return found == this->live.end() ? nullptr : &found->second;
+}
+
+void entry_reducer::set_wake(live_request& request, instant when)
+{
+    this->wakes.erase({request.wake, request.number});
+    request.wake = when;
+    this->wakes.emplace(when, request.number);
+}
+
+void entry_reducer::leave_line(live_request const& request)
+{
+    std::deque<request_number>& line = this->lines[request.service];
+    line.erase(std::remove(line.begin(), line.end(), request.number),
+               line.end());
+}
+
+void entry_reducer::free_slot(live_request const& request)
+{
+    assert(!request.tried.empty());
+    this->upstreams.free_slot(request.tried.back());
+    this->freed.insert(request.service);
+}
+
+void entry_reducer::on(claim_answered const& happened)
+{
+    bool const granted =
+        std::holds_alternative<once::claim_granted>(happened.verdict);
+    auto const late = this->late_claims.find(happened.request);
+    if (late != this->late_claims.end())
+    {
+        if (granted)
+        {
+            this->out.push_back(report_release{happened.request, late->second});
+        }
+        this->late_claims.erase(late);
+        return;
+    }
+    live_request* request = this->find(happened.request);
+    if (request == nullptr || request->state != request_state::claiming)
+    {
+        return;
+    }
+    request->state = request_state::waiting;
+    if (granted)
+    {
+        request->holds_claim = true;
+        this->place(*request);
+        return;
+    }
+    this->answer_verdict(*request, happened.verdict);
+}
+
+void entry_reducer::answer_verdict(live_request& request,
+                                   once::claim_verdict const& verdict)
+{
+    if (std::holds_alternative<once::claim_in_progress>(verdict))
+    {
+        this->problem_end(request, status_conflict, refusal_reason::in_progress,
+                          this->chosen.retry_after);
+        return;
+    }
+    if (std::holds_alternative<once::claim_mismatch>(verdict))
+    {
+        this->problem_end(request, status_unprocessable,
+                          refusal_reason::key_mismatch, duration::zero());
+        return;
+    }
+    if (std::holds_alternative<once::claim_outcome_unknown>(verdict))
+    {
+        this->give_up_unknown(request, refusal_reason::earlier_unknown);
+        return;
+    }
+    if (once::claim_recorded const* record =
+            std::get_if<once::claim_recorded>(&verdict))
+    {
+        this->out.push_back(answer_recorded{request.number, record->answer});
+        this->count_end(request, &service_counters::recorded);
+        this->finish(request);
+        return;
+    }
+    this->refuse(request, refusal_reason::claim_refused);
+}
+
+void entry_reducer::on(upstream_head_received const& happened)
+{
+    live_request* request = this->find(happened.request);
+    if (request == nullptr || request->state != request_state::running)
+    {
+        return;
+    }
+    upstream_id const upstream = request->tried.back();
+    if (happened.leaving)
+    {
+        this->upstreams.note_leaving(upstream,
+                                     this->now + this->chosen.leaving_memory);
+    }
+    if (happened.not_run)
+    {
+        this->out.push_back(cancel_upstream{request->number});
+        this->upstreams.shun(upstream, this->now + this->chosen.shun_time);
+        this->free_slot(*request);
+        this->try_again(*request, refusal_reason::upstream_refused,
+                        request->body_kept);
+        return;
+    }
+    if (request->guarded)
+    {
+        request->state = request_state::collecting;
+        this->out.push_back(collect_answer{request->number});
+        return;
+    }
+    request->state = request_state::passing;
+    this->wakes.erase({request->wake, request->number});
+    this->count_end(*request, &service_counters::done);
+    this->out.push_back(pass_answer_on{request->number});
+}
+
+void entry_reducer::on(upstream_answer_finished const& happened)
+{
+    live_request* request = this->find(happened.request);
+    if (request == nullptr)
+    {
+        return;
+    }
+    if (request->state == request_state::passing)
+    {
+        this->free_slot(*request);
+        this->finish(*request);
+        return;
+    }
+    if (request->state != request_state::collecting ||
+        !happened.collected.has_value())
+    {
+        return;
+    }
+    this->free_slot(*request);
+    this->out.push_back(report_completion{request->number, request->claim,
+                                          *happened.collected});
+    if (request->answered)
+    {
+        this->finish(*request);
+        return;
+    }
+    request->state = request_state::storing;
+    this->set_wake(*request, std::min(request->deadline,
+                                      this->now + this->chosen.record_wait));
+}
+
+void entry_reducer::on(completion_stored const& happened)
+{
+    live_request* request = this->find(happened.request);
+    if (request != nullptr && request->state == request_state::storing)
+    {
+        this->out.push_back(answer_collected{request->number});
+        this->count_end(*request, &service_counters::done);
+        this->finish(*request);
+    }
+}
+
+void entry_reducer::on(upstream_failed const& happened)
+{
+    live_request* request = this->find(happened.request);
+    if (request == nullptr || (request->state != request_state::running &&
+                               request->state != request_state::passing &&
+                               request->state != request_state::collecting))
+    {
+        return;
+    }
+    refusal_reason const reason = reason_of(happened.fault);
+    this->free_slot(*request);
+    this->upstreams.shun(request->tried.back(),
+                         this->now + this->chosen.shun_time);
+    if (request->state == request_state::passing)
+    {
+        // The caller's connection breaks with the answer: it can see that
+        // the answer is not whole.
+        this->finish(*request);
+        return;
+    }
+    request->maybe_ran =
+        request->maybe_ran || happened.phase != exchange_phase::not_sent;
+    this->try_again(*request, reason,
+                    request->body_kept ||
+                        happened.phase == exchange_phase::not_sent);
+}
+
+void entry_reducer::try_again(live_request& request, refusal_reason reason,
+                              bool body_usable)
+{
+    // A request that may not be repeated is never sent again once a byte
+    // may have reached an upstream; not even to "make sure".
+    bool const allowed = request.repeatable || !request.maybe_ran;
+    bool const worth_it = body_usable && !request.answered &&
+                          request.tried.size() < this->chosen.attempts &&
+                          this->now < request.deadline;
+    if (allowed && worth_it && this->may_be_served_later(request))
+    {
+        ++this->counted.services[request.service].retries;
+        this->set_wake(request, request.deadline);
+        this->place(request);
+        return;
+    }
+    if (request.maybe_ran)
+    {
+        this->give_up_unknown(request, reason);
+        return;
+    }
+    this->refuse(request, reason);
+}
+
+void entry_reducer::on(caller_gone const& happened)
+{
+    live_request* request = this->find(happened.request);
+    if (request == nullptr || request->answered)
+    {
+        return;
+    }
+    ++this->counted.services[request->service].callers_gone;
+    request->answered = true;
+    switch (request->state)
+    {
+    case request_state::claiming:
+    case request_state::waiting:
+        this->refuse(*request, refusal_reason::deadline);
+        return;
+    case request_state::running:
+    case request_state::collecting:
+        if (request->guarded)
+        {
+            // The work goes on: its caller will ask again with the same key
+            // and must find the answer, not an unknown outcome.
+            return;
+        }
+        break;
+    case request_state::storing:
+        this->finish(*request);
+        return;
+    case request_state::passing:
+        break;
+    }
+    this->out.push_back(cancel_upstream{request->number});
+    this->free_slot(*request);
+    this->finish(*request);
+}
+
+void entry_reducer::on(tick const& /*happened*/)
+{
+    while (!this->wakes.empty() && this->wakes.begin()->first <= this->now)
+    {
+        request_number const number = this->wakes.begin()->second;
+        this->wakes.erase(this->wakes.begin());
+        live_request* request = this->find(number);
+        assert(request != nullptr);
+        this->expire(*request);
+    }
+    while (!this->late_claim_ends.empty() &&
+           this->late_claim_ends.front().first <= this->now)
+    {
+        this->late_claims.erase(this->late_claim_ends.front().second);
+        this->late_claim_ends.pop_front();
+    }
+    this->look_for_drain_end();
+}
+
+void entry_reducer::expire(live_request& request)
+{
+    switch (request.state)
+    {
+    case request_state::claiming:
+    case request_state::waiting:
+        this->refuse(request, refusal_reason::deadline);
+        return;
+    case request_state::running:
+    case request_state::collecting:
+        this->expire_run(request);
+        return;
+    case request_state::storing:
+        this->out.push_back(answer_collected{request.number});
+        this->count_end(request, &service_counters::done);
+        this->finish(request);
+        return;
+    case request_state::passing:
+        return;
+    }
+}
+
+void entry_reducer::expire_run(live_request& request)
+{
+    if (request.answered)
+    {
+        return;
+    }
+    request.maybe_ran = true;
+    if (request.guarded)
+    {
+        // The caller hears at once that the outcome is unknown; the work
+        // goes on for its record until it falls silent.
+        request.answered = true;
+        this->out.push_back(
+            answer_unknown{request.number, refusal_reason::deadline});
+        this->count_end(request, &service_counters::unknown);
+        ++this->counted.refusals.at(
+            static_cast<std::size_t>(refusal_reason::deadline));
+        return;
+    }
+    this->out.push_back(cancel_upstream{request.number});
+    this->upstreams.shun(request.tried.back(),
+                         this->now + this->chosen.shun_time);
+    this->free_slot(request);
+    this->try_again(request,
+                    this->now < request.deadline
+                        ? refusal_reason::upstream_silent
+                        : refusal_reason::deadline,
+                    request.body_kept);
+}
+
+void entry_reducer::refuse(live_request& request, refusal_reason reason)
+{
+    assert(!request.maybe_ran);
+    if (request.guarded && request.state == request_state::claiming)
+    {
+        this->late_claims.emplace(request.number, request.claim);
+        this->late_claim_ends.emplace_back(this->now + late_claim_time,
+                                           request.number);
+    }
+    else if (request.holds_claim)
+    {
+        this->out.push_back(report_release{request.number, request.claim});
+    }
+    if (!request.answered)
+    {
+        this->out.push_back(
+            answer_not_run{request.number, reason, this->chosen.retry_after});
+        ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+        this->count_end(request, &service_counters::not_run);
+    }
+    this->finish(request);
+}
+
+void entry_reducer::give_up_unknown(live_request& request,
+                                    refusal_reason reason)
+{
+    if (request.holds_claim)
+    {
+        this->out.push_back(report_unknown{request.number, request.claim});
+    }
+    if (!request.answered)
+    {
+        this->out.push_back(answer_unknown{request.number, reason});
+        ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+        this->count_end(request, &service_counters::unknown);
+    }
+    this->finish(request);
+}
+
+void entry_reducer::finish(live_request& request)
+{
+    this->last_work = this->now;
+    request_number const number = request.number;
+    if (request.state == request_state::waiting)
+    {
+        this->leave_line(request);
+    }
+    this->wakes.erase({request.wake, number});
+    this->live.erase(number);
+}
+
+void entry_reducer::refuse_arrival(request_arrived const& happened,
+                                   refusal_reason reason)
+{
+    ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+    this->out.push_back(
+        answer_not_run{happened.request, reason, this->chosen.retry_after});
+}
+
+void entry_reducer::problem(request_number number, service_id const& service,
+                            std::uint16_t status, refusal_reason reason,
+                            duration retry_after)
+{
+    ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+    if (!service.empty())
+    {
+        ++this->counted.services[service].problems;
+    }
+    this->out.push_back(answer_problem{number, status, reason, retry_after});
+}
+
+void entry_reducer::problem_end(live_request& request, std::uint16_t status,
+                                refusal_reason reason, duration retry_after)
+{
+    this->problem(request.number, request.service, status, reason, retry_after);
+    this->finish(request);
+}
+
+void entry_reducer::count_end(live_request const& request,
+                              std::uint64_t service_counters::* kind)
+{
+    service_counters& service = this->counted.services[request.service];
+    ++(service.*kind);
+    duration const took = this->now - request.arrived;
+    service.latency_sum += took;
+    auto const bound = std::find_if(
+        service_counters::bounds_ms.begin(), service_counters::bounds_ms.end(),
+        [took](std::uint32_t limit)
+        {
+            return took <= std::chrono::milliseconds(limit);
+        });
+    ++service.latency.at(
+        static_cast<std::size_t>(bound - service_counters::bounds_ms.begin()));
+}
+
+} // namespace bilberrylead::entry
--- /dev/null
+++ b/bilberrylead/entry/event.hpp
@@ -0,0 +1,173 @@
+#ifndef BILBERRYLEAD_ENTRY_EVENT_HPP
+#define BILBERRYLEAD_ENTRY_EVENT_HPP
+
+#include "bilberrylead/config/configuration.hpp"
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/request_number.hpp"
+#include "bilberrylead/once/claim_verdict.hpp"
+#include "bilberrylead/once/recorded_answer.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace bilberrylead::entry
+{
+
+/// A configuration that a quorum accepted, from a control host or from a
+/// neighbour. Anything not newer than what is in force is ignored.
+struct configuration_received
+{
+    /// Its revision, from 1.
+    std::uint64_t revision = 0;
+    /// Its content, already checked; never null.
+    std::shared_ptr<config::configuration const> content;
+};
+
+/// A caller's request is here: its head, and of its body as much as the
+/// service's limits ask for.
+struct request_arrived
+{
+    /// Its number, new.
+    request_number request{};
+    /// First segment of its path.
+    service_id service;
+    /// The caller's account, or its address where it names none.
+    caller_id caller;
+    /// The address it came from.
+    std::string caller_address;
+    /// As sent; empty if none was.
+    std::string idempotency_key;
+    /// Digest of method, target and body; 0 unless the service is guarded.
+    std::uint64_t body_digest = 0;
+    /// True if the whole body is kept, so that it could be sent again.
+    bool body_kept = true;
+    /// Time the caller still gives it; nothing if it named none.
+    std::optional<duration> time_left;
+};
+
+/// What the control hosts said to a claim.
+struct claim_answered
+{
+    /// The request that asked.
+    request_number request{};
+    /// The verdict.
+    once::claim_verdict verdict;
+};
+
+/// A reported completion is durable on a quorum.
+struct completion_stored
+{
+    /// The request whose answer it is.
+    request_number request{};
+};
+
+/// The head of the upstream's answer is here.
+struct upstream_head_received
+{
+    /// The request it answers.
+    request_number request{};
+    /// True if it carries the upstream's word that nothing was run.
+    bool not_run = false;
+    /// True if it says that the upstream is leaving.
+    bool leaving = false;
+    /// HTTP status.
+    std::uint16_t status = 0;
+};
+
+/// The upstream's answer has been read to its end.
+struct upstream_answer_finished
+{
+    /// The request it answers.
+    request_number request{};
+    /// The answer, if it was collected and not streamed.
+    std::optional<once::recorded_answer> collected;
+};
+
+/// How far an exchange had come when it failed.
+enum class exchange_phase
+{
+    /// No byte can have reached the upstream.
+    not_sent,
+    /// Bytes may have reached it; no answer began.
+    maybe_sent,
+    /// The answer began and did not end.
+    answer_started,
+};
+
+/// What ended an exchange early.
+enum class exchange_fault
+{
+    /// No connection could be made.
+    connect_failed,
+    /// The connection was lost.
+    connection_lost,
+    /// Nothing came for too long.
+    silent,
+    /// What came was no valid answer.
+    bad_answer,
+};
+
+/// An exchange with an upstream failed.
+struct upstream_failed
+{
+    /// The request it carried.
+    request_number request{};
+    /// How far it had come.
+    exchange_phase phase = exchange_phase::maybe_sent;
+    /// What ended it.
+    exchange_fault fault = exchange_fault::connection_lost;
+};
+
+/// The caller closed its connection before its answer was whole.
+struct caller_gone
+{
+    /// The request nobody waits for any more.
+    request_number request{};
+};
+
+/// An upstream reported how many of its slots are in use.
+struct load_reported
+{
+    /// Which one.
+    upstream_id upstream;
+    /// Slots in use, work of other entry hosts included.
+    std::uint32_t slots_in_use = 0;
+    /// True if it says that it is leaving.
+    bool leaving = false;
+};
+
+/// Time passed. Comes at least every `entry_settings::tick`.
+struct tick
+{
+};
+
+/// The operator or the platform wants this entry host to stop.
+struct drain_requested
+{
+};
+
+/// A control host answers again.
+struct control_reachable
+{
+};
+
+/// No control host answers.
+struct control_unreachable
+{
+};
+
+/// Everything that can happen to an entry host.
+using event =
+    std::variant<configuration_received, request_arrived, claim_answered,
+                 completion_stored, upstream_head_received,
+                 upstream_answer_finished, upstream_failed, caller_gone,
+                 load_reported, tick, drain_requested, control_reachable,
+                 control_unreachable>;
+
+} // namespace bilberrylead::entry
+
+#endif
--- /dev/null
+++ b/bilberrylead/entry/live_request.hpp
@@ -0,0 +1,78 @@
+#ifndef BILBERRYLEAD_ENTRY_LIVE_REQUEST_HPP
+#define BILBERRYLEAD_ENTRY_LIVE_REQUEST_HPP
+
+#include "bilberrylead/config/service.hpp"
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/request_number.hpp"
+#include "bilberrylead/once/claim_key.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bilberrylead::entry
+{
+
+/// Where a request is on its way.
+enum class request_state
+{
+    /// Waits for the verdict on its claim.
+    claiming,
+    /// Waits for a slot.
+    waiting,
+    /// Sent to an upstream, no answer yet.
+    running,
+    /// The upstream's answer streams to the caller.
+    passing,
+    /// The upstream's answer is being collected for the record.
+    collecting,
+    /// The collected answer waits for its record to be durable.
+    storing,
+};
+
+/// A request that has not come to its end here.
+struct live_request
+{
+    /// Its number.
+    request_number number{};
+    /// Where it is.
+    request_state state = request_state::waiting;
+    /// The service, as it was configured when the request came.
+    service_id service;
+    /// May be sent again.
+    bool repeatable = false;
+    /// Holds a claim, or asks for one.
+    bool guarded = false;
+    /// True once its claim was granted, until it is reported or released.
+    bool holds_claim = false;
+    /// Its whole body is kept.
+    bool body_kept = true;
+    /// Longest silence within its answer.
+    duration progress_timeout{};
+    /// Who sent it.
+    caller_id caller;
+    /// From where.
+    std::string caller_address;
+    /// The piece of work, if guarded.
+    once::claim_key claim;
+    /// When it came.
+    instant arrived{};
+    /// When its caller stops waiting.
+    instant deadline{};
+    /// When it must be looked at again: the end of a try, the deadline, or
+    /// the end of the wait for its record.
+    instant wake{};
+    /// Upstreams it was sent to; the last one holds it while it runs.
+    std::vector<upstream_id> tried;
+    /// True once a byte may have reached an upstream that did not take it
+    /// back.
+    bool maybe_ran = false;
+    /// True once the caller has its final answer or is gone, while guarded
+    /// work goes on for its record.
+    bool answered = false;
+};
+
+} // namespace bilberrylead::entry
+
+#endif
--- /dev/null
+++ b/bilberrylead/entry/routing_table.hpp
@@ -0,0 +1,73 @@
+#ifndef BILBERRYLEAD_ENTRY_ROUTING_TABLE_HPP
+#define BILBERRYLEAD_ENTRY_ROUTING_TABLE_HPP
+
+#include "bilberrylead/config/configuration.hpp"
+#include "bilberrylead/core/ids.hpp"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberrylead::entry
+{
+
+/// Where a caller is and what selectors match of it.
+struct caller_place
+{
+    /// Its availability zone; empty if no block holds its address.
+    zone_id zone;
+    /// Its labels, owned by the table; null if no block holds its address.
+    config::labels const* labels = nullptr;
+};
+
+/// One configuration, arranged for look-ups by name. Read only; replaced
+/// whole when another configuration comes into force.
+class routing_table
+{
+public:
+    /// Arranges a configuration; `content` is not null.
+    explicit routing_table(
+        std::shared_ptr<config::configuration const> content);
+
+    /// The service of that name, or null.
+    config::service const* find_service(service_id const& id) const;
+
+    /// Upstreams of a service, in the order of the configuration.
+    std::vector<config::upstream const*> const&
+    upstreams_of(service_id const& id) const;
+
+    /// Where a caller's address is.
+    caller_place place_of(std::string const& caller_address) const;
+
+    /// True if the selectors let that caller reach that upstream.
+    bool reaches(caller_place const& caller,
+                 config::upstream const& upstream) const;
+
+    /// Entry hosts that may take callers, nearest first: those of the zone,
+    /// of its region, then the others by latency; within each by weight.
+    std::vector<config::entry_host const*>
+    entry_hosts_for(zone_id const& zone) const;
+
+    /// The configuration behind it.
+    config::configuration const& source() const
+    {
+        return *this->content;
+    }
+
+private:
+    region_id region_of(zone_id const& zone) const;
+    duration latency_between(region_id const& one,
+                             region_id const& other) const;
+
+    std::shared_ptr<config::configuration const> content;
+    std::unordered_map<service_id, config::service const*> services;
+    std::unordered_map<service_id, std::vector<config::upstream const*>>
+        upstreams;
+    std::unordered_map<service_id, std::vector<config::selector const*>>
+        selectors;
+};
+
+} // namespace bilberrylead::entry
+
+#endif
--- /dev/null
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -0,0 +1,282 @@
+#include "bilberrylead/http/caller_connection.hpp"
+
+#include "bilberrylead/http/header_rules.hpp"
+#include "bilberrylead/http/local_answer.hpp"
+#include "bilberrylead/http/server_core.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace bilberrylead::http
+{
+
+namespace
+{
+
+using beast::http::field;
+using beast::http::status;
+
+/// No caller waits longer; a larger number would overflow the clock.
+constexpr std::int64_t longest_deadline_ms = 24LL * 3600 * 1000;
+
+service_id first_segment(std::string_view target)
+{
+    std::string_view const path = target.substr(1, target.find('?') - 1);
+    return service_id(std::string(path.substr(0, path.find('/'))));
+}
+
+std::optional<duration> parse_deadline(std::string_view text)
+{
+    std::int64_t count = -1;
+    std::from_chars_result const result =
+        std::from_chars(text.data(), text.data() + text.size(), count);
+    if (result.ec != std::errc{} || result.ptr != text.data() + text.size() ||
+        count < 0)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::min(count, longest_deadline_ms));
+}
+
+std::uint64_t digest_of(carried_request const& carried)
+{
+    std::string text(carried.message.method_string());
+    text.push_back('\n');
+    text.append(carried.message.target());
+    text.push_back('\n');
+    XXH64_hash_t const head = XXH3_64bits(text.data(), text.size());
+    return XXH3_64bits_withSeed(carried.kept.data(), carried.kept.size(), head);
+}
+
+} // namespace
+
+task<bool> caller_connection::carry()
+{
+    std::shared_ptr<carried_request> const carried = this->core->make_request();
+    this->current = carried;
+    entry::request_arrived arrival;
+    arrival.request = carried->number;
+    arrival.service = first_segment(this->parser->get().target());
+    config::service const* service =
+        this->core->decisions().find_service(arrival.service);
+    if (!this->fill_request(*carried, arrival, service))
+    {
+        co_return co_await this->refuse(status::bad_request,
+                                        "Bilberry-Deadline-Ms is no number.",
+                                        "Send whole milliseconds, 0 or more.");
+    }
+    bool const guarded = service != nullptr && service->guarded;
+    std::size_t const needed =
+        this->core->settings().piece +
+        (guarded ? this->core->settings().largest_collected : 0);
+    if (!this->take_memory(needed))
+    {
+        co_return co_await this->refuse_for_memory(*carried);
+    }
+    if (service != nullptr && !this->parser->is_done())
+    {
+        bool const whole = co_await this->read_body(*carried, service);
+        if (!whole)
+        {
+            co_return false;
+        }
+    }
+    this->frame_request(*carried);
+    arrival.body_kept = carried->complete;
+    arrival.body_digest = guarded ? digest_of(*carried) : 0;
+    carried->replied = [self = std::weak_ptr(this->shared_from_this())]
+    {
+        if (std::shared_ptr<caller_connection> const connection = self.lock())
+        {
+            connection->wake.notify();
+        }
+    };
+    this->core->dispatch(std::move(arrival));
+    bool const replied = co_await this->await_reply(*carried);
+    if (!replied)
+    {
+        co_return false;
+    }
+    co_return co_await this->write_reply(*carried);
+}
+
+task<bool> caller_connection::refuse_for_memory(carried_request& carried)
+{
+    whole_answer answer = make_answer(
+        entry::answer_not_run{carried.number, entry::refusal_reason::no_memory,
+                              this->core->settings().entry.retry_after});
+    co_return co_await this->write_whole(std::move(answer), carried.id);
+}
+
+bool caller_connection::fill_request(carried_request& carried,
+                                     entry::request_arrived& arrival,
+                                     config::service const* service)
+{
+    request_message& head = this->parser->get();
+    arrival.caller_address = this->address;
+    beast::string_view const caller = head[caller_header];
+    arrival.caller =
+        caller_id(caller.empty() ? this->address : std::string(caller));
+    arrival.idempotency_key = std::string(head[key_header]);
+    beast::string_view const deadline = head[deadline_header];
+    if (!deadline.empty())
+    {
+        arrival.time_left = parse_deadline({deadline.data(), deadline.size()});
+        if (!arrival.time_left.has_value())
+        {
+            return false;
+        }
+    }
+    if (service != nullptr)
+    {
+        this->parser->body_limit(service->largest_request);
+    }
+    carried.message.base() = head.base();
+    strip_connection_headers(carried.message);
+    strip_upstream_headers(carried.message);
+    carried.message.erase(field::expect);
+    carried.message.version(11);
+    carried.message.set(request_id_header, carried.id);
+    return true;
+}
+
+void caller_connection::frame_request(carried_request& carried)
+{
+    if (!carried.complete)
+    {
+        carried.message.chunked(!this->parser->content_length().has_value());
+        return;
+    }
+    if (!carried.kept.empty() || carried.message.count(field::content_length))
+    {
+        carried.message.content_length(carried.kept.size());
+    }
+}
+
+task<bool> caller_connection::read_body(carried_request& carried,
+                                        config::service const* service)
+{
+    // The service may change with the configuration while the body comes.
+    std::size_t const largest = service->largest_request;
+    std::size_t const keep =
+        service->guarded ? largest
+                         : std::min(largest, this->core->settings().kept_body);
+    if (this->parser->content_length().value_or(0) > largest)
+    {
+        co_return co_await this->refuse_body(beast::http::error::body_limit);
+    }
+    if (beast::iequals(this->parser->get()[field::expect], "100-continue"))
+    {
+        static constexpr std::string_view go_on =
+            "HTTP/1.1 100 Continue\r\n\r\n";
+        error_code error;
+        this->set_limit(this->core->settings().write_timeout);
+        co_await asio::async_write(this->socket, asio::buffer(go_on),
+                                   to_task(error));
+        this->clear_limit();
+        if (error)
+        {
+            co_return false;
+        }
+    }
+    while (!this->parser->is_done() && carried.kept.size() < keep)
+    {
+        std::size_t const old = carried.kept.size();
+        std::size_t const more =
+            std::min(this->core->settings().piece, keep - old);
+        if (!this->take_memory(more))
+        {
+            co_return co_await this->refuse_for_memory(carried);
+        }
+        carried.kept.resize(old + more);
+        std::size_t count = 0;
+        bool const came = co_await this->read_piece(
+            std::span(carried.kept).subspan(old, more), count);
+        if (!came)
+        {
+            co_return false;
+        }
+        carried.kept.resize(old + count);
+    }
+    carried.complete = this->parser->is_done();
+    if (!carried.complete)
+    {
+        carried.read_rest = [this](std::span<char> piece, error_code& error)
+        {
+            return this->read_rest(piece, error);
+        };
+    }
+    co_return true;
+}
+
+task<bool> caller_connection::read_piece(std::span<char> piece,
+                                         std::size_t& count)
+{
+    error_code error;
+    this->set_limit(this->core->settings().body_timeout);
+    count = co_await this->read_rest(piece, error);
+    this->clear_limit();
+    if (!error)
+    {
+        co_return true;
+    }
+    co_return co_await this->refuse_body(error);
+}
+
+task<std::size_t> caller_connection::read_rest(std::span<char> piece,
+                                               error_code& error)
+{
+    std::size_t count = 0;
+    error = {};
+    while (count == 0 && !this->parser->is_done() && !error)
+    {
+        this->parser->get().body().data = piece.data();
+        this->parser->get().body().size = piece.size();
+        co_await beast::http::async_read_some(this->socket, this->buffer,
+                                              *this->parser, to_task(error));
+        if (error == beast::http::error::need_buffer)
+        {
+            error = {};
+        }
+        count = piece.size() - this->parser->get().body().size;
+    }
+    co_return count;
+}
+
+task<bool> caller_connection::refuse_body(error_code error)
+{
+    this->caller_keeps_alive = false;
+    if (this->timed_out)
+    {
+        co_return co_await this->refuse(status::request_timeout,
+                                        "The request's body came too slowly.",
+                                        "Send it again, faster.");
+    }
+    if (error == beast::http::error::body_limit)
+    {
+        co_return co_await this->refuse(status::payload_too_large,
+                                        "The request's body is too large.",
+                                        "Send a smaller one.");
+    }
+    if (error == beast::http::error::partial_message ||
+        error.category() == asio::error::get_system_category())
+    {
+        co_return false;
+    }
+    co_return co_await this->refuse(status::bad_request,
+                                    "The request's body is not valid.",
+                                    "Check the lengths of its chunks.");
+}
+
+} // namespace bilberrylead::http
--- /dev/null
+++ b/bilberrylead/http/caller_server.cpp
@@ -0,0 +1,164 @@
+#include "bilberrylead/http/caller_server.hpp"
+
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/http/caller_connection.hpp"
+#include "bilberrylead/http/server_core.hpp"
+
+#include <boost/asio/basic_socket_acceptor.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace bilberrylead::http
+{
+
+namespace
+{
+
+using tcp_acceptor = asio::basic_socket_acceptor<asio::ip::tcp, executor>;
+
+/// After a failed accept (no file descriptors left) trying again at once
+/// would only burn the processor.
+constexpr duration accept_pause = std::chrono::milliseconds(20);
+
+} // namespace
+
+struct caller_server::implementation
+    : std::enable_shared_from_this<caller_server::implementation>
+{
+    implementation(executor place, server_settings chosen, outside_sink outside)
+        : core(std::make_shared<server_core>(place, std::move(chosen),
+                                             std::move(outside))),
+          acceptor(place), pause(place)
+    {
+    }
+
+    void accept_next();
+
+    std::shared_ptr<server_core> core;
+    tcp_acceptor acceptor;
+    wait_timer pause;
+};
+
+void caller_server::implementation::accept_next()
+{
+    this->acceptor.async_accept(
+        [self = this->shared_from_this()](error_code error, tcp_socket socket)
+        {
+            if (!self->acceptor.is_open())
+            {
+                return;
+            }
+            if (!error)
+            {
+                std::make_shared<caller_connection>(self->core,
+                                                    std::move(socket))
+                    ->begin();
+                self->accept_next();
+                return;
+            }
+            self->pause.expires_after(accept_pause);
+            self->pause.async_wait(
+                [self](error_code stopped)
+                {
+                    if (!stopped && self->acceptor.is_open())
+                    {
+                        self->accept_next();
+                    }
+                });
+        });
+}
+
+caller_server::caller_server(boost::asio::io_context& context,
+                             server_settings chosen, outside_sink outside)
+    : inner(std::make_shared<implementation>(
+          context.get_executor(), std::move(chosen), std::move(outside)))
+{
+}
+
+caller_server::~caller_server()
+{
+    error_code ignored;
+    this->inner->acceptor.close(ignored);
+    this->inner->pause.cancel();
+    this->inner->core->stop();
+}
+
+absl::Status caller_server::listen()
+{
+    config::endpoint const& wanted = this->inner->core->settings().listen;
+    error_code error;
+    asio::ip::address const address =
+        asio::ip::make_address(wanted.address, error);
+    if (error)
+    {
+        return make_error(
+            error_kind::bad_value,
+            fmt::format("\"{}\" is no IP address.", wanted.address),
+            "Give the address callers connect to.");
+    }
+    tcp_acceptor& acceptor = this->inner->acceptor;
+    asio::ip::tcp::endpoint const place(address, wanted.port);
+    acceptor.open(place.protocol(), error);
+    if (!error)
+    {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error)
+    {
+        acceptor.bind(place, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return make_error(error_kind::connection,
+                          fmt::format("Cannot listen on {} port {}: {}.",
+                                      wanted.address, wanted.port,
+                                      error.message()),
+                          "Free the port or choose another.");
+    }
+    this->inner->core->begin();
+    this->inner->accept_next();
+    return absl::OkStatus();
+}
+
+std::uint16_t caller_server::port() const
+{
+    error_code error;
+    asio::ip::tcp::endpoint const place =
+        this->inner->acceptor.local_endpoint(error);
+    return error ? 0 : place.port();
+}
+
+void caller_server::dispatch(entry::event happened)
+{
+    this->inner->core->dispatch(std::move(happened));
+}
+
+bilberrylead::revision caller_server::revision_in_force() const
+{
+    return this->inner->core->decisions().revision_in_force();
+}
+
+bool caller_server::ready() const
+{
+    return this->inner->core->decisions().ready();
+}
+
+entry::entry_counters const& caller_server::decision_counters() const
+{
+    return this->inner->core->decisions().counters();
+}
+
+http_counters const& caller_server::connection_counters() const
+{
+    return this->inner->core->counters();
+}
+
+} // namespace bilberrylead::http
--- /dev/null
+++ b/bilberrylead/http/header_rules.cpp
@@ -0,0 +1,59 @@
+#include "bilberrylead/http/header_rules.hpp"
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace bilberrylead::http
+{
+
+namespace
+{
+
+using beast::http::field;
+
+constexpr std::array<field, 8> connection_headers = {
+    field::connection,         field::keep_alive, field::proxy_connection,
+    field::proxy_authenticate, field::te,         field::trailer,
+    field::transfer_encoding,  field::upgrade};
+
+} // namespace
+
+void strip_connection_headers(beast::http::fields& fields)
+{
+    std::vector<std::string> named;
+    auto const range = fields.equal_range(field::connection);
+    for (auto place = range.first; place != range.second; ++place)
+    {
+        for (beast::string_view const token :
+             beast::http::token_list(place->value()))
+        {
+            named.emplace_back(token);
+        }
+    }
+    for (std::string const& name : named)
+    {
+        // A sender must not have the frame of the body removed.
+        if (!beast::iequals(name, "content-length"))
+        {
+            fields.erase(name);
+        }
+    }
+    for (field const name : connection_headers)
+    {
+        fields.erase(name);
+    }
+}
+
+void strip_upstream_headers(beast::http::fields& fields)
+{
+    fields.erase(not_run_header);
+    fields.erase(leaving_header);
+    fields.erase(outcome_header);
+    fields.erase(deadline_header);
+}
+
+} // namespace bilberrylead::http
--- /dev/null
+++ b/bilberrylead/http/http_counters.hpp
@@ -0,0 +1,37 @@
+#ifndef BILBERRYLEAD_HTTP_HTTP_COUNTERS_HPP
+#define BILBERRYLEAD_HTTP_HTTP_COUNTERS_HPP
+
+#include <cstddef>
+#include <cstdint>
+
+namespace bilberrylead::http
+{
+
+/// What the caller and upstream sides count, for metrics.
+struct http_counters
+{
+    /// Gauge: callers' connections open now.
+    std::size_t caller_connections = 0;
+    /// Gauge: bytes of bodies held now.
+    std::size_t memory_in_use = 0;
+    /// Callers' connections turned away because there were too many.
+    std::uint64_t connections_refused = 0;
+    /// Requests that were no valid HTTP, too large or too slow.
+    std::uint64_t bad_requests = 0;
+    /// Answers that broke off after they had begun.
+    std::uint64_t answers_cut = 0;
+    /// Connections to upstreams that were opened.
+    std::uint64_t upstream_opened = 0;
+    /// Exchanges that used a connection kept from an earlier one.
+    std::uint64_t upstream_reused = 0;
+    /// Kept connections closed because a sibling fell silent.
+    std::uint64_t upstream_suspects_closed = 0;
+    /// Answers that carried another request's id.
+    std::uint64_t answers_of_others = 0;
+    /// Gauge: kept connections that are idle now.
+    std::size_t upstream_idle = 0;
+};
+
+} // namespace bilberrylead::http
+
+#endif
--- /dev/null
+++ b/bilberrylead/http/local_answer.hpp
@@ -0,0 +1,36 @@
+#ifndef BILBERRYLEAD_HTTP_LOCAL_ANSWER_HPP
+#define BILBERRYLEAD_HTTP_LOCAL_ANSWER_HPP
+
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/effect.hpp"
+#include "bilberrylead/http/net.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace bilberrylead::http
+{
+
+/// A final answer that says the request was not run, with when to return.
+whole_answer make_answer(entry::answer_not_run const& decision);
+
+/// A final answer that says nobody can tell whether it ran.
+whole_answer make_answer(entry::answer_unknown const& decision);
+
+/// A final answer that refuses the request for what it is.
+whole_answer make_answer(entry::answer_problem const& decision);
+
+/// A final answer from a record, or from a collected answer.
+whole_answer make_answer(once::recorded_answer const& record);
+
+/// Refuses what is no request that can be carried. `title` is a short
+/// sentence, `detail` names the remedy.
+whole_answer make_refusal(beast::http::status status, std::string_view title,
+                          std::string_view detail);
+
+/// A JSON page of this host's own.
+whole_answer make_page(beast::http::status status, std::string body);
+
+} // namespace bilberrylead::http
+
+#endif
--- /dev/null
+++ b/bilberrylead/http/server_core.cpp
@@ -0,0 +1,330 @@
+#include "bilberrylead/http/server_core.hpp"
+
+#include "bilberrylead/core/log.hpp"
+#include "bilberrylead/http/caller_connection.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace bilberrylead::http
+{
+
+namespace
+{
+
+constexpr part_log logger{"entry"};
+/// Timeouts of connections are looked at on every fifth tick: 50 ms.
+constexpr std::uint64_t ticks_between_sweeps = 5;
+
+template <class Event>
+concept speaks_of_request = requires(Event const& event) {
+    { event.request } -> std::convertible_to<entry::request_number>;
+};
+
+} // namespace
+
+server_core::server_core(executor place, server_settings settings,
+                         outside_sink sink)
+    : where(place), chosen(std::move(settings)), outside(std::move(sink)),
+      reducer(this->chosen.entry), pool(this->chosen.pool, this->counted),
+      report(
+          [this](entry::event happened)
+          {
+              this->dispatch(std::move(happened));
+          }),
+      clock(place)
+{
+}
+
+void server_core::begin()
+{
+    this->run_clock();
+}
+
+void server_core::run_clock()
+{
+    this->clock.expires_after(this->chosen.entry.tick);
+    this->clock.async_wait(
+        [self = this->shared_from_this()](error_code error)
+        {
+            if (error || self->stopped)
+            {
+                return;
+            }
+            self->dispatch(entry::tick{});
+            if (++self->ticks % ticks_between_sweeps == 0)
+            {
+                self->sweep(clock_now());
+            }
+            self->run_clock();
+        });
+}
+
+void server_core::sweep(instant now)
+{
+    // Copies, because what expires leaves the containers.
+    std::vector<std::shared_ptr<upstream_exchange>> exchanges;
+    for (auto const& [number, request] : this->carried)
+    {
+        if (request->exchange != nullptr)
+        {
+            exchanges.push_back(request->exchange);
+        }
+    }
+    for (std::shared_ptr<upstream_exchange> const& exchange : exchanges)
+    {
+        exchange->expire(now);
+    }
+    for (caller_connection* connection : this->connections)
+    {
+        connection->expire(now);
+    }
+    this->pool.sweep(now);
+    this->end_drain();
+}
+
+void server_core::stop()
+{
+    this->stopped = true;
+    this->clock.cancel();
+    for (auto const& [number, request] : this->carried)
+    {
+        if (request->exchange != nullptr)
+        {
+            request->exchange->cancel();
+            request->exchange = nullptr;
+        }
+    }
+    for (caller_connection* connection : this->connections)
+    {
+        connection->cut();
+    }
+}
+
+void server_core::dispatch(entry::event happened)
+{
+    this->queue.push_back(std::move(happened));
+    if (this->dispatching)
+    {
+        return;
+    }
+    this->dispatching = true;
+    while (!this->queue.empty())
+    {
+        entry::event const next = std::move(this->queue.front());
+        this->queue.pop_front();
+        for (entry::effect const& decided :
+             this->reducer.reduce(next, clock_now()))
+        {
+            this->carry_out(decided);
+        }
+        std::visit(
+            [this](auto const& event)
+            {
+                if constexpr (speaks_of_request<std::decay_t<decltype(event)>>)
+                {
+                    this->release_if_over(event.request);
+                }
+            },
+            next);
+    }
+    this->dispatching = false;
+}
+
+void server_core::carry_out(entry::effect const& decided)
+{
+    if (auto const* order = std::get_if<entry::start_upstream>(&decided))
+    {
+        this->start(*order);
+    }
+    else if (auto const* passed = std::get_if<entry::pass_answer_on>(&decided))
+    {
+        carried_request* request = this->find(passed->request);
+        if (request != nullptr)
+        {
+            this->answer(passed->request, stream_reply{request->exchange});
+        }
+    }
+    else if (auto const* taken = std::get_if<entry::collect_answer>(&decided))
+    {
+        carried_request* request = this->find(taken->request);
+        if (request != nullptr)
+        {
+            request->exchange->collect(this->chosen.largest_collected,
+                                       this->chosen.largest_recorded);
+        }
+    }
+    else if (auto const* ready = std::get_if<entry::answer_collected>(&decided))
+    {
+        carried_request* request = this->find(ready->request);
+        if (request != nullptr)
+        {
+            this->answer(ready->request,
+                         recorded_reply{std::move(request->collected)});
+        }
+    }
+    else if (auto const* not_run = std::get_if<entry::answer_not_run>(&decided))
+    {
+        this->answer(not_run->request, *not_run);
+    }
+    else if (auto const* unknown = std::get_if<entry::answer_unknown>(&decided))
+    {
+        this->answer(unknown->request, *unknown);
+    }
+    else if (auto const* record = std::get_if<entry::answer_recorded>(&decided))
+    {
+        this->answer(record->request, recorded_reply{record->answer});
+    }
+    else if (auto const* problem = std::get_if<entry::answer_problem>(&decided))
+    {
+        this->answer(problem->request, *problem);
+    }
+    else if (auto const* ended = std::get_if<entry::cancel_upstream>(&decided))
+    {
+        carried_request* request = this->find(ended->request);
+        if (request != nullptr && request->exchange != nullptr)
+        {
+            std::exchange(request->exchange, nullptr)->cancel();
+        }
+    }
+    else if (std::holds_alternative<entry::close_callers_after_answer>(decided))
+    {
+        logger.info("The drain has begun; answers end their connections.");
+        this->close_after_answer = true;
+    }
+    else if (std::holds_alternative<entry::drained>(decided))
+    {
+        this->drain_ended = true;
+        this->end_drain();
+    }
+    else if (this->outside)
+    {
+        this->outside(decided);
+    }
+}
+
+void server_core::start(entry::start_upstream const& order)
+{
+    auto const found = this->carried.find(order.request);
+    if (found == this->carried.end())
+    {
+        return;
+    }
+    found->second->exchange = std::make_shared<upstream_exchange>(
+        this->where, this->pool, this->report, found->second, order);
+    found->second->exchange->begin();
+}
+
+void server_core::answer(entry::request_number number, http::reply decided)
+{
+    carried_request* request = this->find(number);
+    if (request != nullptr &&
+        std::holds_alternative<std::monostate>(request->reply))
+    {
+        request->reply = std::move(decided);
+        if (request->replied)
+        {
+            request->replied();
+        }
+    }
+}
+
+void server_core::end_drain()
+{
+    bool const busy =
+        std::any_of(this->connections.begin(), this->connections.end(),
+                    [](caller_connection const* connection)
+                    {
+                        return connection->busy();
+                    });
+    if (!this->drain_ended || busy || !this->outside)
+    {
+        return;
+    }
+    this->drain_ended = false;
+    logger.info("The drain has ended; nothing is under way.");
+    for (caller_connection* connection : this->connections)
+    {
+        connection->cut();
+    }
+    this->outside(entry::drained{});
+}
+
+std::shared_ptr<carried_request> server_core::make_request()
+{
+    std::shared_ptr<carried_request> request =
+        std::make_shared<carried_request>();
+    ++this->last_number;
+    request->number = static_cast<entry::request_number>(this->last_number);
+    request->id =
+        this->chosen.request_id_prefix + std::to_string(this->last_number);
+    this->carried.emplace(request->number, request);
+    return request;
+}
+
+carried_request* server_core::find(entry::request_number number)
+{
+    auto const found = this->carried.find(number);
+    return found == this->carried.end() ? nullptr : found->second.get();
+}
+
+void server_core::leave(entry::request_number number)
+{
+    carried_request* request = this->find(number);
+    if (request != nullptr)
+    {
+        request->caller_left = true;
+        this->release_if_over(number);
+    }
+}
+
+void server_core::release_if_over(entry::request_number number)
+{
+    auto const found = this->carried.find(number);
+    if (found != this->carried.end() && found->second->caller_left &&
+        !this->reducer.knows(number))
+    {
+        // Request and exchange hold each other.
+        found->second->exchange = nullptr;
+        this->carried.erase(found);
+    }
+}
+
+bool server_core::reserve(std::size_t count)
+{
+    if (this->counted.memory_in_use + count > this->chosen.memory)
+    {
+        return false;
+    }
+    this->counted.memory_in_use += count;
+    return true;
+}
+
+void server_core::unreserve(std::size_t count)
+{
+    this->counted.memory_in_use -= count;
+}
+
+bool server_core::enter(caller_connection& connection)
+{
+    if (this->stopped ||
+        this->connections.size() >= this->chosen.largest_connections)
+    {
+        ++this->counted.connections_refused;
+        return false;
+    }
+    this->connections.insert(&connection);
+    this->counted.caller_connections = this->connections.size();
+    return true;
+}
+
+void server_core::forget(caller_connection& connection)
+{
+    this->connections.erase(&connection);
+    this->counted.caller_connections = this->connections.size();
+}
+
+} // namespace bilberrylead::http
--- /dev/null
+++ b/bilberrylead/http/server_core.hpp
@@ -0,0 +1,127 @@
+#ifndef BILBERRYLEAD_HTTP_SERVER_CORE_HPP
+#define BILBERRYLEAD_HTTP_SERVER_CORE_HPP
+
+#include "bilberrylead/entry/effect.hpp"
+#include "bilberrylead/entry/entry_reducer.hpp"
+#include "bilberrylead/entry/event.hpp"
+#include "bilberrylead/http/carried_request.hpp"
+#include "bilberrylead/http/http_counters.hpp"
+#include "bilberrylead/http/net.hpp"
+#include "bilberrylead/http/server_settings.hpp"
+#include "bilberrylead/http/upstream_exchange.hpp"
+#include "bilberrylead/http/upstream_pool.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace bilberrylead::http
+{
+
+class caller_connection;
+
+/// Feeds the reducer and carries out what it says. Owned by every
+/// connection and by the server, one thread only.
+class server_core : public std::enable_shared_from_this<server_core>
+{
+public:
+    /// Takes the effects that other parts carry out.
+    using outside_sink = std::function<void(entry::effect const&)>;
+
+    /// Prepares a core that has nothing to do yet.
+    server_core(executor place, server_settings chosen, outside_sink sink);
+
+    /// Starts the clock. Call once.
+    void begin();
+
+    /// Ends every connection and the clock at once.
+    void stop();
+
+    /// Hands an event to the reducer and carries out the effects. From
+    /// within an effect the event waits until the others are carried out.
+    void dispatch(entry::event happened);
+
+    /// A new request, with a number and an id.
+    std::shared_ptr<carried_request> make_request();
+
+    /// The request's caller needs nothing more.
+    void leave(entry::request_number number);
+
+    /// Takes memory for a body; false if there is none left.
+    bool reserve(std::size_t count);
+
+    /// Gives memory back.
+    void unreserve(std::size_t count);
+
+    /// Keeps track of a caller's connection; false if there are too many.
+    bool enter(caller_connection& connection);
+
+    /// Forgets it.
+    void forget(caller_connection& connection);
+
+    /// True if answers end their connections.
+    bool closing() const
+    {
+        return this->close_after_answer;
+    }
+
+    /// The decisions.
+    entry::entry_reducer& decisions()
+    {
+        return this->reducer;
+    }
+
+    /// What it was made with.
+    server_settings const& settings() const
+    {
+        return this->chosen;
+    }
+
+    /// What this side counts.
+    http_counters& counters()
+    {
+        return this->counted;
+    }
+
+    /// Where everything runs.
+    executor place() const
+    {
+        return this->where;
+    }
+
+private:
+    void run_clock();
+    void sweep(instant now);
+    void carry_out(entry::effect const& decided);
+    void answer(entry::request_number number, http::reply decided);
+    void start(entry::start_upstream const& order);
+    void release_if_over(entry::request_number number);
+    void end_drain();
+    carried_request* find(entry::request_number number);
+
+    executor where;
+    server_settings chosen;
+    outside_sink outside;
+    http_counters counted;
+    entry::entry_reducer reducer;
+    upstream_pool pool;
+    event_sink report;
+    wait_timer clock;
+    std::uint64_t ticks = 0;
+    std::uint64_t last_number = 0;
+    std::deque<entry::event> queue;
+    bool dispatching = false;
+    bool stopped = false;
+    bool close_after_answer = false;
+    bool drain_ended = false;
+    std::unordered_map<entry::request_number, std::shared_ptr<carried_request>>
+        carried;
+    std::unordered_set<caller_connection*> connections;
+};
+
+} // namespace bilberrylead::http
+
+#endif
--- /dev/null
+++ b/bilberrylead/http/upstream_connection.hpp
@@ -0,0 +1,38 @@
+#ifndef BILBERRYLEAD_HTTP_UPSTREAM_CONNECTION_HPP
+#define BILBERRYLEAD_HTTP_UPSTREAM_CONNECTION_HPP
+
+#include "bilberrylead/config/endpoint.hpp"
+#include "bilberrylead/http/net.hpp"
+
+namespace bilberrylead::http
+{
+
+/// One TCP connection to an upstream. Carries one exchange at a time and
+/// is used again only after a whole answer.
+struct upstream_connection
+{
+    /// Makes one that is not connected yet.
+    upstream_connection(executor where, config::endpoint peer)
+        : socket(where), upstream(std::move(peer))
+    {
+    }
+
+    /// True if the other side has closed it, or has sent bytes that answer
+    /// nothing: whatever comes next on it cannot be told apart.
+    bool spoiled();
+
+    /// The socket.
+    tcp_socket socket;
+    /// Bytes read beyond what was parsed.
+    beast::flat_buffer buffer;
+    /// Where it leads.
+    config::endpoint upstream;
+    /// When the other side was last heard.
+    instant last_heard{};
+    /// True once it has carried a whole exchange.
+    bool reused = false;
+};
+
+} // namespace bilberrylead::http
+
+#endif
--- /dev/null
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -0,0 +1,443 @@
+#include "bilberrylead/http/upstream_exchange.hpp"
+
+#include "bilberrylead/http/header_rules.hpp"
+#include "bilberrylead/http/upstream_connection.hpp"
+#include "bilberrylead/http/upstream_pool.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::http
+{
+
+namespace
+{
+
+constexpr std::uint32_t largest_answer_head = std::uint32_t{64} << 10U;
+/// A refusal's body up to this is read, so that its connection is kept.
+constexpr std::uint64_t largest_refusal = 4096;
+constexpr std::size_t piece_size = std::size_t{16} << 10U;
+
+bool carries_word(answer_parser const& parser, std::string_view name)
+{
+    return parser.get()[name] == "1";
+}
+
+} // namespace
+
+upstream_exchange::upstream_exchange(executor place, upstream_pool& kept,
+                                     event_sink const& sink,
+                                     std::shared_ptr<carried_request> carried,
+                                     entry::start_upstream started)
+    : where(place), pool(kept), report(sink), request(std::move(carried)),
+      order(std::move(started))
+{
+}
+
+upstream_exchange::~upstream_exchange() = default;
+
+void upstream_exchange::begin()
+{
+    asio::co_spawn(
+        this->where,
+        [self = this->shared_from_this()]() -> task<void>
+        {
+            co_await self->run();
+        },
+        asio::detached);
+}
+
+task<void> upstream_exchange::run()
+{
+    this->began = clock_now();
+    // Each await is a statement of its own: g++ 12 destroys frames wrongly
+    // when one stands in a condition.
+    bool goes_on = co_await this->connect();
+    if (goes_on)
+    {
+        goes_on = co_await this->send();
+    }
+    if (goes_on)
+    {
+        goes_on = co_await this->read_head();
+    }
+    if (goes_on)
+    {
+        co_await this->report_head();
+    }
+}
+
+task<bool> upstream_exchange::connect()
+{
+    pool_settings const& settings = this->pool.settings();
+    if (!this->order.fresh)
+    {
+        this->connection =
+            this->pool.take(this->order.address,
+                            this->order.run_once ? settings.run_once_idle_limit
+                                                 : settings.idle_limit,
+                            this->began);
+    }
+    if (this->connection != nullptr)
+    {
+        co_return true;
+    }
+    ++this->pool.counters().upstream_opened;
+    this->connection =
+        std::make_unique<upstream_connection>(this->where, this->order.address);
+    this->give_up_at = this->began + settings.connect_timeout;
+    error_code error;
+    asio::ip::address const address =
+        asio::ip::make_address(this->order.address.address, error);
+    if (!error)
+    {
+        co_await this->connection->socket.async_connect(
+            {address, this->order.address.port}, to_task(error));
+    }
+    if (this->over)
+    {
+        co_return false;
+    }
+    if (error)
+    {
+        this->fail(entry::exchange_fault::connect_failed);
+        co_return false;
+    }
+    this->connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
+    co_return true;
+}
+
+void upstream_exchange::prepare_message()
+{
+    request_message& message = this->request->message;
+    auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->order.deadline - clock_now());
+    message.set(deadline_header,
+                std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    message.body().data = this->request->kept.data();
+    message.body().size = this->request->kept.size();
+    message.body().more = !this->request->complete;
+}
+
+task<bool> upstream_exchange::send()
+{
+    this->prepare_message();
+    // From here on a byte may have reached the upstream.
+    this->phase = entry::exchange_phase::maybe_sent;
+    this->give_up_at = clock_now() + this->order.progress_timeout;
+    error_code error;
+    co_await this->send_message(error);
+    // An upstream may answer and close before it has read all; so after a
+    // failed write its answer is looked for all the same.
+    co_return !this->over;
+}
+
+task<void> upstream_exchange::send_message(error_code& error)
+{
+    request_message& message = this->request->message;
+    beast::http::request_serializer<beast::http::buffer_body> serializer{
+        message};
+    std::vector<char> piece;
+    for (;;)
+    {
+        co_await beast::http::async_write(this->connection->socket, serializer,
+                                          to_task(error));
+        if (error == beast::http::error::need_buffer)
+        {
+            error = {};
+        }
+        if (error || this->over || serializer.is_done())
+        {
+            co_return;
+        }
+        piece.resize(piece_size);
+        std::size_t const count =
+            co_await this->request->read_rest(piece, error);
+        if (error || this->over)
+        {
+            co_return;
+        }
+        this->give_up_at = clock_now() + this->order.progress_timeout;
+        message.body().data = count > 0 ? piece.data() : nullptr;
+        message.body().size = count;
+        message.body().more = count > 0;
+    }
+}
+
+task<bool> upstream_exchange::read_head()
+{
+    // Work whose caller has stopped waiting may still end well and be
+    // recorded, so an answer may be late by one silence.
+    this->give_up_at = this->order.deadline + this->order.progress_timeout;
+    error_code error;
+    do
+    {
+        this->parser.emplace();
+        this->parser->header_limit(largest_answer_head);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->request->message.method() ==
+                           beast::http::verb::head);
+        co_await beast::http::async_read_header(this->connection->socket,
+                                                this->connection->buffer,
+                                                *this->parser, to_task(error));
+        if (this->over)
+        {
+            co_return false;
+        }
+        if (error)
+        {
+            this->fail(this->timed_out
+                           ? entry::exchange_fault::silent
+                           : entry::exchange_fault::connection_lost);
+            co_return false;
+        }
+        this->connection->last_heard = clock_now();
+    } while (beast::http::to_status_class(this->parser->get().result()) ==
+             beast::http::status_class::informational);
+    // An answer that names another request is not this one's, whatever the
+    // order of bytes says.
+    beast::string_view const named = this->parser->get()[request_id_header];
+    if (!named.empty() && named != this->request->id)
+    {
+        ++this->pool.counters().answers_of_others;
+        this->fail(entry::exchange_fault::bad_answer);
+        co_return false;
+    }
+    co_return true;
+}
+
+task<void> upstream_exchange::report_head()
+{
+    entry::upstream_head_received head;
+    head.request = this->request->number;
+    head.status = this->parser->get().result_int();
+    head.not_run = this->parser->get().result() ==
+                       beast::http::status::service_unavailable &&
+                   carries_word(*this->parser, not_run_header);
+    head.leaving = carries_word(*this->parser, leaving_header);
+    if (head.not_run && this->parser->content_length().value_or(
+                            largest_refusal + 1) <= largest_refusal)
+    {
+        // Read to its end first: a shed request should not cost the
+        // connection, too.
+        std::vector<char> piece(largest_refusal);
+        error_code error;
+        this->parser->get().body().data = piece.data();
+        this->parser->get().body().size = piece.size();
+        this->give_up_at = clock_now() + this->order.progress_timeout;
+        co_await beast::http::async_read(this->connection->socket,
+                                         this->connection->buffer,
+                                         *this->parser, to_task(error));
+        if (this->over)
+        {
+            co_return;
+        }
+        if (!error)
+        {
+            this->finish();
+        }
+    }
+    this->give_up_at = instant::max();
+    this->phase = entry::exchange_phase::answer_started;
+    this->report(head);
+}
+
+task<std::size_t> upstream_exchange::read_some(std::span<char> piece,
+                                               error_code& error)
+{
+    std::size_t count = 0;
+    error = {};
+    while (!this->over && count == 0 && !this->parser->is_done())
+    {
+        this->give_up_at = clock_now() + this->order.progress_timeout;
+        this->parser->get().body().data = piece.data();
+        this->parser->get().body().size = piece.size();
+        co_await beast::http::async_read_some(this->connection->socket,
+                                              this->connection->buffer,
+                                              *this->parser, to_task(error));
+        this->give_up_at = instant::max();
+        if (this->over)
+        {
+            break;
+        }
+        if (error == beast::http::error::need_buffer)
+        {
+            error = {};
+        }
+        if (error)
+        {
+            this->fail(this->timed_out
+                           ? entry::exchange_fault::silent
+                           : entry::exchange_fault::connection_lost);
+            co_return 0;
+        }
+        count = piece.size() - this->parser->get().body().size;
+    }
+    if (this->over && !this->parser->is_done())
+    {
+        error = asio::error::operation_aborted;
+        co_return 0;
+    }
+    if (this->parser->is_done() && !this->over)
+    {
+        this->finish();
+        this->report(entry::upstream_answer_finished{this->request->number,
+                                                     std::nullopt});
+    }
+    co_return count;
+}
+
+void upstream_exchange::collect(std::size_t largest_answer,
+                                std::size_t largest_record)
+{
+    asio::co_spawn(
+        this->where,
+        [self = this->shared_from_this(), largest_answer,
+         largest_record]() -> task<void>
+        {
+            co_await self->collect_body(largest_answer, largest_record);
+        },
+        asio::detached);
+}
+
+task<void> upstream_exchange::collect_body(std::size_t largest_answer,
+                                           std::size_t largest_record)
+{
+    once::recorded_answer answer;
+    answer.status = this->parser->get().result_int();
+    answer.content_type =
+        std::string(this->parser->get()[beast::http::field::content_type]);
+    std::vector<char> piece(piece_size);
+    error_code error;
+    while (!this->over && !this->parser->is_done())
+    {
+        this->give_up_at = clock_now() + this->order.progress_timeout;
+        this->parser->get().body().data = piece.data();
+        this->parser->get().body().size = piece.size();
+        co_await beast::http::async_read_some(this->connection->socket,
+                                              this->connection->buffer,
+                                              *this->parser, to_task(error));
+        if (this->over)
+        {
+            co_return;
+        }
+        if (error && error != beast::http::error::need_buffer)
+        {
+            this->fail(this->timed_out
+                           ? entry::exchange_fault::silent
+                           : entry::exchange_fault::connection_lost);
+            co_return;
+        }
+        std::size_t const count =
+            piece.size() - this->parser->get().body().size;
+        answer.body_dropped =
+            answer.body_dropped || answer.body.size() + count > largest_answer;
+        if (!answer.body_dropped)
+        {
+            answer.body.insert(answer.body.end(), piece.data(),
+                               piece.data() + count);
+        }
+    }
+    if (this->over)
+    {
+        co_return;
+    }
+    this->finish();
+    if (answer.body_dropped)
+    {
+        answer.body.clear();
+    }
+    this->request->collected = answer;
+    if (answer.body.size() > largest_record)
+    {
+        answer.body.clear();
+        answer.body_dropped = true;
+    }
+    this->report(entry::upstream_answer_finished{this->request->number,
+                                                 std::move(answer)});
+}
+
+void upstream_exchange::cancel()
+{
+    if (this->over)
+    {
+        return;
+    }
+    if (this->phase == entry::exchange_phase::maybe_sent)
+    {
+        this->note_silence();
+    }
+    this->over = true;
+    this->close();
+}
+
+void upstream_exchange::expire(instant now)
+{
+    if (this->over || now < this->give_up_at)
+    {
+        return;
+    }
+    this->timed_out = true;
+    this->give_up_at = instant::max();
+    this->note_silence();
+    error_code ignored;
+    this->connection->socket.close(ignored);
+}
+
+void upstream_exchange::note_silence()
+{
+    instant const now = clock_now();
+    if (this->connection != nullptr && this->connection->reused &&
+        now >= this->began + this->pool.settings().silence_suspicion)
+    {
+        this->pool.suspect(this->order.address, this->began);
+    }
+}
+
+void upstream_exchange::finish()
+{
+    this->over = true;
+    this->give_up_at = instant::max();
+    if (this->parser->keep_alive() && !this->parser->need_eof() &&
+        this->connection->buffer.size() == 0)
+    {
+        this->pool.give_back(std::move(this->connection), clock_now());
+    }
+    else
+    {
+        this->close();
+    }
+}
+
+void upstream_exchange::fail(entry::exchange_fault fault)
+{
+    assert(!this->over);
+    this->over = true;
+    this->close();
+    this->report(
+        entry::upstream_failed{this->request->number, this->phase, fault});
+}
+
+void upstream_exchange::close()
+{
+    this->give_up_at = instant::max();
+    if (this->connection != nullptr)
+    {
+        error_code ignored;
+        this->connection->socket.close(ignored);
+    }
+}
+
+} // namespace bilberrylead::http
--- /dev/null
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -0,0 +1,101 @@
+#ifndef BILBERRYLEAD_HTTP_UPSTREAM_EXCHANGE_HPP
+#define BILBERRYLEAD_HTTP_UPSTREAM_EXCHANGE_HPP
+
+#include "bilberrylead/entry/effect.hpp"
+#include "bilberrylead/entry/event.hpp"
+#include "bilberrylead/http/carried_request.hpp"
+#include "bilberrylead/http/net.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace bilberrylead::http
+{
+
+class upstream_pool;
+struct upstream_connection;
+
+/// Takes the events that an exchange reports.
+using event_sink = std::function<void(entry::event)>;
+
+/// One request sent to one upstream over one connection, and its answer.
+/// Ends in exactly one of: answer finished, failed (both reported) or
+/// cancelled (not reported). Unless the answer came whole, the connection
+/// is closed and never used again.
+class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
+{
+public:
+    /// Prepares an exchange; `pool` and `report` must outlive it.
+    upstream_exchange(executor where, upstream_pool& pool,
+                      event_sink const& report,
+                      std::shared_ptr<carried_request> request,
+                      entry::start_upstream order);
+    ~upstream_exchange();
+    upstream_exchange(upstream_exchange const&) = delete;
+    upstream_exchange& operator=(upstream_exchange const&) = delete;
+
+    /// Connects, sends and reads the answer's head, in the background.
+    void begin();
+
+    /// Reads the answer's body whole in the background and reports it.
+    /// After the head was reported, instead of `read_some`.
+    void collect(std::size_t largest_answer, std::size_t largest_record);
+
+    /// Ends it without a report. Closing the connection is how HTTP/1.1
+    /// passes a cancellation on.
+    void cancel();
+
+    /// Fails it if it has made no progress for too long.
+    void expire(instant now);
+
+    /// True once it has ended, in whatever way.
+    bool ended() const
+    {
+        return this->over;
+    }
+
+    /// The answer's head. After the head was reported.
+    answer_parser& answer()
+    {
+        return *this->parser;
+    }
+
+    /// Reads more of the body. 0 bytes and no error is its whole end, which
+    /// has been reported by then, as has an error.
+    task<std::size_t> read_some(std::span<char> piece, error_code& error);
+
+private:
+    task<void> run();
+    task<bool> connect();
+    task<bool> send();
+    task<void> send_message(error_code& error);
+    task<bool> read_head();
+    task<void> report_head();
+    task<void> collect_body(std::size_t largest_answer,
+                            std::size_t largest_record);
+    void prepare_message();
+    void finish();
+    void fail(entry::exchange_fault fault);
+    void note_silence();
+    void close();
+
+    executor where;
+    upstream_pool& pool;
+    event_sink const& report;
+    std::shared_ptr<carried_request> request;
+    entry::start_upstream order;
+    std::unique_ptr<upstream_connection> connection;
+    std::optional<answer_parser> parser;
+    instant began{};
+    instant give_up_at = instant::max();
+    entry::exchange_phase phase = entry::exchange_phase::not_sent;
+    bool timed_out = false;
+    bool over = false;
+};
+
+} // namespace bilberrylead::http
+
+#endif
--- /dev/null
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -0,0 +1,125 @@
+#ifndef BILBERRYLEAD_TESTS_UNIT_ENTRY_ENTRY_FIXTURE_HPP
+#define BILBERRYLEAD_TESTS_UNIT_ENTRY_ENTRY_FIXTURE_HPP
+
+#include "bilberrylead/entry/entry_reducer.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace bilberrylead::entry
+{
+
+using namespace std::chrono_literals;
+
+/// A configuration with the service "lookup" (idempotent), "grant" (guarded)
+/// and "post" (not idempotent, not guarded), each on upstreams a and b with
+/// one slot, in zone z1.
+inline std::shared_ptr<config::configuration> make_configuration()
+{
+    std::shared_ptr<config::configuration> made =
+        std::make_shared<config::configuration>();
+    for (std::string const name : {"lookup", "grant", "post"})
+    {
+        config::service service;
+        service.id = service_id(name);
+        service.idempotent = name == "lookup";
+        service.guarded = name == "grant";
+        made->services.push_back(service);
+        for (std::string const letter : {"a", "b"})
+        {
+            config::upstream upstream;
+            upstream.id = upstream_id(name + "-" + letter);
+            upstream.service = service.id;
+            upstream.zone = zone_id("z1");
+            upstream.address = {"127.0.0.1", 9};
+            upstream.slots = 1;
+            made->upstreams.push_back(upstream);
+        }
+    }
+    made->places.push_back({zone_id("z1"), region_id("r1"), {}});
+    config::entry_host self;
+    self.id = host_id("e1");
+    self.zone = zone_id("z1");
+    self.address = {"127.0.0.1", 8};
+    made->entry_hosts.push_back(self);
+    return made;
+}
+
+/// Drives one entry_reducer and looks into what it said.
+struct driven_entry
+{
+    driven_entry()
+    {
+        this->said = this->reducer.reduce(
+            configuration_received{1, make_configuration()}, this->now);
+    }
+
+    static entry_settings make_settings()
+    {
+        entry_settings settings;
+        settings.self = host_id("e1");
+        settings.zone = zone_id("z1");
+        return settings;
+    }
+
+    effects const& take(event const& happened)
+    {
+        this->said = this->reducer.reduce(happened, this->now);
+        return this->said;
+    }
+
+    effects const& arrive(std::uint64_t number, std::string const& service,
+                          std::string const& key = {})
+    {
+        request_arrived arrival;
+        arrival.request = static_cast<request_number>(number);
+        arrival.service = service_id(service);
+        arrival.caller = caller_id("studio");
+        arrival.caller_address = "127.0.0.1";
+        arrival.idempotency_key = key;
+        return this->take(arrival);
+    }
+
+    effects const& after(duration time)
+    {
+        this->now += time;
+        return this->take(tick{});
+    }
+
+    effects const& fail(std::uint64_t number, exchange_phase phase)
+    {
+        return this->take(upstream_failed{static_cast<request_number>(number),
+                                          phase,
+                                          exchange_fault::connection_lost});
+    }
+
+    template <class Effect>
+    Effect const* find() const
+    {
+        for (effect const& each : this->said)
+        {
+            if (Effect const* found = std::get_if<Effect>(&each))
+            {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    template <class Effect>
+    bool says() const
+    {
+        return this->find<Effect>() != nullptr;
+    }
+
+    instant now = instant{} + 1h;
+    entry_reducer reducer{make_settings()};
+    effects said;
+};
+
+} // namespace bilberrylead::entry
+
+#endif
--- /dev/null
+++ b/tests/unit/entry/entry_reducer_test.cpp
@@ -0,0 +1,171 @@
+#include "tests/unit/entry/entry_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace bilberrylead;
+using namespace bilberrylead::entry;
+
+namespace
+{
+
+request_number number(std::uint64_t value)
+{
+    return static_cast<request_number>(value);
+}
+
+upstream_head_received head_of(std::uint64_t value)
+{
+    upstream_head_received head;
+    head.request = number(value);
+    head.status = 200;
+    return head;
+}
+
+} // namespace
+
+Test(entry_reducer, request_before_any_configuration_is_not_run)
+{
+    entry_reducer reducer(driven_entry::make_settings());
+    request_arrived arrival;
+    arrival.service = service_id("lookup");
+    effects const said = reducer.reduce(arrival, instant{});
+    cr_assert_eq(said.size(), 1);
+    cr_assert(std::get<answer_not_run>(said.front()).reason ==
+              refusal_reason::not_ready);
+    cr_assert_not(reducer.ready());
+}
+
+Test(entry_reducer, configuration_with_older_or_equal_revision_is_ignored)
+{
+    // A neighbour that lags sends the revision before the operator's last
+    // change. Callers must go on seeing the last one.
+    driven_entry entry;
+    std::shared_ptr<config::configuration> const newer = make_configuration();
+    newer->services.pop_back();
+    entry.take(configuration_received{3, newer});
+    entry.take(configuration_received{2, make_configuration()});
+    entry.take(configuration_received{3, make_configuration()});
+    cr_assert_eq(entry.reducer.revision_in_force(), 3);
+    cr_assert_null(entry.reducer.find_service(service_id("post")));
+}
+
+Test(entry_reducer, lookup_when_answered_is_passed_on_and_ends)
+{
+    driven_entry entry;
+    entry.arrive(1, "lookup");
+    cr_assert(entry.says<start_upstream>());
+    entry.take(head_of(1));
+    cr_assert(entry.says<pass_answer_on>());
+    entry.take(upstream_answer_finished{number(1), std::nullopt});
+    cr_assert_eq(entry.reducer.under_way(), 0);
+    cr_assert_eq(entry.reducer.counters().slots_in_use, 0);
+}
+
+Test(entry_reducer, unknown_service_and_missing_key_are_problems)
+{
+    driven_entry entry;
+    entry.arrive(1, "nothing");
+    cr_assert_eq(entry.find<answer_problem>()->status, 404);
+    entry.arrive(2, "grant");
+    cr_assert_eq(entry.find<answer_problem>()->status, 400);
+}
+
+Test(entry_reducer, lookup_whose_connection_breaks_is_tried_elsewhere)
+{
+    driven_entry entry;
+    upstream_id const first = [&entry]
+    {
+        entry.arrive(1, "lookup");
+        return entry.find<start_upstream>()->upstream;
+    }();
+    entry.fail(1, exchange_phase::maybe_sent);
+    cr_assert(entry.says<start_upstream>());
+    cr_assert(entry.find<start_upstream>()->upstream != first);
+    cr_assert(entry.find<start_upstream>()->fresh);
+}
+
+Test(entry_reducer, post_whose_connection_breaks_is_never_sent_again)
+{
+    // The caller posts a royalty; the connection breaks after the bytes
+    // left. It may have been booked, so a second try could book it twice:
+    // the caller hears "unknown" at once.
+    driven_entry entry;
+    entry.arrive(1, "post");
+    entry.fail(1, exchange_phase::maybe_sent);
+    cr_assert_not(entry.says<start_upstream>());
+    cr_assert(entry.says<answer_unknown>());
+    cr_assert_eq(entry.reducer.under_way(), 0);
+}
+
+Test(entry_reducer, post_that_never_left_is_tried_elsewhere_then_not_run)
+{
+    driven_entry entry;
+    entry.arrive(1, "post");
+    entry.fail(1, exchange_phase::not_sent);
+    cr_assert(entry.says<start_upstream>());
+    entry.fail(1, exchange_phase::not_sent);
+    cr_assert(entry.says<answer_not_run>());
+}
+
+Test(entry_reducer, post_that_upstream_turned_away_is_tried_elsewhere)
+{
+    driven_entry entry;
+    entry.arrive(1, "post");
+    upstream_head_received refusal = head_of(1);
+    refusal.not_run = true;
+    entry.take(refusal);
+    cr_assert(entry.says<start_upstream>());
+}
+
+Test(entry_reducer, request_beyond_all_slots_waits_and_is_served_in_turn)
+{
+    driven_entry entry;
+    entry.arrive(1, "lookup");
+    entry.arrive(2, "lookup");
+    entry.arrive(3, "lookup");
+    cr_assert_not(entry.says<start_upstream>());
+    entry.take(head_of(1));
+    entry.take(upstream_answer_finished{number(1), std::nullopt});
+    cr_assert(entry.find<start_upstream>()->request == number(3));
+}
+
+Test(entry_reducer, waiting_request_at_its_deadline_is_not_run)
+{
+    driven_entry entry;
+    entry.arrive(1, "post");
+    entry.arrive(2, "post");
+    entry.arrive(3, "post");
+    entry.after(2s);
+    cr_assert(entry.says<answer_not_run>());
+    cr_assert(entry.find<answer_not_run>()->request == number(3));
+    cr_assert(entry.says<answer_unknown>(), "the other two may have run");
+}
+
+Test(entry_reducer, caller_that_goes_away_cancels_its_lookup)
+{
+    driven_entry entry;
+    entry.arrive(1, "lookup");
+    entry.take(caller_gone{number(1)});
+    cr_assert(entry.says<cancel_upstream>());
+    cr_assert_eq(entry.reducer.counters().slots_in_use, 0);
+}
+
+Test(entry_reducer, leaving_upstream_gets_no_new_work)
+{
+    // Upstream a says in an answer that it leaves, before any operator's
+    // label arrives. The next callers must all go to b.
+    driven_entry entry;
+    entry.arrive(1, "lookup");
+    upstream_id const leaving = entry.find<start_upstream>()->upstream;
+    upstream_head_received head = head_of(1);
+    head.leaving = true;
+    entry.take(head);
+    entry.take(upstream_answer_finished{number(1), std::nullopt});
+    for (std::uint64_t each = 2; each < 10; ++each)
+    {
+        entry.arrive(each, "lookup");
+        cr_assert(entry.find<start_upstream>()->upstream != leaving);
+        entry.take(head_of(each));
+        entry.take(upstream_answer_finished{number(each), std::nullopt});
+    }
+}
--- /dev/null
+++ b/tests/unit/entry/guarded_request_test.cpp
@@ -0,0 +1,158 @@
+#include "tests/unit/entry/entry_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace bilberrylead;
+using namespace bilberrylead::entry;
+
+namespace
+{
+
+request_number const one = static_cast<request_number>(1);
+
+/// A grant with key k that has been claimed and sent.
+struct sent_grant : driven_entry
+{
+    sent_grant()
+    {
+        this->arrive(1, "grant", "k");
+        this->take(claim_answered{one, once::claim_granted{}});
+    }
+
+    void answer_it()
+    {
+        upstream_head_received head;
+        head.request = one;
+        head.status = 201;
+        this->take(head);
+        this->take(upstream_answer_finished{
+            one, once::recorded_answer{201, "text/plain", {'o', 'k'}, false}});
+    }
+};
+
+} // namespace
+
+Test(guarded_request, grant_is_forwarded_only_after_its_claim_is_granted)
+{
+    driven_entry entry;
+    entry.arrive(1, "grant", "k");
+    cr_assert(entry.says<request_claim>());
+    cr_assert_not(entry.says<start_upstream>());
+    entry.take(claim_answered{one, once::claim_granted{}});
+    cr_assert(entry.says<start_upstream>());
+    cr_assert(entry.find<start_upstream>()->run_once);
+}
+
+Test(guarded_request, every_other_verdict_runs_nothing)
+{
+    struct row
+    {
+        once::claim_verdict verdict;
+        std::uint16_t problem;
+    };
+    std::vector<row> const rows = {{once::claim_in_progress{}, 409},
+                                   {once::claim_mismatch{}, 422},
+                                   {once::claim_refused{}, 0},
+                                   {once::claim_outcome_unknown{}, 0},
+                                   {once::claim_recorded{}, 0}};
+    for (row const& each : rows)
+    {
+        driven_entry entry;
+        entry.arrive(1, "grant", "k");
+        entry.take(claim_answered{one, each.verdict});
+        cr_assert_eq(entry.said.size(), 1);
+        cr_assert_not(entry.says<start_upstream>());
+        cr_assert_eq(entry.reducer.under_way(), 0);
+        if (each.problem != 0)
+        {
+            cr_assert_eq(entry.find<answer_problem>()->status, each.problem);
+        }
+    }
+}
+
+Test(guarded_request, answer_is_recorded_before_its_caller_hears_it)
+{
+    sent_grant entry;
+    entry.answer_it();
+    cr_assert(entry.says<report_completion>());
+    cr_assert_not(entry.says<answer_collected>());
+    entry.take(completion_stored{one});
+    cr_assert(entry.says<answer_collected>());
+    cr_assert_eq(entry.reducer.under_way(), 0);
+}
+
+Test(guarded_request, answer_reaches_its_caller_though_no_quorum_records_it)
+{
+    // The control link breaks while the grant runs. It did run, so its
+    // caller gets the answer after a short wait; a repeat meanwhile hears
+    // "in progress" and never runs.
+    sent_grant entry;
+    entry.take(control_unreachable{});
+    entry.answer_it();
+    entry.after(entry.reducer.settings().record_wait);
+    cr_assert(entry.says<answer_collected>());
+}
+
+Test(guarded_request, grant_without_control_host_is_not_run_at_once)
+{
+    driven_entry entry;
+    entry.take(control_unreachable{});
+    entry.arrive(1, "grant", "k");
+    cr_assert(entry.find<answer_not_run>()->reason ==
+              refusal_reason::claim_refused);
+}
+
+Test(guarded_request, claim_granted_after_the_deadline_is_released)
+{
+    // The caller was told "not run" while its claim was on the way. Were
+    // the late grant kept, every repeat would hear "in progress" for ever.
+    driven_entry entry;
+    entry.arrive(1, "grant", "k");
+    entry.after(2s);
+    cr_assert(entry.says<answer_not_run>());
+    entry.take(claim_answered{one, once::claim_granted{}});
+    cr_assert(entry.says<report_release>());
+    cr_assert_not(entry.says<start_upstream>());
+}
+
+Test(guarded_request, grant_that_was_never_sent_releases_its_claim)
+{
+    sent_grant entry;
+    entry.fail(1, exchange_phase::not_sent);
+    entry.fail(1, exchange_phase::not_sent);
+    cr_assert(entry.says<report_release>());
+    cr_assert(entry.says<answer_not_run>());
+}
+
+Test(guarded_request, grant_whose_answer_is_lost_is_reported_unknown)
+{
+    sent_grant entry;
+    entry.fail(1, exchange_phase::maybe_sent);
+    cr_assert(entry.says<report_unknown>());
+    cr_assert(entry.says<answer_unknown>());
+    cr_assert_not(entry.says<start_upstream>());
+}
+
+Test(guarded_request, grant_whose_caller_left_goes_on_and_is_recorded)
+{
+    // The caller's connection breaks while its grant runs, and it will ask
+    // again with the same key. Cancelling would make the outcome unknown.
+    sent_grant entry;
+    entry.take(caller_gone{one});
+    cr_assert_not(entry.says<cancel_upstream>());
+    entry.after(5s);
+    cr_assert_not(entry.says<answer_unknown>());
+    entry.answer_it();
+    cr_assert(entry.says<report_completion>());
+    cr_assert_eq(entry.reducer.under_way(), 0);
+}
+
+Test(guarded_request, late_grant_is_unknown_to_its_caller_and_still_recorded)
+{
+    sent_grant entry;
+    entry.after(2s);
+    cr_assert(entry.says<answer_unknown>());
+    entry.answer_it();
+    cr_assert(entry.says<report_completion>());
+    cr_assert_not(entry.says<answer_collected>());
+}
