Link the system's processes over WebSocket with CBOR and a shared key

Cause: nothing carried messages between processes yet. Ruled out: websocketpp (does not compile as C++20), a key sent in the clear (whoever listens would have it). Both sides prove the key over fresh nonces instead; a stranger learns nothing. Measured: unit.link, 5 tests, pass; a link that is cut is dialled again.

--- /dev/null
+++ b/bilberrylead/link/peer_node.cpp
@@ -0,0 +1,286 @@
+#include "bilberrylead/link/peer_node.hpp"
+
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/core/log.hpp"
+#include "bilberrylead/link/peer_node_settings.hpp"
+#include "bilberrylead/link/peer_session.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::link
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr part_log log{"link"};
+
+absl::StatusOr<tcp::endpoint> to_tcp(config::endpoint const& address)
+{
+    error_code error;
+    asio::ip::address const parsed =
+        asio::ip::make_address(address.address, error);
+    if (error)
+    {
+        return make_error(
+            error_kind::bad_value,
+            fmt::format("'{}' is no IP address.", address.address),
+            "Write it as 192.0.2.1 or 2001:db8::1.");
+    }
+    return tcp::endpoint(parsed, address.port);
+}
+
+} // namespace
+
+/// The links and the timers that keep them up.
+struct peer_node::implementation
+{
+    /// An address whose link is kept up.
+    struct dialled_address
+    {
+        explicit dialled_address(asio::io_context& io) : timer(io)
+        {
+        }
+
+        tcp::endpoint address;
+        duration pause{};
+        asio::steady_timer timer;
+        link_number link = 0;
+        bool forgotten = false;
+    };
+
+    implementation(asio::io_context& io, peer_node_settings settings,
+                   peer_callbacks callbacks)
+        : io(io), settings(std::move(settings)),
+          callbacks(std::move(callbacks)), acceptor(io)
+    {
+    }
+
+    void accept_next();
+    link_number add(tcp::socket socket,
+                    std::shared_ptr<dialled_address> const& from);
+    void on_closed(link_number number,
+                   std::shared_ptr<dialled_address> const& from);
+    void dial_now(std::shared_ptr<dialled_address> const& target);
+
+    asio::io_context& io;
+    peer_node_settings settings;
+    peer_callbacks callbacks;
+    tcp::acceptor acceptor;
+    link_number last_number = 0;
+    std::map<link_number, std::shared_ptr<peer_session>> sessions;
+    std::map<config::endpoint, std::shared_ptr<dialled_address>> dialled;
+};
+
+void peer_node::implementation::accept_next()
+{
+    this->acceptor.async_accept(
+        [this](error_code const& error, tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                link_number const number =
+                    this->add(std::move(socket), nullptr);
+                this->sessions.at(number)->start_accepted();
+            }
+            this->accept_next();
+        });
+}
+
+link_number
+peer_node::implementation::add(tcp::socket socket,
+                               std::shared_ptr<dialled_address> const& from)
+{
+    ++this->last_number;
+    link_number const number = this->last_number;
+    peer_session::callbacks owner;
+    owner.opened = [this, number, from](peer_identity const& identity)
+    {
+        if (from)
+        {
+            from->pause = this->settings.redial_pause;
+        }
+        this->callbacks.connected(number, identity);
+    };
+    owner.received = [this, number](bytes message)
+    {
+        this->callbacks.received(number, std::move(message));
+    };
+    // Posted, so that a failed send() does not call its caller back.
+    owner.closed = [this, number, from]()
+    {
+        asio::post(this->io,
+                   [this, number, from]()
+                   {
+                       this->on_closed(number, from);
+                   });
+    };
+    this->sessions.emplace(
+        number, std::make_shared<peer_session>(
+                    std::move(socket), this->settings, std::move(owner)));
+    return number;
+}
+
+void peer_node::implementation::on_closed(
+    link_number number, std::shared_ptr<dialled_address> const& from)
+{
+    if (this->sessions.erase(number) == 0)
+    {
+        return;
+    }
+    this->callbacks.disconnected(number);
+    if (!from || from->forgotten)
+    {
+        return;
+    }
+
+    // Dial again after a pause that doubles while the peer stays away.
+    from->link = 0;
+    from->timer.expires_after(from->pause);
+    from->pause =
+        std::min(from->pause * 2, this->settings.longest_redial_pause);
+    from->timer.async_wait(
+        [this, from](error_code const& error)
+        {
+            if (!error && !from->forgotten)
+            {
+                this->dial_now(from);
+            }
+        });
+}
+
+void peer_node::implementation::dial_now(
+    std::shared_ptr<dialled_address> const& target)
+{
+    target->link = this->add(tcp::socket(this->io), target);
+    this->sessions.at(target->link)->start_dialled(target->address);
+}
+
+peer_node::peer_node(asio::io_context& io, peer_node_settings settings,
+                     peer_callbacks callbacks)
+    : impl(std::make_unique<implementation>(io, std::move(settings),
+                                            std::move(callbacks)))
+{
+}
+
+peer_node::~peer_node()
+{
+    for (auto& [number, session] : this->impl->sessions)
+    {
+        session->detach();
+    }
+    for (auto& [address, target] : this->impl->dialled)
+    {
+        target->forgotten = true;
+    }
+}
+
+absl::Status peer_node::listen(config::endpoint const& address)
+{
+    absl::StatusOr<tcp::endpoint> const where = to_tcp(address);
+    if (!where.ok())
+    {
+        return where.status();
+    }
+    tcp::acceptor& acceptor = this->impl->acceptor;
+    error_code error;
+    acceptor.open(where->protocol(), error);
+    if (!error)
+    {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        acceptor.bind(*where, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return make_error(error_kind::connection,
+                          fmt::format("The peer address {}:{} cannot be had "
+                                      "({}).",
+                                      address.address, address.port,
+                                      error.message()),
+                          "Free the port or set another one.");
+    }
+    log.info("Peers are taken at {}:{}.", address.address, this->port());
+    this->impl->accept_next();
+    return absl::OkStatus();
+}
+
+std::uint16_t peer_node::port() const
+{
+    error_code error;
+    tcp::endpoint const local = this->impl->acceptor.local_endpoint(error);
+    return error ? std::uint16_t{0} : local.port();
+}
+
+void peer_node::dial(config::endpoint const& address)
+{
+    absl::StatusOr<tcp::endpoint> const where = to_tcp(address);
+    if (!where.ok() || this->impl->dialled.contains(address))
+    {
+        return;
+    }
+    std::shared_ptr<implementation::dialled_address> const target =
+        std::make_shared<implementation::dialled_address>(this->impl->io);
+    target->address = *where;
+    target->pause = this->impl->settings.redial_pause;
+    this->impl->dialled.emplace(address, target);
+    this->impl->dial_now(target);
+}
+
+void peer_node::forget(config::endpoint const& address)
+{
+    std::map<config::endpoint,
+             std::shared_ptr<implementation::dialled_address>>::iterator const
+        found = this->impl->dialled.find(address);
+    if (found == this->impl->dialled.end())
+    {
+        return;
+    }
+    found->second->forgotten = true;
+    found->second->timer.cancel();
+    this->close(found->second->link);
+    this->impl->dialled.erase(found);
+}
+
+void peer_node::send(link_number link, bytes message)
+{
+    auto const found = this->impl->sessions.find(link);
+    if (found != this->impl->sessions.end())
+    {
+        std::shared_ptr<peer_session> const session = found->second;
+        session->send(std::move(message));
+    }
+}
+
+void peer_node::close(link_number link)
+{
+    auto const found = this->impl->sessions.find(link);
+    if (found != this->impl->sessions.end())
+    {
+        std::shared_ptr<peer_session> const session = found->second;
+        session->close();
+    }
+}
+
+} // namespace bilberrylead::link
--- /dev/null
+++ b/bilberrylead/link/peer_node_settings.hpp
@@ -0,0 +1,44 @@
+#ifndef BILBERRYLEAD_LINK_PEER_NODE_SETTINGS_HPP
+#define BILBERRYLEAD_LINK_PEER_NODE_SETTINGS_HPP
+
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/link/peer_identity.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace bilberrylead::link
+{
+
+/// What a process needs to talk to its peers.
+struct peer_node_settings
+{
+    /// Who this process is.
+    peer_identity self;
+    /// The key that every process of the system shares.
+    std::string key;
+    /// Largest message, bytes. A snapshot of 4.1 million client blocks has
+    /// to fit; anything larger is a fault of the sender.
+    std::size_t largest_message = std::size_t{256} << 20U;
+    /// Bytes that may wait to be sent on one link. A peer that reads slower
+    /// than that is cut off and catches up anew, instead of growing this
+    /// process without end.
+    std::size_t largest_backlog = std::size_t{512} << 20U;
+    /// A link without a word for so long is closed. Open connections can go
+    /// silent for good while new ones work, so that waiting for the
+    /// operating system's own time-out (minutes) would be too long.
+    duration idle_timeout = std::chrono::seconds(3);
+    /// Time for connecting and for the handshake.
+    duration handshake_timeout = std::chrono::seconds(2);
+    /// Pause before a lost link is dialled again: short, since a restarted
+    /// process is usually back within a second.
+    duration redial_pause = std::chrono::milliseconds(100);
+    /// Longest pause; it doubles up to here, so that 5,500 hosts do not
+    /// storm a peer that stays away.
+    duration longest_redial_pause = std::chrono::seconds(2);
+};
+
+} // namespace bilberrylead::link
+
+#endif
--- /dev/null
+++ b/tests/unit/link/peer_node_test.cpp
@@ -0,0 +1,181 @@
+#include "bilberrylead/link/peer_node.hpp"
+#include "bilberrylead/link/peer_node_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+using namespace bilberrylead;
+
+namespace
+{
+
+constexpr std::chrono::seconds patience{20};
+
+/// One process's side: a node and what it was told.
+struct peer
+{
+    peer(boost::asio::io_context& io, std::string const& name,
+         std::string const& key)
+        : node(io, settings(name, key), callbacks())
+    {
+    }
+
+    static link::peer_node_settings settings(std::string const& name,
+                                             std::string const& key)
+    {
+        link::peer_node_settings result;
+        result.self = {host_id(name), link::peer_role::control, 7};
+        result.key = key;
+        return result;
+    }
+
+    link::peer_callbacks callbacks()
+    {
+        return {[this](link::link_number number,
+                       link::peer_identity const& identity)
+                {
+                    this->open_link = number;
+                    this->other = identity;
+                },
+                [this](link::link_number, bytes message)
+                {
+                    this->last_message = std::move(message);
+                },
+                [this](link::link_number)
+                {
+                    this->open_link.reset();
+                    ++this->lost_links;
+                }};
+    }
+
+    std::optional<link::link_number> open_link;
+    std::optional<link::peer_identity> other;
+    std::optional<bytes> last_message;
+    int lost_links = 0;
+    link::peer_node node;
+};
+
+struct two_peers
+{
+    explicit two_peers(std::string const& other_key = "the shared key")
+        : called(io, "called", "the shared key"),
+          calling(io, "calling", other_key)
+    {
+        cr_assert(this->called.node.listen({"127.0.0.1", 0}).ok());
+        this->calling.node.dial({"127.0.0.1", this->called.node.port()});
+    }
+
+    template <class Condition>
+    bool run_until(Condition condition)
+    {
+        auto const end = std::chrono::steady_clock::now() + patience;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+        {
+            this->io.run_one_for(std::chrono::milliseconds(50));
+        }
+        return condition();
+    }
+
+    boost::asio::io_context io;
+    peer called;
+    peer calling;
+};
+
+} // namespace
+
+Test(peer_node, two_peers_with_one_key_when_linked_know_each_other)
+{
+    two_peers peers;
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.open_link && peers.calling.open_link;
+        }));
+    cr_assert_eq(peers.called.other->id.text(), "calling");
+    cr_assert_eq(peers.calling.other->id.text(), "called");
+    cr_assert_eq(peers.calling.other->incarnation, 7U);
+}
+
+Test(peer_node, message_when_sent_arrives_whole)
+{
+    two_peers peers;
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.open_link && peers.calling.open_link;
+        }));
+    bytes const message(1000000, 0x5a);
+    peers.calling.node.send(*peers.calling.open_link, message);
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.last_message.has_value();
+        }));
+    cr_assert(*peers.called.last_message == message);
+}
+
+// A host with another system's key reaches the peer port. It must learn
+// nothing and be told to nobody: neither side ever reports a link.
+Test(peer_node, peer_with_another_key_when_dialling_is_turned_away)
+{
+    two_peers peers("some other key");
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.calling.lost_links > 0;
+        }));
+    cr_assert_not(peers.called.other.has_value());
+    cr_assert_not(peers.calling.other.has_value());
+}
+
+// A program that speaks something else reaches the peer port. The bytes are
+// dropped, and the next real peer is served.
+Test(peer_node, stranger_when_it_sends_garbage_harms_no_peer)
+{
+    two_peers peers;
+    boost::asio::ip::tcp::socket stranger(peers.io);
+    stranger.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), peers.called.node.port()});
+    std::string_view const garbage = "\x16\x03\x01 not a peer\r\n\r\n";
+    boost::asio::write(stranger, boost::asio::buffer(garbage));
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.lost_links > 0;
+        }));
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.open_link && peers.calling.open_link;
+        }));
+}
+
+// The called process dies and comes back at the same address. The caller's
+// node dials again by itself; nobody has to tell it.
+Test(peer_node, lost_link_when_the_peer_returns_is_dialled_again)
+{
+    two_peers peers;
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.open_link && peers.calling.open_link;
+        }));
+    peers.called.node.close(*peers.called.open_link);
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.calling.lost_links == 1;
+        }));
+    cr_assert(peers.run_until(
+        [&]()
+        {
+            return peers.called.open_link && peers.calling.open_link;
+        }));
+}
