--- a/bilberrylead/link/peer_session.cpp
+++ b/bilberrylead/link/peer_session.cpp
@@ -283,7 +283,8 @@
 
 void peer_session::detach()
 {
-    this->owner = callbacks{[](peer_identity const&) {}, [](bytes) {}, []() {}};
+    this->owner =
+        callbacks{[](peer_identity const&) {}, [](bytes const&) {}, []() {}};
     this->close();
 }
 
