Add run-at-most-once records and bounded CBOR reading

The parser of the packaged JSON library recurses for each level of nesting and reserves memory by the length the input claims, so input is measured first.

--- /dev/null
+++ b/bilberrylead/core/cbor.cpp
@@ -0,0 +1,177 @@
+#include "bilberrylead/core/cbor.hpp"
+
+#include "bilberrylead/core/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <optional>
+
+namespace bilberrylead
+{
+
+namespace
+{
+
+constexpr std::size_t deepest_nesting = 16;
+constexpr unsigned major_byte_string = 2;
+constexpr unsigned major_text_string = 3;
+constexpr unsigned major_array = 4;
+constexpr unsigned major_map = 5;
+constexpr unsigned major_tag = 6;
+constexpr unsigned major_simple = 7;
+
+/// The first byte of an item and the number that follows it.
+struct item_head
+{
+    unsigned major = 0;
+    std::uint64_t argument = 0;
+    std::size_t length = 0;
+};
+
+std::optional<item_head> read_head(std::span<std::uint8_t const> input)
+{
+    if (input.empty())
+    {
+        return std::nullopt;
+    }
+    item_head head;
+    head.major = input[0] >> 5U;
+    head.length = 1;
+    unsigned const additional = input[0] & 0x1FU;
+    constexpr unsigned largest_inline = 23;
+    constexpr unsigned largest_sized = 27;
+    if (additional <= largest_inline)
+    {
+        head.argument = additional;
+        return head;
+    }
+    // 28 to 31 are reserved or stand for an indefinite length.
+    if (additional > largest_sized)
+    {
+        return std::nullopt;
+    }
+    std::size_t const width = std::size_t{1} << (additional - 24U);
+    if (input.size() < 1 + width)
+    {
+        return std::nullopt;
+    }
+    for (std::size_t i = 1; i <= width; ++i)
+    {
+        head.argument = (head.argument << 8U) | input[i];
+    }
+    head.length += width;
+    return head;
+}
+
+absl::Status unreadable()
+{
+    return make_error(error_kind::syntax,
+                      "The bytes are not CBOR as this system writes it.",
+                      "Check that both sides run versions that work together.");
+}
+
+/// Items left to read on each level of nesting that is open.
+struct open_levels
+{
+    std::array<std::uint64_t, deepest_nesting + 1> left{};
+    std::size_t depth = 0;
+
+    bool open(std::uint64_t items)
+    {
+        if (this->depth == deepest_nesting)
+        {
+            return false;
+        }
+        this->left.at(++this->depth) = items;
+        return true;
+    }
+
+    /// Counts one item as read and closes the levels it was the last of.
+    void close_finished()
+    {
+        while (this->depth > 0 && this->left.at(this->depth) == 0)
+        {
+            --this->depth;
+            --this->left.at(this->depth);
+        }
+    }
+};
+
+} // namespace
+
+absl::StatusOr<std::size_t>
+cbor_item_length(std::span<std::uint8_t const> input)
+{
+    std::size_t position = 0;
+    open_levels levels;
+    levels.left.at(0) = 1;
+    while (levels.left.at(0) > 0)
+    {
+        std::optional<item_head> const head =
+            read_head(input.subspan(position));
+        if (!head.has_value() || head->major == major_tag)
+        {
+            return unreadable();
+        }
+        position += head->length;
+        std::uint64_t const remaining = input.size() - position;
+        bool const is_string = head->major == major_byte_string ||
+                               head->major == major_text_string;
+        bool const is_list =
+            head->major == major_array || head->major == major_map;
+        // Every counted item takes at least a byte, so a count above the
+        // bytes that remain is a lie.
+        if ((is_string || is_list) && head->argument > remaining)
+        {
+            return unreadable();
+        }
+        if (head->major == major_simple && head->length == 2)
+        {
+            return unreadable();
+        }
+        if (is_list)
+        {
+            std::uint64_t const width = head->major == major_map ? 2 : 1;
+            if (!levels.open(head->argument * width))
+            {
+                return unreadable();
+            }
+        }
+        else
+        {
+            position += is_string ? head->argument : 0;
+            --levels.left.at(levels.depth);
+        }
+        levels.close_finished();
+    }
+    return position;
+}
+
+absl::StatusOr<nlohmann::json> parse_cbor(std::span<std::uint8_t const> input)
+{
+    absl::StatusOr<std::size_t> const length = cbor_item_length(input);
+    if (!length.ok())
+    {
+        return length.status();
+    }
+    if (*length != input.size())
+    {
+        return unreadable();
+    }
+    try
+    {
+        return nlohmann::json::from_cbor(input.begin(), input.end());
+    }
+    catch (nlohmann::json::exception const&)
+    {
+        return unreadable();
+    }
+}
+
+void append_cbor(nlohmann::json const& item, bytes& output)
+{
+    nlohmann::json::to_cbor(item, output);
+}
+
+} // namespace bilberrylead
--- a/bilberrylead/once/claim_verdict.hpp
+++ b/bilberrylead/once/claim_verdict.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_ONCE_CLAIM_VERDICT_HPP
 #define BILBERRYLEAD_ONCE_CLAIM_VERDICT_HPP
 
+#include "bilberrylead/core/time.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 
 #include <variant>
@@ -35,10 +36,30 @@
 {
 };
 
-/// No quorum could be asked in time, or there is no room for another
-/// record: nothing was claimed, nothing runs.
+/// Why a claim was refused.
+enum class claim_refusal
+{
+    /// No quorum could be asked in time.
+    no_quorum,
+    /// There is no room for another record.
+    no_room,
+    /// The caller holds its share of the records.
+    caller_share,
+    /// The entry host has registered a newer incarnation since.
+    superseded_host,
+    /// The key or a name is longer than is kept.
+    key_too_long,
+    /// This same request released its claim before: it was given up.
+    given_up,
+};
+
+/// Nothing was claimed, nothing runs.
 struct claim_refused
 {
+    /// Why.
+    claim_refusal reason = claim_refusal::no_quorum;
+    /// When room may be there again, 0 if nobody knows.
+    duration retry_after{};
 };
 
 /// What a control host says to a claim.
--- /dev/null
+++ b/bilberrylead/once/once_records.hpp
@@ -0,0 +1,100 @@
+#ifndef BILBERRYLEAD_ONCE_ONCE_RECORDS_HPP
+#define BILBERRYLEAD_ONCE_ONCE_RECORDS_HPP
+
+#include "bilberrylead/core/bytes.hpp"
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/once/claim_key.hpp"
+#include "bilberrylead/once/claim_record.hpp"
+#include "bilberrylead/once/claim_verdict.hpp"
+#include "bilberrylead/once/once_command.hpp"
+#include "bilberrylead/once/once_settings.hpp"
+#include "bilberrylead/once/registration.hpp"
+#include "bilberrylead/once/settle_result.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <utility>
+
+namespace bilberrylead::once
+{
+
+/// Who may run what, and what it answered: the state machine behind "runs
+/// at most once". Every replica applies the same commands in the order of
+/// the log and reaches the same state; no clock, no randomness.
+/// Used by one thread.
+class once_records
+{
+public:
+    /// Makes empty records with these bounds.
+    explicit once_records(once_settings const& bounds = {});
+
+    once_records(once_records&&) = default;
+    once_records& operator=(once_records&&) = default;
+    once_records(once_records const&) = delete;
+    once_records& operator=(once_records const&) = delete;
+    ~once_records() = default;
+
+    /// Says whether the request may be forwarded.
+    claim_verdict apply(claim const& command);
+    /// Records the holder's answer.
+    settle_result apply(complete const& command);
+    /// Gives the claim back, unrun.
+    settle_result apply(release const& command);
+    /// Notes that nobody will learn the answer.
+    settle_result apply(mark_unknown const& command);
+    /// Makes an incarnation the valid one of its entry host.
+    registration apply(register_entry_host const& command);
+    /// Moves the log's time and lets records fall due. Returns the time.
+    duration apply(advance_time const& command);
+
+    /// What a claim would find, or nothing if there is no record.
+    std::optional<claim_state> state_of(claim_key const& key) const;
+    /// Records held, 0 to once_settings::largest_records.
+    std::size_t size() const;
+    /// Bytes of keys, names and answers held.
+    std::size_t held_bytes() const;
+    /// Time of the log: sum of all advance_time commands.
+    duration log_time() const;
+
+    /// The whole state as bytes; equal states give equal bytes.
+    bytes encode() const;
+    /// The state that encode() gave. Fails on other bytes, and on a state
+    /// that was built with other bounds.
+    static absl::StatusOr<once_records>
+    decode(once_settings const& bounds, std::span<std::uint8_t const> input);
+
+private:
+    using record_map = std::map<claim_key, claim_record>;
+    using due_entry = std::pair<duration, claim_key const*>;
+
+    std::optional<claim_refusal> refusal_of(claim const& command) const;
+    claim_verdict repeat(record_map::value_type& found, claim const& command);
+    claim_verdict refuse(claim_refusal reason) const;
+    void insert(claim_key const& key, claim_record record);
+    void erase(record_map::iterator found);
+    void settle(record_map::value_type& found, claim_state state,
+                duration kept_for);
+    recorded_answer cut_to_room(recorded_answer answer) const;
+    void fall_due();
+    bool is_superseded(host_id const& host, std::uint64_t incarnation) const;
+
+    once_settings settings;
+    record_map records;
+    std::set<due_entry> due;
+    std::map<host_id, std::uint64_t> incarnations;
+    std::unordered_map<caller_id, std::size_t> records_of_caller;
+    std::size_t bytes_held = 0;
+    duration now{};
+};
+
+} // namespace bilberrylead::once
+
+#endif
--- /dev/null
+++ b/bilberrylead/once/once_settings.hpp
@@ -0,0 +1,51 @@
+#ifndef BILBERRYLEAD_ONCE_ONCE_SETTINGS_HPP
+#define BILBERRYLEAD_ONCE_ONCE_SETTINGS_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace bilberrylead::once
+{
+
+/// Bounds of the run-at-most-once records. Part of the replicated state:
+/// every replica must use the same values, so they are constants of the
+/// program and never read from a host's settings file.
+struct once_settings
+{
+    /// How long a settled record is kept, in time of the log, over 0. A
+    /// repeat after that would run again: it has to be longer than any
+    /// caller goes on resending.
+    duration retention = std::chrono::hours(24);
+    /// How long a claim may stay open before its outcome counts as
+    /// unknown, over 0; far above the longest deadline of a guarded
+    /// request, so that it only catches holders that are gone.
+    duration longest_run = std::chrono::minutes(10);
+    /// Records kept at most; with the next two lines it bounds memory.
+    std::size_t largest_records = 400'000;
+    /// Records one caller may hold of one service's and all others', so
+    /// that a caller that sends new keys without end cannot shut out the
+    /// others.
+    std::size_t largest_records_per_caller = 100'000;
+    /// Bytes of keys, names and answers kept at most. When they are used
+    /// up, answers are kept without their body and claims are refused.
+    std::size_t largest_total_bytes = std::size_t{96} << 20U;
+    /// Largest body of an answer that is kept, bytes.
+    std::size_t largest_recorded_body = std::size_t{16} << 10U;
+    /// Longest name or key that is taken, bytes.
+    std::size_t longest_name = 256;
+    /// Entry hosts known at most.
+    std::size_t largest_hosts = 10'000;
+    /// Largest step of the log's time in one command. A leader that was
+    /// frozen, or lies, cannot make records expire faster than this.
+    duration largest_time_step = std::chrono::seconds(10);
+
+    friend bool operator==(once_settings const&,
+                           once_settings const&) = default;
+};
+
+} // namespace bilberrylead::once
+
+#endif
