--- /dev/null
+++ b/bilberrylead/store/posix_calls.hpp
@@ -0,0 +1,25 @@
+#ifndef BILBERRYLEAD_STORE_POSIX_CALLS_HPP
+#define BILBERRYLEAD_STORE_POSIX_CALLS_HPP
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace bilberrylead::store
+{
+
+/// The system calls that may fail while the journal writes. A template
+/// parameter of durable_file, so that tests can let them fail.
+struct posix_calls
+{
+    /// write(2): bytes written or -1 with errno set.
+    static ssize_t write(int descriptor, std::span<std::uint8_t const> data);
+    /// fdatasync(2): 0 or -1 with errno set.
+    static int sync(int descriptor);
+};
+
+} // namespace bilberrylead::store
+
+#endif
--- /dev/null
+++ b/bilberrylead/store/recovered_state.hpp
@@ -0,0 +1,29 @@
+#ifndef BILBERRYLEAD_STORE_RECOVERED_STATE_HPP
+#define BILBERRYLEAD_STORE_RECOVERED_STATE_HPP
+
+#include "bilberrylead/core/bytes.hpp"
+#include "bilberrylead/store/journal_entry.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::store
+{
+
+/// What a data folder held when it was opened.
+struct recovered_state
+{
+    /// The newest snapshot, if one was installed.
+    std::optional<journal_entry> snapshot;
+    /// The newest state blob (term and vote, for example), if one was set.
+    std::optional<bytes> state;
+    /// Records after the snapshot, without a gap.
+    std::vector<journal_entry> entries;
+    /// Bytes of an unfinished write that were cut off.
+    std::uint64_t cut_bytes = 0;
+};
+
+} // namespace bilberrylead::store
+
+#endif
