--- a/bilberrylead/link/handshake.cpp
+++ b/bilberrylead/link/handshake.cpp
@@ -1,8 +1,10 @@
 #include "bilberrylead/link/handshake.hpp"
 
-#include "bilberrylead/core/cbor_reader.hpp"
+#include "bilberrylead/core/cbor.hpp"
+#include "bilberrylead/core/cbor_fields.hpp"
 #include "bilberrylead/core/error.hpp"
 
+#include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -30,25 +32,32 @@
                       "address is a peer address.");
 }
 
-nlohmann::json to_json(peer_identity const& identity)
+void put_identity(peer_identity const& identity, nlohmann::json& record)
 {
-    return {{"id", identity.id.text()},
-            {"role", static_cast<std::uint64_t>(identity.role)},
-            {"incarnation", identity.incarnation}};
+    record.push_back(identity.id.text());
+    record.push_back(static_cast<std::uint64_t>(identity.role));
+    record.push_back(identity.incarnation);
 }
 
-peer_identity read_identity(cbor_reader& reader)
+peer_identity take_identity(cbor_fields& fields)
 {
     peer_identity identity;
-    identity.id = host_id(reader.text("id", longest_host_id));
-    std::uint64_t const role = reader.number("role");
+    identity.id = host_id(fields.take_text(longest_host_id));
+    std::uint64_t const role = fields.take_unsigned();
     identity.role = role == static_cast<std::uint64_t>(peer_role::control)
                         ? peer_role::control
                         : peer_role::entry;
-    identity.incarnation = reader.number("incarnation");
+    identity.incarnation = fields.take_unsigned();
     return identity;
 }
 
+bytes encode_record(nlohmann::json const& record)
+{
+    bytes output;
+    append_cbor(record, output);
+    return output;
+}
+
 /// Appends a part with its length before it, so that no two different lists
 /// of parts give the same text.
 void append_part(std::string& text, std::string_view part)
@@ -104,30 +113,38 @@
 
 bytes encode(challenge const& message)
 {
-    return to_cbor_bytes({{"nonce", cbor_bytes(message.nonce)}});
+    nlohmann::json record = nlohmann::json::array();
+    record.push_back(nlohmann::json::binary(message.nonce));
+    return encode_record(record);
 }
 
 bytes encode(hello const& message)
 {
-    nlohmann::json map = to_json(message.self);
-    map["nonce"] = cbor_bytes(message.nonce);
-    map["proof"] = cbor_bytes(message.proof);
-    return to_cbor_bytes(map);
+    nlohmann::json record = nlohmann::json::array();
+    put_identity(message.self, record);
+    record.push_back(nlohmann::json::binary(message.nonce));
+    record.push_back(nlohmann::json::binary(message.proof));
+    return encode_record(record);
 }
 
 bytes encode(welcome const& message)
 {
-    nlohmann::json map = to_json(message.self);
-    map["proof"] = cbor_bytes(message.proof);
-    return to_cbor_bytes(map);
+    nlohmann::json record = nlohmann::json::array();
+    put_identity(message.self, record);
+    record.push_back(nlohmann::json::binary(message.proof));
+    return encode_record(record);
 }
 
 absl::StatusOr<challenge> decode_challenge(bytes const& encoded)
 {
-    cbor_reader reader(encoded);
+    absl::StatusOr<cbor_fields> fields = cbor_fields::parse(encoded);
+    if (!fields.ok())
+    {
+        return not_a_handshake("challenge");
+    }
     challenge message;
-    message.nonce = reader.byte_string("nonce", nonce_size);
-    if (!reader.good() || message.nonce.size() != nonce_size)
+    message.nonce = fields->take_bytes();
+    if (!fields->complete() || message.nonce.size() != nonce_size)
     {
         return not_a_handshake("challenge");
     }
@@ -136,12 +153,16 @@
 
 absl::StatusOr<hello> decode_hello(bytes const& encoded)
 {
-    cbor_reader reader(encoded);
+    absl::StatusOr<cbor_fields> fields = cbor_fields::parse(encoded);
+    if (!fields.ok())
+    {
+        return not_a_handshake("hello");
+    }
     hello message;
-    message.self = read_identity(reader);
-    message.nonce = reader.byte_string("nonce", nonce_size);
-    message.proof = reader.byte_string("proof", proof_size);
-    if (!reader.good() || message.nonce.size() != nonce_size)
+    message.self = take_identity(*fields);
+    message.nonce = fields->take_bytes();
+    message.proof = fields->take_bytes();
+    if (!fields->complete() || message.nonce.size() != nonce_size)
     {
         return not_a_handshake("hello");
     }
@@ -150,11 +171,15 @@
 
 absl::StatusOr<welcome> decode_welcome(bytes const& encoded)
 {
-    cbor_reader reader(encoded);
+    absl::StatusOr<cbor_fields> fields = cbor_fields::parse(encoded);
+    if (!fields.ok())
+    {
+        return not_a_handshake("welcome");
+    }
     welcome message;
-    message.self = read_identity(reader);
-    message.proof = reader.byte_string("proof", proof_size);
-    if (!reader.good())
+    message.self = take_identity(*fields);
+    message.proof = fields->take_bytes();
+    if (!fields->complete())
     {
         return not_a_handshake("welcome");
     }
--- /dev/null
+++ b/bilberrylead/link/message.hpp
@@ -0,0 +1,38 @@
+#ifndef BILBERRYLEAD_LINK_MESSAGE_HPP
+#define BILBERRYLEAD_LINK_MESSAGE_HPP
+
+#include "bilberrylead/core/bytes.hpp"
+#include "bilberrylead/link/messages/claim_reply.hpp"
+#include "bilberrylead/link/messages/configuration_update.hpp"
+#include "bilberrylead/link/messages/leader_notice.hpp"
+#include "bilberrylead/link/messages/once_request.hpp"
+#include "bilberrylead/link/messages/registration_reply.hpp"
+#include "bilberrylead/link/messages/registration_request.hpp"
+#include "bilberrylead/link/messages/replica_message.hpp"
+#include "bilberrylead/link/messages/revision_announcement.hpp"
+#include "bilberrylead/link/messages/settle_reply.hpp"
+#include "bilberrylead/link/messages/subscription.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <variant>
+
+namespace bilberrylead::link
+{
+
+/// Everything that the system's processes tell each other.
+using message =
+    std::variant<replica_message, subscription, revision_announcement,
+                 configuration_update, registration_request, registration_reply,
+                 once_request, claim_reply, settle_reply, leader_notice>;
+
+/// The message as CBOR.
+bytes encode(message const& content);
+
+/// Reads a message. Any bytes may come in: what is no message is an error
+/// of kind syntax or bad_value, never an exception.
+absl::StatusOr<message> decode(bytes const& encoded);
+
+} // namespace bilberrylead::link
+
+#endif
