--- a/bilberrylead/config/caller_block.hpp
+++ b/bilberrylead/config/caller_block.hpp
@@ -18,6 +18,8 @@
     zone_id zone;
     /// What selectors match.
     config::labels labels;
+
+    friend bool operator==(caller_block const&, caller_block const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/configuration.hpp
+++ b/bilberrylead/config/configuration.hpp
@@ -36,6 +36,9 @@
     /// Largest share of a region's callers that may move in one interval,
     /// in thousandths, 1 to 1000.
     std::uint32_t shift_cap = 100;
+
+    friend bool operator==(configuration const&,
+                           configuration const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/endpoint.hpp
+++ b/bilberrylead/config/endpoint.hpp
@@ -3,7 +3,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace bilberrylead::config
 {
@@ -19,6 +21,16 @@
     friend auto operator<=>(endpoint const&, endpoint const&) = default;
 };
 
+/// Reads 192.0.2.1:80 or [2001:db8::1]:80; nothing if it is neither.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
+/// The form that parse_endpoint reads.
+std::string to_string(endpoint const& value);
+
+/// True if the address is an IP address in the form that to_string keeps
+/// and the port is not 0.
+bool is_valid(endpoint const& value);
+
 } // namespace bilberrylead::config
 
 #endif
--- a/bilberrylead/config/entry_host.hpp
+++ b/bilberrylead/config/entry_host.hpp
@@ -29,6 +29,8 @@
     std::uint32_t weight = 100;
     /// True once an operator drains it: no new callers are sent there.
     bool leaving = false;
+
+    friend bool operator==(entry_host const&, entry_host const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/place.hpp
+++ b/bilberrylead/config/place.hpp
@@ -16,6 +16,8 @@
     region_id region;
     /// What selectors match.
     config::labels labels;
+
+    friend bool operator==(place const&, place const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/region_link.hpp
+++ b/bilberrylead/config/region_link.hpp
@@ -20,6 +20,8 @@
     duration latency{};
     /// Requests under way that the link may carry; 0 is no limit.
     std::uint32_t capacity = 0;
+
+    friend bool operator==(region_link const&, region_link const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/selector.hpp
+++ b/bilberrylead/config/selector.hpp
@@ -22,6 +22,8 @@
     labels callers;
     /// Labels the upstream must carry, all of them; empty matches every one.
     labels upstreams;
+
+    friend bool operator==(selector const&, selector const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/service.hpp
+++ b/bilberrylead/config/service.hpp
@@ -43,6 +43,8 @@
     duration progress_timeout = std::chrono::seconds(10);
     /// Largest request body that is taken, bytes.
     std::size_t largest_request = std::size_t{1} << 20U;
+
+    friend bool operator==(service const&, service const&) = default;
 };
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/upstream.hpp
+++ b/bilberrylead/config/upstream.hpp
@@ -29,6 +29,8 @@
     std::uint32_t connections = 330;
     /// True once an operator drains it: no new work.
     bool leaving = false;
+
+    friend bool operator==(upstream const&, upstream const&) = default;
 };
 
 } // namespace bilberrylead::config
