--- a/bilberrylead/config/configuration_fields.hpp
+++ b/bilberrylead/config/configuration_fields.hpp
@@ -3,14 +3,16 @@
 
 #include "bilberrylead/config/configuration.hpp"
 
+#include <array>
 #include <chrono>
 #include <concepts>
+#include <string_view>
 #include <type_traits>
 
 /// The fields of a configuration by name and range, described once for
 /// reading, writing, checking and comparing: what one of them knows, all of
-/// them know. A visitor has `required`, `optional`, `number`, `time` and
-/// `list`; see field_reader.
+/// them know. A visitor has `required`, `optional`, `choice`, `number`,
+/// `time` and `list`; see field_reader.
 namespace bilberrylead::config
 {
 
@@ -18,6 +20,10 @@
 template <class Value, class Record>
 concept maybe_const = std::same_as<std::remove_const_t<Value>, Record>;
 
+/// Names of the work lengths, in the order of work_length.
+inline constexpr std::array<std::string_view, 2> work_length_names = {
+    "brief", "extended"};
+
 /// A day; longer waits are slips of the unit.
 inline constexpr std::chrono::milliseconds longest_time =
     std::chrono::hours(24);
@@ -31,7 +37,7 @@
     visitor.optional("labels", value.labels);
     visitor.optional("idempotent", value.idempotent);
     visitor.optional("guarded", value.guarded);
-    visitor.optional("length", value.length);
+    visitor.choice("length", value.length, work_length_names);
     visitor.time("deadline_ms", value.deadline, milliseconds(1), longest_time);
     visitor.time("progress_timeout_ms", value.progress_timeout, milliseconds(1),
                  longest_time);
--- a/bilberrylead/config/field_checker.hpp
+++ b/bilberrylead/config/field_checker.hpp
@@ -5,7 +5,6 @@
 #include "bilberrylead/config/error_list.hpp"
 #include "bilberrylead/config/field_rules.hpp"
 #include "bilberrylead/config/labels.hpp"
-#include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/strong_id.hpp"
 #include "bilberrylead/core/time.hpp"
 
@@ -16,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -64,8 +64,11 @@
     }
     /// Checks labels.
     void optional(std::string_view name, labels const& value);
-    /// Nothing can be wrong with a work length.
-    void optional(std::string_view /*name*/, work_length /*value*/)
+
+    /// Nothing can be wrong with an enum's value.
+    template <class Enum>
+    void choice(std::string_view /*name*/, Enum /*value*/,
+                std::span<std::string_view const> /*names*/)
     {
     }
 
--- a/bilberrylead/config/field_reader.cpp
+++ b/bilberrylead/config/field_reader.cpp
@@ -15,6 +15,10 @@
 namespace
 {
 
+/// 32 letters of base 64 are 192 bits: nobody guesses them.
+constexpr std::size_t shortest_key = 32;
+constexpr std::size_t longest_key = 256;
+
 std::string unknown_field_remedy(std::string_view written,
                                  std::vector<std::string> const& known)
 {
@@ -228,20 +232,46 @@
     }
 }
 
-void field_reader::optional(std::string_view name, work_length& value)
+void field_reader::secret(std::string_view name, std::string& value)
 {
-    nlohmann::json const* const found = this->find(name);
+    nlohmann::json const* const found = this->find_required(name);
     if (found == nullptr)
     {
         return;
     }
-    bool const known_value = *found == "brief" || *found == "extended";
-    if (!known_value)
+    if (!found->is_string())
     {
-        this->fail_type(name, "\"brief\" or \"extended\"");
+        this->fail_type(name, "a key in quotes");
         return;
     }
-    value = *found == "brief" ? work_length::brief : work_length::extended;
+    value = found->get<std::string>();
+    if (value.size() < shortest_key || value.size() > longest_key)
+    {
+        this->fail(name, field_fault{fmt::format("The key has {} letters.",
+                                                 value.size()),
+                                     fmt::format("Use {} to {}, made at "
+                                                 "random.",
+                                                 shortest_key, longest_key)});
+    }
+}
+
+std::size_t field_reader::read_choice(std::string_view name, std::size_t unset,
+                                      std::span<std::string_view const> names)
+{
+    nlohmann::json const* const found = this->find(name);
+    if (found == nullptr)
+    {
+        return unset;
+    }
+    for (std::size_t index = 0; index < names.size(); ++index)
+    {
+        if (*found == names[index])
+        {
+            return index;
+        }
+    }
+    this->fail_type(name, fmt::format("\"{}\"", fmt::join(names, "\" or \"")));
+    return unset;
 }
 
 std::uint64_t field_reader::read_number(std::string_view name,
--- a/bilberrylead/config/field_reader.hpp
+++ b/bilberrylead/config/field_reader.hpp
@@ -4,7 +4,6 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/field_rules.hpp"
 #include "bilberrylead/config/labels.hpp"
-#include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/strong_id.hpp"
 #include "bilberrylead/core/time.hpp"
 
@@ -14,7 +13,7 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
-#include <limits>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -63,8 +62,18 @@
     void optional(std::string_view name, bool& value);
     /// Reads labels; missing ones stay as they are.
     void optional(std::string_view name, labels& value);
-    /// Reads a work length, "brief" or "extended".
-    void optional(std::string_view name, work_length& value);
+    /// Reads a key that must be there, 32 to 256 letters; errors never show
+    /// it.
+    void secret(std::string_view name, std::string& value);
+
+    /// Reads one of an enum's values by its name; a missing one stays.
+    template <class Enum>
+    void choice(std::string_view name, Enum& value,
+                std::span<std::string_view const> names)
+    {
+        value = static_cast<Enum>(
+            this->read_choice(name, static_cast<std::size_t>(value), names));
+    }
 
     /// Reads a whole number in a range; a missing one stays as it is.
     template <std::unsigned_integral Number>
@@ -129,6 +138,8 @@
     std::vector<std::string> read_names(std::string_view name);
     std::uint64_t read_number(std::string_view name, std::uint64_t unset,
                               number_range const& range);
+    std::size_t read_choice(std::string_view name, std::size_t unset,
+                            std::span<std::string_view const> names);
     std::size_t list_size(std::string_view name);
     field_reader element(std::string_view name, std::size_t index);
     field_reader member(std::string_view name);
--- a/bilberrylead/config/field_writer.cpp
+++ b/bilberrylead/config/field_writer.cpp
@@ -35,10 +35,9 @@
     (*this->object)[std::string(name)] = std::move(pairs);
 }
 
-void field_writer::optional(std::string_view name, work_length value)
+void field_writer::write_text(std::string_view name, std::string_view value)
 {
-    (*this->object)[std::string(name)] =
-        value == work_length::brief ? "brief" : "extended";
+    (*this->object)[std::string(name)] = value;
 }
 
 void field_writer::write_number(std::string_view name, std::uint64_t value)
--- a/bilberrylead/config/field_writer.hpp
+++ b/bilberrylead/config/field_writer.hpp
@@ -4,7 +4,6 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/field_rules.hpp"
 #include "bilberrylead/config/labels.hpp"
-#include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/strong_id.hpp"
 #include "bilberrylead/core/time.hpp"
 
@@ -12,7 +11,9 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,8 +57,14 @@
     void optional(std::string_view name, bool value);
     /// Writes labels.
     void optional(std::string_view name, labels const& value);
-    /// Writes a work length.
-    void optional(std::string_view name, work_length value);
+
+    /// Writes one of an enum's values by its name.
+    template <class Enum>
+    void choice(std::string_view name, Enum value,
+                std::span<std::string_view const> names)
+    {
+        this->write_text(name, names[static_cast<std::size_t>(value)]);
+    }
 
     /// Writes a whole number.
     template <std::unsigned_integral Number>
@@ -98,6 +105,7 @@
     }
 
 private:
+    void write_text(std::string_view name, std::string_view value);
     void write_number(std::string_view name, std::uint64_t value);
     void write_names(std::string_view name,
                      std::vector<std::string> const& values);
--- /dev/null
+++ b/bilberrylead/config/settings_fields.hpp
@@ -0,0 +1,89 @@
+#ifndef BILBERRYLEAD_CONFIG_SETTINGS_FIELDS_HPP
+#define BILBERRYLEAD_CONFIG_SETTINGS_FIELDS_HPP
+
+#include "bilberrylead/config/control_settings.hpp"
+#include "bilberrylead/config/entry_settings.hpp"
+
+#include <array>
+#include <chrono>
+#include <string_view>
+
+/// The fields of the daemons' settings by name and range.
+namespace bilberrylead::config
+{
+
+/// Names of the log levels, in the order of log_level.
+inline constexpr std::array<std::string_view, 4> log_level_names = {
+    "debug", "info", "warning", "error"};
+
+/// Fields of another host's address.
+template <class Visitor>
+void visit_fields(Visitor& visitor, host_address& value)
+{
+    visitor.required("name", value.id);
+    visitor.required("address", value.address);
+}
+
+/// Fields of an operator.
+template <class Visitor>
+void visit_fields(Visitor& visitor, operator_key& value)
+{
+    visitor.required("name", value.name);
+    visitor.secret("key", value.key);
+}
+
+/// Fields of an entry host's limits.
+template <class Visitor>
+void visit_fields(Visitor& visitor, entry_limits& value)
+{
+    using std::chrono::hours;
+    using std::chrono::milliseconds;
+    visitor.number("connections", value.connections, {1, 1'000'000});
+    visitor.number("requests", value.requests, {1, 1'000'000});
+    visitor.number("buffer_bytes", value.buffer_bytes, {1'024, 16'777'216});
+    visitor.number("header_bytes", value.header_bytes, {256, 1'048'576});
+    visitor.time("header_timeout_ms", value.header_timeout, milliseconds(1),
+                 milliseconds(hours(1)));
+    visitor.time("progress_timeout_ms", value.progress_timeout, milliseconds(1),
+                 milliseconds(hours(1)));
+    visitor.time("idle_timeout_ms", value.idle_timeout, milliseconds(1),
+                 milliseconds(hours(1)));
+}
+
+/// Fields of a control host's settings.
+template <class Visitor>
+void visit_fields(Visitor& visitor, control_settings& value)
+{
+    visitor.required("name", value.id);
+    visitor.required("zone", value.zone);
+    visitor.required("region", value.region);
+    visitor.required("data_folder", value.data_folder);
+    visitor.required("peer_listen", value.peer_listen);
+    visitor.required("operator_listen", value.operator_listen);
+    visitor.required("metrics_listen", value.metrics_listen);
+    visitor.list("control_hosts", value.control_hosts);
+    visitor.secret("peer_key", value.peer_key);
+    visitor.list("operators", value.operators);
+    visitor.choice("log_level", value.lowest_log_level, log_level_names);
+}
+
+/// Fields of an entry host's settings.
+template <class Visitor>
+void visit_fields(Visitor& visitor, entry_settings& value)
+{
+    visitor.required("name", value.id);
+    visitor.required("zone", value.zone);
+    visitor.required("region", value.region);
+    visitor.required("caller_listen", value.caller_listen);
+    visitor.required("peer_listen", value.peer_listen);
+    visitor.required("metrics_listen", value.metrics_listen);
+    visitor.list("control_hosts", value.control_hosts);
+    visitor.list("neighbours", value.neighbours);
+    visitor.secret("peer_key", value.peer_key);
+    visitor.section("limits", value.limits);
+    visitor.choice("log_level", value.lowest_log_level, log_level_names);
+}
+
+} // namespace bilberrylead::config
+
+#endif
--- /dev/null
+++ b/tests/unit/config/settings_test.cpp
@@ -0,0 +1,152 @@
+#include "bilberrylead/config/control_settings.hpp"
+#include "bilberrylead/config/entry_settings.hpp"
+#include "bilberrylead/core/error.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+using bilberrylead::error_kind;
+using bilberrylead::kind_of;
+using bilberrylead::config::control_settings;
+using bilberrylead::config::entry_settings;
+using bilberrylead::config::parse_control_settings;
+using bilberrylead::config::parse_entry_settings;
+
+namespace
+{
+
+constexpr char const* control_text = R"({
+  "name": "c1", "zone": "a", "region": "r", "data_folder": "data/c1",
+  "peer_listen": "127.0.0.1:1", "operator_listen": "127.0.0.1:2",
+  "metrics_listen": "127.0.0.1:3",
+  "control_hosts": [{"name": "c1", "address": "127.0.0.1:1"},
+                    {"name": "c2", "address": "127.0.0.2:1"},
+                    {"name": "c3", "address": "127.0.0.3:1"}],
+  "peer_key": "a-peer-key-of-more-than-32-letters",
+  "operators": [
+    {"name": "ana", "key": "operator-ana-key-of-over-32-letters"},
+    {"name": "bo", "key": "operator-bo-key-of-over-32-letters-"}],
+  "log_level": "warning"
+})";
+
+constexpr char const* entry_text = R"({
+  "name": "e1", "zone": "a", "region": "r",
+  "caller_listen": "0.0.0.0:80", "peer_listen": "127.0.0.1:2",
+  "metrics_listen": "127.0.0.1:3",
+  "control_hosts": [{"name": "c1", "address": "127.0.0.1:1"}],
+  "neighbours": [{"name": "e2", "address": "127.0.0.2:2"}],
+  "peer_key": "a-peer-key-of-more-than-32-letters",
+  "limits": {"requests": 100, "header_timeout_ms": 500}
+})";
+
+/// One bad settings text and what the error says.
+struct bad_settings
+{
+    std::string part;
+    std::string replacement;
+    error_kind kind;
+    std::string message;
+};
+
+std::vector<bad_settings> const bad_control_settings = {
+    {"\"name\": \"c3\", ", "\"name\": \"c2\", ", error_kind::duplicate_name,
+     "control_hosts: \"c2\" stands here twice."},
+    {"127.0.0.2:1", "127.0.0.3:1", error_kind::duplicate_name,
+     "Give each host its own address."},
+    {"{\"name\": \"c3\", \"address\": \"127.0.0.3:1\"}],", "],",
+     error_kind::syntax, "bad.jsonc: Not JSON"},
+    {",\n                    {\"name\": \"c3\", \"address\": "
+     "\"127.0.0.3:1\"}",
+     "", error_kind::bad_value, "These are 2 hosts. Name 1, 3, 5 or 7"},
+    {"\"name\": \"c1\", \"zone\"", "\"name\": \"c9\", \"zone\"",
+     error_kind::unknown_name, "\"c9\" itself is not among them."},
+    {"127.0.0.1:2", "127.0.0.1:3", error_kind::duplicate_name,
+     "Two listeners have the same address and port."},
+    {"a-peer-key-of-more-than-32-letters", "short", error_kind::bad_value,
+     "peer_key: The key has 5 letters. Use 32 to 256"},
+    {"operator-bo-key-of-over-32-letters-",
+     "operator-ana-key-of-over-32-letters", error_kind::duplicate_name,
+     "The key of \"bo\" is used elsewhere."},
+    {"\"name\": \"bo\"", "\"name\": \"ana\"", error_kind::duplicate_name,
+     "operators: \"ana\" stands here twice."},
+    {"\"warning\"", "\"loud\"", error_kind::bad_value,
+     "log_level: This is string. Write \"debug\" or \"info\""},
+    {"\"data_folder\": \"data/c1\"", "\"data_folder\": \"\"",
+     error_kind::bad_value, "data_folder"},
+    {"\"data_folder\"", "\"data_foldr\"", error_kind::missing_field,
+     "Did you mean \"data_folder\"?"},
+};
+
+std::vector<bad_settings> const bad_entry_settings = {
+    {"[{\"name\": \"c1\", \"address\": \"127.0.0.1:1\"}]", "[]",
+     error_kind::bad_value, "Name the control hosts, 1 to 7."},
+    {"\"name\": \"e2\"", "\"name\": \"e1\"", error_kind::bad_value,
+     "neighbours: \"e1\" itself is among them."},
+    {"\"requests\": 100", "\"requests\": 0", error_kind::bad_value,
+     "limits.requests: 0 is out of range."},
+    {"\"requests\": 100", "\"request\": 100", error_kind::unknown_field,
+     "limits.request: This field is not known. Did you mean \"requests\"?"},
+};
+
+template <class Parse>
+void expect_errors(std::string const& valid, Parse parse,
+                   std::vector<bad_settings> const& rows)
+{
+    for (bad_settings const& row : rows)
+    {
+        std::string text = valid;
+        std::size_t const position = text.find(row.part);
+        cr_assert_neq(position, std::string::npos, "%s", row.part.c_str());
+        text.replace(position, row.part.size(), row.replacement);
+        absl::Status const status = parse(text, "bad.jsonc").status();
+        std::string const message(status.message());
+        cr_expect(kind_of(status) == row.kind, "%s", message.c_str());
+        cr_expect_neq(message.find(row.message), std::string::npos,
+                      "expected: %s\ngot: %s", row.message.c_str(),
+                      message.c_str());
+    }
+}
+
+} // namespace
+
+Test(settings, control_host_text_when_parsed_gives_its_values)
+{
+    absl::StatusOr<control_settings> const value =
+        parse_control_settings(control_text, "control.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert_eq(value->control_hosts.size(), 3U);
+    cr_assert_eq(value->operators[1].name, "bo");
+    cr_assert(value->lowest_log_level == bilberrylead::log_level::warning);
+}
+
+Test(settings, entry_host_text_when_parsed_gives_its_values)
+{
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(entry_text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert_eq(value->caller_listen.port, 80);
+    cr_assert_eq(value->limits.requests, 100U);
+    cr_assert(value->limits.header_timeout == std::chrono::milliseconds(500));
+    cr_assert_eq(value->limits.connections, 8192U);
+}
+
+Test(settings, bad_texts_when_parsed_name_place_fault_and_remedy)
+{
+    expect_errors(control_text, parse_control_settings, bad_control_settings);
+    expect_errors(entry_text, parse_entry_settings, bad_entry_settings);
+}
+
+Test(settings, bad_key_when_reported_is_not_shown)
+{
+    std::string text = entry_text;
+    text.replace(text.find("a-peer-key-of-more-than-32-letters"), 34,
+                 "hunter2");
+    std::string const message(
+        parse_entry_settings(text, "bad").status().message());
+    cr_assert_neq(message.find("peer_key"), std::string::npos);
+    cr_assert_eq(message.find("hunter2"), std::string::npos);
+}
