policy: choices of upstream, admission, fairness, limits, retries, health

Cause: entry hosts need the decisions before they can be wired up. Each is a plain type with its settings beside it, and gets time and random numbers passed in. Ruled out: ejecting slow upstreams; a slow one is chosen last by its expected completion, and stays there for when the load needs it.

--- /dev/null
+++ b/bilberrylead/policy/admission_queue.hpp
@@ -0,0 +1,84 @@
+#ifndef BILBERRYLEAD_POLICY_ADMISSION_QUEUE_HPP
+#define BILBERRYLEAD_POLICY_ADMISSION_QUEUE_HPP
+
+#include "bilberrylead/policy/admission_queue_settings.hpp"
+#include "bilberrylead/policy/admission_verdict.hpp"
+#include "bilberrylead/policy/fair_queue.hpp"
+#include "bilberrylead/policy/long_work_limit.hpp"
+#include "bilberrylead/policy/slot_pool.hpp"
+#include "bilberrylead/policy/waiting_request.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace bilberrylead::policy
+{
+
+/// The bounded wait in front of the slots.
+///
+/// Load it answers: bursts and saturation. Without a bound the queue grows
+/// as long as the overload lasts, every answer comes after its deadline, and
+/// the slots are busy with work that nobody waits for any more. The bound is
+/// a time, not a length: a request waits only if its expected wait plus the
+/// time that nearly every request takes still ends before its deadline.
+/// Everything else is refused at once with the time after which the queue
+/// will have room, so that its caller can go elsewhere while there is time.
+/// All memory is taken at construction.
+class admission_queue
+{
+public:
+    /// Makes an empty queue.
+    explicit admission_queue(admission_queue_settings const& settings = {});
+
+    /// Decides what becomes of a request; after `wait` it waits here.
+    admission_verdict offer(waiting_request const& request,
+                            slot_pool const& pool, instant now);
+
+    /// Takes out the request that a free slot goes to, if any may have it.
+    /// Call again until it gives nothing.
+    std::optional<waiting_request> next(slot_pool const& pool, instant now);
+
+    /// Takes out a request that can no longer make its deadline; its caller
+    /// hears "not run" now. Call after every event until it gives nothing.
+    std::optional<waiting_request> next_expired(slot_pool const& pool,
+                                                instant now);
+
+    /// The caller went away; false if the request does not wait here.
+    bool cancel(std::uint64_t ticket);
+
+    /// Requests that wait.
+    std::size_t size() const
+    {
+        return this->brief.size() + this->extended.size();
+    }
+
+    /// Brief requests that wait.
+    std::size_t brief_waiting() const
+    {
+        return this->brief.size();
+    }
+
+    /// Expected wait of a brief request of the flow that came in now.
+    duration expected_wait(std::uint32_t flow, slot_pool const& pool) const;
+
+private:
+    admission_verdict offer_brief(waiting_request const& request,
+                                  slot_pool const& pool, instant now);
+    admission_verdict offer_long(waiting_request const& request,
+                                 slot_pool const& pool, instant now);
+    duration longest_wait(instant now) const;
+    refuse refusal(refusal_reason reason, duration too_long) const;
+    bool may_start(config::work_length length, slot_pool const& pool) const;
+    void note_length(instant now);
+
+    admission_queue_settings settings;
+    long_work_limit limit;
+    fair_queue brief;
+    fair_queue extended;
+    /// When the queue of brief requests was last seen empty.
+    std::optional<instant> last_empty;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- /dev/null
+++ b/bilberrylead/policy/completion_choice.cpp
@@ -0,0 +1,65 @@
+#include "bilberrylead/policy/completion_choice.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace bilberrylead::policy
+{
+
+duration
+completion_choice::expected_completion(upstream_view const& upstream) const
+{
+    // What others hold fades linearly with the age of the report.
+    std::int64_t const lifetime = this->settings.report_lifetime.count();
+    std::int64_t const age =
+        std::clamp(upstream.report_age.count(), std::int64_t{0}, lifetime);
+    double const trust =
+        1.0 - static_cast<double>(age) / static_cast<double>(lifetime);
+    double const held = static_cast<double>(upstream.in_flight) +
+                        trust * upstream.in_use_by_others;
+
+    // Beyond the slots each request waits for one slot's turn.
+    double const excess = std::max(0.0, held + 1.0 - upstream.usable_slots);
+    double const waits = excess / upstream.usable_slots;
+    duration const service(static_cast<std::int64_t>(
+        static_cast<double>(upstream.service_time.count()) * (1.0 + waits)));
+
+    duration completion = 2 * upstream.distance + service;
+    if (upstream.condition == upstream_condition::suspected)
+    {
+        completion += this->settings.suspicion_penalty;
+    }
+    return completion;
+}
+
+std::optional<std::size_t> completion_choice::choose(upstream_set const& set,
+                                                     instant /*now*/,
+                                                     generator& random) const
+{
+    std::optional<std::size_t> picked;
+    duration shortest{};
+    std::uint32_t ties = 0;
+    for (std::size_t index = 0; index < set.upstreams.size(); ++index)
+    {
+        upstream_view const& upstream = set.upstreams[index];
+        if (!upstream.takes_work())
+        {
+            continue;
+        }
+        duration const completion = this->expected_completion(upstream);
+        if (picked.has_value() && completion > shortest)
+        {
+            continue;
+        }
+        bool const better = !picked.has_value() || completion < shortest;
+        ties = better ? 1 : ties + 1;
+        if (better || random.below(ties) == 0)
+        {
+            picked = index;
+            shortest = completion;
+        }
+    }
+    return picked;
+}
+
+} // namespace bilberrylead::policy
--- /dev/null
+++ b/bilberrylead/policy/fair_queue.hpp
@@ -0,0 +1,100 @@
+#ifndef BILBERRYLEAD_POLICY_FAIR_QUEUE_HPP
+#define BILBERRYLEAD_POLICY_FAIR_QUEUE_HPP
+
+#include "bilberrylead/policy/fair_queue_settings.hpp"
+#include "bilberrylead/policy/waiting_request.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::policy
+{
+
+/// Waiting requests, callers served in turn (start-time fair queueing).
+///
+/// Load it answers: a few callers that send most of the requests. In first
+/// come, first served order their backlog is everybody's wait: one payroll
+/// bureau's batch and every other caller's look-up takes as long as the
+/// batch. Here a request's turn is its flow's last turn plus one, but never
+/// earlier than the turn being served, so a caller with nothing waiting is
+/// next, and callers who all have one request waiting are served in order
+/// of arrival. Flows are caller hashes in a fixed table: memory does not
+/// grow with callers, and two callers who share a row share one turn.
+///
+/// All memory is taken at construction.
+class fair_queue
+{
+public:
+    /// Makes an empty queue.
+    explicit fair_queue(fair_queue_settings const& settings = {});
+
+    /// Adds a request; false, and nothing changes, if the queue is full.
+    bool push(waiting_request const& request);
+
+    /// The request whose turn is next, or nullptr.
+    waiting_request const* peek() const;
+
+    /// Takes out the request whose turn is next.
+    std::optional<waiting_request> pop();
+
+    /// Takes out one request; false if it does not wait here.
+    bool remove(std::uint64_t ticket);
+
+    /// Takes out one request whose deadline is before `limit`, if any.
+    std::optional<waiting_request> pop_late(instant limit);
+
+    /// Requests that wait.
+    std::size_t size() const
+    {
+        return this->heap.size();
+    }
+
+    /// Requests that wait of the flow's row.
+    std::uint32_t size_of(std::uint32_t flow) const;
+
+    /// Rows that have a request waiting.
+    std::uint32_t flows_waiting() const
+    {
+        return this->busy_rows;
+    }
+
+    /// How many of those that wait would be served before a new request of
+    /// the flow.
+    std::size_t ahead_of(std::uint32_t flow) const;
+
+    /// When the earliest of those that wait came in, or nothing.
+    std::optional<instant> oldest() const;
+
+private:
+    struct entry
+    {
+        std::uint64_t turn = 0;
+        std::uint64_t order = 0;
+        waiting_request request;
+    };
+
+    struct row
+    {
+        std::uint64_t last_turn = 0;
+        std::uint32_t waiting = 0;
+    };
+
+    static bool later(entry const& left, entry const& right);
+    row& row_of(std::uint32_t flow);
+    row const& row_of(std::uint32_t flow) const;
+    std::uint64_t next_turn(std::uint32_t flow) const;
+    waiting_request take(std::size_t index);
+
+    std::size_t capacity;
+    std::vector<entry> heap;
+    std::vector<row> rows;
+    std::uint64_t turn_served = 0;
+    std::uint64_t orders = 0;
+    std::uint32_t busy_rows = 0;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- /dev/null
+++ b/bilberrylead/policy/service_time_estimate.cpp
@@ -0,0 +1,84 @@
+#include "bilberrylead/policy/service_time_estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace bilberrylead::policy
+{
+
+namespace
+{
+
+constexpr double buckets_per_octave = 4;
+constexpr double lowest_ns = 64'000;
+/// Samples after which all counts are halved, so that an upstream that got
+/// slow shows within a few thousand answers.
+constexpr std::uint32_t samples_kept = 8192;
+/// Weight of one sample in the mean: about the last hundred count.
+constexpr double mean_weight = 0.01;
+/// Samples that the first guess stands for.
+constexpr std::uint32_t guess_weight = 4;
+
+} // namespace
+
+service_time_estimate::service_time_estimate(duration first_guess)
+    : mean_ns(static_cast<double>(first_guess.count()))
+{
+    this->buckets[bucket_of(first_guess)] = guess_weight;
+    this->total = guess_weight;
+}
+
+std::size_t service_time_estimate::bucket_of(duration sample)
+{
+    double const ns = static_cast<double>(sample.count());
+    if (ns <= lowest_ns)
+    {
+        return 0;
+    }
+    double const place = std::log2(ns / lowest_ns) * buckets_per_octave;
+    return std::min(static_cast<std::size_t>(place) + 1, bucket_count - 1);
+}
+
+void service_time_estimate::add(duration sample)
+{
+    this->mean_ns +=
+        mean_weight * (static_cast<double>(sample.count()) - this->mean_ns);
+    ++this->buckets[bucket_of(sample)];
+    ++this->total;
+    if (this->total < samples_kept)
+    {
+        return;
+    }
+    this->total = 0;
+    for (std::uint32_t& count : this->buckets)
+    {
+        count /= 2;
+        this->total += count;
+    }
+}
+
+duration service_time_estimate::mean() const
+{
+    return duration(
+        std::max(std::int64_t{1}, static_cast<std::int64_t>(this->mean_ns)));
+}
+
+duration service_time_estimate::quantile(double share) const
+{
+    double const wanted = share * static_cast<double>(this->total);
+    double seen = 0;
+    std::size_t bucket = 0;
+    for (; bucket + 1 < bucket_count; ++bucket)
+    {
+        seen += this->buckets[bucket];
+        if (seen >= wanted)
+        {
+            break;
+        }
+    }
+    double const octaves = static_cast<double>(bucket) / buckets_per_octave;
+    return duration(static_cast<std::int64_t>(lowest_ns * std::exp2(octaves)));
+}
+
+} // namespace bilberrylead::policy
