--- a/bilberrylead/catalog/catalog.cpp
+++ b/bilberrylead/catalog/catalog.cpp
@@ -128,7 +128,13 @@
 
 void catalog::remember(audit_entry const& entry)
 {
-    this->first_number.emplace(entry.change, entry.number);
+    // A reused id never stands for the first change, not even once that has
+    // left the trail: a replica restored from a snapshot, which sees only
+    // what is left, would answer differently from one that saw it all.
+    if (!std::holds_alternative<change_id_reused>(entry.result))
+    {
+        this->first_number.emplace(entry.change, entry.number);
+    }
     change_accepted const* const accepted =
         std::get_if<change_accepted>(&entry.result);
     if (accepted != nullptr)
--- a/bilberrylead/store/journal.cpp
+++ b/bilberrylead/store/journal.cpp
@@ -51,7 +51,7 @@
 absl::StatusOr<journal> journal::open(std::filesystem::path const& folder,
                                       journal_settings const& settings)
 {
-    absl::Status const made = make_folder(folder);
+    absl::Status made = make_folder(folder);
     if (!made.ok())
     {
         return made;
@@ -63,7 +63,7 @@
         return lock.status();
     }
     opened.lock = *std::move(lock);
-    absl::Status const recovered = opened.recover();
+    absl::Status recovered = opened.recover();
     if (!recovered.ok())
     {
         return recovered;
@@ -95,17 +95,17 @@
     }
     if (content->has_journal)
     {
-        absl::Status const known = this->recover_identity(true, has_records);
+        absl::Status known = this->recover_identity(true, has_records);
         return known.ok() ? this->rewrite(this->found) : known;
     }
     // The journal comes before the identity: whoever has an identity had a
     // journal, and without it may have forgotten its votes.
-    absl::Status const known = this->recover_identity(false, has_records);
+    absl::Status known = this->recover_identity(false, has_records);
     if (!known.ok())
     {
         return known;
     }
-    absl::Status const written = this->rewrite(this->found);
+    absl::Status written = this->rewrite(this->found);
     return written.ok() ? this->recover_identity(true, false) : written;
 }
 
@@ -144,7 +144,7 @@
         return absl::OkStatus();
     }
     this->incarnation_number = random_number();
-    absl::Status const written =
+    absl::Status written =
         replace_file(path, encode_checked_file(file_purpose::identity,
                                                this->incarnation_number, {}));
     return written.ok() ? sync_folder(this->folder) : written;
@@ -181,12 +181,12 @@
     }
 
     std::filesystem::path const path = this->folder / journal_file_name;
-    absl::Status const replaced = replace_file(path, output);
+    absl::Status replaced = replace_file(path, output);
     if (!replaced.ok())
     {
         return replaced;
     }
-    absl::Status const synced = sync_folder(this->folder);
+    absl::Status synced = sync_folder(this->folder);
     if (!synced.ok())
     {
         return synced;
@@ -216,7 +216,7 @@
 absl::Status journal::append(std::uint64_t index,
                              std::span<std::uint8_t const> content)
 {
-    absl::Status const state = this->usable();
+    absl::Status state = this->usable();
     if (!state.ok())
     {
         return state;
@@ -243,7 +243,7 @@
 
 absl::Status journal::drop_after(std::uint64_t index)
 {
-    absl::Status const state = this->usable();
+    absl::Status state = this->usable();
     if (!state.ok())
     {
         return state;
@@ -260,7 +260,7 @@
 
 absl::Status journal::set_state(std::span<std::uint8_t const> state)
 {
-    absl::Status const may_write = this->usable();
+    absl::Status may_write = this->usable();
     if (may_write.ok())
     {
         this->pending.add(journal_batch::record_kind::state, 0, state);
@@ -270,14 +270,14 @@
 
 absl::Status journal::sync()
 {
-    absl::Status const state = this->usable();
+    absl::Status state = this->usable();
     if (!state.ok() || this->pending.empty())
     {
         return state;
     }
     std::span<std::uint8_t const> const frame =
         this->pending.seal(this->salt, this->batches + 1);
-    absl::Status const written = this->file.append(frame);
+    absl::Status written = this->file.append(frame);
     if (written.ok())
     {
         ++this->batches;
@@ -290,7 +290,7 @@
 absl::Status journal::install_snapshot(std::uint64_t index,
                                        std::span<std::uint8_t const> content)
 {
-    absl::Status const synced = this->sync();
+    absl::Status synced = this->sync();
     if (!synced.ok())
     {
         return synced;
@@ -308,7 +308,7 @@
         return held.status();
     }
     std::filesystem::path const path = this->folder / snapshot_file_name;
-    absl::Status const replaced = replace_file(
+    absl::Status replaced = replace_file(
         path, encode_checked_file(file_purpose::snapshot, index, content));
     if (!replaced.ok())
     {
@@ -317,7 +317,7 @@
 
     // The snapshot must be durable before the records it covers are gone.
     this->failed = true;
-    absl::Status const renamed = sync_folder(this->folder);
+    absl::Status renamed = sync_folder(this->folder);
     if (!renamed.ok())
     {
         return renamed;
--- a/bilberrylead/store/recovery.cpp
+++ b/bilberrylead/store/recovery.cpp
@@ -86,7 +86,7 @@
 absl::StatusOr<folder_content> read_folder(std::filesystem::path const& folder)
 {
     folder_content result;
-    absl::Status const snapshot = read_snapshot(folder, result.state);
+    absl::Status snapshot = read_snapshot(folder, result.state);
     if (!snapshot.ok())
     {
         return snapshot;
--- /dev/null
+++ b/tests/unit/once/once_random_test.cpp
@@ -0,0 +1,196 @@
+#include "bilberrylead/once/once_records.hpp"
+
+#include "tests/unit/once/once_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <map>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace bilberrylead::once;
+using namespace bilberrylead::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr unsigned seeds = 300;
+constexpr int commands_per_seed = 400;
+
+once_settings tight_bounds()
+{
+    return {.retention = 40s,
+            .longest_run = 15s,
+            .largest_records = 9,
+            .largest_records_per_caller = 9,
+            .largest_total_bytes = 600,
+            .largest_recorded_body = 8,
+            .longest_name = 16};
+}
+
+once_command random_command(std::mt19937_64& random)
+{
+    std::uint64_t const dice = random() % 16;
+    std::string const key = std::to_string(random() % 12);
+    std::string const request = "r" + std::to_string(random() % 40);
+    if (dice < 6)
+    {
+        return claim_of(key, request, "e" + std::to_string(random() % 3),
+                        1 + random() % 4, random() % 8 == 0 ? 8 : 7);
+    }
+    if (dice < 9)
+    {
+        complete done = complete_of(key, request);
+        done.answer.status = static_cast<std::uint16_t>(200 + random() % 9);
+        return done;
+    }
+    if (dice < 11)
+    {
+        return release_of(key, request);
+    }
+    if (dice < 12)
+    {
+        return unknown_of(key, request);
+    }
+    if (dice < 13)
+    {
+        return register_entry_host{host_id("e" + std::to_string(random() % 3)),
+                                   1 + random() % 4};
+    }
+    return advance_time{std::chrono::milliseconds(random() % 12'000)};
+}
+
+/// What a caller could hold against the records: who was granted a key and
+/// until when nobody else may be, and which answer was given.
+struct promise_keeper
+{
+    struct promise
+    {
+        request_id holder;
+        duration until{};
+        std::optional<recorded_answer> answer;
+    };
+
+    std::map<claim_key, promise> promises;
+    once_settings bounds = tight_bounds();
+
+    void saw(once_records const& records, claim const& asked,
+             claim_verdict const& verdict, unsigned seed)
+    {
+        duration const now = records.log_time();
+        auto const held = this->promises.find(asked.key);
+        bool const binding =
+            held != this->promises.end() && held->second.until > now;
+        if (is<claim_granted>(verdict))
+        {
+            cr_assert(!binding || held->second.holder == asked.request,
+                      "seed %u: granted twice", seed);
+            cr_assert(!binding || !held->second.answer.has_value(),
+                      "seed %u: granted after its answer", seed);
+            // Shortest time that the record can live from here.
+            this->promises[asked.key] = {
+                asked.request, now + this->bounds.retention, std::nullopt};
+        }
+        claim_recorded const* const recorded =
+            std::get_if<claim_recorded>(&verdict);
+        if (recorded != nullptr)
+        {
+            cr_assert(held != this->promises.end(), "seed %u", seed);
+            cr_assert(!held->second.answer.has_value() ||
+                          *held->second.answer == recorded->answer,
+                      "seed %u: the answer changed", seed);
+            held->second.answer = recorded->answer;
+        }
+    }
+
+    void saw(release const& command, settle_result result)
+    {
+        if (result == settle_result::done)
+        {
+            this->promises.erase(command.key);
+        }
+    }
+};
+
+void apply_watched(once_records& records, once_command const& command,
+                   promise_keeper& keeper, unsigned seed)
+{
+    if (claim const* asked = std::get_if<claim>(&command))
+    {
+        keeper.saw(records, *asked, records.apply(*asked), seed);
+        return;
+    }
+    if (release const* given_back = std::get_if<release>(&command))
+    {
+        keeper.saw(*given_back, records.apply(*given_back));
+        return;
+    }
+    std::visit(
+        [&records](auto const& each)
+        {
+            records.apply(each);
+        },
+        command);
+}
+
+} // namespace
+
+// Requests, restarts, late and doubled commands in any order, with so few
+// records that they fill up and so short a retention that they expire.
+// Whatever comes: a key is granted to one request until it is released or
+// expires, its answer never changes, and a replica that restarts from a
+// snapshot in the middle ends up equal byte by byte.
+Test(once_records, random_commands_keep_every_promise_on_every_replica)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+    {
+        std::mt19937_64 random(seed);
+        once_records records(tight_bounds());
+        once_records replica(tight_bounds());
+        promise_keeper keeper;
+        for (int step = 0; step < commands_per_seed; ++step)
+        {
+            once_command const command = random_command(random);
+            apply_watched(records, command, keeper, seed);
+            std::visit(
+                [&replica](auto const& each)
+                {
+                    replica.apply(each);
+                },
+                command);
+            cr_assert_leq(records.size(), tight_bounds().largest_records);
+            cr_assert_leq(records.held_bytes(),
+                          tight_bounds().largest_total_bytes);
+            if (step % 50 == 49)
+            {
+                absl::StatusOr<once_records> restored =
+                    once_records::decode(tight_bounds(), replica.encode());
+                cr_assert(restored.ok(), "seed %u", seed);
+                replica = *std::move(restored);
+            }
+        }
+        cr_assert(records.encode() == replica.encode(), "seed %u", seed);
+    }
+}
+
+Test(once_records, snapshot_when_cut_or_of_other_bounds_is_refused)
+{
+    once_records records(tight_bounds());
+    records.apply(claim_of("k", "r1"));
+    records.apply(complete_of("k", "r1"));
+    records.apply(register_entry_host{host_id("e1"), 3});
+    bytes const whole = records.encode();
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        bytes const cut(whole.begin(),
+                        whole.begin() + static_cast<std::ptrdiff_t>(size));
+        cr_assert_not(once_records::decode(tight_bounds(), cut).ok());
+    }
+    cr_assert_not(once_records::decode(once_settings(), whole).ok());
+    cr_assert(once_records::decode(tight_bounds(), whole).ok());
+}
--- /dev/null
+++ b/tests/unit/store/journal_crash_test.cpp
@@ -0,0 +1,212 @@
+#include "bilberrylead/store/journal.hpp"
+
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/store/checked_file.hpp"
+#include "bilberrylead/store/folder_files.hpp"
+#include "tests/unit/store/journal_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace bilberrylead::tests;
+using bilberrylead::store::journal;
+
+namespace
+{
+
+/// A journal of two batches that a crash left, before anybody read it.
+struct crashed_journal
+{
+    temporary_folder folder;
+    bytes content;
+    /// Where the first batch starts.
+    std::size_t first_start = 0;
+    /// Where the second batch starts.
+    std::size_t second_start = 0;
+
+    crashed_journal()
+    {
+        journal written = open_journal(this->folder);
+        this->first_start = written.file_bytes();
+        append_synced(written, 1, 3);
+        this->second_start = written.file_bytes();
+        append_synced(written, 4, 6);
+        this->content = read_all(this->folder.file("journal"));
+        cr_assert_eq(this->content.size(), written.file_bytes());
+    }
+
+    /// Leaves `damaged` as what the disk holds.
+    void leave(bytes const& damaged) const
+    {
+        write_all(this->folder.file("journal"), damaged);
+    }
+
+    bool is_refused() const
+    {
+        return kind_of(journal::open(this->folder.data()).status()) ==
+               error_kind::corrupt;
+    }
+};
+
+} // namespace
+
+// The power fails while the second batch is written and not yet synced; the
+// disk keeps its first bytes. Nobody was told that it is durable. After the
+// restart the first batch is there whole, of the second nothing or all, and
+// the journal goes on from there.
+Test(journal, last_batch_when_torn_at_any_byte_recovers_to_the_one_before)
+{
+    crashed_journal const crashed;
+    for (std::size_t size = crashed.second_start;
+         size <= crashed.content.size(); ++size)
+    {
+        crashed.leave(
+            {crashed.content.begin(),
+             crashed.content.begin() + static_cast<std::ptrdiff_t>(size)});
+        std::uint64_t const last = size == crashed.content.size() ? 6 : 3;
+        {
+            journal recovered = open_journal(crashed.folder);
+            cr_assert(recovered.recovered().entries == entries_of(1, last));
+            append_synced(recovered, last + 1, last + 1);
+        }
+        cr_assert(open_journal(crashed.folder).recovered().entries ==
+                  entries_of(1, last + 1));
+    }
+}
+
+// The disk keeps later pages of the unsynced batch and loses earlier ones,
+// which read as zeros. The batch counts as unfinished although its end and
+// the file's length are right.
+Test(journal, last_batch_when_any_byte_of_it_is_lost_recovers_before_it)
+{
+    crashed_journal const crashed;
+    for (std::size_t lost = crashed.second_start; lost < crashed.content.size();
+         ++lost)
+    {
+        bytes damaged = crashed.content;
+        damaged.at(lost) ^= 0xFFU;
+        crashed.leave(damaged);
+        journal recovered = open_journal(crashed.folder);
+        cr_assert(recovered.recovered().entries == entries_of(1, 3), "byte %zu",
+                  lost);
+    }
+}
+
+// A sector of an acknowledged batch goes bad. Cut there, the host would
+// come back having forgotten what it acknowledged, and a quorum that counts
+// on it could lose an accepted change. It must not start.
+Test(journal, middle_when_any_byte_is_damaged_is_refused)
+{
+    crashed_journal const crashed;
+    for (std::size_t bad = 0; bad < crashed.second_start; ++bad)
+    {
+        bytes damaged = crashed.content;
+        damaged.at(bad) ^= 0x10U;
+        crashed.leave(damaged);
+        cr_assert(crashed.is_refused(), "byte %zu", bad);
+    }
+}
+
+// A page in the middle is lost: the rest moves up, or reads as zeros.
+Test(journal, middle_when_cut_out_or_zeroed_is_refused)
+{
+    crashed_journal const crashed;
+    bytes cut_out = crashed.content;
+    cut_out.erase(
+        cut_out.begin() + static_cast<std::ptrdiff_t>(crashed.first_start),
+        cut_out.begin() + static_cast<std::ptrdiff_t>(crashed.second_start));
+    crashed.leave(cut_out);
+    cr_assert(crashed.is_refused());
+
+    bytes zeroed = crashed.content;
+    std::fill(zeroed.begin() + static_cast<std::ptrdiff_t>(crashed.first_start),
+              zeroed.begin() +
+                  static_cast<std::ptrdiff_t>(crashed.second_start),
+              std::uint8_t{0});
+    crashed.leave(zeroed);
+    cr_assert(crashed.is_refused());
+}
+
+// The process dies while it writes a snapshot. The half-written file never
+// counted; it goes away and the records are all there.
+Test(journal, unfinished_snapshot_when_opened_is_dropped)
+{
+    temporary_folder const folder;
+    {
+        journal written = open_journal(folder);
+        append_synced(written, 1, 4);
+    }
+    write_all(folder.file("snapshot.tmp"), to_bytes("half a snap"));
+    write_all(folder.file("journal.tmp"), to_bytes("half a journal"));
+    journal recovered = open_journal(folder);
+    cr_assert_not(recovered.recovered().snapshot.has_value());
+    cr_assert(recovered.recovered().entries == entries_of(1, 4));
+    cr_assert_not(std::filesystem::exists(folder.file("snapshot.tmp")));
+    cr_assert_not(std::filesystem::exists(folder.file("journal.tmp")));
+}
+
+// The process dies after the snapshot was renamed and before the journal
+// dropped what it covers. Covered records are skipped, later ones stay.
+Test(journal, snapshot_without_shortened_journal_when_opened_takes_both)
+{
+    temporary_folder const folder;
+    {
+        journal written = open_journal(folder);
+        append_synced(written, 1, 6);
+    }
+    write_all(folder.file("snapshot"),
+              store::encode_checked_file(store::file_purpose::snapshot, 4,
+                                         to_bytes("to 4")));
+    journal recovered = open_journal(folder);
+    cr_assert_eq(recovered.recovered().snapshot->index, 4);
+    cr_assert(recovered.recovered().entries == entries_of(5, 6));
+    cr_assert_eq(recovered.snapshot_index(), 4);
+}
+
+// Files vanish or are damaged one by one under a host that had records.
+// Started anyway, it would vote a second time as its former self.
+Test(journal, each_file_when_lost_or_damaged_is_refused)
+{
+    for (char const* name : {"journal", "snapshot", "identity"})
+    {
+        for (bool const removed : {true, false})
+        {
+            temporary_folder const folder;
+            {
+                journal written = open_journal(folder);
+                append_synced(written, 1, 4);
+                cr_assert(written.install_snapshot(3, to_bytes("to 3")).ok());
+            }
+            if (removed)
+            {
+                std::filesystem::remove(folder.file(name));
+            }
+            else
+            {
+                bytes damaged = read_all(folder.file(name));
+                damaged.at(10) ^= 1U;
+                write_all(folder.file(name), damaged);
+            }
+            absl::StatusOr<journal> const opened = journal::open(folder.data());
+            cr_assert(kind_of(opened.status()) == error_kind::corrupt,
+                      "%s removed %d", name, static_cast<int>(removed));
+            cr_assert(
+                std::string(opened.status().message()).find("rejoin empty") !=
+                std::string::npos);
+        }
+    }
+}
+
+// The first start dies between the journal and the identity: there was
+// nothing to lose, the next start makes the identity.
+Test(journal, first_start_when_it_died_before_the_identity_starts_anew)
+{
+    temporary_folder const folder;
+    static_cast<void>(open_journal(folder));
+    std::filesystem::remove(folder.file("identity"));
+    cr_assert_neq(open_journal(folder).incarnation(), 0);
+}
