--- a/tests/unit/once/once_crash_test.cpp
+++ b/tests/unit/once/once_crash_test.cpp
@@ -70,7 +70,7 @@
     /// that was on its way.
     std::optional<once_command> carry_until(crash_point point)
     {
-        claim const asked = claim_of("k", "r1");
+        claim asked = claim_of("k", "r1");
         if (point == crash_point::before_claim)
         {
             return std::nullopt;
--- a/tests/unit/store/journal_crash_test.cpp
+++ b/tests/unit/store/journal_crash_test.cpp
@@ -131,6 +131,30 @@
     cr_assert(crashed.is_refused());
 }
 
+// A whole batch vanishes that held nothing but a vote: the records around it
+// fit together. Started without it, the host would vote twice in a term.
+Test(journal, vote_between_records_when_cut_out_is_refused)
+{
+    temporary_folder const folder;
+    std::size_t start = 0;
+    std::size_t end = 0;
+    {
+        journal written = open_journal(folder);
+        append_synced(written, 1, 3);
+        start = written.file_bytes();
+        cr_assert(written.set_state(to_bytes("voted for a")).ok());
+        cr_assert(written.sync().ok());
+        end = written.file_bytes();
+        append_synced(written, 4, 4);
+    }
+    bytes content = read_all(folder.file("journal"));
+    content.erase(content.begin() + static_cast<std::ptrdiff_t>(start),
+                  content.begin() + static_cast<std::ptrdiff_t>(end));
+    write_all(folder.file("journal"), content);
+    cr_assert(kind_of(journal::open(folder.data()).status()) ==
+              error_kind::corrupt);
+}
+
 // The process dies while it writes a snapshot. The half-written file never
 // counted; it goes away and the records are all there.
 Test(journal, unfinished_snapshot_when_opened_is_dropped)
