Declare the replicated log: messages, events, effects, replica, codec

The daemon, the store and the once records need the interface before the log behind it exists. Headers only, they compile; nothing is implemented and nothing is measured yet. A proposal whose leader loses office gets an answer of its own, outcome unknown: calling it refused would make a 'not run' that is false.

--- /dev/null
+++ b/bilberrylead/agreement/effects/append_entries.hpp
@@ -0,0 +1,24 @@
+#ifndef BILBERRYLEAD_AGREEMENT_EFFECTS_APPEND_ENTRIES_HPP
+#define BILBERRYLEAD_AGREEMENT_EFFECTS_APPEND_ENTRIES_HPP
+
+#include "bilberrylead/agreement/log_entry.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace bilberrylead::agreement
+{
+
+/// Write entries; durable with the next sync. Whatever the log held from
+/// the first index on is cut off first.
+struct append_entries
+{
+    /// Index of the first entry.
+    std::uint64_t from_index = 0;
+    /// Consecutive entries from there; never empty.
+    std::vector<log_entry> entries;
+};
+
+} // namespace bilberrylead::agreement
+
+#endif
--- /dev/null
+++ b/bilberrylead/agreement/effects/apply.hpp
@@ -0,0 +1,19 @@
+#ifndef BILBERRYLEAD_AGREEMENT_EFFECTS_APPLY_HPP
+#define BILBERRYLEAD_AGREEMENT_EFFECTS_APPLY_HPP
+
+#include "bilberrylead/agreement/log_entry.hpp"
+
+namespace bilberrylead::agreement
+{
+
+/// A committed entry, each once in order of index since the last start or
+/// restore. The state machine ignores kinds other than command.
+struct apply
+{
+    /// The entry.
+    log_entry entry;
+};
+
+} // namespace bilberrylead::agreement
+
+#endif
--- /dev/null
+++ b/bilberrylead/agreement/effects/persist_hard_state.hpp
@@ -0,0 +1,18 @@
+#ifndef BILBERRYLEAD_AGREEMENT_EFFECTS_PERSIST_HARD_STATE_HPP
+#define BILBERRYLEAD_AGREEMENT_EFFECTS_PERSIST_HARD_STATE_HPP
+
+#include "bilberrylead/agreement/hard_state.hpp"
+
+namespace bilberrylead::agreement
+{
+
+/// Write term and vote; durable with the next sync.
+struct persist_hard_state
+{
+    /// Replaces what was written before.
+    agreement::hard_state state;
+};
+
+} // namespace bilberrylead::agreement
+
+#endif
--- /dev/null
+++ b/bilberrylead/agreement/events/propose.hpp
@@ -0,0 +1,23 @@
+#ifndef BILBERRYLEAD_AGREEMENT_EVENTS_PROPOSE_HPP
+#define BILBERRYLEAD_AGREEMENT_EVENTS_PROPOSE_HPP
+
+#include "bilberrylead/core/bytes.hpp"
+
+#include <cstdint>
+
+namespace bilberrylead::agreement
+{
+
+/// Asks for a command to be put into the log. Answered exactly once with
+/// proposal_accepted, proposal_refused or proposal_outcome_unknown.
+struct propose
+{
+    /// The asker's number for it, unique while it is open.
+    std::uint64_t token = 0;
+    /// The state machine's command.
+    bytes payload;
+};
+
+} // namespace bilberrylead::agreement
+
+#endif
