--- /dev/null
+++ b/bilberrylead/agreement/append_sender.cpp
@@ -0,0 +1,135 @@
+#include "bilberrylead/agreement/append_sender.hpp"
+
+#include <algorithm>
+
+namespace bilberrylead::agreement
+{
+
+append_sender::append_sender(replica_core& shared, send_rounds& numbering)
+    : core(shared), rounds(numbering)
+{
+}
+
+void append_sender::send_entries(peer_progress& peer)
+{
+    if (peer.probing || peer.sending)
+    {
+        return;
+    }
+    if (this->needs_snapshot(peer))
+    {
+        this->start_snapshot(peer);
+        return;
+    }
+    replica_settings const& bounds = this->core.settings;
+    while (peer.next_index <= this->core.log.last_index())
+    {
+        std::uint64_t const under_way = peer.next_index - 1 - peer.match_index;
+        if (under_way >= bounds.max_inflight_entries)
+        {
+            return;
+        }
+        std::size_t const room = std::min<std::size_t>(
+            bounds.max_append_entries, bounds.max_inflight_entries - under_way);
+        peer.next_index += this->send_append(peer, peer.next_index - 1, room);
+    }
+}
+
+void append_sender::send_probe(peer_progress& peer)
+{
+    if (this->needs_snapshot(peer))
+    {
+        this->start_snapshot(peer);
+        return;
+    }
+
+    // A dead member gets no entries again and again, just a question.
+    std::size_t const entries = this->answered_lately(peer)
+                                    ? this->core.settings.max_append_entries
+                                    : 0;
+    this->send_append(peer, peer.next_index - 1, entries);
+}
+
+void append_sender::send_heartbeat(peer_progress& peer)
+{
+    if (peer.sending)
+    {
+        bool const lost = this->core.now - peer.chunk_sent_at >=
+                          2 * this->core.settings.heartbeat_interval;
+        if (lost && this->answered_lately(peer))
+        {
+            this->send_chunk(peer);
+            return;
+        }
+
+        // Every log agrees at index 0, so that this one is never rejected.
+        this->send_append(peer, 0, 0);
+        return;
+    }
+    if (peer.probing || this->needs_snapshot(peer))
+    {
+        this->send_probe(peer);
+        return;
+    }
+    this->send_append(peer, peer.next_index - 1, 0);
+}
+
+void append_sender::send_chunk(peer_progress& peer)
+{
+    snapshot const& whole = *peer.sending;
+    std::uint64_t const from =
+        std::min<std::uint64_t>(peer.snapshot_offset, whole.state.size());
+    std::uint64_t const length = std::min<std::uint64_t>(
+        this->core.settings.snapshot_chunk_bytes, whole.state.size() - from);
+    auto const first =
+        whole.state.begin() + static_cast<bytes::difference_type>(from);
+    auto const last = first + static_cast<bytes::difference_type>(length);
+    peer.chunk_sent_at = this->core.now;
+    this->core.out.send_beside_sync(send{
+        peer.who.host,
+        this->core.make_message(install_snapshot_request{
+            this->rounds.current(), whole.last_index, whole.last_term,
+            whole.membership, whole.state.size(), from, bytes(first, last)})});
+}
+
+bool append_sender::needs_snapshot(peer_progress const& peer) const
+{
+    return peer.next_index <= this->core.log.base_index();
+}
+
+void append_sender::start_snapshot(peer_progress& peer)
+{
+    peer.sending = this->core.latest_snapshot;
+    peer.snapshot_offset = 0;
+    this->send_chunk(peer);
+}
+
+bool append_sender::answered_lately(peer_progress const& peer) const
+{
+    return peer.answered_at.has_value() &&
+           this->core.now - *peer.answered_at <
+               this->core.settings.election_timeout;
+}
+
+std::size_t append_sender::send_append(peer_progress const& peer,
+                                       std::uint64_t previous_index,
+                                       std::size_t max_entries)
+{
+    append_request request;
+    request.round = this->rounds.current();
+    request.previous_index = previous_index;
+    request.previous_term = this->core.log.term_at(previous_index).value_or(0);
+    request.commit_index = this->core.commit_index;
+    if (max_entries > 0)
+    {
+        request.entries =
+            this->core.log.slice(previous_index + 1, max_entries,
+                                 this->core.settings.max_append_bytes);
+    }
+    std::size_t const sent = request.entries.size();
+    this->core.out.send_beside_sync(
+        send{peer.who.host, this->core.make_message(std::move(request))});
+    return sent;
+}
+
+} // namespace bilberrylead::agreement
--- a/bilberrylead/agreement/effects/restore.hpp
+++ b/bilberrylead/agreement/effects/restore.hpp
@@ -6,8 +6,8 @@
 namespace bilberrylead::agreement
 {
 
-/// Replace the state machine's state by the snapshot's (an empty one at
-/// index 0 or when the state is empty). apply goes on after its index.
+/// Replace the state machine's state by the snapshot's. apply goes on
+/// after its index.
 struct restore
 {
     /// The whole state.
--- /dev/null
+++ b/bilberrylead/agreement/election.cpp
@@ -0,0 +1,193 @@
+#include "bilberrylead/agreement/election.hpp"
+
+#include <algorithm>
+
+namespace bilberrylead::agreement
+{
+
+election::election(replica_core& shared) : core(shared)
+{
+}
+
+void election::heard_leader()
+{
+    this->heard_at = this->core.now;
+    this->restart_timer();
+}
+
+void election::restart_timer()
+{
+    std::uniform_int_distribution<duration::rep> spread(
+        0, this->core.settings.election_timeout.count());
+    this->due_at = this->core.now + this->core.settings.election_timeout +
+                   duration(spread(this->core.random));
+}
+
+void election::on_tick()
+{
+    bool const waits = this->core.role() == role::follower ||
+                       this->core.role() == role::pre_candidate ||
+                       this->core.role() == role::candidate;
+    if (!waits || this->core.now < this->due_at)
+    {
+        return;
+    }
+    this->core.leader = host_id();
+    if (this->core.switches.pre_vote)
+    {
+        this->start_pre_vote();
+    }
+    else
+    {
+        this->start_campaign(false);
+    }
+}
+
+/// A vote within the election timeout of a leader's message could elect a
+/// successor while that leader still answers reads under its lease.
+bool election::may_hear_leader() const
+{
+    if (!this->core.switches.vote_waits_for_lease)
+    {
+        return false;
+    }
+    return this->core.role() == role::leader ||
+           this->core.now - this->heard_at <
+               this->core.settings.election_timeout;
+}
+
+bool election::is_up_to_date(std::uint64_t last_term,
+                             std::uint64_t last_index) const
+{
+    replica_log const& log = this->core.log;
+    return last_term > log.last_term() ||
+           (last_term == log.last_term() && last_index >= log.last_index());
+}
+
+void election::start_pre_vote()
+{
+    this->core.life.ask_for_pre_votes();
+    this->restart_timer();
+    this->granted.clear();
+    this->ask_voters(pre_vote_request{this->core.hard_state.term + 1,
+                                      this->core.log.last_index(),
+                                      this->core.log.last_term()});
+    if (this->count_grant(this->core.self, this->core.incarnation))
+    {
+        this->start_campaign(false);
+    }
+}
+
+void election::start_campaign(bool handover)
+{
+    this->core.life.campaign();
+    this->core.set_hard_state(this->core.hard_state.term + 1, this->core.self);
+    this->core.leader = host_id();
+    this->restart_timer();
+    this->granted.clear();
+    this->ask_voters(vote_request{this->core.log.last_index(),
+                                  this->core.log.last_term(), handover});
+    if (this->count_grant(this->core.self, this->core.incarnation))
+    {
+        this->core.life.win();
+    }
+}
+
+void election::ask_voters(message_body const& request)
+{
+    bool const durable_first = this->core.switches.durable_vote_before_answer;
+    for (member const& one : this->core.memberships.current().members)
+    {
+        if (one.voter && one.host != this->core.self)
+        {
+            this->core.answer(one.host, request, durable_first);
+        }
+    }
+}
+
+bool election::count_grant(host_id const& from, std::uint64_t sender)
+{
+    // A host's former self may have granted, or its blank successor: only
+    // the listed incarnation holds the entries that the vote vouches for.
+    member const* const listed = this->core.memberships.current().find(from);
+    bool const counts = this->core.is_listed(from, sender) && listed->voter;
+    if (counts && std::ranges::find(this->granted, from) == this->granted.end())
+    {
+        this->granted.push_back(from);
+    }
+    return this->granted.size() >= this->core.memberships.current().quorum();
+}
+
+void election::on_pre_vote_request(host_id const& from, message const& whole,
+                                   pre_vote_request const& request)
+{
+    if (this->may_hear_leader())
+    {
+        return;
+    }
+    this->core.adopt_term(whole.term);
+    bool const granted =
+        request.proposed_term > this->core.hard_state.term &&
+        this->is_up_to_date(request.last_term, request.last_index);
+    this->core.answer(from, pre_vote_reply{request.proposed_term, granted});
+}
+
+void election::on_pre_vote_reply(host_id const& from, message const& whole,
+                                 pre_vote_reply const& reply)
+{
+    bool const asked = this->core.role() == role::pre_candidate &&
+                       reply.proposed_term == this->core.hard_state.term + 1;
+    if (asked && reply.granted && this->count_grant(from, whole.incarnation))
+    {
+        this->start_campaign(false);
+    }
+}
+
+void election::on_vote_request(host_id const& from, message const& whole,
+                               vote_request const& request)
+{
+    if (!request.handover && this->may_hear_leader())
+    {
+        return;
+    }
+    this->core.adopt_term(whole.term);
+    hard_state const& own = this->core.hard_state;
+    bool const free = own.voted_for.empty() || own.voted_for == from;
+    bool const granted =
+        whole.term == own.term && free &&
+        this->is_up_to_date(request.last_term, request.last_index);
+    if (granted)
+    {
+        if (own.voted_for.empty())
+        {
+            this->core.set_hard_state(own.term, from);
+        }
+        this->restart_timer();
+    }
+    this->core.answer(from, vote_reply{granted},
+                      this->core.switches.durable_vote_before_answer);
+}
+
+void election::on_vote_reply(host_id const& from, message const& whole,
+                             vote_reply const& reply)
+{
+    bool const asked = this->core.role() == role::candidate &&
+                       whole.term == this->core.hard_state.term;
+    if (asked && reply.granted && this->count_grant(from, whole.incarnation))
+    {
+        this->core.life.win();
+    }
+}
+
+void election::on_timeout_now(host_id const& from, message const& whole)
+{
+    bool const asked = whole.term == this->core.hard_state.term &&
+                       from == this->core.leader &&
+                       this->core.role() == role::follower;
+    if (asked)
+    {
+        this->start_campaign(true);
+    }
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/leadership.cpp
@@ -0,0 +1,288 @@
+#include "bilberrylead/agreement/leadership.hpp"
+
+#include "bilberrylead/agreement/codec.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace bilberrylead::agreement
+{
+
+leadership::leadership(replica_core& shared, log_applier& to_apply)
+    : core(shared), applier(to_apply), sender(shared, rounds)
+{
+}
+
+void leadership::begin()
+{
+    this->began_at = this->core.now;
+    this->first_index = this->core.log.last_index() + 1;
+    this->lease_given_up = false;
+    this->peers.clear();
+    this->peers.match(this->core.memberships.current(), this->core.self,
+                      this->first_index);
+    this->start_round();
+    this->append(entry_kind::no_op, bytes());
+    this->beat_soon();
+}
+
+void leadership::end()
+{
+    this->peers.clear();
+}
+
+void leadership::start_round()
+{
+    this->rounds.next(this->core.now);
+}
+
+void leadership::check_quorum()
+{
+    instant const heard =
+        std::max(this->quorum_heard(this->core.now).value_or(this->began_at),
+                 this->began_at);
+    bool const lost =
+        this->core.now - heard > this->core.settings.election_timeout;
+    if (lost && this->core.switches.quorum_check)
+    {
+        this->core.leader = host_id();
+        this->core.life.follow();
+    }
+}
+
+std::uint64_t leadership::append(entry_kind kind, bytes payload)
+{
+    log_entry next{this->core.hard_state.term, this->core.log.last_index() + 1,
+                   kind, std::move(payload)};
+    std::uint64_t const index = next.index;
+    this->core.out.write(append_entries{index, {next}});
+    if (kind == entry_kind::membership)
+    {
+        this->core.memberships.put(index, *decode_membership(next.payload));
+        this->peers.match(this->core.memberships.current(), this->core.self,
+                          index);
+    }
+    this->core.log.append(std::move(next));
+    return index;
+}
+
+void leadership::on_tick()
+{
+    if (this->core.now >= this->beat_due_at)
+    {
+        this->beat_soon();
+    }
+}
+
+void leadership::beat_soon()
+{
+    this->beat_due_at = this->core.now;
+}
+
+void leadership::flush()
+{
+    this->commit();
+    for (peer_progress& peer : this->peers.all())
+    {
+        this->sender.send_entries(peer);
+    }
+    if (this->core.now >= this->beat_due_at)
+    {
+        this->beat();
+    }
+}
+
+void leadership::commit()
+{
+    std::uint64_t const reached = this->peers.quorum_match(
+        this->core.is_voter(), this->core.log.last_index());
+    if (reached <= this->core.commit_index)
+    {
+        return;
+    }
+
+    // A copy of an older term's entry on a quorum can still be overwritten
+    // by a leader whose last entry is younger; one of the own term cannot.
+    bool const own_term =
+        this->core.log.term_at(reached) == this->core.hard_state.term;
+    if (own_term || !this->core.switches.commit_own_term_only)
+    {
+        this->applier.commit_through(reached);
+    }
+
+    // A leader that took itself out leads until that is settled.
+    bool const settled =
+        this->core.memberships.current_index() <= this->core.commit_index;
+    if (settled && !this->core.is_voter())
+    {
+        this->core.leader = host_id();
+        this->core.life.follow();
+    }
+}
+
+void leadership::beat()
+{
+    for (peer_progress& peer : this->peers.all())
+    {
+        this->sender.send_heartbeat(peer);
+    }
+    this->beat_due_at = this->core.now + this->core.settings.heartbeat_interval;
+    this->rounds.forget_before(this->core.now -
+                               2 * this->core.settings.election_timeout);
+}
+
+std::optional<instant> leadership::quorum_heard(instant now) const
+{
+    return this->peers.quorum_heard(this->core.is_voter(), now);
+}
+
+peer_progress* leadership::take_answer(host_id const& from,
+                                       std::uint64_t sender_incarnation,
+                                       std::uint64_t round)
+{
+    peer_progress* const peer = this->peers.find(from);
+    if (peer == nullptr)
+    {
+        return nullptr;
+    }
+    if (peer->who.incarnation != sender_incarnation &&
+        this->core.switches.incarnation_check)
+    {
+        // The host lost its disk: nothing that its former self held or
+        // granted counts any more.
+        peer->newer_incarnation =
+            std::max(peer->newer_incarnation, sender_incarnation);
+        return nullptr;
+    }
+    std::optional<instant> const sent_at = this->rounds.started_at(round);
+    if (sent_at.has_value() && round > peer->acked_round)
+    {
+        peer->acked_round = round;
+        peer->acked_at = sent_at;
+    }
+    if (!this->core.switches.lease_from_send)
+    {
+        peer->acked_at = this->core.now;
+    }
+    peer->answered_at = this->core.now;
+    return peer;
+}
+
+void leadership::on_append_reply(host_id const& from,
+                                 std::uint64_t sender_incarnation,
+                                 append_reply const& reply)
+{
+    peer_progress* const peer =
+        this->take_answer(from, sender_incarnation, reply.round);
+    if (peer == nullptr || reply.match_index > this->core.log.last_index())
+    {
+        return;
+    }
+    if (!reply.success)
+    {
+        this->on_rejected(*peer, reply);
+        return;
+    }
+    peer->match_index = std::max(peer->match_index, reply.match_index);
+    peer->next_index = std::max(peer->next_index, peer->match_index + 1);
+
+    // The heartbeat beside a snapshot agrees at index 0 and shows nothing.
+    if (reply.match_index > 0)
+    {
+        peer->probing = false;
+    }
+}
+
+void leadership::on_rejected(peer_progress& peer, append_reply const& reply)
+{
+    bool const stale = reply.rejected_index <= peer.match_index;
+    bool const other =
+        peer.probing && reply.rejected_index != peer.next_index - 1;
+    if (stale || other || peer.sending)
+    {
+        return;
+    }
+    peer.next_index =
+        std::max(peer.match_index + 1,
+                 std::min(reply.retry_index, reply.rejected_index));
+    peer.probing = true;
+    this->sender.send_probe(peer);
+}
+
+void leadership::on_install_snapshot_reply(host_id const& from,
+                                           std::uint64_t sender_incarnation,
+                                           install_snapshot_reply const& reply)
+{
+    peer_progress* const peer =
+        this->take_answer(from, sender_incarnation, reply.round);
+    if (peer == nullptr || !peer->sending ||
+        peer->sending->last_index != reply.last_index)
+    {
+        return;
+    }
+    if (!reply.installed)
+    {
+        bool const answers_last = reply.next_offset != peer->snapshot_offset;
+        peer->snapshot_offset = reply.next_offset;
+        if (answers_last)
+        {
+            this->sender.send_chunk(*peer);
+        }
+        return;
+    }
+    peer->match_index = std::max(peer->match_index, reply.last_index);
+    peer->next_index = peer->match_index + 1;
+    peer->sending = nullptr;
+    peer->probing = false;
+}
+
+bool leadership::term_is_committed() const
+{
+    return this->core.commit_index >= this->first_index;
+}
+
+bool leadership::holds_lease(instant now) const
+{
+    std::optional<instant> const heard = this->quorum_heard(now);
+    duration const lease =
+        this->core.settings.election_timeout - this->core.settings.lease_margin;
+    return this->core.role() == role::leader && this->term_is_committed() &&
+           !this->lease_given_up && heard.has_value() && now - *heard < lease;
+}
+
+void leadership::give_up_lease()
+{
+    this->lease_given_up = true;
+}
+
+std::uint64_t leadership::current_round() const
+{
+    return this->rounds.current();
+}
+
+std::uint64_t leadership::quorum_round() const
+{
+    return this->peers.quorum_round(this->core.is_voter(),
+                                    this->rounds.current());
+}
+
+std::uint64_t leadership::needed_index() const
+{
+    std::uint64_t needed = std::numeric_limits<std::uint64_t>::max();
+    for (peer_progress const& peer : this->peers.all())
+    {
+        if (peer.sending)
+        {
+            needed = std::min(needed, peer.sending->last_index);
+        }
+    }
+    return needed;
+}
+
+peer_table& leadership::members()
+{
+    return this->peers;
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/log_applier.cpp
@@ -0,0 +1,95 @@
+#include "bilberrylead/agreement/log_applier.hpp"
+
+#include <algorithm>
+
+namespace bilberrylead::agreement
+{
+
+log_applier::log_applier(replica_core& shared, open_proposals& waiting)
+    : core(shared), proposals(waiting)
+{
+}
+
+void log_applier::commit_through(std::uint64_t index)
+{
+    while (this->core.commit_index < index)
+    {
+        ++this->core.commit_index;
+        this->core.out.add(apply{this->core.log.at(this->core.commit_index)});
+        this->proposals.committed(this->core.commit_index);
+    }
+    this->ask_for_snapshot();
+}
+
+void log_applier::ask_for_snapshot()
+{
+    std::uint64_t const covered =
+        this->core.latest_snapshot ? this->core.latest_snapshot->last_index : 0;
+    bool const due = this->core.commit_index >=
+                     covered + this->core.settings.snapshot_threshold;
+    if (due && !this->snapshot_asked)
+    {
+        this->snapshot_asked = true;
+        this->core.out.add(take_snapshot{this->core.commit_index});
+    }
+}
+
+void log_applier::install(std::shared_ptr<snapshot const> const& received)
+{
+    std::uint64_t const index = received->last_index;
+    replica_log& log = this->core.log;
+
+    // A log that agrees at the snapshot's end keeps what it has after it:
+    // those entries may have been counted towards a quorum.
+    bool const agrees = log.term_at(index) == received->last_term;
+    if (agrees)
+    {
+        log.drop_through(index);
+        this->core.memberships.drop_before(index);
+    }
+    else
+    {
+        log.reset(index, received->last_term);
+        this->core.memberships.reset(index, received->membership);
+    }
+    this->core.latest_snapshot = received;
+    this->core.commit_index = index;
+    this->core.out.write(persist_snapshot{*received, !agrees});
+    this->core.out.add(restore{*received});
+    this->snapshot_asked = false;
+}
+
+void log_applier::on_snapshot_taken(snapshot_taken const& taken,
+                                    std::uint64_t needed_index)
+{
+    replica_log& log = this->core.log;
+    bool const usable = taken.index > log.base_index() &&
+                        taken.index <= this->core.commit_index;
+    this->snapshot_asked = false;
+    if (!usable)
+    {
+        return;
+    }
+    this->core.latest_snapshot = std::make_shared<snapshot const>(
+        snapshot{taken.index, log.at(taken.index).term,
+                 this->core.memberships.at(taken.index), taken.state});
+    this->core.out.write(persist_snapshot{*this->core.latest_snapshot, false});
+
+    // A member that is a little late, or takes in a snapshot just now,
+    // goes on from the log; without a bound it could fill the memory.
+    replica_settings const& bounds = this->core.settings;
+    std::uint64_t const spared =
+        taken.index - std::min(taken.index, bounds.kept_entries);
+    std::uint64_t const longest = 4 * bounds.snapshot_threshold;
+    std::uint64_t const oldest = taken.index - std::min(taken.index, longest);
+    std::uint64_t const through =
+        std::max(oldest, std::min(spared, needed_index));
+    if (through > log.base_index())
+    {
+        log.drop_through(through);
+        this->core.memberships.drop_before(through);
+        this->core.out.add(drop_log_prefix{through});
+    }
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/membership_changer.cpp
@@ -0,0 +1,159 @@
+#include "bilberrylead/agreement/membership_changer.hpp"
+
+#include "bilberrylead/agreement/codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberrylead::agreement
+{
+
+namespace
+{
+
+/// The membership after an operator's change; nothing if it makes no sense.
+std::optional<membership> changed(membership const& before,
+                                  membership_change_requested const& request)
+{
+    membership after = before;
+    member const* const listed = before.find(request.host);
+    if (request.action == membership_action::remove)
+    {
+        after.remove(request.host);
+        bool const sensible = listed != nullptr && after.voters() > 0;
+        return sensible ? std::optional(after) : std::nullopt;
+    }
+
+    bool const wants_vote = request.action == membership_action::add_voter;
+    member next{request.host, request.incarnation, false, wants_vote};
+    if (listed != nullptr)
+    {
+        bool const same = request.incarnation == 0 ||
+                          request.incarnation == listed->incarnation;
+        bool const settled = same && (listed->voter || !wants_vote ||
+                                      listed->voter_when_caught_up);
+        if (settled || (!same && request.incarnation < listed->incarnation))
+        {
+            return std::nullopt;
+        }
+        next.incarnation = same ? listed->incarnation : request.incarnation;
+    }
+    after.put(next);
+    return after.voters() > 0 ? std::optional(after) : std::nullopt;
+}
+
+} // namespace
+
+membership_changer::membership_changer(replica_core& shared, leadership& lead,
+                                       open_proposals& waiting)
+    : core(shared), office(lead), proposals(waiting)
+{
+}
+
+void membership_changer::on_change_requested(
+    membership_change_requested const& request)
+{
+    if (this->core.role() != role::leader)
+    {
+        this->core.out.add(proposal_refused{request.token, refusal::not_leader,
+                                            this->core.leader});
+        return;
+    }
+    if (!this->is_settled())
+    {
+        this->core.out.add(proposal_refused{
+            request.token, refusal::change_in_progress, this->core.self});
+        return;
+    }
+    std::optional<membership> const next =
+        changed(this->core.memberships.current(), request);
+    if (!next.has_value())
+    {
+        this->core.out.add(proposal_refused{request.token, refusal::bad_change,
+                                            this->core.self});
+        return;
+    }
+    this->start(*next, request.token);
+}
+
+/// A change on top of one that is not committed, or that a leader makes
+/// before anything of its term is committed, could leave two quorums
+/// without a common voter: two leaders would commit different entries.
+bool membership_changer::is_settled() const
+{
+    if (!this->core.switches.one_change_at_a_time)
+    {
+        return true;
+    }
+    return this->office.term_is_committed() &&
+           this->core.memberships.current_index() <= this->core.commit_index;
+}
+
+void membership_changer::start(membership const& next,
+                               std::optional<std::uint64_t> token)
+{
+    bytes payload = encode_membership(next);
+    std::size_t const size = payload.size();
+    std::uint64_t const index =
+        this->office.append(entry_kind::membership, std::move(payload));
+    if (token.has_value())
+    {
+        this->proposals.opened(index, *token, size);
+    }
+}
+
+void membership_changer::on_tick()
+{
+    if (this->is_settled() && !this->take_back_blank_host())
+    {
+        this->promote_learner();
+    }
+}
+
+/// Its vote goes first and comes back once it caught up: two steps, since
+/// one step would change two voters at once.
+bool membership_changer::take_back_blank_host()
+{
+    for (peer_progress const& peer : this->office.members().all())
+    {
+        if (peer.newer_incarnation <= peer.who.incarnation)
+        {
+            continue;
+        }
+        membership next = this->core.memberships.current();
+        next.put(member{peer.who.host, peer.newer_incarnation, false,
+                        peer.who.voter || peer.who.voter_when_caught_up});
+        if (next.voters() > 0)
+        {
+            this->start(next, std::nullopt);
+            return true;
+        }
+    }
+    return false;
+}
+
+void membership_changer::promote_learner()
+{
+    for (peer_progress const& peer : this->office.members().all())
+    {
+        if (peer.who.voter_when_caught_up && this->has_caught_up(peer))
+        {
+            membership next = this->core.memberships.current();
+            next.put(member{peer.who.host, peer.who.incarnation, true, false});
+            this->start(next, std::nullopt);
+            return;
+        }
+    }
+}
+
+bool membership_changer::has_caught_up(peer_progress const& peer) const
+{
+    bool const answers =
+        peer.acked_at.has_value() &&
+        this->core.now - *peer.acked_at < this->core.settings.election_timeout;
+    return answers && !peer.sending && peer.match_index > 0 &&
+           peer.match_index + this->core.settings.caught_up_entries >=
+               this->core.log.last_index();
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/peer_table.cpp
@@ -0,0 +1,118 @@
+#include "bilberrylead/agreement/peer_table.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace bilberrylead::agreement
+{
+
+namespace
+{
+
+/// What a quorum has reached of a value that each voter has reached.
+template <class Value, class Reached>
+Value quorum_of(std::vector<peer_progress> const& rows, bool self_votes,
+                Value const& own, Reached reached)
+{
+    std::vector<Value> values;
+    for (peer_progress const& peer : rows)
+    {
+        if (peer.who.voter)
+        {
+            values.push_back(reached(peer));
+        }
+    }
+    if (self_votes)
+    {
+        values.push_back(own);
+    }
+    if (values.empty())
+    {
+        return Value();
+    }
+    std::ranges::sort(values, std::greater<>());
+    return values[values.size() / 2];
+}
+
+} // namespace
+
+void peer_table::clear()
+{
+    this->rows.clear();
+}
+
+void peer_table::match(membership const& now_in_force, host_id const& self,
+                       std::uint64_t next_index)
+{
+    std::vector<peer_progress> next;
+    for (member const& one : now_in_force.members)
+    {
+        if (one.host == self)
+        {
+            continue;
+        }
+        peer_progress row;
+        peer_progress const* const known = this->find(one.host);
+        if (known != nullptr && known->who.incarnation == one.incarnation)
+        {
+            row = *known;
+        }
+        else
+        {
+            row.next_index = next_index;
+        }
+        row.who = one;
+        next.push_back(std::move(row));
+    }
+    this->rows.swap(next);
+}
+
+peer_progress* peer_table::find(host_id const& host)
+{
+    auto const found = std::ranges::find_if(this->rows,
+                                            [&host](peer_progress const& one)
+                                            {
+                                                return one.who.host == host;
+                                            });
+    return found == this->rows.end() ? nullptr : &*found;
+}
+
+std::vector<peer_progress>& peer_table::all()
+{
+    return this->rows;
+}
+
+std::vector<peer_progress> const& peer_table::all() const
+{
+    return this->rows;
+}
+
+std::uint64_t peer_table::quorum_match(bool self_votes, std::uint64_t own) const
+{
+    return quorum_of(this->rows, self_votes, own,
+                     [](peer_progress const& one)
+                     {
+                         return one.match_index;
+                     });
+}
+
+std::uint64_t peer_table::quorum_round(bool self_votes, std::uint64_t own) const
+{
+    return quorum_of(this->rows, self_votes, own,
+                     [](peer_progress const& one)
+                     {
+                         return one.acked_round;
+                     });
+}
+
+std::optional<instant> peer_table::quorum_heard(bool self_votes,
+                                                instant own) const
+{
+    return quorum_of(this->rows, self_votes, std::optional<instant>(own),
+                     [](peer_progress const& one)
+                     {
+                         return one.acked_at;
+                     });
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/peer_table.hpp
@@ -0,0 +1,52 @@
+#ifndef BILBERRYLEAD_AGREEMENT_PEER_TABLE_HPP
+#define BILBERRYLEAD_AGREEMENT_PEER_TABLE_HPP
+
+#include "bilberrylead/agreement/membership.hpp"
+#include "bilberrylead/agreement/peer_progress.hpp"
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::agreement
+{
+
+/// A leader's view of the other members, and what a quorum has reached.
+class peer_table
+{
+public:
+    /// Forgets everybody.
+    void clear();
+
+    /// Brings the rows in line with a membership; a new incarnation is a
+    /// new row, which starts at `next_index`.
+    void match(membership const& now_in_force, host_id const& self,
+               std::uint64_t next_index);
+
+    /// The row of a host, or nullptr.
+    peer_progress* find(host_id const& host);
+
+    /// Every row, ordered by host.
+    std::vector<peer_progress>& all();
+    /// Every row, ordered by host.
+    std::vector<peer_progress> const& all() const;
+
+    /// Highest index that a quorum holds; `own` counts if self votes.
+    std::uint64_t quorum_match(bool self_votes, std::uint64_t own) const;
+
+    /// Latest round that a quorum answered; `own` counts if self votes.
+    std::uint64_t quorum_round(bool self_votes, std::uint64_t own) const;
+
+    /// Latest time such that a quorum answered a message sent then or
+    /// later; nothing if a quorum has not answered yet.
+    std::optional<instant> quorum_heard(bool self_votes, instant own) const;
+
+private:
+    std::vector<peer_progress> rows;
+};
+
+} // namespace bilberrylead::agreement
+
+#endif
--- /dev/null
+++ b/bilberrylead/agreement/record_reader.cpp
@@ -0,0 +1,157 @@
+#include "bilberrylead/agreement/record_reader.hpp"
+
+#include "bilberrylead/core/error.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace bilberrylead::agreement
+{
+
+namespace
+{
+
+constexpr std::string_view same_version =
+    "Check that both ends run the same version.";
+
+} // namespace
+
+record_reader::record_reader(nlohmann::json const& record)
+    : whole(record), first_error(own_error)
+{
+    this->check_object();
+}
+
+record_reader::record_reader(nlohmann::json const& record,
+                             record_reader const& outer)
+    : whole(record), first_error(outer.first_error)
+{
+    this->check_object();
+}
+
+absl::Status const& record_reader::status() const
+{
+    return this->first_error;
+}
+
+void record_reader::check_object()
+{
+    if (!this->whole.is_object())
+    {
+        this->fail(error_kind::bad_value, "A record is not a map.");
+    }
+}
+
+nlohmann::json const* record_reader::field(char const* name)
+{
+    if (!this->first_error.ok())
+    {
+        return nullptr;
+    }
+    auto const found = this->whole.find(name);
+    if (found == this->whole.end())
+    {
+        this->fail(error_kind::missing_field,
+                   fmt::format("The field {} is missing.", name));
+        return nullptr;
+    }
+    return &*found;
+}
+
+std::uint64_t record_reader::number(char const* name)
+{
+    nlohmann::json const* const value = this->field(name);
+    if (value == nullptr)
+    {
+        return 0;
+    }
+    if (!value->is_number_unsigned())
+    {
+        this->wrong_type(name, "a whole number from 0");
+        return 0;
+    }
+    return value->get<std::uint64_t>();
+}
+
+bool record_reader::flag(char const* name)
+{
+    nlohmann::json const* const value = this->field(name);
+    if (value == nullptr)
+    {
+        return false;
+    }
+    if (!value->is_boolean())
+    {
+        this->wrong_type(name, "true or false");
+        return false;
+    }
+    return value->get<bool>();
+}
+
+std::string record_reader::text(char const* name)
+{
+    nlohmann::json const* const value = this->field(name);
+    if (value == nullptr)
+    {
+        return {};
+    }
+    if (!value->is_string())
+    {
+        this->wrong_type(name, "a text");
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+bytes record_reader::binary(char const* name)
+{
+    nlohmann::json const* const value = this->field(name);
+    if (value == nullptr)
+    {
+        return {};
+    }
+    if (!value->is_binary())
+    {
+        this->wrong_type(name, "a byte string");
+        return {};
+    }
+    return value->get_binary();
+}
+
+nlohmann::json const& record_reader::record(char const* name)
+{
+    nlohmann::json const* const value = this->field(name);
+    return value == nullptr ? this->whole : *value;
+}
+
+nlohmann::json const& record_reader::list(char const* name)
+{
+    static nlohmann::json const empty = nlohmann::json::array();
+    nlohmann::json const* const value = this->field(name);
+    if (value == nullptr)
+    {
+        return empty;
+    }
+    if (!value->is_array())
+    {
+        this->wrong_type(name, "a list");
+        return empty;
+    }
+    return *value;
+}
+
+void record_reader::fail(error_kind kind, std::string_view what)
+{
+    if (this->first_error.ok())
+    {
+        this->first_error = make_error(kind, what, same_version);
+    }
+}
+
+void record_reader::wrong_type(char const* name, char const* wanted)
+{
+    this->fail(error_kind::bad_value,
+               fmt::format("The field {} must be {}.", name, wanted));
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/replica.cpp
@@ -0,0 +1,68 @@
+#include "bilberrylead/agreement/replica.hpp"
+
+#include "bilberrylead/agreement/replica_parts.hpp"
+
+namespace bilberrylead::agreement
+{
+
+replica::replica(host_id const& self, std::uint64_t incarnation,
+                 replica_settings const& settings, std::uint64_t seed,
+                 safeguards const& switches)
+    : parts(std::make_unique<replica_parts>(self, incarnation, settings, seed,
+                                            switches))
+{
+}
+
+replica::~replica() = default;
+
+std::vector<effect> replica::reduce(event const& what, instant now)
+{
+    return this->reduce(std::span<event const>(&what, 1), now);
+}
+
+std::vector<effect> replica::reduce(std::span<event const> events, instant now)
+{
+    this->parts->begin(now);
+    for (event const& what : events)
+    {
+        this->parts->take(what);
+    }
+    return this->parts->finish();
+}
+
+agreement::role replica::role() const
+{
+    return this->parts->core.role();
+}
+
+std::uint64_t replica::term() const
+{
+    return this->parts->core.hard_state.term;
+}
+
+host_id const& replica::leader() const
+{
+    return this->parts->core.leader;
+}
+
+std::uint64_t replica::commit_index() const
+{
+    return this->parts->core.commit_index;
+}
+
+std::uint64_t replica::last_index() const
+{
+    return this->parts->core.log.last_index();
+}
+
+agreement::membership const& replica::membership() const
+{
+    return this->parts->core.memberships.current();
+}
+
+bool replica::holds_lease(instant now) const
+{
+    return this->parts->office.holds_lease(now);
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/agreement/replica_log.hpp
@@ -0,0 +1,63 @@
+#ifndef BILBERRYLEAD_AGREEMENT_REPLICA_LOG_HPP
+#define BILBERRYLEAD_AGREEMENT_REPLICA_LOG_HPP
+
+#include "bilberrylead/agreement/log_entry.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::agreement
+{
+
+/// The part of the log that is not yet replaced by a snapshot. Indexes are
+/// consecutive; what lies at or below base_index is gone.
+class replica_log
+{
+public:
+    /// Empties the log; the next entry is `index` + 1.
+    void reset(std::uint64_t index, std::uint64_t term);
+
+    /// Index just before the first entry held.
+    std::uint64_t base_index() const;
+
+    /// Index of the last entry, or base_index if none is held.
+    std::uint64_t last_index() const;
+
+    /// Term of the last entry, or of the base.
+    std::uint64_t last_term() const;
+
+    /// Term at an index; nothing if it is gone or not there yet.
+    std::optional<std::uint64_t> term_at(std::uint64_t index) const;
+
+    /// The entry at an index that is held.
+    log_entry const& at(std::uint64_t index) const;
+
+    /// Adds the entry with index last_index + 1.
+    void append(log_entry next);
+
+    /// Removes the entry at an index that is held, and all later ones.
+    void truncate_from(std::uint64_t index);
+
+    /// Lets go of everything up to an index that is held.
+    void drop_through(std::uint64_t index);
+
+    /// Entries from an index on, at least one if there is one, within both
+    /// bounds.
+    std::vector<log_entry> slice(std::uint64_t from, std::size_t max_entries,
+                                 std::size_t max_bytes) const;
+
+    /// First index of the run of entries that share the term at `index`.
+    std::uint64_t first_of_term(std::uint64_t index) const;
+
+private:
+    std::uint64_t base = 0;
+    std::uint64_t base_term = 0;
+    std::deque<log_entry> entries;
+};
+
+} // namespace bilberrylead::agreement
+
+#endif
--- /dev/null
+++ b/tests/unit/agreement/group_checker.cpp
@@ -0,0 +1,121 @@
+#include "group_checker.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace bilberrylead::agreement::tests
+{
+
+namespace
+{
+
+/// FNV-1a over all that makes an entry what it is.
+std::uint64_t mix(std::uint64_t digest, std::uint64_t value)
+{
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    return (digest ^ value) * prime;
+}
+
+std::uint64_t digest_after(std::uint64_t before, log_entry const& entry)
+{
+    std::uint64_t digest = mix(mix(before, entry.term), entry.index);
+    for (std::uint8_t const one : entry.payload)
+    {
+        digest = mix(digest, one);
+    }
+    return digest;
+}
+
+} // namespace
+
+void group_checker::leads(host_id const& host, std::uint64_t term)
+{
+    auto const [place, added] = this->leaders.try_emplace(term, host);
+    if (!added && place->second != host)
+    {
+        this->fail(fmt::format("term {} is led by {} and by {}", term,
+                               place->second.text(), host.text()));
+    }
+}
+
+void group_checker::applies(host_id const& host, std::uint64_t position,
+                            log_entry const& entry)
+{
+    if (entry.index != position)
+    {
+        this->fail(fmt::format("{} applies {} where {} is due", host.text(),
+                               entry.index, position));
+        return;
+    }
+    if (position <= this->log.size())
+    {
+        if (this->log.at(position - 1).entry != entry)
+        {
+            this->fail(fmt::format("{} applies another entry at {}",
+                                   host.text(), position));
+        }
+        return;
+    }
+    std::uint64_t const before =
+        this->log.empty() ? 0 : this->log.back().digest;
+    this->log.push_back(applied_row{entry, digest_after(before, entry)});
+}
+
+void group_checker::restores(host_id const& host, snapshot const& whole)
+{
+    if (whole.last_index > this->log.size() ||
+        whole.state != this->state_at(whole.last_index))
+    {
+        this->fail(fmt::format("{} takes in a wrong snapshot at {}",
+                               host.text(), whole.last_index));
+    }
+}
+
+bytes group_checker::state_at(std::uint64_t index) const
+{
+    std::uint64_t digest = this->log.at(index - 1).digest;
+    bytes state;
+    for (std::size_t place = 0; place < sizeof(digest); ++place)
+    {
+        state.push_back(static_cast<std::uint8_t>(digest & 0xffU));
+        digest >>= 8U;
+    }
+    return state;
+}
+
+void group_checker::accepted(std::uint64_t index)
+{
+    this->told = std::max(this->told, index);
+}
+
+void group_checker::read_asked(std::uint64_t token)
+{
+    this->floors[token] = this->told;
+}
+
+void group_checker::read_answered(host_id const& host, std::uint64_t token,
+                                  std::uint64_t index)
+{
+    if (index < this->floors.at(token))
+    {
+        this->fail(fmt::format("{} reads at {}, but {} was told before",
+                               host.text(), index, this->floors.at(token)));
+    }
+    this->told = std::max(this->told, index);
+}
+
+std::uint64_t group_checker::committed() const
+{
+    return this->log.size();
+}
+
+void group_checker::fail(std::string const& what)
+{
+    if (!this->breach.has_value())
+    {
+        this->breach = what;
+    }
+}
+
+} // namespace bilberrylead::agreement::tests
