Run control hosts as processes, with bilberryctl before them

Weighed for founding: a flag at the start (a host that lost its disk would found again and vote twice as its former self), an order that is given once, over the operators' port, to blank hosts only. The order is taken.

--- /dev/null
+++ b/bilberrylead/control/control_reducer.hpp
@@ -0,0 +1,118 @@
+#ifndef BILBERRYLEAD_CONTROL_CONTROL_REDUCER_HPP
+#define BILBERRYLEAD_CONTROL_CONTROL_REDUCER_HPP
+
+#include "bilberrylead/agreement/event.hpp"
+#include "bilberrylead/agreement/replica.hpp"
+#include "bilberrylead/catalog/replicated_command.hpp"
+#include "bilberrylead/catalog/replicated_state.hpp"
+#include "bilberrylead/control/control_effect.hpp"
+#include "bilberrylead/control/control_event.hpp"
+#include "bilberrylead/control/control_reducer_settings.hpp"
+#include "bilberrylead/control/open_requests.hpp"
+#include "bilberrylead/distribution/revision_exchange.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace bilberrylead::control
+{
+
+/// Everything that a control host decides, without clock, network or disk:
+/// the replicated log, the state that it builds up, what operators and
+/// entry hosts are answered, and which revision goes where.
+class control_reducer
+{
+public:
+    /// Makes the reducer of one life of a data folder.
+    explicit control_reducer(control_reducer_settings const& settings);
+
+    /// Takes events that came together; their writes share a sync. `now`
+    /// never goes back. The first event is control_started.
+    std::vector<control_effect> reduce(std::span<control_event const> events,
+                                       instant now);
+
+    /// The log, for status and metrics.
+    agreement::replica const& log() const;
+
+    /// What the log built up, for status and metrics.
+    catalog::replicated_state const& state() const;
+
+private:
+    void on(control_started const& what);
+    void on(peer_connected const& what);
+    void on(peer_disconnected const& what);
+    void on(peer_message const& what);
+    void on(operator_asked const& what);
+    void on(operator_gone const& what);
+    void on(control_tick const& what);
+    void on(control_disk_failed const& what);
+
+    void on_peer(link::link_number from, link::replica_message const& said);
+    void on_peer(link::link_number from, link::subscription const& said);
+    void on_peer(link::link_number from,
+                 link::registration_request const& said);
+    void on_peer(link::link_number from, link::once_request const& said);
+    template <class Other>
+    void on_peer(link::link_number from, Other const& said);
+
+    void ask(operator_asked const& asked, submit_change const& request);
+    void ask(operator_asked const& asked, read_configuration const& request);
+    void ask(operator_asked const& asked, read_audit const& request);
+    void ask(operator_asked const& asked, read_status const& request);
+    void ask(operator_asked const& asked, change_membership const& request);
+    void ask(operator_asked const& asked, hand_over const& request);
+
+    void run_replica();
+    void carry_out(agreement::persist_hard_state const& effect);
+    void carry_out(agreement::append_entries const& effect);
+    void carry_out(agreement::persist_snapshot const& effect);
+    void carry_out(agreement::drop_log_prefix const& effect);
+    void carry_out(agreement::sync const& effect);
+    void carry_out(agreement::send const& effect);
+    void carry_out(agreement::apply const& effect);
+    void carry_out(agreement::restore const& effect);
+    void carry_out(agreement::proposal_accepted const& effect);
+    void carry_out(agreement::proposal_refused const& effect);
+    void carry_out(agreement::proposal_outcome_unknown const& effect);
+    void carry_out(agreement::read_ready const& effect);
+    void carry_out(agreement::read_refused const& effect);
+    void carry_out(agreement::role_changed const& effect);
+    void carry_out(agreement::take_snapshot const& effect);
+
+    void propose(waiter who, catalog::replicated_command const& command);
+    void publish();
+    void exchange_event(distribution::exchange_event const& what);
+    void answer(std::uint64_t number, operator_reply reply);
+    void answer_accepted(operator_waits const& who, std::uint64_t index);
+    void answer_accepted(entry_host_waits const& who, std::uint64_t index);
+    void refuse(waiter const& who, absl::Status const& why,
+                host_id const& leader);
+    void send(link::link_number to, link::message content);
+    configuration_reply configuration_of(revision wanted) const;
+    audit_reply newest_audit(std::size_t most) const;
+    status_reply status() const;
+    host_id const& peer_of(link::link_number number) const;
+
+    control_reducer_settings settings;
+    instant time;
+    agreement::replica replica;
+    catalog::replicated_state replicated;
+    distribution::revision_exchange exchange;
+    std::map<link::link_number, link::peer_identity> links;
+    std::map<host_id, link::link_number> control_links;
+    open_requests open;
+    std::map<std::uint64_t, read_configuration> open_reads;
+    std::map<std::uint64_t, std::size_t> open_audits;
+    std::map<std::uint64_t, catalog::replicated_outcome> outcomes;
+    std::vector<agreement::event> replica_events;
+    std::vector<control_effect> effects;
+    instant time_advanced_at;
+    host_id known_leader;
+};
+
+} // namespace bilberrylead::control
+
+#endif
--- /dev/null
+++ b/bilberrylead/ctl/commands.cpp
@@ -0,0 +1,44 @@
+#include "bilberrylead/ctl/commands.hpp"
+
+#include "bilberrylead/ctl/change_commands.hpp"
+#include "bilberrylead/ctl/group_commands.hpp"
+#include "bilberrylead/ctl/view_commands.hpp"
+
+#include <array>
+
+namespace bilberrylead::ctl
+{
+
+std::span<command const> all_commands()
+{
+    static constexpr std::array commands = {
+        command{"check", "FILE", "Check a configuration file; asks nobody.",
+                run_check},
+        command{"apply", "FILE",
+                "Propose a configuration file as the next revision.",
+                run_apply},
+        command{"get", "[REVISION]", "Show the accepted configuration.",
+                run_get},
+        command{"drain", "NAME",
+                "Mark an upstream or entry host as leaving: no new work.",
+                run_drain},
+        command{"undrain", "NAME", "Take that mark off again.", run_undrain},
+        command{"status", "", "Show control and entry hosts.", run_status},
+        command{"audit", "", "Show who changed what, newest first.", run_audit},
+        command{"wait", "REVISION",
+                "Wait until a revision is in force at every entry host.",
+                run_wait},
+        command{"found", "", "Found a new group, once, on blank control hosts.",
+                run_found},
+        command{"add-member", "HOST",
+                "Take a new or repaired control host into the group.",
+                run_add_member},
+        command{"remove-member", "HOST",
+                "Take a control host out of the group.", run_remove_member},
+        command{"handover", "", "Let the leader hand its office over.",
+                run_handover},
+    };
+    return commands;
+}
+
+} // namespace bilberrylead::ctl
--- /dev/null
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -0,0 +1,267 @@
+#include "bilberrylead/ctl/view_commands.hpp"
+
+#include "bilberrylead/config/configuration.hpp"
+#include "bilberrylead/config/parse_configuration.hpp"
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/ctl/report.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <thread>
+
+namespace bilberrylead::ctl
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds poll_pause{50};
+constexpr unsigned ok_status = 200;
+
+/// Statuses of all control hosts that answer.
+std::vector<nlohmann::json> all_statuses(operator_client& client)
+{
+    std::vector<nlohmann::json> result;
+    for (std::size_t host = 0; host < client.host_count(); ++host)
+    {
+        absl::StatusOr<operator_answer> const answer =
+            client.ask_one(host, "GET", "/v1/status");
+        if (!answer.ok())
+        {
+            continue;
+        }
+        absl::StatusOr<nlohmann::json> body = body_of(*answer);
+        if (body.ok() && answer->status == ok_status)
+        {
+            result.push_back(std::move(*body));
+        }
+    }
+    return result;
+}
+
+/// The newest that any control host heard of each entry host.
+std::map<std::string, std::uint64_t>
+in_force(std::vector<nlohmann::json> const& statuses)
+{
+    std::map<std::string, std::uint64_t> result;
+    for (nlohmann::json const& status : statuses)
+    {
+        nlohmann::json const& hosts =
+            status.value("entry_hosts", nlohmann::json::object());
+        for (nlohmann::json::const_iterator row = hosts.begin();
+             row != hosts.end(); ++row)
+        {
+            std::uint64_t& known = result[row.key()];
+            known = std::max(known, row.value().get<std::uint64_t>());
+        }
+    }
+    return result;
+}
+
+/// Entry hosts of the accepted configuration.
+absl::StatusOr<std::vector<std::string>> expected_hosts(operator_client& client)
+{
+    absl::StatusOr<operator_answer> const answer =
+        client.ask("GET", "/v1/configuration");
+    if (!answer.ok())
+    {
+        return answer.status();
+    }
+    absl::StatusOr<nlohmann::json> const body = body_of(*answer);
+    if (!body.ok())
+    {
+        return body.status();
+    }
+    absl::StatusOr<config::configuration> const parsed =
+        config::parse_configuration(body->value("document", ""),
+                                    "the accepted configuration");
+    if (!parsed.ok())
+    {
+        return parsed.status();
+    }
+    std::vector<std::string> names;
+    for (config::entry_host const& host : parsed->entry_hosts)
+    {
+        names.push_back(host.id.text());
+    }
+    return names;
+}
+
+/// Hosts that are not there yet.
+std::vector<std::string>
+late_hosts(std::vector<std::string> const& expected,
+           std::map<std::string, std::uint64_t> const& known,
+           std::uint64_t wanted)
+{
+    std::vector<std::string> late;
+    for (std::string const& name : expected)
+    {
+        std::map<std::string, std::uint64_t>::const_iterator const found =
+            known.find(name);
+        if (found == known.end() || found->second < wanted)
+        {
+            late.push_back(name);
+        }
+    }
+    return late;
+}
+
+void print_status(nlohmann::json const& status,
+                  std::vector<std::vector<std::string>>& rows)
+{
+    rows.push_back({status.value("host", ""), status.value("role", ""),
+                    std::to_string(status.value("term", std::uint64_t{0})),
+                    status.value("leader", ""),
+                    std::to_string(status.value("revision", std::uint64_t{0})),
+                    std::to_string(status.value("claims", std::uint64_t{0}))});
+}
+
+} // namespace
+
+exit_code run_get(command_line const& line)
+{
+    operator_client client(line.client);
+    std::string const target =
+        line.subject.empty() ? std::string("/v1/configuration")
+                             : "/v1/configuration?revision=" + line.subject;
+    absl::StatusOr<operator_answer> const answer = client.ask("GET", target);
+    if (!answer.ok())
+    {
+        return report(answer.status());
+    }
+    if (answer->status != ok_status)
+    {
+        return report_refusal(*answer);
+    }
+    absl::StatusOr<nlohmann::json> const body = body_of(*answer);
+    if (!body.ok())
+    {
+        return report(body.status());
+    }
+    if (line.output == output_form::json)
+    {
+        print_json(*body);
+    }
+    else
+    {
+        fmt::print("// Revision {}\n{}\n",
+                   body->value("revision", std::uint64_t{0}),
+                   body->value("document", ""));
+    }
+    return exit_code::done;
+}
+
+exit_code run_status(command_line const& line)
+{
+    operator_client client(line.client);
+    std::vector<nlohmann::json> const statuses = all_statuses(client);
+    if (statuses.empty())
+    {
+        return report(make_error(error_kind::connection,
+                                 "No control host answers.",
+                                 "Check the addresses and the key."));
+    }
+    std::map<std::string, std::uint64_t> const hosts = in_force(statuses);
+    if (line.output == output_form::json)
+    {
+        print_json({{"control_hosts", statuses}, {"entry_hosts", hosts}});
+        return exit_code::done;
+    }
+    std::vector<std::vector<std::string>> rows = {
+        {"CONTROL HOST", "ROLE", "TERM", "LEADER", "REVISION", "CLAIMS"}};
+    for (nlohmann::json const& status : statuses)
+    {
+        print_status(status, rows);
+    }
+    print_table(rows);
+    rows = {{"ENTRY HOST", "REVISION IN FORCE"}};
+    for (std::pair<std::string const, std::uint64_t> const& row : hosts)
+    {
+        rows.push_back({row.first, std::to_string(row.second)});
+    }
+    fmt::print("\n");
+    print_table(rows);
+    return exit_code::done;
+}
+
+exit_code run_audit(command_line const& line)
+{
+    operator_client client(line.client);
+    absl::StatusOr<operator_answer> const answer =
+        client.ask("GET", fmt::format("/v1/audit?most={}", line.most));
+    if (!answer.ok())
+    {
+        return report(answer.status());
+    }
+    if (answer->status != ok_status)
+    {
+        return report_refusal(*answer);
+    }
+    absl::StatusOr<nlohmann::json> const body = body_of(*answer);
+    if (!body.ok())
+    {
+        return report(body.status());
+    }
+    if (line.output == output_form::json)
+    {
+        print_json(*body);
+        return exit_code::done;
+    }
+    std::vector<std::vector<std::string>> rows = {
+        {"AT", "OPERATOR", "CHANGE", "BASE", "RESULT", "REVISION"}};
+    for (nlohmann::json const& entry : body->at("entries"))
+    {
+        nlohmann::json const& result = entry.at("result");
+        rows.push_back(
+            {entry.value("at", ""), entry.value("operator", ""),
+             entry.value("change_id", ""),
+             std::to_string(entry.value("base_revision", std::uint64_t{0})),
+             result.value("outcome", ""),
+             std::to_string(result.value("revision", std::uint64_t{0}))});
+    }
+    print_table(rows);
+    return exit_code::done;
+}
+
+exit_code run_wait(command_line const& line)
+{
+    std::uint64_t wanted = 0;
+    char const* const end = line.subject.data() + line.subject.size();
+    std::from_chars_result const read =
+        std::from_chars(line.subject.data(), end, wanted);
+    if (read.ec != std::errc{} || read.ptr != end)
+    {
+        return report(make_error(error_kind::bad_value,
+                                 "A revision is a number.",
+                                 "Take it from what apply printed."));
+    }
+
+    operator_client client(line.client);
+    instant const deadline =
+        std::chrono::steady_clock::now() + line.client.patience;
+    std::vector<std::string> late = {"(nobody answered)"};
+    while (std::chrono::steady_clock::now() < deadline)
+    {
+        absl::StatusOr<std::vector<std::string>> const expected =
+            expected_hosts(client);
+        if (expected.ok())
+        {
+            late =
+                late_hosts(*expected, in_force(all_statuses(client)), wanted);
+        }
+        if (late.empty())
+        {
+            fmt::print("Revision {} is in force at all entry hosts.\n", wanted);
+            return exit_code::done;
+        }
+        std::this_thread::sleep_for(poll_pause);
+    }
+    fmt::print(stderr, "bilberryctl: Revision {} is not in force yet at: {}\n",
+               wanted, fmt::join(late, ", "));
+    return exit_code::not_yet;
+}
+
+} // namespace bilberrylead::ctl
--- /dev/null
+++ b/bilberrylead/daemon/control_metrics.hpp
@@ -0,0 +1,42 @@
+#ifndef BILBERRYLEAD_DAEMON_CONTROL_METRICS_HPP
+#define BILBERRYLEAD_DAEMON_CONTROL_METRICS_HPP
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace bilberrylead::control
+{
+class control_reducer;
+} // namespace bilberrylead::control
+
+namespace bilberrylead::daemon
+{
+
+class control_store;
+
+/// A control host's metrics, in Prometheus' text format. Names and units
+/// stand in docs/OPERATORS.md.
+class control_metrics
+{
+public:
+    control_metrics();
+    ~control_metrics();
+    control_metrics(control_metrics const&) = delete;
+    control_metrics& operator=(control_metrics const&) = delete;
+
+    /// Notes one sync of the data folder.
+    void count_sync();
+
+    /// All metrics as of now.
+    std::string text(control::control_reducer const& reducer,
+                     control_store const& store);
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> impl;
+};
+
+} // namespace bilberrylead::daemon
+
+#endif
--- /dev/null
+++ b/bilberrylead/daemon/control_program.cpp
@@ -0,0 +1,460 @@
+#include "bilberrylead/daemon/control_program.hpp"
+
+#include "bilberrylead/control/control_reducer.hpp"
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/core/log.hpp"
+#include "bilberrylead/daemon/control_metrics.hpp"
+#include "bilberrylead/daemon/control_store.hpp"
+#include "bilberrylead/daemon/operator_api.hpp"
+#include "bilberrylead/link/http_endpoint.hpp"
+#include "bilberrylead/link/peer_node.hpp"
+#include "bilberrylead/link/peer_node_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::daemon
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+constexpr part_log log{"control"};
+
+/// A leader that is told to stop waits this long for its successor; two
+/// elections' time, after which the others elect one by themselves.
+constexpr std::chrono::milliseconds handover_patience{1500};
+
+instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+wall_time wall_now()
+{
+    return std::chrono::floor<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+std::uint64_t seed_of(host_id const& host)
+{
+    return std::hash<host_id>{}(host);
+}
+
+} // namespace
+
+/// What the process holds while it runs.
+struct control_program::implementation
+{
+    explicit implementation(config::control_settings given)
+        : settings(std::move(given)), signals(io), ticker(io), stopper(io)
+    {
+    }
+
+    absl::Status open();
+    void make_reducer();
+    absl::Status listen();
+    void take(control::control_event event);
+    void flush();
+    void carry_out(control::control_effect const& effect);
+    void write(absl::Status const& written);
+    void answer(control::answer_operator const& effect);
+    void serve_operator(link::http_request request,
+                        link::http_endpoint::answer_function answer);
+    void found(link::http_endpoint::answer_function const& answer);
+    void start_ticking();
+    void wait_for_stop();
+    void stop_when_handed_over(instant deadline);
+    link::peer_node_settings peer_settings() const;
+    link::peer_callbacks peer_callbacks();
+
+    config::control_settings settings;
+    asio::io_context io{1};
+    asio::signal_set signals;
+    asio::steady_timer ticker;
+    asio::steady_timer stopper;
+    std::optional<control_store> store;
+    std::optional<control::control_reducer> reducer;
+    std::optional<link::peer_node> peers;
+    std::optional<link::http_endpoint> operators;
+    std::optional<link::http_endpoint> metrics_port;
+    control_metrics metrics;
+    std::vector<control::control_event> pending;
+    bool flush_is_due = false;
+    bool disk_failed = false;
+    std::uint64_t last_request = 0;
+    std::map<std::uint64_t, link::http_endpoint::answer_function> waiting;
+    std::map<link::link_number, link::peer_identity> links;
+    absl::Status ended_by;
+};
+
+absl::Status control_program::implementation::open()
+{
+    absl::StatusOr<control_store> opened =
+        control_store::open(this->settings.data_folder);
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    this->store.emplace(std::move(*opened));
+    this->make_reducer();
+    this->take(control::control_started{std::move(this->store->recovered())});
+    return this->listen();
+}
+
+void control_program::implementation::make_reducer()
+{
+    control::control_reducer_settings wanted;
+    wanted.self = this->settings.id;
+    wanted.incarnation = this->store->incarnation();
+    wanted.seed = seed_of(this->settings.id) ^ wanted.incarnation;
+    this->reducer.emplace(wanted);
+}
+
+absl::Status control_program::implementation::listen()
+{
+    this->peers.emplace(this->io, this->peer_settings(),
+                        this->peer_callbacks());
+    absl::Status listening = this->peers->listen(this->settings.peer_listen);
+    if (!listening.ok())
+    {
+        return listening;
+    }
+    for (config::host_address const& other : this->settings.control_hosts)
+    {
+        if (other.id != this->settings.id)
+        {
+            this->peers->dial(other.address);
+        }
+    }
+
+    this->operators.emplace(this->io,
+                            [this](link::http_request request,
+                                   link::http_endpoint::answer_function answer)
+                            {
+                                this->serve_operator(std::move(request),
+                                                     std::move(answer));
+                            });
+    listening = this->operators->listen(this->settings.operator_listen);
+    if (!listening.ok())
+    {
+        return listening;
+    }
+
+    this->metrics_port.emplace(
+        this->io,
+        [this](link::http_request const&,
+               link::http_endpoint::answer_function const& answer)
+        {
+            answer({200, "text/plain; version=0.0.4",
+                    this->metrics.text(*this->reducer, *this->store)});
+        });
+    return this->metrics_port->listen(this->settings.metrics_listen);
+}
+
+link::peer_node_settings control_program::implementation::peer_settings() const
+{
+    link::peer_node_settings wanted;
+    wanted.self = {this->settings.id, link::peer_role::control,
+                   this->store->incarnation()};
+    wanted.key = this->settings.peer_key;
+    return wanted;
+}
+
+link::peer_callbacks control_program::implementation::peer_callbacks()
+{
+    link::peer_callbacks callbacks;
+    callbacks.connected =
+        [this](link::link_number number, link::peer_identity const& peer)
+    {
+        this->links[number] = peer;
+        this->take(control::peer_connected{number, peer});
+    };
+    callbacks.received = [this](link::link_number number, bytes const& said)
+    {
+        absl::StatusOr<link::message> content = link::decode(said);
+        if (!content.ok())
+        {
+            log.warning("A peer's message was dropped: {}",
+                        std::string(content.status().message()));
+            return;
+        }
+        this->take(control::peer_message{number, std::move(*content)});
+    };
+    callbacks.disconnected = [this](link::link_number number)
+    {
+        this->links.erase(number);
+        this->take(control::peer_disconnected{number});
+    };
+    return callbacks;
+}
+
+void control_program::implementation::take(control::control_event event)
+{
+    this->pending.push_back(std::move(event));
+    if (this->flush_is_due)
+    {
+        return;
+    }
+
+    // Posted behind what is ready to be read already, so that everything
+    // which came in meanwhile shares one sync.
+    this->flush_is_due = true;
+    asio::post(this->io,
+               [this]()
+               {
+                   this->flush();
+               });
+}
+
+void control_program::implementation::flush()
+{
+    this->flush_is_due = false;
+    std::vector<control::control_event> const events =
+        std::exchange(this->pending, {});
+    std::vector<control::control_effect> const effects =
+        this->reducer->reduce(events, now());
+    for (control::control_effect const& effect : effects)
+    {
+        if (this->disk_failed)
+        {
+            // What follows a failed write must not be said to anybody.
+            break;
+        }
+        this->carry_out(effect);
+    }
+}
+
+void control_program::implementation::carry_out(
+    control::control_effect const& effect)
+{
+    struct carrier
+    {
+        void operator()(agreement::persist_hard_state const& wanted) const
+        {
+            this->owner.write(this->owner.store->carry_out(wanted));
+        }
+
+        void operator()(agreement::append_entries const& wanted) const
+        {
+            this->owner.write(this->owner.store->carry_out(wanted));
+        }
+
+        void operator()(agreement::persist_snapshot const& wanted) const
+        {
+            this->owner.write(this->owner.store->carry_out(wanted));
+        }
+
+        void operator()(agreement::sync const& wanted) const
+        {
+            this->owner.write(this->owner.store->carry_out(wanted));
+            this->owner.metrics.count_sync();
+        }
+
+        void operator()(agreement::role_changed const& wanted) const
+        {
+            log.info("Role is {} in term {}, leader is {}.",
+                     agreement::to_string(wanted.role), wanted.term,
+                     wanted.leader.empty() ? "unknown" : wanted.leader.text());
+        }
+
+        void operator()(control::send_to_peer const& wanted) const
+        {
+            this->owner.peers->send(wanted.link, link::encode(wanted.content));
+        }
+
+        void operator()(control::answer_operator const& wanted) const
+        {
+            this->owner.answer(wanted);
+        }
+
+        implementation& owner;
+    };
+    std::visit(carrier{*this}, effect);
+}
+
+void control_program::implementation::write(absl::Status const& written)
+{
+    if (written.ok() || this->disk_failed)
+    {
+        return;
+    }
+    log.error("The data folder failed, nothing is accepted any more: {}",
+              std::string(written.message()));
+    this->disk_failed = true;
+    this->ended_by = written;
+
+    // The log may keep no promise from here on; entry hosts go on with what
+    // they have, and the other control hosts elect a leader.
+    this->io.stop();
+}
+
+void control_program::implementation::answer(
+    control::answer_operator const& effect)
+{
+    auto const found = this->waiting.find(effect.number);
+    if (found == this->waiting.end())
+    {
+        return;
+    }
+    link::http_endpoint::answer_function const give = found->second;
+    this->waiting.erase(found);
+    give(write_operator_reply(effect.reply));
+}
+
+void control_program::implementation::serve_operator(
+    link::http_request request, link::http_endpoint::answer_function answer)
+{
+    absl::StatusOr<std::string> const who =
+        authenticate(request, this->settings.operators);
+    if (!who.ok())
+    {
+        answer(write_operator_reply(who.status()));
+        return;
+    }
+    if (is_founding_order(request))
+    {
+        this->found(answer);
+        return;
+    }
+    absl::StatusOr<control::operator_request> asked =
+        read_operator_request(request, *who);
+    if (!asked.ok())
+    {
+        answer(write_operator_reply(asked.status()));
+        return;
+    }
+    ++this->last_request;
+    this->waiting.emplace(this->last_request, std::move(answer));
+    this->take(control::operator_asked{this->last_request, std::move(*asked),
+                                       wall_now()});
+}
+
+void control_program::implementation::found(
+    link::http_endpoint::answer_function const& answer)
+{
+    bool const is_blank = this->reducer->log().membership().members.empty() &&
+                          this->reducer->log().last_index() == 0;
+    if (!is_blank)
+    {
+        answer(write_operator_reply(make_error(
+            error_kind::conflict, "This host belongs to a group already.",
+            "Found a group only once, on hosts with blank data folders.")));
+        return;
+    }
+    this->write(this->store->become_founder());
+    if (this->disk_failed)
+    {
+        answer(write_operator_reply(this->ended_by));
+        return;
+    }
+
+    // The same first membership at every founder.
+    agreement::started first;
+    first.founding.emplace();
+    for (config::host_address const& host : this->settings.control_hosts)
+    {
+        first.founding->put({host.id, this->store->incarnation(), true, false});
+    }
+    this->make_reducer();
+    this->take(control::control_started{std::move(first)});
+    for (std::pair<link::link_number const, link::peer_identity> const& row :
+         this->links)
+    {
+        this->take(control::peer_connected{row.first, row.second});
+    }
+    log.info("A new group of {} control hosts is founded.",
+             this->settings.control_hosts.size());
+    answer(write_operator_reply(control::done_reply{}));
+}
+
+void control_program::implementation::start_ticking()
+{
+    this->ticker.expires_after(agreement::replica_settings{}.tick_interval);
+    this->ticker.async_wait(
+        [this](error_code const& error)
+        {
+            if (!error)
+            {
+                this->take(control::control_tick{});
+                this->start_ticking();
+            }
+        });
+}
+
+void control_program::implementation::wait_for_stop()
+{
+    this->signals.add(SIGTERM);
+    this->signals.add(SIGINT);
+    this->signals.async_wait(
+        [this](error_code const& error, int)
+        {
+            if (error)
+            {
+                return;
+            }
+            log.info("A stop was asked for.");
+            if (this->reducer->log().role() != agreement::role::leader)
+            {
+                this->io.stop();
+                return;
+            }
+            ++this->last_request;
+            this->take(control::operator_asked{
+                this->last_request, control::hand_over{}, wall_now()});
+            this->stop_when_handed_over(now() + handover_patience);
+        });
+}
+
+void control_program::implementation::stop_when_handed_over(instant deadline)
+{
+    bool const leads = this->reducer->log().role() == agreement::role::leader;
+    if (!leads || now() >= deadline)
+    {
+        this->io.stop();
+        return;
+    }
+    this->stopper.expires_after(std::chrono::milliseconds(20));
+    this->stopper.async_wait(
+        [this, deadline](error_code const&)
+        {
+            this->stop_when_handed_over(deadline);
+        });
+}
+
+control_program::control_program(config::control_settings settings)
+    : impl(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+control_program::~control_program() = default;
+
+absl::Status control_program::run()
+{
+    absl::Status opened = this->impl->open();
+    if (!opened.ok())
+    {
+        return opened;
+    }
+    log.info("Control host {} runs, incarnation {}.",
+             this->impl->settings.id.text(), this->impl->store->incarnation());
+    this->impl->start_ticking();
+    this->impl->wait_for_stop();
+    this->impl->io.run();
+    return this->impl->ended_by;
+}
+
+} // namespace bilberrylead::daemon
--- /dev/null
+++ b/bilberrylead/daemon/operator_api.cpp
@@ -0,0 +1,387 @@
+#include "bilberrylead/daemon/operator_api.hpp"
+
+#include "bilberrylead/config/configuration.hpp"
+#include "bilberrylead/config/parse_configuration.hpp"
+#include "bilberrylead/core/error.hpp"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+
+#include <charconv>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace bilberrylead::daemon
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::size_t longest_change_id = 128;
+constexpr std::size_t most_audit_entries = 1000;
+
+/// A target cut into its path and the values of its query.
+struct split_target
+{
+    explicit split_target(std::string_view target)
+    {
+        std::size_t const mark = target.find('?');
+        this->path = target.substr(0, mark);
+        if (mark == std::string_view::npos)
+        {
+            return;
+        }
+        std::string_view rest = target.substr(mark + 1);
+        while (!rest.empty())
+        {
+            std::string_view const part = rest.substr(0, rest.find('&'));
+            std::size_t const equals = part.find('=');
+            std::string_view const value = equals == std::string_view::npos
+                                               ? std::string_view{}
+                                               : part.substr(equals + 1);
+            this->query.emplace(part.substr(0, equals), value);
+            rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+        }
+    }
+
+    absl::StatusOr<std::uint64_t> number(std::string_view name,
+                                         std::uint64_t otherwise) const
+    {
+        std::map<std::string_view, std::string_view>::const_iterator const
+            found = this->query.find(name);
+        if (found == this->query.end())
+        {
+            return otherwise;
+        }
+        std::string_view const text = found->second;
+        std::uint64_t value = 0;
+        std::from_chars_result const read =
+            std::from_chars(text.data(), text.data() + text.size(), value);
+        if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
+        {
+            return make_error(error_kind::bad_value,
+                              fmt::format("'{}' must be a number.", name),
+                              "Leave it out or give a number from 0.");
+        }
+        return value;
+    }
+
+    std::string_view path;
+    std::map<std::string_view, std::string_view> query;
+};
+
+absl::Status bad_body(std::string_view what)
+{
+    return make_error(error_kind::bad_value, what,
+                      "See the operators' page for the fields.");
+}
+
+std::optional<std::string> text_of(json const& body, char const* field)
+{
+    json::const_iterator const found = body.find(field);
+    if (found == body.end() || !found->is_string())
+    {
+        return std::nullopt;
+    }
+    return found->get<std::string>();
+}
+
+absl::StatusOr<control::operator_request>
+read_change(json const& body, std::string const& operator_name)
+{
+    std::optional<std::string> const change = text_of(body, "change_id");
+    std::optional<std::string> const document = text_of(body, "document");
+    json::const_iterator const base = body.find("base_revision");
+    if (!change.has_value() || change->empty() ||
+        change->size() > longest_change_id)
+    {
+        return bad_body("A change needs a change_id of 1 to 128 letters.");
+    }
+    if (!document.has_value())
+    {
+        return bad_body("A change needs its document as a text.");
+    }
+    if (base == body.end() || !base->is_number_unsigned())
+    {
+        return bad_body("A change needs the base_revision it started from.");
+    }
+    absl::StatusOr<config::configuration> const parsed =
+        config::parse_configuration(*document, "document");
+    if (!parsed.ok())
+    {
+        return parsed.status();
+    }
+    control::submit_change request;
+    request.change.change = change_id(*change);
+    request.change.base_revision = base->get<std::uint64_t>();
+    request.change.operator_name = operator_name;
+    request.change.document = bytes(document->begin(), document->end());
+    return request;
+}
+
+absl::StatusOr<control::operator_request> read_membership(json const& body)
+{
+    static std::map<std::string, agreement::membership_action> const actions = {
+        {"add_voter", agreement::membership_action::add_voter},
+        {"add_learner", agreement::membership_action::add_learner},
+        {"remove", agreement::membership_action::remove}};
+    std::optional<std::string> const action = text_of(body, "action");
+    std::optional<std::string> const host = text_of(body, "host");
+    if (!action.has_value() || !actions.contains(*action))
+    {
+        return bad_body("'action' must be add_voter, add_learner or remove.");
+    }
+    if (!host.has_value() || host->empty())
+    {
+        return bad_body("'host' must name a control host.");
+    }
+    control::change_membership request;
+    request.request.action = actions.at(*action);
+    request.request.host = host_id(*host);
+    return request;
+}
+
+json outcome_json(catalog::change_outcome const& outcome)
+{
+    struct writer
+    {
+        json operator()(catalog::change_accepted const& held) const
+        {
+            return {{"outcome", "accepted"}, {"revision", held.accepted}};
+        }
+
+        json operator()(catalog::change_already_accepted const& held) const
+        {
+            return {{"outcome", "already_accepted"},
+                    {"revision", held.accepted}};
+        }
+
+        json operator()(catalog::change_conflict const& held) const
+        {
+            return {{"outcome", "conflict"},
+                    {"current_revision", held.current},
+                    {"winner", held.winner.text()},
+                    {"winner_operator", held.winner_operator}};
+        }
+
+        json operator()(catalog::change_id_reused const&) const
+        {
+            return {{"outcome", "change_id_reused"}};
+        }
+    };
+    return std::visit(writer{}, outcome);
+}
+
+unsigned status_for(catalog::change_outcome const& outcome)
+{
+    if (std::holds_alternative<catalog::change_conflict>(outcome))
+    {
+        return 409;
+    }
+    if (std::holds_alternative<catalog::change_id_reused>(outcome))
+    {
+        return 422;
+    }
+    return 200;
+}
+
+unsigned status_for(absl::Status const& status)
+{
+    switch (kind_of(status).value_or(error_kind::storage))
+    {
+    case error_kind::syntax:
+    case error_kind::unknown_field:
+    case error_kind::missing_field:
+    case error_kind::bad_value:
+    case error_kind::unknown_name:
+    case error_kind::duplicate_name:
+        return 400;
+    case error_kind::not_trusted:
+        return 401;
+    case error_kind::conflict:
+        return 409;
+    case error_kind::not_leader:
+        return 421;
+    case error_kind::timeout:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+link::http_answer as_answer(unsigned status, json const& body)
+{
+    return {status, "application/json", body.dump(2) + "\n"};
+}
+
+/// Turns each reply into its answer.
+struct reply_writer
+{
+    link::http_answer operator()(catalog::change_outcome const& held) const
+    {
+        return as_answer(status_for(held), outcome_json(held));
+    }
+
+    link::http_answer operator()(control::configuration_reply const& held) const
+    {
+        return as_answer(200, {{"revision", held.number},
+                               {"document", std::string(held.document.begin(),
+                                                        held.document.end())}});
+    }
+
+    link::http_answer operator()(control::audit_reply const& held) const
+    {
+        json entries = json::array();
+        for (catalog::audit_entry const& entry : held.entries)
+        {
+            entries.push_back({{"number", entry.number},
+                               {"change_id", entry.change.text()},
+                               {"operator", entry.operator_name},
+                               {"at", fmt::format("{:%Y-%m-%dT%H:%M:%S}Z",
+                                                  entry.accepted_at)},
+                               {"base_revision", entry.base_revision},
+                               {"document_bytes", entry.document_bytes},
+                               {"document_digest",
+                                fmt::format("{:016x}", entry.document_digest)},
+                               {"result", outcome_json(entry.result)}});
+        }
+        return as_answer(200, {{"entries", entries}});
+    }
+
+    link::http_answer operator()(control::status_reply const& held) const
+    {
+        json members = json::array();
+        for (agreement::member const& member : held.members.members)
+        {
+            members.push_back({{"host", member.host.text()},
+                               {"incarnation", member.incarnation},
+                               {"voter", member.voter}});
+        }
+        json hosts = json::object();
+        for (std::pair<host_id const, revision> const& row : held.entry_hosts)
+        {
+            hosts[row.first.text()] = row.second;
+        }
+        return as_answer(200, {{"host", held.host.text()},
+                               {"role", agreement::to_string(held.role)},
+                               {"term", held.term},
+                               {"leader", held.leader.text()},
+                               {"commit_index", held.commit_index},
+                               {"last_index", held.last_index},
+                               {"revision", held.accepted},
+                               {"members", members},
+                               {"entry_hosts", hosts},
+                               {"claims", held.claims}});
+    }
+
+    link::http_answer operator()(control::done_reply const&) const
+    {
+        return as_answer(200, {{"outcome", "done"}});
+    }
+
+    link::http_answer operator()(absl::Status const& status) const
+    {
+        std::string const kind(
+            to_string(kind_of(status).value_or(error_kind::storage)));
+        return as_answer(
+            status_for(status),
+            {{"error", kind}, {"message", std::string(status.message())}});
+    }
+};
+
+} // namespace
+
+absl::StatusOr<std::string>
+authenticate(link::http_request const& request,
+             std::span<config::operator_key const> operators)
+{
+    std::string_view const scheme = "Bearer ";
+    std::string_view given = request.authorization;
+    if (given.starts_with(scheme))
+    {
+        given.remove_prefix(scheme.size());
+        for (config::operator_key const& known : operators)
+        {
+            if (known.key.size() == given.size() &&
+                CRYPTO_memcmp(known.key.data(), given.data(), given.size()) ==
+                    0)
+            {
+                return known.name;
+            }
+        }
+    }
+    return make_error(error_kind::not_trusted,
+                      "The key is none of an operator of this host.",
+                      "Give bilberryctl a key from the host's settings.");
+}
+
+bool is_founding_order(link::http_request const& request)
+{
+    return request.method == "POST" && request.target == "/v1/found";
+}
+
+absl::StatusOr<control::operator_request>
+read_operator_request(link::http_request const& request,
+                      std::string const& operator_name)
+{
+    split_target const target(request.target);
+    if (request.method == "GET" && target.path == "/v1/status")
+    {
+        return control::read_status{};
+    }
+    if (request.method == "GET" && target.path == "/v1/configuration")
+    {
+        absl::StatusOr<std::uint64_t> const wanted =
+            target.number("revision", 0);
+        if (!wanted.ok())
+        {
+            return wanted.status();
+        }
+        return control::read_configuration{*wanted,
+                                           target.query.contains("stale")};
+    }
+    if (request.method == "GET" && target.path == "/v1/audit")
+    {
+        absl::StatusOr<std::uint64_t> const most = target.number("most", 100);
+        if (!most.ok())
+        {
+            return most.status();
+        }
+        return control::read_audit{
+            std::min<std::size_t>(*most, most_audit_entries)};
+    }
+    if (request.method == "POST" && target.path == "/v1/handover")
+    {
+        return control::hand_over{};
+    }
+
+    json const body = json::parse(request.body, nullptr, false);
+    if (request.method == "POST" && body.is_object())
+    {
+        if (target.path == "/v1/changes")
+        {
+            return read_change(body, operator_name);
+        }
+        if (target.path == "/v1/members")
+        {
+            return read_membership(body);
+        }
+    }
+    return make_error(error_kind::unknown_name,
+                      fmt::format("There is no {} {} with such a body.",
+                                  request.method, target.path),
+                      "See the operators' page for what can be asked.");
+}
+
+link::http_answer write_operator_reply(control::operator_reply const& reply)
+{
+    return std::visit(reply_writer{}, reply);
+}
+
+} // namespace bilberrylead::daemon
--- a/bilberrylead/link/peer_node.cpp
+++ b/bilberrylead/link/peer_node.cpp
@@ -1,7 +1,7 @@
 #include "bilberrylead/link/peer_node.hpp"
 
-#include "bilberrylead/core/error.hpp"
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
 #include "bilberrylead/link/peer_session.hpp"
 
@@ -9,13 +9,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <map>
-#include <string>
 #include <utility>
-#include <vector>
 
 namespace bilberrylead::link
 {
@@ -29,21 +26,6 @@
 
 constexpr part_log log{"link"};
 
-absl::StatusOr<tcp::endpoint> to_tcp(config::endpoint const& address)
-{
-    error_code error;
-    asio::ip::address const parsed =
-        asio::ip::make_address(address.address, error);
-    if (error)
-    {
-        return make_error(
-            error_kind::bad_value,
-            fmt::format("'{}' is no IP address.", address.address),
-            "Write it as 192.0.2.1 or 2001:db8::1.");
-    }
-    return tcp::endpoint(parsed, address.port);
-}
-
 } // namespace
 
 /// The links and the timers that keep them up.
@@ -195,31 +177,10 @@
 
 absl::Status peer_node::listen(config::endpoint const& address)
 {
-    absl::StatusOr<tcp::endpoint> const where = to_tcp(address);
-    if (!where.ok())
-    {
-        return where.status();
-    }
-    tcp::acceptor& acceptor = this->impl->acceptor;
-    error_code error;
-    acceptor.open(where->protocol(), error);
-    if (!error)
-    {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-        acceptor.bind(*where, error);
-    }
-    if (!error)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
+    absl::Status const opened = open_acceptor(this->impl->acceptor, address);
+    if (!opened.ok())
     {
-        return make_error(error_kind::connection,
-                          fmt::format("The peer address {}:{} cannot be had "
-                                      "({}).",
-                                      address.address, address.port,
-                                      error.message()),
-                          "Free the port or set another one.");
+        return opened;
     }
     log.info("Peers are taken at {}:{}.", address.address, this->port());
     this->impl->accept_next();
