--- a/programs/bilberryctl/main.cpp
+++ b/programs/bilberryctl/main.cpp
@@ -107,8 +107,8 @@
     TCLAP::ValueArg<std::string> change("", "change-id", "", false, "", "ID",
                                         parser);
     TCLAP::ValueArg<unsigned> most("", "most", "", false, 20, "N", parser);
-    TCLAP::UnlabeledMultiArg<std::string> subjects("subject", "what the command is about", false,
-                                                   "SUBJECT", parser);
+    TCLAP::UnlabeledMultiArg<std::string> subjects(
+        "subject", "what the command is about", false, "SUBJECT", parser);
     parser.setExceptionHandling(false);
     parser.parse(arguments);
 
