Run scenarios over the real programs, one file a scenario

Cause: nothing showed the whole path, nor what a kill, a freeze or a cut does to it. A cut is a relay of ours that lets nothing through; a freeze is a stop signal. The runner waits for events; no promise hangs on a time limit.

--- /dev/null
+++ b/tests/scenario_runner/deployment.cpp
@@ -0,0 +1,487 @@
+#include "deployment.hpp"
+
+#include "free_port.hpp"
+
+#include "bilberrylead/config/parse_configuration.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+namespace bilberrylead::scenario
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr char const* peer_key = "a-shared-peer-key-for-scenarios-only-0001";
+constexpr char const* operator_key = "an-operator-key-for-scenarios-only-00001";
+constexpr std::chrono::seconds ctl_patience{60};
+constexpr std::chrono::seconds load_patience{120};
+
+std::string read_all(std::filesystem::path const& path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string loopback(std::uint16_t port)
+{
+    return fmt::format("127.0.0.1:{}", port);
+}
+
+/// Ports of a stand-in follow each other, so they are looked for together.
+std::uint16_t free_port_range(std::uint32_t count)
+{
+    std::uint16_t first = free_port();
+    std::uint16_t last = first;
+    while (last - first + 1U < count)
+    {
+        std::uint16_t const next = free_port();
+        if (next != last + 1)
+        {
+            first = next;
+        }
+        last = next;
+    }
+    return first;
+}
+
+} // namespace
+
+deployment::deployment(std::filesystem::path binaries)
+    : binaries(std::move(binaries))
+{
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "bilberry-scenario-XXXXXX")
+            .string();
+    if (::mkdtemp(pattern.data()) == nullptr)
+    {
+        throw std::runtime_error("no temporary folder");
+    }
+    this->home = pattern;
+}
+
+deployment::~deployment()
+{
+    this->loads.clear();
+    this->processes.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->home, ignored);
+}
+
+void deployment::add_zone(std::string const& zone, std::string const& region)
+{
+    this->configuration.places.push_back(
+        {zone_id(zone), region_id(region), {}});
+}
+
+void deployment::add_control(std::string const& name, std::string const& zone)
+{
+    this->hosts[name] = {zone, true, free_port(), free_port(), free_port()};
+}
+
+void deployment::add_entry(std::string const& name, std::string const& zone)
+{
+    host const added = {zone, false, free_port(), free_port(), free_port()};
+    this->hosts[name] = added;
+    config::entry_host entry;
+    entry.id = host_id(name);
+    entry.zone = zone_id(zone);
+    entry.address = {"127.0.0.1", added.second_port};
+    entry.peer_address = {"127.0.0.1", added.peer_port};
+    this->configuration.entry_hosts.push_back(entry);
+}
+
+void deployment::add_service(std::string const& name, std::string const& kind)
+{
+    config::service service;
+    service.id = service_id(name);
+    service.idempotent = kind != "grants";
+    service.guarded = kind == "grants";
+    service.length = kind == "downloads" ? config::work_length::extended
+                                         : config::work_length::brief;
+    service.deadline = kind == "downloads" ? std::chrono::seconds(60)
+                                           : std::chrono::seconds(2);
+    this->configuration.services.push_back(service);
+}
+
+void deployment::add_upstreams(std::string const& service, std::uint32_t count,
+                               std::string const& zone,
+                               std::string const& behaviour)
+{
+    stand_in added;
+    added.count = count;
+    added.first_port = free_port_range(count);
+    added.admin_port = free_port();
+    added.behaviour = behaviour;
+    std::string const name = service + "-" + zone;
+    for (std::uint32_t number = 0; number < count; ++number)
+    {
+        config::upstream upstream;
+        upstream.id = upstream_id(fmt::format("{}-{}", name, number + 1));
+        upstream.service = service_id(service);
+        upstream.zone = zone_id(zone);
+        upstream.address = {
+            "127.0.0.1", static_cast<std::uint16_t>(added.first_port + number)};
+        this->configuration.upstreams.push_back(upstream);
+    }
+    this->stand_ins[name] = added;
+}
+
+void deployment::start(std::string const& name)
+{
+    std::map<std::string, stand_in>::const_iterator const standing =
+        this->stand_ins.find(name);
+    if (standing != this->stand_ins.end())
+    {
+        stand_in const& wanted = standing->second;
+        this->processes[name] = this->run(
+            name, "stand_in_upstream",
+            {"--ports", std::to_string(wanted.count), "--first-port",
+             std::to_string(wanted.first_port), "--admin-port",
+             std::to_string(wanted.admin_port), "--set", wanted.behaviour});
+        return;
+    }
+    bool const is_control = this->hosts.at(name).is_control;
+    this->processes[name] =
+        this->run(name, is_control ? "bilberry-control" : "bilberry-entry",
+                  {this->write_settings(name)});
+}
+
+void deployment::start_all()
+{
+    for (std::map<std::string, stand_in>::value_type const& row :
+         this->stand_ins)
+    {
+        if (!this->processes.contains(row.first))
+        {
+            this->start(row.first);
+        }
+    }
+    for (std::map<std::string, host>::value_type const& row : this->hosts)
+    {
+        if (!this->processes.contains(row.first))
+        {
+            this->start(row.first);
+        }
+    }
+}
+
+child_process& deployment::process(std::string const& name)
+{
+    return *this->processes.at(name);
+}
+
+void deployment::kill(std::string const& name)
+{
+    this->processes.at(name)->signal(SIGKILL);
+    this->processes.at(name)->wait(std::chrono::seconds(10));
+    this->processes.erase(name);
+}
+
+void deployment::lose_disk(std::string const& name)
+{
+    std::filesystem::remove_all(this->home / (name + ".data"));
+}
+
+void deployment::cut(std::string const& name,
+                     std::vector<std::string> const& others,
+                     relay_mode outgoing, relay_mode incoming)
+{
+    for (std::string const& other : others)
+    {
+        this->port_towards(name, other);
+        this->port_towards(other, name);
+        this->relays.at({name, other})->set(outgoing, incoming);
+        this->relays.at({other, name})->set(incoming, outgoing);
+    }
+}
+
+void deployment::cut_zone(std::string const& zone, relay_mode mode)
+{
+    for (std::map<std::string, host>::value_type const& inside : this->hosts)
+    {
+        for (std::map<std::string, host>::value_type const& other : this->hosts)
+        {
+            if (inside.second.zone == zone && other.second.zone != zone)
+            {
+                this->cut(inside.first, {other.first}, mode, mode);
+            }
+        }
+    }
+}
+
+void deployment::heal()
+{
+    for (auto& [ends, between] : this->relays)
+    {
+        between->set(relay_mode::open, relay_mode::open);
+    }
+}
+
+int deployment::ctl(std::vector<std::string> arguments)
+{
+    for (std::map<std::string, host>::value_type const& row : this->hosts)
+    {
+        if (row.second.is_control)
+        {
+            arguments.push_back("--control");
+            arguments.push_back(loopback(row.second.second_port));
+        }
+    }
+    arguments.insert(arguments.end(), {"--key", operator_key});
+    std::string const name = fmt::format("ctl-{}", ++this->runs);
+    std::unique_ptr<child_process> const child =
+        this->run(name, "bilberryctl", arguments);
+    int const result = child->wait(ctl_patience).value_or(-1);
+    this->output = read_all(this->home / (name + ".out"));
+    return result;
+}
+
+std::string const& deployment::last_output() const
+{
+    return this->output;
+}
+
+std::string deployment::leader()
+{
+    this->ctl({"status", "--output", "json"});
+    json const status = json::parse(this->output, nullptr, false);
+    if (!status.is_object())
+    {
+        return {};
+    }
+    // A frozen or cut off host may still name itself: the newest term wins.
+    std::string name;
+    std::uint64_t newest = 0;
+    for (json const& row : status.at("control_hosts"))
+    {
+        std::uint64_t const term = row.value("term", std::uint64_t{0});
+        if (row.value("role", "") == "leader" && term > newest)
+        {
+            newest = term;
+            name = row.value("host", "");
+        }
+    }
+    return name;
+}
+
+std::string deployment::write_configuration()
+{
+    return this->write_file("configuration.jsonc",
+                            config::render_configuration(this->configuration));
+}
+
+config::configuration& deployment::declared()
+{
+    return this->configuration;
+}
+
+void deployment::start_load(std::string const& name, std::string const& service,
+                            std::uint32_t rate, std::uint32_t seconds)
+{
+    std::vector<config::service> const& services = this->configuration.services;
+    std::vector<config::service>::const_iterator const found =
+        std::find_if(services.begin(), services.end(),
+                     [&service](config::service const& row)
+                     {
+                         return row.id.text() == service;
+                     });
+    if (found == services.end())
+    {
+        throw std::runtime_error("no service " + service);
+    }
+    bool const is_long = found->length == config::work_length::extended;
+    json request = {{"name", service},
+                    {"service", service},
+                    {"callers", "all"},
+                    {"guarded", found->guarded},
+                    {"idempotent", found->idempotent},
+                    {"deadline_ms", is_long ? 60000 : 2000}};
+    if (found->guarded)
+    {
+        request["request_bytes"] = 200;
+        request["resend_percent"] = 20;
+    }
+    if (is_long)
+    {
+        request["path"] = "/download";
+        request["answer_bytes"] = 2000000;
+    }
+    json const profile = {
+        {"rate_per_s", rate},
+        {"length_ms", seconds * 1000},
+        {"requests", json::array({request})},
+        {"callers", json::array({{{"name", "all"}, {"callers", 40}}})}};
+    std::vector<std::string> arguments = {
+        "--profile", this->write_file(name + ".jsonc", profile.dump(2))};
+    for (std::string const& entry : this->entry_names())
+    {
+        arguments.push_back("--steering");
+        arguments.push_back(loopback(this->caller_port(entry)));
+    }
+    for (std::map<std::string, stand_in>::value_type const& row :
+         this->stand_ins)
+    {
+        arguments.push_back("--stand-ins");
+        arguments.push_back(loopback(row.second.admin_port));
+    }
+    this->loads[name] = this->run(name, "bilberry-load", arguments);
+}
+
+std::string deployment::finish_load(std::string const& name)
+{
+    this->loads.at(name)->wait(load_patience);
+    this->loads.erase(name);
+    return read_all(this->home / (name + ".out"));
+}
+
+std::uint16_t deployment::caller_port(std::string const& entry) const
+{
+    return this->hosts.at(entry).second_port;
+}
+
+std::uint16_t deployment::admin_port(std::string const& stand_in) const
+{
+    return this->stand_ins.at(stand_in).admin_port;
+}
+
+std::vector<std::string> deployment::entry_names() const
+{
+    std::vector<std::string> names;
+    for (std::map<std::string, host>::value_type const& row : this->hosts)
+    {
+        if (!row.second.is_control)
+        {
+            names.push_back(row.first);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> deployment::control_names() const
+{
+    std::vector<std::string> names;
+    for (std::map<std::string, host>::value_type const& row : this->hosts)
+    {
+        if (row.second.is_control)
+        {
+            names.push_back(row.first);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> deployment::stand_in_names() const
+{
+    std::vector<std::string> names;
+    for (std::map<std::string, stand_in>::value_type const& row :
+         this->stand_ins)
+    {
+        names.push_back(row.first);
+    }
+    return names;
+}
+
+std::filesystem::path const& deployment::folder() const
+{
+    return this->home;
+}
+
+std::string deployment::write_settings(std::string const& name)
+{
+    host const& self = this->hosts.at(name);
+    std::string region;
+    for (config::place const& place : this->configuration.places)
+    {
+        if (place.zone.text() == self.zone)
+        {
+            region = place.region.text();
+        }
+    }
+    json settings = {
+        {"name", name},
+        {"zone", self.zone},
+        {"region", region},
+        {"peer_listen", loopback(self.peer_port)},
+        {"metrics_listen", loopback(self.metrics_port)},
+        {"control_hosts", json::parse(this->host_list(name, true))},
+        {"peer_key", peer_key}};
+    if (self.is_control)
+    {
+        std::filesystem::path const data = this->home / (name + ".data");
+        std::filesystem::create_directories(data);
+        settings["data_folder"] = data.string();
+        settings["operator_listen"] = loopback(self.second_port);
+        settings["operators"] =
+            json::array({{{"name", "scenario"}, {"key", operator_key}}});
+    }
+    else
+    {
+        settings["caller_listen"] = loopback(self.second_port);
+        settings["neighbours"] = json::parse(this->host_list(name, false));
+    }
+    return this->write_file(name + ".jsonc", settings.dump(2));
+}
+
+std::string deployment::host_list(std::string const& self, bool controls)
+{
+    json list = json::array();
+    std::string const& zone = this->hosts.at(self).zone;
+    for (std::map<std::string, host>::value_type const& row : this->hosts)
+    {
+        bool const wanted = controls ? row.second.is_control
+                                     : !row.second.is_control &&
+                                           row.second.zone == zone &&
+                                           row.first != self;
+        if (wanted)
+        {
+            std::uint16_t const port =
+                row.first == self ? row.second.peer_port
+                                  : this->port_towards(self, row.first);
+            list.push_back({{"name", row.first}, {"address", loopback(port)}});
+        }
+    }
+    return list.dump();
+}
+
+std::uint16_t deployment::port_towards(std::string const& from,
+                                       std::string const& to)
+{
+    std::unique_ptr<relay>& between = this->relays[{from, to}];
+    if (!between)
+    {
+        between = std::make_unique<relay>(this->hosts.at(to).peer_port);
+    }
+    return between->port();
+}
+
+std::string deployment::write_file(std::string const& name,
+                                   std::string const& text)
+{
+    std::filesystem::path const path = this->home / name;
+    std::ofstream(path) << text;
+    return path.string();
+}
+
+std::unique_ptr<child_process>
+deployment::run(std::string const& name, std::string const& program,
+                std::vector<std::string> arguments)
+{
+    return std::make_unique<child_process>(
+        (this->binaries / program).string(), std::move(arguments),
+        (this->home / (name + ".out")).string(),
+        (this->home / (name + ".log")).string());
+}
+
+} // namespace bilberrylead::scenario
--- /dev/null
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -0,0 +1,530 @@
+#include "scenario_steps.hpp"
+
+#include "http_call.hpp"
+
+#include "bilberrylead/config/parse_configuration.hpp"
+
+#include <fmt/format.h>
+
+#include <signal.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <thread>
+
+namespace bilberrylead::scenario
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+using clock = std::chrono::steady_clock;
+
+/// How long a step waits for what must come. No promise hangs on it: it
+/// only ends a scenario that would never end.
+constexpr std::chrono::seconds patience{30};
+constexpr std::chrono::milliseconds poll_pause{20};
+
+template <class Condition>
+bool wait_until(Condition condition)
+{
+    clock::time_point const deadline = clock::now() + patience;
+    while (!condition())
+    {
+        if (clock::now() >= deadline)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_pause);
+    }
+    return true;
+}
+
+bool compare(std::int64_t left, std::string const& how, std::int64_t right)
+{
+    if (how == "==")
+    {
+        return left == right;
+    }
+    if (how == ">=")
+    {
+        return left >= right;
+    }
+    if (how == "<=")
+    {
+        return left <= right;
+    }
+    throw std::runtime_error("compare with ==, >= or <=");
+}
+
+json last_line_as_json(std::string const& text)
+{
+    std::size_t const end = text.find_last_not_of('\n');
+    if (end == std::string::npos)
+    {
+        return {};
+    }
+    std::size_t const start = text.find_last_of('\n', end);
+    std::size_t const first = start == std::string::npos ? 0 : start + 1;
+    return json::parse(text.substr(first, end + 1 - first), nullptr, false);
+}
+
+} // namespace
+
+scenario_steps::scenario_steps(std::filesystem::path const& binaries)
+    : world(binaries)
+{
+}
+
+std::map<std::string, scenario_steps::step> const& scenario_steps::all_steps()
+{
+    static std::map<std::string, step> const steps = {
+        {"zone", &scenario_steps::zone},
+        {"control", &scenario_steps::control},
+        {"entry", &scenario_steps::entry},
+        {"service", &scenario_steps::service},
+        {"upstreams", &scenario_steps::upstreams},
+        {"start", &scenario_steps::start},
+        {"found", &scenario_steps::found},
+        {"apply", &scenario_steps::apply},
+        {"submit", &scenario_steps::submit},
+        {"ctl", &scenario_steps::ctl},
+        {"in-force", &scenario_steps::in_force},
+        {"watch", &scenario_steps::watch},
+        {"load", &scenario_steps::load},
+        {"finish", &scenario_steps::finish},
+        {"kill", &scenario_steps::kill},
+        {"stop", &scenario_steps::stop},
+        {"ended", &scenario_steps::ended},
+        {"freeze", &scenario_steps::freeze},
+        {"thaw", &scenario_steps::thaw},
+        {"lose-disk", &scenario_steps::lose_disk},
+        {"cut", &scenario_steps::cut},
+        {"cut-zone", &scenario_steps::cut_zone},
+        {"heal", &scenario_steps::heal},
+        {"set", &scenario_steps::set},
+        {"leads", &scenario_steps::leads},
+        {"wait-status", &scenario_steps::wait_status},
+        {"pause", &scenario_steps::pause},
+        {"expect", &scenario_steps::expect},
+        {"report", &scenario_steps::report},
+    };
+    return steps;
+}
+
+void scenario_steps::run(scenario_line const& line)
+{
+    std::map<std::string, step>::const_iterator const found =
+        all_steps().find(line.word(0));
+    this->need(found != all_steps().end(), "there is no such step");
+    (this->*found->second)(line);
+}
+
+std::filesystem::path const& scenario_steps::folder() const
+{
+    return this->world.folder();
+}
+
+// zone ZONE in REGION
+void scenario_steps::zone(scenario_line const& line)
+{
+    this->world.add_zone(line.word(1), line.after("in"));
+}
+
+// control NAME in ZONE
+void scenario_steps::control(scenario_line const& line)
+{
+    this->world.add_control(line.word(1), line.after("in"));
+}
+
+// entry NAME in ZONE
+void scenario_steps::entry(scenario_line const& line)
+{
+    this->world.add_entry(line.word(1), line.after("in"));
+}
+
+// service NAME lookups|grants|downloads
+void scenario_steps::service(scenario_line const& line)
+{
+    this->world.add_service(line.word(1), line.word(2));
+}
+
+// upstreams SERVICE COUNT in ZONE [BEHAVIOUR as JSON]
+void scenario_steps::upstreams(scenario_line const& line)
+{
+    std::string const behaviour =
+        line.words.size() > 5 ? line.rest(5) : std::string("{}");
+    this->world.add_upstreams(line.word(1), line.count(2), line.word(4),
+                              behaviour);
+}
+
+// start all | start NAME...
+void scenario_steps::start(scenario_line const& line)
+{
+    if (line.word(1) == "all")
+    {
+        this->world.start_all();
+        return;
+    }
+    for (std::size_t place = 1; place < line.words.size(); ++place)
+    {
+        this->world.start(this->host_of(line.word(place)));
+    }
+}
+
+// found
+void scenario_steps::found(scenario_line const&)
+{
+    this->need(wait_until(
+                   [this]()
+                   {
+                       return this->world.ctl({"found"}) == 0;
+                   }),
+               "no group could be founded");
+    this->need(wait_until(
+                   [this]()
+                   {
+                       return !this->world.leader().empty();
+                   }),
+               "nobody leads");
+}
+
+// apply: the declared configuration becomes the next revision
+void scenario_steps::apply(scenario_line const&)
+{
+    std::string const outcome =
+        this->apply_once({"apply", this->world.write_configuration()});
+    this->need(outcome == "accepted", "the outcome is '" + outcome + "'");
+}
+
+// submit ID base REVISION [drained NAME] expect OUTCOME
+void scenario_steps::submit(scenario_line const& line)
+{
+    config::configuration const before = this->world.declared();
+    for (config::entry_host& host : this->world.declared().entry_hosts)
+    {
+        host.leaving = host.leaving || host.id.text() == line.after("drained");
+    }
+    std::string const file = this->world.write_configuration();
+    this->world.declared() = before;
+    std::string const outcome =
+        this->apply_once({"apply", file, "--change-id", line.word(1), "--base",
+                          line.after("base")});
+    this->need(outcome == line.after("expect"),
+               "the outcome is '" + outcome + "'");
+}
+
+// ctl ARGUMENTS...: bilberryctl, which has to succeed
+void scenario_steps::ctl(scenario_line const& line)
+{
+    std::vector<std::string> arguments(line.words.begin() + 1,
+                                       line.words.end());
+    arguments.insert(arguments.end(), {"--output", "json"});
+    int const code = this->world.ctl(arguments);
+    this->need(code == 0, fmt::format("bilberryctl ended with {}: {}", code,
+                                      this->world.last_output()));
+    json const answer = json::parse(this->world.last_output(), nullptr, false);
+    if (answer.is_object() && answer.contains("revision"))
+    {
+        this->last_revision = answer.at("revision").get<std::uint64_t>();
+    }
+}
+
+// in-force [REVISION] [at ENTRY...]: waits for the newest revision
+void scenario_steps::in_force(scenario_line const& line)
+{
+    std::vector<std::string> entries = this->world.entry_names();
+    std::vector<std::string>::const_iterator const at =
+        std::find(line.words.begin(), line.words.end(), "at");
+    if (at != line.words.end())
+    {
+        entries.assign(at + 1, line.words.end());
+    }
+    bool const names_one = line.words.size() > 1 && line.word(1) != "at";
+    this->wait_in_force(names_one ? line.count(1) : this->last_revision,
+                        entries);
+}
+
+// watch SERVICE: samples the revisions in force from here on
+void scenario_steps::watch(scenario_line const& line)
+{
+    std::map<std::string, std::uint16_t> ports;
+    for (std::string const& name : this->world.entry_names())
+    {
+        ports[name] = this->world.caller_port(name);
+    }
+    this->revisions = std::make_unique<revision_watch>(ports, line.word(1));
+}
+
+// load NAME SERVICE rate R for SECONDS
+void scenario_steps::load(scenario_line const& line)
+{
+    this->world.start_load(line.word(1), line.word(2), line.count(4),
+                           line.count(6));
+}
+
+// finish NAME: waits for a load's end
+void scenario_steps::finish(scenario_line const& line)
+{
+    std::string const text = this->world.finish_load(line.word(1));
+    json const report = last_line_as_json(text);
+    this->need(report.is_object(), "the load gave no report: " + text);
+    fmt::print("    {}\n", report.dump());
+    this->reports[line.word(1)] = report;
+}
+
+// kill NAME | kill leader
+void scenario_steps::kill(scenario_line const& line)
+{
+    this->world.kill(this->host_of(line.word(1)));
+}
+
+// stop NAME: asks for a planned stop
+void scenario_steps::stop(scenario_line const& line)
+{
+    this->world.process(this->host_of(line.word(1))).signal(SIGTERM);
+}
+
+// ended NAME: waits for the end of a planned stop, which must be clean
+void scenario_steps::ended(scenario_line const& line)
+{
+    std::string const name = this->host_of(line.word(1));
+    std::optional<int> const code = this->world.process(name).wait(patience);
+    this->need(code.has_value(), "it still runs");
+    this->need(*code == 0, fmt::format("it ended with {}", *code));
+    this->world.kill(name);
+}
+
+// freeze NAME | freeze leader
+void scenario_steps::freeze(scenario_line const& line)
+{
+    this->world.process(this->host_of(line.word(1))).signal(SIGSTOP);
+}
+
+// thaw NAME
+void scenario_steps::thaw(scenario_line const& line)
+{
+    this->world.process(this->host_of(line.word(1))).signal(SIGCONT);
+}
+
+// lose-disk NAME
+void scenario_steps::lose_disk(scenario_line const& line)
+{
+    this->world.lose_disk(this->host_of(line.word(1)));
+}
+
+// cut NAME from OTHER... [outgoing|incoming]
+void scenario_steps::cut(scenario_line const& line)
+{
+    std::string const name = this->host_of(line.word(1));
+    std::vector<std::string> others;
+    relay_mode outgoing = relay_mode::silent;
+    relay_mode incoming = relay_mode::silent;
+    for (std::size_t place = 3; place < line.words.size(); ++place)
+    {
+        std::string const& word = line.word(place);
+        if (word == "outgoing")
+        {
+            incoming = relay_mode::open;
+        }
+        else if (word == "incoming")
+        {
+            outgoing = relay_mode::open;
+        }
+        else if (word == "controls")
+        {
+            std::vector<std::string> const names = this->world.control_names();
+            std::copy_if(names.begin(), names.end(), std::back_inserter(others),
+                         [&name](std::string const& other)
+                         {
+                             return other != name;
+                         });
+        }
+        else
+        {
+            others.push_back(this->host_of(word));
+        }
+    }
+    this->world.cut(name, others, outgoing, incoming);
+}
+
+// cut-zone ZONE: from all other zones, both ways
+void scenario_steps::cut_zone(scenario_line const& line)
+{
+    this->world.cut_zone(line.word(1), relay_mode::silent);
+}
+
+// heal: every cut
+void scenario_steps::heal(scenario_line const&)
+{
+    this->world.heal();
+}
+
+// set STAND-IN JSON: changes how stand-in upstreams behave
+void scenario_steps::set(scenario_line const& line)
+{
+    call_result const answer = call(this->world.admin_port(line.word(1)), "PUT",
+                                    "/stand-in/behaviour", line.rest(2));
+    this->need(answer.status == 200,
+               fmt::format("status {}: {}", answer.status, answer.body));
+}
+
+// leads NAME | leads as WORD: waits for a leader, and remembers who it is
+void scenario_steps::leads(scenario_line const& line)
+{
+    std::string const wanted =
+        line.word(1) == "as" ? std::string() : line.word(1);
+    std::string found;
+    bool const leads = wait_until(
+        [this, &wanted, &found]()
+        {
+            found = this->world.leader();
+            return !found.empty() && (wanted.empty() || found == wanted);
+        });
+    this->need(leads, "'" + found + "' leads");
+    if (!line.after("as").empty())
+    {
+        this->remembered[line.after("as")] = found;
+    }
+}
+
+// wait-status TEXT: until bilberryctl status --output json contains it
+void scenario_steps::wait_status(scenario_line const& line)
+{
+    std::string const wanted = line.rest(1);
+    bool const seen = wait_until(
+        [this, &wanted]()
+        {
+            this->world.ctl({"status", "--output", "json"});
+            json const status =
+                json::parse(this->world.last_output(), nullptr, false);
+            return status.dump().find(wanted) != std::string::npos;
+        });
+    this->need(seen, "it never said so: " + this->world.last_output());
+}
+
+// pause MILLISECONDS: lets a fault last
+void scenario_steps::pause(scenario_line const& line)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(line.count(1)));
+}
+
+// expect LOAD.FIELD ==|>=|<= N | expect no-decrease
+void scenario_steps::expect(scenario_line const& line)
+{
+    if (line.word(1) == "no-decrease")
+    {
+        this->need(this->revisions != nullptr, "nothing was watched");
+        this->need(this->revisions->samples() > 0, "nothing was sampled");
+        std::vector<std::string> const wrong = this->revisions->decreases();
+        this->need(wrong.empty(),
+                   wrong.empty() ? "" : "a revision went back at " + wrong[0]);
+        return;
+    }
+    std::string const& what = line.word(1);
+    std::size_t const dot = what.find('.');
+    std::map<std::string, json>::const_iterator const found =
+        this->reports.find(what.substr(0, dot));
+    this->need(found != this->reports.end(), "no such load has finished");
+    std::string const field = what.substr(dot + 1);
+    this->need(found->second.contains(field), "the report has no such field");
+    std::int64_t const value = found->second.at(field).get<std::int64_t>();
+    this->need(compare(value, line.word(2), line.count(3)),
+               fmt::format("it is {}", value));
+}
+
+// report: one line of JSON over all loads
+void scenario_steps::report(scenario_line const&)
+{
+    json sum = {{"requests", 0},
+                {"whole", 0},
+                {"lost", 0},
+                {"run_twice", 0},
+                {"not_run_but_ran", 0}};
+    for (std::map<std::string, json>::value_type const& row : this->reports)
+    {
+        for (json::iterator field = sum.begin(); field != sum.end(); ++field)
+        {
+            field.value() = field.value().get<std::uint64_t>() +
+                            row.second.value(field.key(), std::uint64_t{0});
+        }
+    }
+    sum["revision_in_force"] = this->last_revision;
+    sum["entry_hosts"] = this->world.entry_names().size();
+    sum["control_hosts"] = this->world.control_names().size();
+    fmt::print("{}\n", sum.dump());
+}
+
+std::string scenario_steps::host_of(std::string const& word)
+{
+    if (word == "leader")
+    {
+        std::string name;
+        this->need(wait_until(
+                       [this, &name]()
+                       {
+                           name = this->world.leader();
+                           return !name.empty();
+                       }),
+                   "nobody leads");
+        return name;
+    }
+    std::map<std::string, std::string>::const_iterator const found =
+        this->remembered.find(word);
+    return found == this->remembered.end() ? word : found->second;
+}
+
+void scenario_steps::need(bool condition, std::string const& otherwise) const
+{
+    if (!condition)
+    {
+        throw std::runtime_error(otherwise);
+    }
+}
+
+std::string scenario_steps::apply_once(std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.end(), {"--output", "json"});
+    this->world.ctl(arguments);
+    json const answer = json::parse(this->world.last_output(), nullptr, false);
+    if (!answer.is_object())
+    {
+        return this->world.last_output();
+    }
+    std::string const outcome = answer.value("outcome", "");
+    if (outcome == "accepted")
+    {
+        this->last_revision = answer.at("revision").get<std::uint64_t>();
+    }
+    return outcome;
+}
+
+void scenario_steps::wait_in_force(std::uint64_t revision,
+                                   std::vector<std::string> const& entries)
+{
+    clock::time_point const start = clock::now();
+    for (std::string const& name : entries)
+    {
+        std::uint16_t const port = this->world.caller_port(name);
+        std::string const service =
+            this->world.declared().services.front().id.text();
+        bool const there = wait_until(
+            [port, revision, &service]()
+            {
+                call_result const answer =
+                    call(port, "GET", "/steering?service=" + service);
+                json const body = json::parse(answer.body, nullptr, false);
+                return body.is_object() &&
+                       body.value("revision", std::uint64_t{0}) >= revision;
+            });
+        this->need(there, fmt::format("revision {} is not in force at {}",
+                                      revision, name));
+    }
+    fmt::print("    revision {} in force after {} ms\n", revision,
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   clock::now() - start)
+                   .count());
+}
+
+} // namespace bilberrylead::scenario
