Let a host that an uncommitted change takes out lead once more

It has the longest log, so nobody else can win, and it saw itself as a learner and did not stand: the group stood still for ever. It now stands while the change is not known to be committed.

--- a/bilberrylead/agreement/codec.cpp
+++ b/bilberrylead/agreement/codec.cpp
@@ -109,7 +109,7 @@
                           "The record is larger than any the system writes.",
                           "Check who sends it.");
     }
-    absl::Status const malformed =
+    absl::Status malformed =
         make_error(error_kind::syntax, "The record is not the CBOR expected.",
                    "Check that both ends run the same version.");
 
--- a/bilberrylead/agreement/effects/proposal_refused.hpp
+++ b/bilberrylead/agreement/effects/proposal_refused.hpp
@@ -23,6 +23,9 @@
     /// The membership change makes no sense (nobody to remove, the last
     /// voter, a member already, an incarnation older than the known one).
     bad_change,
+    /// Too few voters of the membership it would bring answer now; bring
+    /// the others back first.
+    would_lose_quorum,
     /// The disk failed; ask another host.
     disk_failed,
 };
--- a/bilberrylead/agreement/election.cpp
+++ b/bilberrylead/agreement/election.cpp
@@ -109,8 +109,8 @@
 {
     // A host's former self may have granted, or its blank successor: only
     // the listed incarnation holds the entries that the vote vouches for.
-    member const* const listed = this->core.memberships.current().find(from);
-    bool const counts = this->core.is_listed(from, sender) && listed->voter;
+    bool const counts =
+        this->core.counts_vote(this->core.memberships.current(), from, sender);
     if (counts && std::ranges::find(this->granted, from) == this->granted.end())
     {
         this->granted.push_back(from);
--- a/bilberrylead/agreement/membership_changer.cpp
+++ b/bilberrylead/agreement/membership_changer.cpp
@@ -73,6 +73,12 @@
                                             this->core.self});
         return;
     }
+    if (!this->keeps_quorum(*next))
+    {
+        this->core.out.add(proposal_refused{
+            request.token, refusal::would_lose_quorum, this->core.self});
+        return;
+    }
     this->start(*next, request.token);
 }
 
@@ -123,7 +129,7 @@
         membership next = this->core.memberships.current();
         next.put(member{peer.who.host, peer.newer_incarnation, false,
                         peer.who.voter || peer.who.voter_when_caught_up});
-        if (next.voters() > 0)
+        if (next.voters() > 0 && this->keeps_quorum(next))
         {
             this->start(next, std::nullopt);
             return true;
@@ -146,12 +152,31 @@
     }
 }
 
+/// A change takes effect before it is committed. One that needs a voter
+/// which is down would stop the group, and could not be taken back.
+bool membership_changer::keeps_quorum(membership const& next) const
+{
+    std::size_t answering = 0;
+    for (member const& one : next.members)
+    {
+        peer_progress const* const peer = this->office.members().find(one.host);
+        bool const here = one.host == this->core.self ||
+                          (peer != nullptr && this->answers(*peer));
+        answering += one.voter && here ? 1 : 0;
+    }
+    return answering >= next.quorum();
+}
+
+bool membership_changer::answers(peer_progress const& peer) const
+{
+    return peer.acked_at.has_value() &&
+           this->core.now - *peer.acked_at <
+               this->core.settings.election_timeout;
+}
+
 bool membership_changer::has_caught_up(peer_progress const& peer) const
 {
-    bool const answers =
-        peer.acked_at.has_value() &&
-        this->core.now - *peer.acked_at < this->core.settings.election_timeout;
-    return answers && !peer.sending && peer.match_index > 0 &&
+    return this->answers(peer) && !peer.sending && peer.match_index > 0 &&
            peer.match_index + this->core.settings.caught_up_entries >=
                this->core.log.last_index();
 }
--- a/bilberrylead/agreement/membership_changer.hpp
+++ b/bilberrylead/agreement/membership_changer.hpp
@@ -33,6 +33,8 @@
     void start(membership const& next, std::optional<std::uint64_t> token);
     bool take_back_blank_host();
     void promote_learner();
+    bool keeps_quorum(membership const& next) const;
+    bool answers(peer_progress const& peer) const;
     bool has_caught_up(peer_progress const& peer) const;
 
     replica_core& core;
--- a/bilberrylead/agreement/membership_history.cpp
+++ b/bilberrylead/agreement/membership_history.cpp
@@ -55,6 +55,12 @@
     return this->rows.empty() ? 0 : this->rows.back().index;
 }
 
+membership const& membership_history::previous() const
+{
+    return this->rows.size() < 2 ? no_membership()
+                                 : this->rows.at(this->rows.size() - 2).value;
+}
+
 membership const& membership_history::at(std::uint64_t index) const
 {
     auto const later =
--- a/bilberrylead/agreement/membership_history.hpp
+++ b/bilberrylead/agreement/membership_history.hpp
@@ -33,6 +33,9 @@
     /// Index of the entry that brought the one in force.
     std::uint64_t current_index() const;
 
+    /// The one before the one in force; empty if none is known.
+    membership const& previous() const;
+
     /// The one that was in force at an index; empty if none is known.
     membership const& at(std::uint64_t index) const;
 
--- a/bilberrylead/agreement/replica_core.cpp
+++ b/bilberrylead/agreement/replica_core.cpp
@@ -5,11 +5,11 @@
 namespace bilberrylead::agreement
 {
 
-replica_core::replica_core(host_id const& self_, std::uint64_t incarnation_,
-                           replica_settings const& settings_,
-                           std::uint64_t seed, safeguards const& switches_)
-    : self(self_), incarnation(incarnation_), settings(settings_),
-      switches(switches_), random(seed)
+replica_core::replica_core(host_id const& own_id, std::uint64_t own_incarnation,
+                           replica_settings const& pace, std::uint64_t seed,
+                           safeguards const& kept)
+    : self(own_id), incarnation(own_incarnation), settings(pace),
+      switches(kept), random(seed)
 {
 }
 
@@ -20,8 +20,21 @@
 
 bool replica_core::is_voter() const
 {
-    return this->is_listed(this->self, this->incarnation) &&
-           this->memberships.current().find(this->self)->voter;
+    return this->counts_vote(this->memberships.current(), this->self,
+                             this->incarnation);
+}
+
+/// A host that an uncommitted change takes out may be the only one with
+/// that entry. Nobody with a shorter log gets its vote, so that the group
+/// stands still for ever unless it leads once more, to settle the change.
+bool replica_core::may_lead() const
+{
+    if (this->is_voter())
+    {
+        return true;
+    }
+    return this->memberships.current_index() > this->commit_index &&
+           this->memberships.previous().is_voter(this->self, this->incarnation);
 }
 
 void replica_core::adopt_term(std::uint64_t term)
@@ -61,7 +74,7 @@
 
 void replica_core::match_role_to_membership()
 {
-    if (this->is_voter())
+    if (this->may_lead())
     {
         this->life.join_voters();
     }
@@ -71,11 +84,15 @@
     }
 }
 
-bool replica_core::is_listed(host_id const& host, std::uint64_t sender) const
+bool replica_core::counts_vote(membership const& members, host_id const& host,
+                               std::uint64_t sender) const
 {
-    member const* const listed = this->memberships.current().find(host);
-    return listed != nullptr &&
-           (listed->incarnation == sender || !this->switches.incarnation_check);
+    if (this->switches.incarnation_check)
+    {
+        return members.is_voter(host, sender);
+    }
+    member const* const listed = members.find(host);
+    return listed != nullptr && listed->voter;
 }
 
 } // namespace bilberrylead::agreement
--- a/bilberrylead/agreement/replica_core.hpp
+++ b/bilberrylead/agreement/replica_core.hpp
@@ -26,9 +26,9 @@
 {
 public:
     /// See replica's constructor.
-    replica_core(host_id const& self_, std::uint64_t incarnation_,
-                 replica_settings const& settings_, std::uint64_t seed,
-                 safeguards const& switches_);
+    replica_core(host_id const& own_id, std::uint64_t own_incarnation,
+                 replica_settings const& pace, std::uint64_t seed,
+                 safeguards const& kept);
 
     /// The role now.
     agreement::role role() const;
@@ -36,6 +36,10 @@
     /// True if the membership in force counts this replica's vote.
     bool is_voter() const;
 
+    /// True if this replica may stand for election: it is a voter, or it
+    /// was one before a change that is not known to be committed.
+    bool may_lead() const;
+
     /// Takes over a later term, without a vote in it; nothing otherwise.
     void adopt_term(std::uint64_t term);
 
@@ -53,9 +57,9 @@
     /// Takes up the role of voter or learner that the membership gives.
     void match_role_to_membership();
 
-    /// True if the sender of a reply is the very member that the
-    /// membership in force lists.
-    bool is_listed(host_id const& host, std::uint64_t sender) const;
+    /// True if a membership counts the vote of exactly this incarnation.
+    bool counts_vote(membership const& members, host_id const& host,
+                     std::uint64_t sender) const;
 
     /// Who this is.
     host_id self;
--- /dev/null
+++ b/tests/unit/agreement/schedule.hpp
@@ -0,0 +1,59 @@
+#ifndef BILBERRYLEAD_TESTS_AGREEMENT_SCHEDULE_HPP
+#define BILBERRYLEAD_TESTS_AGREEMENT_SCHEDULE_HPP
+
+#include "bilberrylead/agreement/safeguards.hpp"
+#include "test_group.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bilberrylead::agreement::tests
+{
+
+/// One random run of a few hosts: deliveries out of order, losses,
+/// duplicates, slow disks, crashes between write and sync, lost disks,
+/// cuts, freezes, clocks that run apart, changes of membership. The seed
+/// gives the whole run.
+class schedule
+{
+public:
+    /// Draws the group from the seed.
+    schedule(std::uint64_t seed, safeguards const& kept);
+
+    /// Takes so many random steps, then ends all faults and expects the
+    /// group to accept again. Gives the first breach.
+    std::optional<std::string> run(std::size_t steps);
+
+private:
+    void step();
+    void deliver_one();
+    void work_one();
+    void pass_time();
+    void ask_something();
+    void kill_or_start();
+    void cut_or_heal();
+    void freeze_or_thaw();
+    void change_members();
+    void recover();
+    bool accepts_again();
+    bool may_lose_disk(std::size_t place) const;
+    bool has_unsettled_disk() const;
+    bool all_caught_up() const;
+    bool has_breach() const;
+
+    std::size_t draw(std::size_t below);
+    bool chance(std::size_t percent);
+    std::size_t any_host();
+    std::optional<std::size_t> any_leader();
+
+    std::mt19937_64 random;
+    test_group group;
+};
+
+} // namespace bilberrylead::agreement::tests
+
+#endif
--- a/tests/unit/agreement/test_group.hpp
+++ b/tests/unit/agreement/test_group.hpp
@@ -95,6 +95,8 @@
     std::optional<std::uint64_t> read_index(std::uint64_t token) const;
     /// The leader of the latest term among those that run, if any.
     std::optional<std::size_t> leader() const;
+    /// One line on each host, for the message of a failure.
+    std::string describe() const;
     /// The host's own time.
     instant now_at(std::size_t place) const;
 
