--- /dev/null
+++ b/bilberrylead/steering/layered_family.hpp
@@ -0,0 +1,169 @@
+#ifndef BILBERRYLEAD_STEERING_LAYERED_FAMILY_HPP
+#define BILBERRYLEAD_STEERING_LAYERED_FAMILY_HPP
+
+#include "bilberrylead/steering/block_entry.hpp"
+#include "bilberrylead/steering/block_match.hpp"
+#include "bilberrylead/steering/family_table.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::steering
+{
+
+/// Blocks of one family as a large base, shared with earlier versions, and
+/// a small overlay of what changed since. A change copies the overlay and a
+/// bit for each base block, never the base.
+template <class Key>
+class layered_family
+{
+public:
+    /// No blocks.
+    layered_family() : base(std::make_shared<table>())
+    {
+    }
+
+    /// Takes blocks that are sorted by sorts_before and differ.
+    explicit layered_family(std::vector<block_entry<Key>> const& sorted)
+        : base(std::make_shared<table>(sorted)), live(sorted.size())
+    {
+    }
+
+    /// The longest block that holds the address. No lock, no allocation.
+    std::optional<block_match> find(Key const& address) const
+    {
+        std::optional<block_match> best = match_of(
+            *this->base, this->base->find(address,
+                                          [this](std::uint32_t position)
+                                          {
+                                              return this->is_hidden(position);
+                                          }));
+        if (this->overlay.size() == 0)
+        {
+            return best;
+        }
+        std::optional<block_match> const newer =
+            match_of(this->overlay, this->overlay.find(address,
+                                                       [](std::uint32_t)
+                                                       {
+                                                           return false;
+                                                       }));
+        bool const is_longer =
+            newer.has_value() &&
+            (!best.has_value() || newer->length > best->length);
+        return is_longer ? newer : best;
+    }
+
+    /// The overlay's blocks, for a change that starts from them.
+    std::vector<block_entry<Key>> changed() const
+    {
+        std::vector<block_entry<Key>> entries;
+        entries.reserve(this->overlay.size());
+        for (std::uint32_t i = 0; i < this->overlay.size(); ++i)
+        {
+            entries.push_back({this->overlay.start(i), this->overlay.block(i)});
+        }
+        return entries;
+    }
+
+    /// Hides a base block. False if it isn't there, or is hidden already.
+    bool hide(Key const& start, unsigned length)
+    {
+        std::uint32_t const position = this->base->find_exact(start, length);
+        if (position == table::none || this->is_hidden(position))
+        {
+            return false;
+        }
+        if (this->hidden.empty())
+        {
+            this->hidden.resize(this->base->size() / bits_per_word + 1);
+        }
+        this->hidden[position / bits_per_word] |= std::uint64_t{1}
+                                                  << (position % bits_per_word);
+        --this->live;
+        return true;
+    }
+
+    /// Replaces the overlay by blocks that are sorted and differ.
+    void set_changed(std::vector<block_entry<Key>> const& sorted)
+    {
+        this->live += sorted.size();
+        this->live -= this->overlay.size();
+        this->overlay = table(sorted);
+    }
+
+    /// All blocks in force, sorted.
+    std::vector<block_entry<Key>> all() const
+    {
+        std::vector<block_entry<Key>> entries = this->changed();
+        std::size_t const newer = entries.size();
+        entries.reserve(this->live);
+        for (std::uint32_t i = 0; i < this->base->size(); ++i)
+        {
+            if (!this->is_hidden(i))
+            {
+                entries.push_back({this->base->start(i), this->base->block(i)});
+            }
+        }
+        std::inplace_merge(entries.begin(),
+                           entries.begin() + static_cast<std::ptrdiff_t>(newer),
+                           entries.end(), sorts_before<Key>);
+        return entries;
+    }
+
+    /// Blocks in force.
+    std::size_t size() const
+    {
+        return this->live;
+    }
+
+    /// Blocks in the overlay.
+    std::size_t overlay_size() const
+    {
+        return this->overlay.size();
+    }
+
+    /// Bytes of memory held, the shared base included.
+    std::size_t bytes_held() const
+    {
+        return this->base->bytes_held() + this->overlay.bytes_held() +
+               this->hidden.capacity() * sizeof(std::uint64_t);
+    }
+
+private:
+    using table = family_table<Key>;
+    static constexpr std::size_t bits_per_word = 64;
+
+    bool is_hidden(std::uint32_t position) const
+    {
+        return !this->hidden.empty() &&
+               (this->hidden[position / bits_per_word] >>
+                    (position % bits_per_word) &
+                1U) != 0;
+    }
+
+    static std::optional<block_match> match_of(table const& blocks,
+                                               std::uint32_t position)
+    {
+        if (position == table::none)
+        {
+            return std::nullopt;
+        }
+        packed_block const block = blocks.block(position);
+        return block_match{block.value(), block.length()};
+    }
+
+    std::shared_ptr<table const> base;
+    std::vector<std::uint64_t> hidden;
+    table overlay;
+    std::size_t live = 0;
+};
+
+} // namespace bilberrylead::steering
+
+#endif
