Add the stand-in upstream

Cause: the path needs upstreams whose faults can be ordered (lag, lies, drain, cold start, shedding, silence, late, swapped, doubled and cut answers) and that count every run. One thread stands for many upstreams; the model (slots, lots, counts) holds no I/O and takes the time from outside. Bodies follow from the caller's request id, so a caller checks every byte without holding it. Ruled out: a digest over downloads, which costs a second pass and shows only at the end that something is wrong.

--- /dev/null
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -0,0 +1,475 @@
+#include "bilberrylead/load/stand_in_connection.hpp"
+
+#include "bilberrylead/config/decimal.hpp"
+#include "bilberrylead/load/body_pattern.hpp"
+#include "bilberrylead/load/stand_in_admin.hpp"
+#include "bilberrylead/load/wire.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <limits>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::load
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::uint64_t largest_body = std::uint64_t{1} << 30U;
+constexpr std::size_t chunk_bytes = std::size_t{16} << 10U;
+/// Above this a digest would cost more than the answer; callers that check
+/// the pattern need none.
+constexpr std::uint64_t largest_digested = std::uint64_t{1} << 20U;
+/// A caller that takes nothing for this long is given up.
+constexpr std::chrono::seconds write_timeout(60);
+constexpr instant never = instant::max();
+constexpr std::string_view come_back_seconds = "1";
+
+instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+wall_time wall_now()
+{
+    return std::chrono::floor<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+beast::string_view to_beast(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+template <class Message>
+std::string field(Message const& message, std::string_view name)
+{
+    return std::string(message[to_beast(name)]);
+}
+
+/// A request target in its two parts.
+struct target_parts
+{
+    std::string_view path;
+    std::string_view query;
+};
+
+target_parts split_target(std::string_view target)
+{
+    std::size_t const mark = target.find('?');
+    if (mark == std::string_view::npos)
+    {
+        return {target, {}};
+    }
+    return {target.substr(0, mark), target.substr(mark + 1)};
+}
+
+std::string digest_of(body_pattern const& pattern, std::uint64_t length)
+{
+    std::vector<char> body(length);
+    pattern.fill(0, body);
+    return fmt::format("{:016x}", XXH3_64bits(body.data(), body.size()));
+}
+
+} // namespace
+
+stand_in_connection::stand_in_connection(asio::ip::tcp::socket socket,
+                                         stand_in_upstream& owner)
+    : stream(std::move(socket)), timer(stream.get_executor()), upstream(&owner)
+{
+    this->upstream->connections.insert(this);
+}
+
+stand_in_connection::~stand_in_connection()
+{
+    this->upstream->connections.erase(this);
+    this->upstream->model.connection_closed();
+}
+
+void stand_in_connection::grant_slot()
+{
+    this->granted = true;
+    this->timer.cancel();
+}
+
+void stand_in_connection::go_silent()
+{
+    this->silent = true;
+}
+
+asio::awaitable<void> stand_in_connection::serve()
+{
+    beast::error_code error;
+    this->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    bool open = true;
+    while (open)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(largest_body);
+        co_await http::async_read(
+            this->stream, this->buffer, parser,
+            asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+        {
+            break;
+        }
+        if (this->silent)
+        {
+            co_await this->swallow();
+            break;
+        }
+        open = co_await this->handle(parser.get());
+    }
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, error);
+}
+
+asio::awaitable<bool> stand_in_connection::handle(request_type const& request)
+{
+    target_parts const target = split_target(
+        std::string_view(request.target().data(), request.target().size()));
+    if (!is_admin_path(target.path))
+    {
+        co_return co_await this->handle_work(request);
+    }
+    admin_request const admin{std::string_view(request.method_string().data(),
+                                               request.method_string().size()),
+                              target.path, target.query, request.body()};
+    std::array<stand_in_upstream*, 1> const self = {this->upstream};
+    admin_answer const result = handle_admin(admin, self, now(), wall_now());
+    co_return co_await this->write_text(request, result.status, result.body);
+}
+
+asio::awaitable<bool>
+stand_in_connection::handle_work(request_type const& request)
+{
+    this->peer_gone = false;
+    instant const deadline = this->deadline_of(request);
+    arrival const decision = this->upstream->model.arrive(now());
+    if (decision == arrival::shed)
+    {
+        co_return co_await this->write_refusal(request, 503, true);
+    }
+    this->watch_peer();
+    if (decision == arrival::wait)
+    {
+        bool const has_slot = co_await this->wait_for_slot(deadline);
+        if (!has_slot)
+        {
+            this->stop_watching();
+            bool const gone = this->is_cancelled();
+            gone ? this->upstream->model.cancelled()
+                 : this->upstream->model.expired();
+            co_return !gone && co_await this->write_refusal(request, 503, true);
+        }
+    }
+    co_return co_await this->run_work(request, deadline);
+}
+
+asio::awaitable<bool> stand_in_connection::wait_for_slot(instant deadline)
+{
+    this->granted = false;
+    this->upstream->waiters.push_back(this);
+    while (!this->granted && !this->is_cancelled() && now() < deadline)
+    {
+        co_await this->pause_until(deadline);
+    }
+    if (!this->granted)
+    {
+        std::erase(this->upstream->waiters, this);
+        this->upstream->model.leave_queue();
+        co_return false;
+    }
+    if (this->is_cancelled())
+    {
+        // The slot came in the same moment as the caller's end: it was not
+        // used, so nothing ran.
+        this->upstream->release_slot(now());
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> stand_in_connection::run_work(request_type const& request,
+                                                    instant deadline)
+{
+    upstream_model& model = this->upstream->model;
+    work_lot const lot = model.start(field(request, caller_request_header),
+                                     field(request, idempotency_header), now());
+    instant const work_end = now() + lot.work;
+    while (now() < std::min(work_end, deadline) && !this->is_cancelled())
+    {
+        co_await this->pause_until(std::min(work_end, deadline));
+    }
+    this->stop_watching();
+    bool const gone = this->is_cancelled();
+    bool const expired = now() < work_end;
+    std::string_view const target(request.target().data(),
+                                  request.target().size());
+    bool const download = split_target(target).path.ends_with("/download");
+    if (gone || expired || !download)
+    {
+        this->upstream->release_slot(now());
+    }
+    if (gone)
+    {
+        model.cancelled();
+        co_return false;
+    }
+    if (expired)
+    {
+        model.expired();
+        co_return co_await this->write_refusal(request, 504, false);
+    }
+    co_return co_await this->answer_work(request, lot, download);
+}
+
+asio::awaitable<bool>
+stand_in_connection::answer_work(request_type const& request,
+                                 work_lot const& lot, bool download)
+{
+    upstream_model& model = this->upstream->model;
+    if (lot.late > duration::zero())
+    {
+        co_await this->pause_until(now() + lot.late);
+    }
+    target_parts const target = split_target(
+        std::string_view(request.target().data(), request.target().size()));
+    answered_request const own{field(request, caller_request_header),
+                               field(request, request_id_header)};
+    answer value;
+    value.belongs_to = lot.swapped ? this->upstream->last_answered : own;
+    value.body_bytes =
+        config::parse_decimal(query_field(target.query, "bytes"), largest_body)
+            .value_or(model.behaviour.answer_bytes);
+    value.sent_bytes = lot.cut ? value.body_bytes / 2 : value.body_bytes;
+    value.bytes_per_s = download ? model.behaviour.download_bytes_per_s : 0;
+    value.close = lot.cut;
+    this->upstream->last_answered = own;
+    bool open = !lot.dropped && co_await this->write_answer(request, value);
+    if (open && lot.duplicated)
+    {
+        open = co_await this->write_answer(request, value);
+    }
+    if (download)
+    {
+        this->upstream->release_slot(now());
+    }
+    bool const whole = open || lot.cut || lot.dropped || !request.keep_alive();
+    whole ? model.finished() : model.cancelled();
+    co_return open;
+}
+
+asio::awaitable<bool>
+stand_in_connection::write_text(request_type const& request, unsigned status,
+                                std::string_view body)
+{
+    http::response<http::string_body> response;
+    response.version(request.version());
+    response.result(status);
+    response.set(http::field::content_type, "application/json");
+    response.keep_alive(request.keep_alive());
+    response.body() = body;
+    response.prepare_payload();
+    beast::error_code error;
+    co_await http::async_write(
+        this->stream, response,
+        asio::redirect_error(asio::use_awaitable, error));
+    co_return !error && response.keep_alive();
+}
+
+asio::awaitable<bool>
+stand_in_connection::write_refusal(request_type const& request, unsigned status,
+                                   bool not_run)
+{
+    answer value;
+    value.status = status;
+    value.not_run = not_run;
+    value.belongs_to = {field(request, caller_request_header),
+                        field(request, request_id_header)};
+    co_return co_await this->write_answer(request, value);
+}
+
+void stand_in_connection::fill_header(request_type const& request,
+                                      answer const& value,
+                                      response_type& response) const
+{
+    answered_request const& owner = value.belongs_to;
+    response.version(request.version());
+    response.result(value.status);
+    response.content_length(value.body_bytes);
+    response.set(http::field::content_type, "application/octet-stream");
+    response.set(to_beast(caller_request_header), owner.caller_request);
+    response.set(to_beast(request_id_header), owner.request_id);
+    if (value.body_bytes <= largest_digested)
+    {
+        response.set(
+            to_beast(digest_header),
+            digest_of(body_pattern(owner.caller_request), value.body_bytes));
+    }
+    if (value.not_run)
+    {
+        response.set(to_beast(not_run_header), "1");
+        response.set(to_beast(retry_after_header), to_beast(come_back_seconds));
+    }
+    bool const leaving = this->upstream->model.behaviour.leaving;
+    if (leaving)
+    {
+        response.set(to_beast(leaving_header), "1");
+    }
+    response.keep_alive(request.keep_alive() && !leaving);
+}
+
+asio::awaitable<bool>
+stand_in_connection::write_answer(request_type const& request,
+                                  answer const& value)
+{
+    if (this->silent)
+    {
+        co_await this->swallow();
+        co_return false;
+    }
+    response_type response;
+    this->fill_header(request, value, response);
+    response.body().data = nullptr;
+    response.body().size = 0;
+    response.body().more = value.body_bytes > 0;
+    http::response_serializer<http::buffer_body> serializer(response);
+    beast::error_code error;
+    this->stream.expires_after(write_timeout);
+    co_await http::async_write_header(
+        this->stream, serializer,
+        asio::redirect_error(asio::use_awaitable, error));
+    bool const sent =
+        !error && co_await this->write_body(value, response, serializer);
+    this->stream.expires_never();
+    co_return sent && !value.close && response.keep_alive();
+}
+
+asio::awaitable<bool>
+stand_in_connection::write_body(answer const& value, response_type& response,
+                                serializer_type& serializer)
+{
+    // In chunks, so that an answer of any length needs one buffer; a cut
+    // answer simply stops early.
+    body_pattern const pattern(value.belongs_to.caller_request);
+    std::array<char, chunk_bytes> chunk{};
+    std::uint64_t position = 0;
+    instant const first = now();
+    while (position < value.sent_bytes)
+    {
+        std::uint64_t const left = value.sent_bytes - position;
+        std::size_t const size = std::min<std::uint64_t>(left, chunk_bytes);
+        pattern.fill(position, std::span<char>(chunk).first(size));
+        position += size;
+        response.body().data = chunk.data();
+        response.body().size = size;
+        response.body().more = position < value.body_bytes;
+        beast::error_code error;
+        this->stream.expires_after(write_timeout);
+        co_await http::async_write(
+            this->stream, serializer,
+            asio::redirect_error(asio::use_awaitable, error));
+        if (error && error != http::error::need_buffer)
+        {
+            co_return false;
+        }
+        if (value.bytes_per_s > 0)
+        {
+            std::chrono::duration<double> const due(
+                static_cast<double>(position) /
+                static_cast<double>(value.bytes_per_s));
+            co_await this->pause_until(
+                first + std::chrono::duration_cast<duration>(due));
+        }
+        if (this->silent)
+        {
+            co_await this->swallow();
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<void> stand_in_connection::pause_until(instant until)
+{
+    this->timer.expires_at(until);
+    beast::error_code error;
+    co_await this->timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+}
+
+asio::awaitable<void> stand_in_connection::swallow()
+{
+    this->stream.expires_never();
+    std::array<char, 1'024> scratch{};
+    beast::error_code error;
+    while (!error)
+    {
+        co_await this->stream.async_read_some(
+            asio::buffer(scratch),
+            asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+instant stand_in_connection::deadline_of(request_type const& request) const
+{
+    constexpr std::uint64_t longest_ms = 86'400'000;
+    std::optional<std::uint64_t> const left =
+        config::parse_decimal(field(request, deadline_header), longest_ms);
+    if (!left.has_value() || !this->upstream->model.behaviour.honours_deadlines)
+    {
+        return never;
+    }
+    return now() + std::chrono::milliseconds(*left);
+}
+
+bool stand_in_connection::is_cancelled() const
+{
+    return this->peer_gone && !this->silent &&
+           this->upstream->model.behaviour.honours_cancellation;
+}
+
+void stand_in_connection::watch_peer()
+{
+    std::shared_ptr<stand_in_connection> const self = this->shared_from_this();
+    this->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self](beast::error_code error)
+        {
+            beast::error_code ignored;
+            // Readable with nothing to read is the other side's end;
+            // readable with bytes is the next request.
+            if (!error && self->stream.socket().available(ignored) == 0)
+            {
+                self->peer_gone = true;
+                self->timer.cancel();
+            }
+        });
+}
+
+void stand_in_connection::stop_watching()
+{
+    beast::error_code ignored;
+    this->stream.socket().cancel(ignored);
+}
+
+} // namespace bilberrylead::load
