--- a/bilberrylead/load/stand_in_connection.cpp
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -1,7 +1,7 @@
 #include "bilberrylead/load/stand_in_connection.hpp"
 
 #include "bilberrylead/config/decimal.hpp"
-#include "bilberrylead/load/body_pattern.hpp"
+#include "bilberrylead/load/beast_text.hpp"
 #include "bilberrylead/load/stand_in_admin.hpp"
 #include "bilberrylead/load/wire.hpp"
 
@@ -11,18 +11,12 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
-#include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <limits>
 #include <optional>
-#include <span>
 #include <utility>
-#include <vector>
 
 namespace bilberrylead::load
 {
@@ -35,14 +29,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint64_t largest_body = std::uint64_t{1} << 30U;
-constexpr std::size_t chunk_bytes = std::size_t{16} << 10U;
-/// Above this a digest would cost more than the answer; callers that check
-/// the pattern need none.
-constexpr std::uint64_t largest_digested = std::uint64_t{1} << 20U;
-/// A caller that takes nothing for this long is given up.
-constexpr std::chrono::seconds write_timeout(60);
 constexpr instant never = instant::max();
-constexpr std::string_view come_back_seconds = "1";
 
 instant now()
 {
@@ -55,41 +42,6 @@
         std::chrono::system_clock::now());
 }
 
-beast::string_view to_beast(std::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
-template <class Message>
-std::string field(Message const& message, std::string_view name)
-{
-    return std::string(message[to_beast(name)]);
-}
-
-/// A request target in its two parts.
-struct target_parts
-{
-    std::string_view path;
-    std::string_view query;
-};
-
-target_parts split_target(std::string_view target)
-{
-    std::size_t const mark = target.find('?');
-    if (mark == std::string_view::npos)
-    {
-        return {target, {}};
-    }
-    return {target.substr(0, mark), target.substr(mark + 1)};
-}
-
-std::string digest_of(body_pattern const& pattern, std::uint64_t length)
-{
-    std::vector<char> body(length);
-    pattern.fill(0, body);
-    return fmt::format("{:016x}", XXH3_64bits(body.data(), body.size()));
-}
-
 } // namespace
 
 stand_in_connection::stand_in_connection(asio::ip::tcp::socket socket,
@@ -144,15 +96,13 @@
 
 asio::awaitable<bool> stand_in_connection::handle(request_type const& request)
 {
-    target_parts const target = split_target(
-        std::string_view(request.target().data(), request.target().size()));
+    target_parts const target = split_target(from_beast(request.target()));
     if (!is_admin_path(target.path))
     {
         co_return co_await this->handle_work(request);
     }
-    admin_request const admin{std::string_view(request.method_string().data(),
-                                               request.method_string().size()),
-                              target.path, target.query, request.body()};
+    admin_request const admin{from_beast(request.method_string()), target.path,
+                              target.query, request.body()};
     std::array<stand_in_upstream*, 1> const self = {this->upstream};
     admin_answer const result = handle_admin(admin, self, now(), wall_now());
     co_return co_await this->write_text(request, result.status, result.body);
@@ -212,8 +162,9 @@
                                                     instant deadline)
 {
     upstream_model& model = this->upstream->model;
-    work_lot const lot = model.start(field(request, caller_request_header),
-                                     field(request, idempotency_header), now());
+    work_lot const lot =
+        model.start(field_of(request, caller_request_header),
+                    field_of(request, idempotency_header), now());
     instant const work_end = now() + lot.work;
     while (now() < std::min(work_end, deadline) && !this->is_cancelled())
     {
@@ -222,9 +173,8 @@
     this->stop_watching();
     bool const gone = this->is_cancelled();
     bool const expired = now() < work_end;
-    std::string_view const target(request.target().data(),
-                                  request.target().size());
-    bool const download = split_target(target).path.ends_with("/download");
+    bool const download =
+        split_target(from_beast(request.target())).path.ends_with("/download");
     if (gone || expired || !download)
     {
         this->upstream->release_slot(now());
@@ -251,10 +201,9 @@
     {
         co_await this->pause_until(now() + lot.late);
     }
-    target_parts const target = split_target(
-        std::string_view(request.target().data(), request.target().size()));
-    answered_request const own{field(request, caller_request_header),
-                               field(request, request_id_header)};
+    target_parts const target = split_target(from_beast(request.target()));
+    answered_request const own{field_of(request, caller_request_header),
+                               field_of(request, request_id_header)};
     answer value;
     value.belongs_to = lot.swapped ? this->upstream->last_answered : own;
     value.body_bytes =
@@ -278,137 +227,6 @@
     co_return open;
 }
 
-asio::awaitable<bool>
-stand_in_connection::write_text(request_type const& request, unsigned status,
-                                std::string_view body)
-{
-    http::response<http::string_body> response;
-    response.version(request.version());
-    response.result(status);
-    response.set(http::field::content_type, "application/json");
-    response.keep_alive(request.keep_alive());
-    response.body() = body;
-    response.prepare_payload();
-    beast::error_code error;
-    co_await http::async_write(
-        this->stream, response,
-        asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && response.keep_alive();
-}
-
-asio::awaitable<bool>
-stand_in_connection::write_refusal(request_type const& request, unsigned status,
-                                   bool not_run)
-{
-    answer value;
-    value.status = status;
-    value.not_run = not_run;
-    value.belongs_to = {field(request, caller_request_header),
-                        field(request, request_id_header)};
-    co_return co_await this->write_answer(request, value);
-}
-
-void stand_in_connection::fill_header(request_type const& request,
-                                      answer const& value,
-                                      response_type& response) const
-{
-    answered_request const& owner = value.belongs_to;
-    response.version(request.version());
-    response.result(value.status);
-    response.content_length(value.body_bytes);
-    response.set(http::field::content_type, "application/octet-stream");
-    response.set(to_beast(caller_request_header), owner.caller_request);
-    response.set(to_beast(request_id_header), owner.request_id);
-    if (value.body_bytes <= largest_digested)
-    {
-        response.set(
-            to_beast(digest_header),
-            digest_of(body_pattern(owner.caller_request), value.body_bytes));
-    }
-    if (value.not_run)
-    {
-        response.set(to_beast(not_run_header), "1");
-        response.set(to_beast(retry_after_header), to_beast(come_back_seconds));
-    }
-    bool const leaving = this->upstream->model.behaviour.leaving;
-    if (leaving)
-    {
-        response.set(to_beast(leaving_header), "1");
-    }
-    response.keep_alive(request.keep_alive() && !leaving);
-}
-
-asio::awaitable<bool>
-stand_in_connection::write_answer(request_type const& request,
-                                  answer const& value)
-{
-    if (this->silent)
-    {
-        co_await this->swallow();
-        co_return false;
-    }
-    response_type response;
-    this->fill_header(request, value, response);
-    response.body().data = nullptr;
-    response.body().size = 0;
-    response.body().more = value.body_bytes > 0;
-    http::response_serializer<http::buffer_body> serializer(response);
-    beast::error_code error;
-    this->stream.expires_after(write_timeout);
-    co_await http::async_write_header(
-        this->stream, serializer,
-        asio::redirect_error(asio::use_awaitable, error));
-    bool const sent =
-        !error && co_await this->write_body(value, response, serializer);
-    this->stream.expires_never();
-    co_return sent && !value.close && response.keep_alive();
-}
-
-asio::awaitable<bool>
-stand_in_connection::write_body(answer const& value, response_type& response,
-                                serializer_type& serializer)
-{
-    // In chunks, so that an answer of any length needs one buffer; a cut
-    // answer simply stops early.
-    body_pattern const pattern(value.belongs_to.caller_request);
-    std::array<char, chunk_bytes> chunk{};
-    std::uint64_t position = 0;
-    instant const first = now();
-    while (position < value.sent_bytes)
-    {
-        std::uint64_t const left = value.sent_bytes - position;
-        std::size_t const size = std::min<std::uint64_t>(left, chunk_bytes);
-        pattern.fill(position, std::span<char>(chunk).first(size));
-        position += size;
-        response.body().data = chunk.data();
-        response.body().size = size;
-        response.body().more = position < value.body_bytes;
-        beast::error_code error;
-        this->stream.expires_after(write_timeout);
-        co_await http::async_write(
-            this->stream, serializer,
-            asio::redirect_error(asio::use_awaitable, error));
-        if (error && error != http::error::need_buffer)
-        {
-            co_return false;
-        }
-        if (value.bytes_per_s > 0)
-        {
-            std::chrono::duration<double> const due(
-                static_cast<double>(position) /
-                static_cast<double>(value.bytes_per_s));
-            co_await this->pause_until(
-                first + std::chrono::duration_cast<duration>(due));
-        }
-        if (this->silent)
-        {
-            co_await this->swallow();
-            co_return false;
-        }
-    }
-    co_return true;
-}
-
 asio::awaitable<void> stand_in_connection::pause_until(instant until)
 {
     this->timer.expires_at(until);
@@ -434,7 +252,7 @@
 {
     constexpr std::uint64_t longest_ms = 86'400'000;
     std::optional<std::uint64_t> const left =
-        config::parse_decimal(field(request, deadline_header), longest_ms);
+        config::parse_decimal(field_of(request, deadline_header), longest_ms);
     if (!left.has_value() || !this->upstream->model.behaviour.honours_deadlines)
     {
         return never;
