policy: owner of a zone's slots, and the model that measures it

Cause: entry hosts do not see each other's work; with three slots an upstream is full for one and idle for the next. A zone's slots and the wait in front of them now have one owner; requests move to zones where the wait, the way there and back included, is shorter.

--- a/bilberrylead/policy/admission_queue.cpp
+++ b/bilberrylead/policy/admission_queue.cpp
@@ -18,6 +18,15 @@
     return duration(held.count() * static_cast<std::int64_t>(turns) / slots);
 }
 
+/// Time between two slots of the pool that come free for brief work.
+duration turn_time(slot_pool const& pool)
+{
+    // Slots that long work holds do not turn over in time to count.
+    std::uint32_t const turning =
+        pool.usable - std::min(pool.usable, pool.long_held);
+    return pool.brief_time / std::max(1U, turning);
+}
+
 } // namespace
 
 admission_queue::admission_queue(admission_queue_settings const& settings)
@@ -49,7 +58,7 @@
     {
         return admit{};
     }
-    duration const expected = this->expected_wait(request.flow, pool);
+    duration const expected = this->expected_wait(request.flow, pool, now);
     if (this->settings.bounded)
     {
         // The wait that the deadline leaves, and the wait that is any good.
@@ -75,7 +84,7 @@
             return this->refusal(refusal_reason::caller_over_share, expected);
         }
     }
-    if (!this->brief.push(request))
+    if (!this->brief.push(request, turn_time(pool)))
     {
         return this->refusal(refusal_reason::queue_full, expected);
     }
@@ -102,32 +111,44 @@
     {
         return this->refusal(refusal_reason::wait_too_long, expected - longest);
     }
-    if (!this->extended.push(request))
+    if (!this->extended.push(request, pool.long_time / slots))
     {
         return this->refusal(refusal_reason::queue_full, expected);
     }
     return wait{expected};
 }
 
-std::optional<waiting_request> admission_queue::next(slot_pool const& pool,
-                                                     instant now)
+bool admission_queue::long_is_next(slot_pool const& pool) const
 {
-    if (pool.free == 0)
-    {
-        return std::nullopt;
-    }
     waiting_request const* const brief_next = this->brief.peek();
     waiting_request const* const long_next =
         this->may_start(work_length::extended, pool) ? this->extended.peek()
                                                      : nullptr;
-
     // Of the two heads the older one: long work below its limit is neither
     // put off by a stream of look-ups nor put before them.
-    bool const take_long =
-        long_next != nullptr &&
-        (brief_next == nullptr || long_next->arrived < brief_next->arrived);
+    return long_next != nullptr &&
+           (brief_next == nullptr || long_next->arrived < brief_next->arrived);
+}
+
+waiting_request const* admission_queue::peek(slot_pool const& pool) const
+{
+    if (pool.free == 0)
+    {
+        return nullptr;
+    }
+    return this->long_is_next(pool) ? this->extended.peek()
+                                    : this->brief.peek();
+}
+
+std::optional<waiting_request> admission_queue::next(slot_pool const& pool,
+                                                     instant now)
+{
+    if (pool.free == 0)
+    {
+        return std::nullopt;
+    }
     std::optional<waiting_request> taken =
-        take_long ? this->extended.pop() : this->brief.pop();
+        this->long_is_next(pool) ? this->extended.pop() : this->brief.pop();
     this->note_length(now);
     return taken;
 }
@@ -154,7 +175,8 @@
 }
 
 duration admission_queue::expected_wait(std::uint32_t flow,
-                                        slot_pool const& pool) const
+                                        slot_pool const& pool,
+                                        instant now) const
 {
     if (pool.usable == 0)
     {
@@ -164,10 +186,9 @@
     {
         return duration{};
     }
-    // Slots that long work holds do not turn over in time to count.
-    std::uint32_t const turning =
-        std::max(1U, pool.usable - std::min(pool.usable, pool.long_held));
-    return turns_time(this->brief.ahead_of(flow) + 1, pool.brief_time, turning);
+    duration const turn = turn_time(pool);
+    std::size_t const ahead = this->brief.ahead_of(flow, now, turn);
+    return turn * (static_cast<std::int64_t>(ahead) + 1);
 }
 
 duration admission_queue::longest_wait(instant now) const
--- a/bilberrylead/policy/admission_queue.hpp
+++ b/bilberrylead/policy/admission_queue.hpp
@@ -34,8 +34,11 @@
     admission_verdict offer(waiting_request const& request,
                             slot_pool const& pool, instant now);
 
-    /// Takes out the request that a free slot goes to, if any may have it.
-    /// Call again until it gives nothing.
+    /// The request that a free slot goes to, or nullptr if none may have it.
+    waiting_request const* peek(slot_pool const& pool) const;
+
+    /// Takes out the request that peek names. Call again until it gives
+    /// nothing.
     std::optional<waiting_request> next(slot_pool const& pool, instant now);
 
     /// Takes out a request that can no longer make its deadline; its caller
@@ -46,6 +49,13 @@
     /// The caller went away; false if the request does not wait here.
     bool cancel(std::uint64_t ticket);
 
+    /// Takes out the brief request that gains most from running elsewhere:
+    /// the last one that may move.
+    std::optional<waiting_request> next_to_move()
+    {
+        return this->brief.pop_last_movable();
+    }
+
     /// Requests that wait.
     std::size_t size() const
     {
@@ -59,7 +69,8 @@
     }
 
     /// Expected wait of a brief request of the flow that came in now.
-    duration expected_wait(std::uint32_t flow, slot_pool const& pool) const;
+    duration expected_wait(std::uint32_t flow, slot_pool const& pool,
+                           instant now) const;
 
 private:
     admission_verdict offer_brief(waiting_request const& request,
@@ -69,6 +80,7 @@
     duration longest_wait(instant now) const;
     refuse refusal(refusal_reason reason, duration too_long) const;
     bool may_start(config::work_length length, slot_pool const& pool) const;
+    bool long_is_next(slot_pool const& pool) const;
     void note_length(instant now);
 
     admission_queue_settings settings;
--- a/bilberrylead/policy/fair_queue.cpp
+++ b/bilberrylead/policy/fair_queue.cpp
@@ -7,7 +7,8 @@
 {
 
 fair_queue::fair_queue(fair_queue_settings const& settings)
-    : capacity(settings.capacity), rows(settings.by_flow ? settings.rows : 1)
+    : capacity(settings.capacity), by_flow(settings.by_flow),
+      rows(settings.rows)
 {
     assert(settings.capacity > 0 && settings.rows > 0);
     this->heap.reserve(settings.capacity);
@@ -32,23 +33,27 @@
     return this->rows[flow % this->rows.size()];
 }
 
-std::uint64_t fair_queue::next_turn(std::uint32_t flow) const
+instant fair_queue::next_turn(std::uint32_t flow, instant now,
+                              duration turn_time) const
 {
-    // A flow that was away does not save up turns: it starts at the turn
-    // being served, or it could hold up everybody when it comes back.
+    // A flow that was away does not save up turns, or it could hold up
+    // everybody when it comes back.
     row const& own = this->row_of(flow);
-    return std::max(this->turn_served,
-                    own.waiting > 0 ? own.last_turn + 1 : own.last_turn);
+    if (!this->by_flow || own.waiting == 0)
+    {
+        return now;
+    }
+    return std::max(now, own.last_turn + turn_time * this->busy_rows);
 }
 
-bool fair_queue::push(waiting_request const& request)
+bool fair_queue::push(waiting_request const& request, duration turn_time)
 {
     if (this->heap.size() == this->capacity)
     {
         return false;
     }
     row& own = this->row_of(request.flow);
-    own.last_turn = this->next_turn(request.flow);
+    own.last_turn = this->next_turn(request.flow, request.arrived, turn_time);
     if (own.waiting++ == 0)
     {
         ++this->busy_rows;
@@ -70,7 +75,6 @@
         return std::nullopt;
     }
     std::pop_heap(this->heap.begin(), this->heap.end(), later);
-    this->turn_served = std::max(this->turn_served, this->heap.back().turn);
     return this->take(this->heap.size() - 1);
 }
 
@@ -116,14 +120,37 @@
     return std::nullopt;
 }
 
+std::optional<waiting_request> fair_queue::pop_last_movable()
+{
+    std::size_t last = this->heap.size();
+    for (std::size_t index = 0; index < this->heap.size(); ++index)
+    {
+        if (!this->heap[index].request.may_move)
+        {
+            continue;
+        }
+        if (last == this->heap.size() ||
+            later(this->heap[index], this->heap[last]))
+        {
+            last = index;
+        }
+    }
+    if (last == this->heap.size())
+    {
+        return std::nullopt;
+    }
+    return this->take(last);
+}
+
 std::uint32_t fair_queue::size_of(std::uint32_t flow) const
 {
     return this->row_of(flow).waiting;
 }
 
-std::size_t fair_queue::ahead_of(std::uint32_t flow) const
+std::size_t fair_queue::ahead_of(std::uint32_t flow, instant now,
+                                 duration turn_time) const
 {
-    std::uint64_t const turn = this->next_turn(flow);
+    instant const turn = this->next_turn(flow, now, turn_time);
     return static_cast<std::size_t>(std::count_if(this->heap.begin(),
                                                   this->heap.end(),
                                                   [turn](entry const& other)
@@ -132,17 +159,4 @@
                                                   }));
 }
 
-std::optional<instant> fair_queue::oldest() const
-{
-    std::optional<instant> earliest;
-    for (entry const& waiting : this->heap)
-    {
-        if (!earliest.has_value() || waiting.request.arrived < *earliest)
-        {
-            earliest = waiting.request.arrived;
-        }
-    }
-    return earliest;
-}
-
 } // namespace bilberrylead::policy
--- a/bilberrylead/policy/fair_queue.hpp
+++ b/bilberrylead/policy/fair_queue.hpp
@@ -12,18 +12,22 @@
 namespace bilberrylead::policy
 {
 
-/// Waiting requests, callers served in turn (start-time fair queueing).
+/// Waiting requests, callers served in turn.
 ///
 /// Load it answers: a few callers that send most of the requests. In first
 /// come, first served order their backlog is everybody's wait: one payroll
 /// bureau's batch and every other caller's look-up takes as long as the
-/// batch. Here a request's turn is its flow's last turn plus one, but never
-/// earlier than the turn being served, so a caller with nothing waiting is
-/// next, and callers who all have one request waiting are served in order
-/// of arrival. Flows are caller hashes in a fixed table: memory does not
-/// grow with callers, and two callers who share a row share one turn.
+/// batch. Here a request's turn is the time it came, but at least one round
+/// (a turn for each flow that waits) after the turn before it of the same
+/// flow. So a caller with one request is served in order of arrival, and a
+/// caller with many gets one in each round. Turns are times and not counts:
+/// with counts, requests of new callers would come before a second request
+/// of a known one for ever, and it would starve (seen as a p99.9 of twice
+/// the first come, first served order's).
 ///
-/// All memory is taken at construction.
+/// Flows are caller hashes in a fixed table: memory does not grow with
+/// callers, and two callers who share a row share one turn. All memory is
+/// taken at construction.
 class fair_queue
 {
 public:
@@ -31,7 +35,8 @@
     explicit fair_queue(fair_queue_settings const& settings = {});
 
     /// Adds a request; false, and nothing changes, if the queue is full.
-    bool push(waiting_request const& request);
+    /// `turn_time` is the time between two slots that come free.
+    bool push(waiting_request const& request, duration turn_time);
 
     /// The request whose turn is next, or nullptr.
     waiting_request const* peek() const;
@@ -45,6 +50,10 @@
     /// Takes out one request whose deadline is before `limit`, if any.
     std::optional<waiting_request> pop_late(instant limit);
 
+    /// Takes out the request whose turn is last among those that may move,
+    /// if any.
+    std::optional<waiting_request> pop_last_movable();
+
     /// Requests that wait.
     std::size_t size() const
     {
@@ -62,35 +71,34 @@
 
     /// How many of those that wait would be served before a new request of
     /// the flow.
-    std::size_t ahead_of(std::uint32_t flow) const;
-
-    /// When the earliest of those that wait came in, or nothing.
-    std::optional<instant> oldest() const;
+    std::size_t ahead_of(std::uint32_t flow, instant now,
+                         duration turn_time) const;
 
 private:
     struct entry
     {
-        std::uint64_t turn = 0;
+        instant turn;
         std::uint64_t order = 0;
         waiting_request request;
     };
 
     struct row
     {
-        std::uint64_t last_turn = 0;
+        instant last_turn;
         std::uint32_t waiting = 0;
     };
 
     static bool later(entry const& left, entry const& right);
     row& row_of(std::uint32_t flow);
     row const& row_of(std::uint32_t flow) const;
-    std::uint64_t next_turn(std::uint32_t flow) const;
+    instant next_turn(std::uint32_t flow, instant now,
+                      duration turn_time) const;
     waiting_request take(std::size_t index);
 
     std::size_t capacity;
+    bool by_flow;
     std::vector<entry> heap;
     std::vector<row> rows;
-    std::uint64_t turn_served = 0;
     std::uint64_t orders = 0;
     std::uint32_t busy_rows = 0;
 };
--- a/bilberrylead/policy/fair_queue_settings.hpp
+++ b/bilberrylead/policy/fair_queue_settings.hpp
@@ -13,9 +13,9 @@
     /// time; this only bounds memory, and 1024 is more than any deadline
     /// leaves room for in front of one zone's slots.
     std::size_t capacity = 1024;
-    /// Rows of the flow table; at least 1. With 256 rows a light caller
-    /// shares a row with one of four heavy ones in under 2 % of cases.
-    std::size_t rows = 256;
+    /// Rows of the flow table; at least 1. With 1024 rows a light caller
+    /// shares a row with one of ten heavy ones in under 1 % of cases.
+    std::size_t rows = 1024;
     /// False serves in order of arrival (for comparison).
     bool by_flow = true;
 };
--- /dev/null
+++ b/bilberrylead/policy/slot_owner.cpp
@@ -0,0 +1,305 @@
+#include "bilberrylead/policy/slot_owner.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bilberrylead::policy
+{
+
+namespace
+{
+
+using config::work_length;
+
+/// Wait behind `turns` requests in front of `slots`.
+duration wait_behind(std::size_t turns, duration held, std::uint32_t slots)
+{
+    return duration(held.count() * static_cast<std::int64_t>(turns) /
+                    std::max(1U, slots));
+}
+
+} // namespace
+
+slot_owner::slot_owner(std::vector<std::uint32_t> const& slots,
+                       std::vector<neighbour_zone> const& zones,
+                       slot_owner_settings const& settings)
+    : settings(settings), table(slots, settings.slots),
+      queue(settings.admission), zones(zones)
+{
+    this->effects.reserve(settings.admission.queue.capacity);
+}
+
+std::vector<slot_owner_effect> const&
+slot_owner::reduce(slot_owner_event const& event, instant now)
+{
+    this->effects.clear();
+    this->table.expire(now);
+    std::visit(
+        [this, now](auto const& what)
+        {
+            this->on(what, now);
+        },
+        event);
+    this->serve(now);
+    this->give_up(now);
+    return this->effects;
+}
+
+zone_load_reported slot_owner::load(instant now) const
+{
+    zone_load_reported report;
+    report.usable = this->table.pool().usable;
+    report.expected_wait = this->expected_wait(0, now);
+    return report;
+}
+
+bool slot_owner::grants_slots(instant now) const
+{
+    bool const settled = this->reports_missing == 0 || now >= this->settled_at;
+    return this->epoch > 0 && now < this->owner_until && settled;
+}
+
+void slot_owner::on(slot_asked const& event, instant now)
+{
+    this->table.renew(event.host, now + this->settings.grant_lifetime);
+    waiting_request request;
+    request.ticket = event.ticket;
+    request.flow = event.flow;
+    request.arrived = now;
+    request.deadline = now + event.time_left;
+    request.length = event.length;
+    request.host = event.host;
+    request.may_move = event.may_move;
+
+    // Elsewhere first: a request that moves at once has lost nothing yet.
+    if (request.may_move && request.length == work_length::brief)
+    {
+        std::optional<std::uint32_t> const zone = this->better_zone(
+            this->expected_wait(event.flow, now), event.time_left, now);
+        if (zone.has_value())
+        {
+            this->move(request, *zone);
+            return;
+        }
+    }
+
+    slot_pool pool = this->table.pool();
+    pool.free = this->grants_slots(now) ? pool.free : 0;
+    admission_verdict const verdict = this->queue.offer(request, pool, now);
+    if (std::holds_alternative<admit>(verdict))
+    {
+        bool const granted = this->try_grant(request, now);
+        assert(granted);
+        static_cast<void>(granted);
+    }
+    else if (std::holds_alternative<refuse>(verdict))
+    {
+        this->refuse_request(request, std::get<refuse>(verdict));
+    }
+}
+
+void slot_owner::on(slot_released const& event, instant now)
+{
+    this->table.renew(event.host, now + this->settings.grant_lifetime);
+    this->table.release(event.grant, event.service_time, now);
+}
+
+void slot_owner::on(ask_cancelled const& event, instant /*now*/)
+{
+    this->queue.cancel(event.ticket);
+}
+
+void slot_owner::on(host_heard const& event, instant now)
+{
+    this->table.renew(event.host, now + this->settings.grant_lifetime);
+}
+
+void slot_owner::on(ownership_started const& event, instant now)
+{
+    assert(event.epoch > this->epoch);
+    this->epoch = event.epoch;
+    this->owner_until = event.until;
+    this->settled_at = now + event.settle;
+    this->reports_missing = event.hosts_to_report;
+}
+
+void slot_owner::on(ownership_renewed const& event, instant now)
+{
+    // A lease that ran out is not taken up again: another owner may have
+    // granted slots since. It takes a new epoch.
+    if (now < this->owner_until)
+    {
+        this->owner_until = std::max(this->owner_until, event.until);
+    }
+}
+
+void slot_owner::on(grant_reported const& event, instant now)
+{
+    if (event.held.id != 0)
+    {
+        slot_grant held = event.held;
+        held.expires = now + this->settings.grant_lifetime;
+        held.slot_was_free = false;
+        this->table.adopt(held, now);
+    }
+    if (event.complete && this->reports_missing > 0)
+    {
+        --this->reports_missing;
+    }
+}
+
+void slot_owner::on(zone_load_reported const& event, instant now)
+{
+    neighbour_zone& zone = this->zones.at(event.zone);
+    zone.usable = event.usable;
+    zone.expected_wait = event.expected_wait;
+    zone.seen_at = now;
+    zone.moved_since = 0;
+    this->move_waiting(now);
+}
+
+void slot_owner::on(usable_changed const& event, instant /*now*/)
+{
+    this->table.set_usable(event.upstream, event.usable);
+}
+
+void slot_owner::on(time_passed const& /*event*/, instant now)
+{
+    this->move_waiting(now);
+}
+
+duration slot_owner::expected_wait(std::uint32_t flow, instant now) const
+{
+    slot_pool pool = this->table.pool();
+    if (pool.usable == 0)
+    {
+        return this->settings.admission.burst_wait;
+    }
+    if (this->table.free_slots() > 0 && this->queue.brief_waiting() == 0)
+    {
+        return duration{};
+    }
+    // What was sent ahead waits too, only somewhere else.
+    pool.free = 0;
+    return wait_behind(this->table.ahead(), pool.brief_time, pool.usable) +
+           this->queue.expected_wait(flow, pool, now);
+}
+
+std::optional<std::uint32_t> slot_owner::better_zone(duration wait_here,
+                                                     duration time_left,
+                                                     instant now) const
+{
+    if (!this->settings.moves)
+    {
+        return std::nullopt;
+    }
+    std::optional<std::uint32_t> best;
+    duration shortest = wait_here - this->settings.move_margin;
+    for (std::uint32_t index = 0; index < this->zones.size(); ++index)
+    {
+        neighbour_zone const& zone = this->zones[index];
+        bool const known = zone.usable > 0 &&
+                           now - zone.seen_at < this->settings.load_lifetime;
+        if (!known)
+        {
+            continue;
+        }
+        // What was moved there since its report is in front of this one.
+        duration const there =
+            2 * zone.distance + zone.expected_wait +
+            wait_behind(zone.moved_since, this->table.mean_time(), zone.usable);
+        if (there < shortest && there < time_left)
+        {
+            best = index;
+            shortest = there;
+        }
+    }
+    return best;
+}
+
+bool slot_owner::try_grant(waiting_request const& request, instant now)
+{
+    std::optional<std::uint32_t> const upstream = this->table.pick(
+        this->expected_wait(request.flow, now), request.deadline - now, now);
+    if (!upstream.has_value())
+    {
+        return false;
+    }
+    slot_grant const& given =
+        this->table.grant(*upstream, request.host, request.length,
+                          now + this->settings.grant_lifetime, now);
+    this->effects.push_back(slot_granted{request.host, request.ticket,
+                                         *upstream, given.id, this->epoch,
+                                         this->settings.grant_lifetime});
+    return true;
+}
+
+void slot_owner::serve(instant now)
+{
+    if (!this->grants_slots(now))
+    {
+        return;
+    }
+    while (this->queue.size() > 0)
+    {
+        // Also a slow upstream's slot may be worth it for who waits longest,
+        // and pool() counts only the fast ones as free.
+        slot_pool pool = this->table.pool();
+        pool.free = std::max(pool.free, 1U);
+        waiting_request const* const request = this->queue.peek(pool);
+        if (request == nullptr || !this->try_grant(*request, now))
+        {
+            return;
+        }
+        this->queue.next(pool, now);
+    }
+}
+
+void slot_owner::give_up(instant now)
+{
+    slot_pool const pool = this->table.pool();
+    for (std::optional<waiting_request> late =
+             this->queue.next_expired(pool, now);
+         late.has_value(); late = this->queue.next_expired(pool, now))
+    {
+        this->refuse_request(*late,
+                             refuse{refusal_reason::deadline_passed,
+                                    this->expected_wait(late->flow, now)});
+    }
+}
+
+void slot_owner::move_waiting(instant now)
+{
+    while (this->queue.brief_waiting() > 0)
+    {
+        // The last one gains most; if it does not gain, nobody does.
+        std::optional<std::uint32_t> const zone =
+            this->better_zone(this->expected_wait(0, now),
+                              this->settings.admission.burst_wait, now);
+        if (!zone.has_value())
+        {
+            return;
+        }
+        std::optional<waiting_request> const request =
+            this->queue.next_to_move();
+        if (!request.has_value())
+        {
+            return;
+        }
+        this->move(*request, *zone);
+    }
+}
+
+void slot_owner::move(waiting_request const& request, std::uint32_t zone)
+{
+    ++this->zones[zone].moved_since;
+    this->effects.push_back(request_moved{request.host, request.ticket, zone});
+}
+
+void slot_owner::refuse_request(waiting_request const& request,
+                                refuse const& why)
+{
+    this->effects.push_back(slot_refused{request.host, request.ticket, why});
+}
+
+} // namespace bilberrylead::policy
--- /dev/null
+++ b/bilberrylead/policy/slot_owner.hpp
@@ -0,0 +1,99 @@
+#ifndef BILBERRYLEAD_POLICY_SLOT_OWNER_HPP
+#define BILBERRYLEAD_POLICY_SLOT_OWNER_HPP
+
+#include "bilberrylead/policy/admission_queue.hpp"
+#include "bilberrylead/policy/neighbour_zone.hpp"
+#include "bilberrylead/policy/slot_owner_effect.hpp"
+#include "bilberrylead/policy/slot_owner_event.hpp"
+#include "bilberrylead/policy/slot_owner_settings.hpp"
+#include "bilberrylead/policy/slot_table.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::policy
+{
+
+/// Owner of all slots of one service's upstreams in one zone, and of the
+/// wait in front of them. One entry host of the zone is the owner, by lease.
+///
+/// Load it answers: upstreams with three slots that ten entry hosts use
+/// without seeing each other. Each of them alone either overfills an
+/// upstream or leaves slots empty. With one owner a request waits in front
+/// of all the slots of its zone and gets the first that comes free; a
+/// request that would wait longer here than there and back to another zone
+/// moves.
+///
+/// A slot granted twice is an overload, and owners vanish. So a grant ends
+/// by the owner's clock later than by the clock of the host that holds it
+/// (the host counts from when it sent its ask); an owner whose lease ran
+/// out grants nothing, however long it was frozen; and a new owner grants
+/// nothing until every host has said what it holds, or until the longest
+/// grant of the former owner has ended.
+class slot_owner
+{
+public:
+    /// Makes an owner of upstreams with these slots, without ownership yet.
+    slot_owner(std::vector<std::uint32_t> const& slots,
+               std::vector<neighbour_zone> const& zones,
+               slot_owner_settings const& settings = {});
+
+    /// Takes one event. What it returns is valid until the next call.
+    std::vector<slot_owner_effect> const& reduce(slot_owner_event const& event,
+                                                 instant now);
+
+    /// What this zone tells the others now.
+    zone_load_reported load(instant now) const;
+
+    /// True if it may grant slots now.
+    bool grants_slots(instant now) const;
+
+    /// Requests that wait.
+    std::size_t waiting() const
+    {
+        return this->queue.size();
+    }
+
+    /// The slots.
+    slot_table const& slots() const
+    {
+        return this->table;
+    }
+
+private:
+    void on(slot_asked const& event, instant now);
+    void on(slot_released const& event, instant now);
+    void on(ask_cancelled const& event, instant now);
+    void on(host_heard const& event, instant now);
+    void on(ownership_started const& event, instant now);
+    void on(ownership_renewed const& event, instant now);
+    void on(grant_reported const& event, instant now);
+    void on(zone_load_reported const& event, instant now);
+    void on(usable_changed const& event, instant now);
+    void on(time_passed const& event, instant now);
+
+    duration expected_wait(std::uint32_t flow, instant now) const;
+    std::optional<std::uint32_t>
+    better_zone(duration wait_here, duration time_left, instant now) const;
+    bool try_grant(waiting_request const& request, instant now);
+    void serve(instant now);
+    void give_up(instant now);
+    void move_waiting(instant now);
+    void move(waiting_request const& request, std::uint32_t zone);
+    void refuse_request(waiting_request const& request, refuse const& why);
+
+    slot_owner_settings settings;
+    slot_table table;
+    admission_queue queue;
+    std::vector<neighbour_zone> zones;
+    std::vector<slot_owner_effect> effects;
+    std::uint64_t epoch = 0;
+    instant owner_until;
+    instant settled_at;
+    std::uint32_t reports_missing = 0;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/bilberrylead/policy/waiting_request.hpp
+++ b/bilberrylead/policy/waiting_request.hpp
@@ -23,6 +23,12 @@
     instant deadline;
     /// What it costs an upstream.
     config::work_length length = config::work_length::brief;
+    /// The entry host that asks, by its place in the configuration.
+    std::uint32_t host = 0;
+    /// True if it may still be sent to another zone. A moved request stays
+    /// where it went: two zones that each think the other idle would pass
+    /// it back and forth until its deadline.
+    bool may_move = true;
 };
 
 } // namespace bilberrylead::policy
