--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	./performance/bench.sh build/bin
 
 slopes: build
-	build/bin/slopes
+	./performance/slopes.sh build/bin
 
 lint: build
 	./cmake/lint.sh
