Callers' contract under bad input and failing upstreams

Found by the new tests, each failing first: - A large body with a known length reached the upstream without any frame: Beast's chunked(false) removes Content-Length too. What was seen: an answer of 4 bytes where 5,242,884 were due. Ruled out by a print: the pieces are read in full. Now the length stays untouched. - A request whose only upstream answered with another's id, or fell silent, was given up on although a new connection works: tried upstreams were left out for good. Now they are asked last.

--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -218,15 +218,12 @@
 bool entry_reducer::may_be_served_later(live_request const& request) const
 {
     std::vector<config::upstream const*> const all = this->reachable(request);
-    return std::any_of(
-        all.begin(), all.end(),
-        [this, &request](config::upstream const* upstream)
-        {
-            bool const tried =
-                std::find(request.tried.begin(), request.tried.end(),
-                          upstream->id) != request.tried.end();
-            return !tried && this->upstreams.takes_work(*upstream, this->now);
-        });
+    return std::any_of(all.begin(), all.end(),
+                       [this](config::upstream const* upstream)
+                       {
+                           return this->upstreams.takes_work(*upstream,
+                                                             this->now);
+                       });
 }
 
 void entry_reducer::serve_waiting(service_id const& service)
--- a/bilberrylead/entry/routing_table.cpp
+++ b/bilberrylead/entry/routing_table.cpp
@@ -146,13 +146,14 @@
                                      : duration::zero();
         order.push_back({distance, latency, &host});
     }
-    std::stable_sort(
-        order.begin(), order.end(),
-        [](ranked const& one, ranked const& other)
-        {
-            return std::tuple(one.distance, one.latency, other.host->weight) <
-                   std::tuple(other.distance, other.latency, one.host->weight);
-        });
+    std::sort(order.begin(), order.end(),
+              [](ranked const& one, ranked const& other)
+              {
+                  return std::tie(one.distance, one.latency, other.host->weight,
+                                  one.host->id) <
+                         std::tie(other.distance, other.latency,
+                                  one.host->weight, other.host->id);
+              });
     std::vector<config::entry_host const*> hosts;
     hosts.reserve(order.size());
     for (ranked const& row : order)
--- a/bilberrylead/entry/upstream_table.cpp
+++ b/bilberrylead/entry/upstream_table.cpp
@@ -50,13 +50,26 @@
 config::upstream const*
 upstream_table::choose(std::vector<config::upstream const*> const& reachable,
                        std::vector<upstream_id> const& tried, instant now)
+{
+    config::upstream const* untried = this->choose_among(reachable, tried, now);
+    // Once all were tried, one of them may have room by now, or take a new
+    // connection where the old one was dead.
+    static std::vector<upstream_id> const none;
+    return untried != nullptr || tried.empty()
+               ? untried
+               : this->choose_among(reachable, none, now);
+}
+
+config::upstream const* upstream_table::choose_among(
+    std::vector<config::upstream const*> const& reachable,
+    std::vector<upstream_id> const& left_out, instant now)
 {
     this->candidates.clear();
     this->offered.clear();
     for (config::upstream const* upstream : reachable)
     {
-        bool const was_tried =
-            std::find(tried.begin(), tried.end(), upstream->id) != tried.end();
+        bool const was_tried = std::find(left_out.begin(), left_out.end(),
+                                         upstream->id) != left_out.end();
         if (was_tried || !this->takes_work(*upstream, now))
         {
             continue;
--- a/bilberrylead/entry/upstream_table.hpp
+++ b/bilberrylead/entry/upstream_table.hpp
@@ -39,8 +39,8 @@
     /// True if it may get new work as far as is known here.
     bool takes_work(config::upstream const& upstream, instant now) const;
 
-    /// Picks an upstream that the caller reaches, takes work and is not
-    /// among `tried`; null if there is none with a free slot.
+    /// Picks an upstream that the caller reaches and that takes work, one
+    /// that is not among `tried` if there is any; null if none has a slot.
     config::upstream const*
     choose(std::vector<config::upstream const*> const& reachable,
            std::vector<upstream_id> const& tried, instant now);
@@ -59,6 +59,10 @@
         instant leaving_until{};
     };
 
+    config::upstream const*
+    choose_among(std::vector<config::upstream const*> const& reachable,
+                 std::vector<upstream_id> const& left_out, instant now);
+
     zone_id zone;
     std::size_t taken = 0;
     std::unordered_map<upstream_id, upstream_state> states;
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -22,7 +22,6 @@
 namespace
 {
 
-using beast::http::field;
 using beast::http::status;
 
 constexpr std::size_t linger_piece = 4096;
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -155,7 +155,12 @@
 {
     if (!carried.complete)
     {
-        carried.message.chunked(!this->parser->content_length().has_value());
+        // A length that is known stays as it came; naming the coding, even
+        // to switch it off, would remove it and leave a body without frame.
+        if (!this->parser->content_length().has_value())
+        {
+            carried.message.chunked(true);
+        }
         return;
     }
     if (!carried.kept.empty() || carried.message.count(field::content_length))
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -29,7 +29,8 @@
 struct caller_server::implementation
     : std::enable_shared_from_this<caller_server::implementation>
 {
-    implementation(executor place, server_settings chosen, outside_sink outside)
+    implementation(executor const& place, server_settings chosen,
+                   outside_sink outside)
         : core(std::make_shared<server_core>(place, std::move(chosen),
                                              std::move(outside))),
           acceptor(place), pause(place)
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-server_core::server_core(executor place, server_settings settings,
+server_core::server_core(executor const& place, server_settings settings,
                          outside_sink sink)
     : where(place), chosen(std::move(settings)), outside(std::move(sink)),
       reducer(this->chosen.entry), pool(this->chosen.pool, this->counted),
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -32,7 +32,8 @@
     using outside_sink = std::function<void(entry::effect const&)>;
 
     /// Prepares a core that has nothing to do yet.
-    server_core(executor place, server_settings chosen, outside_sink sink);
+    server_core(executor const& place, server_settings chosen,
+                outside_sink sink);
 
     /// Starts the clock. Call once.
     void begin();
--- a/bilberrylead/http/upstream_connection.hpp
+++ b/bilberrylead/http/upstream_connection.hpp
@@ -12,7 +12,7 @@
 struct upstream_connection
 {
     /// Makes one that is not connected yet.
-    upstream_connection(executor where, config::endpoint peer)
+    upstream_connection(executor const& where, config::endpoint peer)
         : socket(where), upstream(std::move(peer))
     {
     }
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-upstream_exchange::upstream_exchange(executor place, upstream_pool& kept,
+upstream_exchange::upstream_exchange(executor const& place, upstream_pool& kept,
                                      event_sink const& sink,
                                      std::shared_ptr<carried_request> carried,
                                      entry::start_upstream started)
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -29,7 +29,7 @@
 {
 public:
     /// Prepares an exchange; `pool` and `report` must outlive it.
-    upstream_exchange(executor where, upstream_pool& pool,
+    upstream_exchange(executor const& place, upstream_pool& pool,
                       event_sink const& report,
                       std::shared_ptr<carried_request> request,
                       entry::start_upstream order);
--- a/bilberrylead/http/wake_signal.hpp
+++ b/bilberrylead/http/wake_signal.hpp
@@ -12,7 +12,7 @@
 {
 public:
     /// Makes a signal nobody has raised.
-    explicit wake_signal(executor where) : timer(where)
+    explicit wake_signal(executor const& where) : timer(where)
     {
     }
 
--- a/tests/unit/entry/entry_reducer_test.cpp
+++ b/tests/unit/entry/entry_reducer_test.cpp
@@ -101,9 +101,14 @@
 {
     driven_entry entry;
     entry.arrive(1, "post");
+    std::uint32_t const attempts = entry.reducer.settings().attempts;
+    for (std::uint32_t each = 1; each < attempts; ++each)
+    {
+        entry.fail(1, exchange_phase::not_sent);
+        cr_assert(entry.says<start_upstream>());
+    }
     entry.fail(1, exchange_phase::not_sent);
-    cr_assert(entry.says<start_upstream>());
-    entry.fail(1, exchange_phase::not_sent);
+    cr_assert_not(entry.says<start_upstream>());
     cr_assert(entry.says<answer_not_run>());
 }
 
--- a/tests/unit/entry/guarded_request_test.cpp
+++ b/tests/unit/entry/guarded_request_test.cpp
@@ -118,8 +118,10 @@
 Test(guarded_request, grant_that_was_never_sent_releases_its_claim)
 {
     sent_grant entry;
-    entry.fail(1, exchange_phase::not_sent);
-    entry.fail(1, exchange_phase::not_sent);
+    while (!entry.says<answer_not_run>())
+    {
+        entry.fail(1, exchange_phase::not_sent);
+    }
     cr_assert(entry.says<report_release>());
     cr_assert(entry.says<answer_not_run>());
 }
--- /dev/null
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -0,0 +1,278 @@
+#include "tests/unit/http/http_fixture.hpp"
+
+using namespace bilberrylead;
+using namespace bilberrylead::http;
+
+namespace
+{
+
+std::string whole(std::string const& body, std::string const& headers = {})
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n" + headers + "\r\n" + body;
+}
+
+void not_repeatable(config::service& service)
+{
+    service.idempotent = false;
+}
+
+std::string outcome_of(std::optional<answer_text> const& answer)
+{
+    return answer ? std::string((*answer)["Bilberry-Outcome"]) : "cut";
+}
+
+} // namespace
+
+Test(upstream_failure, answer_that_names_another_request_never_reaches_caller)
+{
+    // Something between the two ends mixes up answers: the first one that
+    // comes belongs to another request. The caller must get its own.
+    fake_upstream upstream(
+        [](wire& connection, int place)
+        {
+            if (place == 0)
+            {
+                connection.request();
+                connection.send(
+                    whole("other", "Bilberry-Request-Id: entry-999\r\n"));
+                return;
+            }
+            echo(connection);
+        });
+    running_server entry;
+    entry.configure({upstream.port()});
+    std::optional<answer_text> const answer = entry.ask(get("/s/own"));
+    cr_assert(answer.has_value());
+    cr_assert_eq(answer->body(), "/s/own");
+}
+
+Test(upstream_failure, late_second_answer_never_meets_the_next_request)
+{
+    // The upstream answers one request twice, the second time after the
+    // first answer was passed on. The next request on that connection would
+    // get the stale answer; so the connection must not be used again.
+    std::promise<void> stale_sent;
+    fake_upstream upstream(
+        [&stale_sent](wire& connection, int place)
+        {
+            if (place == 0)
+            {
+                connection.request();
+                connection.send(whole("first"));
+                connection.send(whole("stale"));
+                stale_sent.set_value();
+                connection.closed();
+                return;
+            }
+            echo(connection);
+        });
+    running_server entry;
+    entry.configure({upstream.port()});
+    cr_assert_eq(entry.ask(get("/s/1"))->body(), "first");
+    stale_sent.get_future().wait();
+    cr_assert_eq(entry.ask(get("/s/2"))->body(), "/s/2");
+}
+
+Test(upstream_failure, caller_that_leaves_cancels_its_work_at_the_upstream)
+{
+    std::promise<void> running;
+    std::promise<void> cancelled;
+    fake_upstream upstream(
+        [&running, &cancelled](wire& connection, int)
+        {
+            connection.request();
+            running.set_value();
+            connection.closed();
+            cancelled.set_value();
+        });
+    running_server entry;
+    entry.configure({upstream.port()});
+    {
+        wire caller = entry.connect();
+        caller.send(get("/s/1"));
+        running.get_future().wait();
+    }
+    cancelled.get_future().wait();
+}
+
+Test(upstream_failure, silent_connection_is_given_up_and_siblings_are_closed)
+{
+    // Two kept connections go silent for good while new ones work. The next
+    // caller's request goes into one of them; half its deadline later it is
+    // tried on a new connection and answered, and the other silent one is
+    // closed before it can swallow anybody's request.
+    std::mutex mutex;
+    std::condition_variable both;
+    int arrived = 0;
+    fake_upstream upstream(
+        [&mutex, &both, &arrived](wire& connection, int place)
+        {
+            if (place >= 2)
+            {
+                echo(connection);
+                return;
+            }
+            connection.request();
+            {
+                std::unique_lock lock(mutex);
+                ++arrived;
+                both.notify_all();
+                both.wait(lock,
+                          [&arrived]
+                          {
+                              return arrived == 2;
+                          });
+            }
+            connection.send(whole("kept"));
+            connection.closed();
+        });
+    running_server entry;
+    entry.configure({upstream.port()});
+    wire first = entry.connect();
+    wire second = entry.connect();
+    first.send(get("/s/1"));
+    second.send(get("/s/2"));
+    cr_assert_eq(first.answer()->body(), "kept");
+    cr_assert_eq(second.answer()->body(), "kept");
+    std::optional<answer_text> const answer =
+        entry.ask(get("/s/3", "Bilberry-Deadline-Ms: 2000\r\n"));
+    cr_assert_eq(answer->body(), "/s/3");
+    entry.call(
+        [&entry]
+        {
+            cr_assert_eq(
+                entry.server->connection_counters().upstream_suspects_closed,
+                1);
+        });
+}
+
+Test(upstream_failure, truncated_answer_is_seen_as_truncated)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            connection.request();
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nab");
+        });
+    running_server entry;
+    entry.configure({upstream.port()});
+    cr_assert_not(entry.ask(get("/s/1")).has_value());
+}
+
+Test(upstream_failure, download_that_falls_silent_is_cut_after_its_timeout)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            connection.request();
+            connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n2\r\nab\r\n");
+            connection.closed();
+        });
+    running_server entry;
+    entry.configure({upstream.port()},
+                    [](config::service& service)
+                    {
+                        service.progress_timeout = 100ms;
+                    });
+    cr_assert_not(entry.ask(get("/s/1")).has_value());
+}
+
+Test(upstream_failure, post_that_upstream_turned_away_runs_once_elsewhere)
+{
+    // The first upstream sheds the post and says that it was not run; so it
+    // may go to the second one, and runs there once.
+    fake_upstream shedding(
+        [](wire& connection, int)
+        {
+            while (connection.request())
+            {
+                connection.send("HTTP/1.1 503 Busy\r\nBilberry-Not-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n");
+            }
+        });
+    fake_upstream running(
+        [](wire& connection, int)
+        {
+            echo(connection);
+        });
+    running_server entry;
+    entry.configure({shedding.port(), running.port()}, not_repeatable);
+    for (int each = 0; each < 4; ++each)
+    {
+        std::optional<answer_text> const answer =
+            entry.ask(post("/s/p", "body"));
+        cr_assert_eq(answer->result_int(), 200);
+        cr_assert_eq(answer->body(), "/s/pbody");
+    }
+}
+
+Test(upstream_failure, post_that_everybody_turns_away_is_not_run)
+{
+    fake_upstream shedding(
+        [](wire& connection, int)
+        {
+            while (connection.request())
+            {
+                connection.send("HTTP/1.1 503 Busy\r\nBilberry-Not-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n");
+            }
+        });
+    running_server entry;
+    entry.configure({shedding.port()}, not_repeatable);
+    std::optional<answer_text> const answer = entry.ask(post("/s/p", "body"));
+    cr_assert_eq(answer->result_int(), 503);
+    cr_assert_eq(outcome_of(answer), "not-run");
+    cr_assert_neq(std::string((*answer)["Retry-After"]), "");
+}
+
+Test(upstream_failure, post_whose_answer_is_lost_is_unknown_and_ran_once)
+{
+    // The upstream takes the post and its connection breaks. Nobody knows
+    // whether it ran, so it is not sent again, not even to the other one.
+    std::atomic<int> runs = 0;
+    std::function<void(wire&, int)> const breaking =
+        [&runs](wire& connection, int)
+    {
+        if (connection.request())
+        {
+            ++runs;
+        }
+    };
+    fake_upstream one(breaking);
+    fake_upstream other(breaking);
+    running_server entry;
+    entry.configure({one.port(), other.port()}, not_repeatable);
+    std::optional<answer_text> const answer = entry.ask(post("/s/p", "body"));
+    cr_assert_eq(answer->result_int(), 502);
+    cr_assert_eq(outcome_of(answer), "unknown");
+    cr_assert_eq(runs.load(), 1);
+}
+
+Test(upstream_failure, upstream_that_says_it_leaves_gets_no_further_work)
+{
+    std::atomic<int> late_work = 0;
+    fake_upstream leaving(
+        [&late_work](wire& connection, int)
+        {
+            while (connection.request())
+            {
+                ++late_work;
+                connection.send(whole(
+                    "left", "Connection: close\r\nBilberry-Leaving: 1\r\n"));
+            }
+        });
+    fake_upstream staying(
+        [](wire& connection, int)
+        {
+            echo(connection);
+        });
+    running_server entry;
+    entry.configure({leaving.port(), staying.port()});
+    for (int each = 0; each < 12; ++each)
+    {
+        cr_assert_eq(entry.ask(get("/s/1"))->result_int(), 200);
+    }
+    cr_assert_leq(late_work.load(), 1);
+}
