Tell owners only of the end of links they knew

Cause: an entry host that started before its control hosts was told that links were lost which it had never heard of, and ended by an exception.

--- a/bilberrylead/link/peer_callbacks.hpp
+++ b/bilberrylead/link/peer_callbacks.hpp
@@ -21,8 +21,11 @@
     std::function<void(link_number, peer_identity const&)> connected;
     /// A whole message came in.
     std::function<void(link_number, bytes)> received;
-    /// The link is gone; its number says nothing from now on.
+    /// A link that was open is gone; its number says nothing from now on.
     std::function<void(link_number)> disconnected;
+    /// A link ended before it was open: the peer could not be reached, or
+    /// either side turned the other away. May be left empty.
+    std::function<void()> refused;
 };
 
 } // namespace bilberrylead::link
--- a/bilberrylead/link/peer_node.cpp
+++ b/bilberrylead/link/peer_node.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace bilberrylead::link
@@ -65,6 +66,7 @@
     tcp::acceptor acceptor;
     link_number last_number = 0;
     std::map<link_number, std::shared_ptr<peer_session>> sessions;
+    std::set<link_number> open_links;
     std::map<config::endpoint, std::shared_ptr<dialled_address>> dialled;
 };
 
@@ -100,6 +102,7 @@
         {
             from->pause = this->settings.redial_pause;
         }
+        this->open_links.insert(number);
         this->callbacks.connected(number, identity);
     };
     owner.received = [this, number](bytes message)
@@ -128,7 +131,14 @@
     {
         return;
     }
-    this->callbacks.disconnected(number);
+    if (this->open_links.erase(number) > 0)
+    {
+        this->callbacks.disconnected(number);
+    }
+    else if (this->callbacks.refused)
+    {
+        this->callbacks.refused();
+    }
     if (!from || from->forgotten)
     {
         return;
