--- /dev/null
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -0,0 +1,201 @@
+#include "bilberrylead/daemon/entry_metrics.hpp"
+
+#include "bilberrylead/entry/entry_counters.hpp"
+#include "bilberrylead/entry/refusal_reason.hpp"
+#include "bilberrylead/http/caller_server.hpp"
+#include "bilberrylead/http/http_counters.hpp"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+#include <cstddef>
+#include <limits>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::daemon
+{
+
+namespace
+{
+
+using label = prometheus::ClientMetric::Label;
+using label_list = std::vector<label>;
+
+constexpr double milliseconds_per_second = 1000.0;
+
+/// Families are made anew from the counters at each collection: the
+/// counters are the truth, and the hot path never touches the registry.
+class family_builder
+{
+public:
+    void start(char const* name, char const* help, prometheus::MetricType type)
+    {
+        prometheus::MetricFamily family;
+        family.name = name;
+        family.help = help;
+        family.type = type;
+        this->families.push_back(std::move(family));
+    }
+
+    prometheus::ClientMetric& add(label_list labels = {})
+    {
+        prometheus::ClientMetric metric;
+        metric.label = std::move(labels);
+        this->families.back().metric.push_back(std::move(metric));
+        return this->families.back().metric.back();
+    }
+
+    void gauge(char const* name, char const* help, double value)
+    {
+        this->start(name, help, prometheus::MetricType::Gauge);
+        this->add().gauge.value = value;
+    }
+
+    void counter(char const* name, char const* help, std::uint64_t value)
+    {
+        this->start(name, help, prometheus::MetricType::Counter);
+        this->add().counter.value = static_cast<double>(value);
+    }
+
+    std::vector<prometheus::MetricFamily> families;
+};
+
+void add_requests(family_builder& builder,
+                  entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_requests_total",
+                  "Final answers by service and outcome.",
+                  prometheus::MetricType::Counter);
+    for (std::pair<service_id const, entry::service_counters> const& row :
+         counters.services)
+    {
+        std::pair<char const*, std::uint64_t> const outcomes[] = {
+            {"done", row.second.done},
+            {"not_run", row.second.not_run},
+            {"unknown", row.second.unknown},
+            {"problem", row.second.problems},
+            {"recorded", row.second.recorded},
+            {"caller_gone", row.second.callers_gone}};
+        for (std::pair<char const*, std::uint64_t> const& outcome : outcomes)
+        {
+            builder
+                .add(
+                    {{"service", row.first.text()}, {"outcome", outcome.first}})
+                .counter.value = static_cast<double>(outcome.second);
+        }
+    }
+}
+
+void add_latency(family_builder& builder, entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_request_seconds",
+                  "Time from a request's arrival to its answer's start, "
+                  "seconds.",
+                  prometheus::MetricType::Histogram);
+    for (std::pair<service_id const, entry::service_counters> const& row :
+         counters.services)
+    {
+        prometheus::ClientMetric& metric =
+            builder.add({{"service", row.first.text()}});
+        std::uint64_t seen = 0;
+        for (std::size_t bucket = 0; bucket < row.second.latency.size();
+             ++bucket)
+        {
+            seen += row.second.latency.at(bucket);
+            double bound = std::numeric_limits<double>::infinity();
+            if (bucket < entry::service_counters::bounds_ms.size())
+            {
+                bound = entry::service_counters::bounds_ms.at(bucket) /
+                        milliseconds_per_second;
+            }
+            metric.histogram.bucket.push_back({seen, bound});
+        }
+        metric.histogram.sample_count = seen;
+        metric.histogram.sample_sum =
+            std::chrono::duration<double>(row.second.latency_sum).count();
+    }
+}
+
+void add_refusals(family_builder& builder,
+                  entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_refusals_total",
+                  "Final answers that were not the upstream's, by reason.",
+                  prometheus::MetricType::Counter);
+    for (std::size_t reason = 0; reason < counters.refusals.size(); ++reason)
+    {
+        builder
+            .add({{"reason", std::string(to_string(
+                                 static_cast<entry::refusal_reason>(reason)))}})
+            .counter.value = static_cast<double>(counters.refusals.at(reason));
+    }
+}
+
+void add_connections(family_builder& builder,
+                     http::http_counters const& counters)
+{
+    builder.gauge("bilberry_entry_caller_connections",
+                  "Callers' connections open now.",
+                  static_cast<double>(counters.caller_connections));
+    builder.gauge("bilberry_entry_body_bytes", "Bytes of bodies held now.",
+                  static_cast<double>(counters.memory_in_use));
+    builder.counter("bilberry_entry_bad_requests_total",
+                    "Requests that were no valid HTTP, too large or too "
+                    "slow.",
+                    counters.bad_requests);
+    builder.counter("bilberry_entry_answers_cut_total",
+                    "Answers that broke off after they had begun.",
+                    counters.answers_cut);
+    builder.counter("bilberry_entry_upstream_connections_total",
+                    "Connections to upstreams that were opened.",
+                    counters.upstream_opened);
+    builder.counter("bilberry_entry_upstream_suspects_total",
+                    "Kept connections closed because a sibling fell silent.",
+                    counters.upstream_suspects_closed);
+    builder.counter("bilberry_entry_answers_of_others_total",
+                    "Answers that carried another request's id.",
+                    counters.answers_of_others);
+}
+
+} // namespace
+
+/// What turns families into text.
+struct entry_metrics::implementation
+{
+    prometheus::TextSerializer serializer;
+};
+
+entry_metrics::entry_metrics() : impl(std::make_unique<implementation>())
+{
+}
+
+entry_metrics::~entry_metrics() = default;
+
+std::string entry_metrics::text(http::caller_server const& server,
+                                bool control_reachable)
+{
+    entry::entry_counters const& counters = server.decision_counters();
+    family_builder builder;
+    builder.gauge("bilberry_entry_ready",
+                  "1 while callers are sent to this host.",
+                  server.ready() ? 1 : 0);
+    builder.gauge("bilberry_entry_revision", "Revision in force.",
+                  static_cast<double>(server.revision_in_force()));
+    builder.gauge("bilberry_entry_control_reachable",
+                  "1 while claims can be had.", control_reachable ? 1 : 0);
+    builder.gauge("bilberry_entry_slots_in_use",
+                  "Requests that hold an upstream's slot now.",
+                  static_cast<double>(counters.slots_in_use));
+    builder.gauge("bilberry_entry_waiting",
+                  "Requests that wait for a slot now.",
+                  static_cast<double>(counters.waiting));
+    add_requests(builder, counters);
+    add_latency(builder, counters);
+    add_refusals(builder, counters);
+    add_connections(builder, server.connection_counters());
+    return this->impl->serializer.Serialize(builder.families);
+}
+
+} // namespace bilberrylead::daemon
--- /dev/null
+++ b/programs/bilberry_entry/main.cpp
@@ -0,0 +1,12 @@
+#include "bilberrylead/daemon/entry_program.hpp"
+#include "bilberrylead/daemon/run_daemon.hpp"
+
+int main(int count, char const** values)
+{
+    return bilberrylead::daemon::run_daemon<
+        bilberrylead::daemon::entry_program>(
+        count, values,
+        "Entry host of bilberrylead: tells callers which entry hosts to use, "
+        "and carries their requests to upstreams.",
+        bilberrylead::config::parse_entry_settings);
+}
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -108,6 +108,7 @@
         {"wait-status", &scenario_steps::wait_status},
         {"pause", &scenario_steps::pause},
         {"expect", &scenario_steps::expect},
+        {"call", &scenario_steps::call_entry},
         {"report", &scenario_steps::report},
     };
     return steps;
@@ -410,6 +411,15 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(line.count(1)));
 }
 
+// call ENTRY TARGET expect STATUS: one request of a caller
+void scenario_steps::call_entry(scenario_line const& line)
+{
+    call_result const answer =
+        call(this->world.caller_port(line.word(1)), "GET", line.word(2));
+    this->need(fmt::to_string(answer.status) == line.after("expect"),
+               fmt::format("status {}: {}", answer.status, answer.body));
+}
+
 // expect LOAD.FIELD ==|>=|<= N | expect no-decrease
 void scenario_steps::expect(scenario_line const& line)
 {
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -62,6 +62,7 @@
     void wait_status(scenario_line const& line);
     void pause(scenario_line const& line);
     void expect(scenario_line const& line);
+    void call_entry(scenario_line const& line);
     void report(scenario_line const& line);
 
     std::string host_of(std::string const& word);
