--- a/bilberrylead/once/claim_record.hpp
+++ b/bilberrylead/once/claim_record.hpp
@@ -4,8 +4,11 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
+#include "bilberrylead/once/work_digest.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <utility>
 
 namespace bilberrylead::once
 {
@@ -24,7 +27,8 @@
     released,
 };
 
-/// What is known of one piece of work.
+/// What is known of one piece of work. Names that many records share are
+/// pointers into the lists of once_records.
 struct claim_record
 {
     /// How far it is.
@@ -32,13 +36,15 @@
     /// Digest of the body it was claimed with.
     std::uint64_t body_digest = 0;
     /// The request that holds or held it.
-    request_id request;
-    /// The entry host of that request.
-    host_id entry_host;
+    work_digest request;
+    /// The entry host of that request; never nullptr.
+    host_id const* entry_host = nullptr;
     /// That entry host's incarnation.
     std::uint64_t incarnation = 0;
+    /// Who asked for it, with the number of records held; never nullptr.
+    std::pair<caller_id const, std::size_t>* caller = nullptr;
     /// When the record changes by itself, in time of the log: open becomes
-    /// unknown, the others are forgotten.
+    /// unknown, recorded and unknown become a spent key, released goes.
     duration due{};
     /// The answer, in state recorded.
     recorded_answer answer;
--- a/bilberrylead/once/once_records.cpp
+++ b/bilberrylead/once/once_records.cpp
@@ -11,20 +11,19 @@
 namespace
 {
 
-std::size_t size_of(claim_key const& key, claim_record const& record)
+std::size_t size_of(recorded_answer const& answer)
 {
-    return key.service.text().size() + key.caller.text().size() +
-           key.idempotency_key.size() + record.request.text().size() +
-           record.entry_host.text().size() + record.answer.content_type.size() +
-           record.answer.body.size();
+    return answer.content_type.size() + answer.body.size();
 }
 
 } // namespace
 
-once_records::once_records(once_settings const& bounds) : settings(bounds)
+once_records::once_records(once_settings const& bounds)
+    : settings(bounds), spent(bounds)
 {
     assert(bounds.retention > duration::zero());
     assert(bounds.longest_run > duration::zero());
+    assert(bounds.spent_retention > duration::zero());
 }
 
 claim_verdict once_records::apply(claim const& command)
@@ -35,11 +34,17 @@
     {
         return this->refuse(claim_refusal::superseded_host);
     }
-    auto const found = this->records.find(command.key);
+    work_digest const key = work_digest::of(command.key);
+    auto const found = this->records.find(key);
     if (found != this->records.end())
     {
         return this->repeat(*found, command);
     }
+    // Its answer is gone, but it ran or may have: never again.
+    if (this->spent.contains(key))
+    {
+        return claim_outcome_unknown{};
+    }
     std::optional<claim_refusal> const refusal = this->refusal_of(command);
     if (refusal.has_value())
     {
@@ -47,11 +52,11 @@
     }
     claim_record record;
     record.body_digest = command.body_digest;
-    record.request = command.request;
-    record.entry_host = command.entry_host;
+    record.request = work_digest::of(command.request);
     record.incarnation = command.incarnation;
     record.due = this->now + this->settings.longest_run;
-    this->insert(command.key, std::move(record));
+    this->insert(key, command.key.caller, command.entry_host,
+                 std::move(record));
     return claim_granted{};
 }
 
@@ -59,7 +64,8 @@
                                    claim const& command)
 {
     claim_record& record = found.second;
-    bool const same_request = record.request == command.request;
+    bool const same_request =
+        record.request == work_digest::of(command.request);
 
     // Given back unrun: the next request may have it, but not the one that
     // gave up. Its claim may have been overtaken by its release; granted
@@ -70,8 +76,7 @@
         {
             return this->refuse(claim_refusal::given_up);
         }
-        claim_key const key = found.first;
-        this->erase(this->records.find(key));
+        this->erase(this->records.find(found.first));
         return this->apply(command);
     }
     if (record.body_digest != command.body_digest)
@@ -83,7 +88,7 @@
     case claim_state::open:
         // The same request asks again because the verdict was lost.
         if (same_request && record.incarnation == command.incarnation &&
-            record.entry_host == command.entry_host)
+            *record.entry_host == command.entry_host)
         {
             return claim_granted{};
         }
@@ -99,13 +104,13 @@
 
 settle_result once_records::apply(complete const& command)
 {
-    auto const found = this->records.find(command.key);
+    auto const found = this->records.find(work_digest::of(command.key));
     if (found == this->records.end())
     {
         return settle_result::no_record;
     }
     claim_record& record = found->second;
-    if (record.request != command.request)
+    if (record.request != work_digest::of(command.request))
     {
         return settle_result::not_holder;
     }
@@ -117,32 +122,33 @@
         return settle_result::already_settled;
     }
     record.answer = this->cut_to_room(command.answer);
-    this->bytes_held +=
-        record.answer.body.size() + record.answer.content_type.size();
+    this->bytes_held += size_of(record.answer);
     this->settle(*found, claim_state::recorded, this->settings.retention);
     return settle_result::done;
 }
 
 settle_result once_records::apply(release const& command)
 {
-    auto const found = this->records.find(command.key);
+    auto const found = this->records.find(work_digest::of(command.key));
     if (found == this->records.end())
     {
         // The release overtook its claim. The mark it leaves lives as long
         // as a claim can be on its way.
         claim const late{command.key, 0, command.request, host_id(), 0};
-        if (this->refusal_of(late).has_value())
+        if (this->spent.contains(work_digest::of(command.key)) ||
+            this->refusal_of(late).has_value())
         {
             return settle_result::no_record;
         }
         claim_record record;
         record.state = claim_state::released;
-        record.request = command.request;
+        record.request = work_digest::of(command.request);
         record.due = this->now + this->settings.longest_run;
-        this->insert(command.key, std::move(record));
+        this->insert(work_digest::of(command.key), command.key.caller,
+                     host_id(), std::move(record));
         return settle_result::done;
     }
-    if (found->second.request != command.request)
+    if (found->second.request != work_digest::of(command.request))
     {
         return settle_result::not_holder;
     }
@@ -157,12 +163,12 @@
 
 settle_result once_records::apply(mark_unknown const& command)
 {
-    auto const found = this->records.find(command.key);
+    auto const found = this->records.find(work_digest::of(command.key));
     if (found == this->records.end())
     {
         return settle_result::no_record;
     }
-    if (found->second.request != command.request)
+    if (found->second.request != work_digest::of(command.request))
     {
         return settle_result::not_holder;
     }
@@ -196,7 +202,7 @@
     {
         claim_record const& record = entry.second;
         if (record.state == claim_state::open &&
-            record.entry_host == command.entry_host &&
+            *record.entry_host == command.entry_host &&
             record.incarnation < command.incarnation)
         {
             this->settle(entry, claim_state::unknown, this->settings.retention);
@@ -216,20 +222,33 @@
 
 void once_records::fall_due()
 {
+    this->spent.expire(this->now);
     while (!this->due.empty() && this->due.begin()->first <= this->now)
     {
         auto const found = this->records.find(*this->due.begin()->second);
         assert(found != this->records.end());
-        if (found->second.state == claim_state::open)
-        {
-            this->settle(*found, claim_state::unknown,
-                         this->settings.retention);
-        }
-        else
-        {
-            this->erase(found);
-        }
+        this->expire(found);
+    }
+}
+
+void once_records::expire(record_map::iterator found)
+{
+    claim_state const state = found->second.state;
+    if (state == claim_state::open)
+    {
+        this->settle(*found, claim_state::unknown, this->settings.retention);
+        return;
+    }
+    // A key that must not run again moves on to the spent ones. Without
+    // room there the record stays: new claims are refused sooner than an
+    // old one is forgotten.
+    if (state != claim_state::released &&
+        !this->spent.add(found->first, this->now))
+    {
+        this->settle(*found, state, this->settings.largest_time_step);
+        return;
     }
+    this->erase(found);
 }
 
 std::optional<claim_refusal>
@@ -246,12 +265,10 @@
             return claim_refusal::key_too_long;
         }
     }
-    claim_record record;
-    record.request = command.request;
-    record.entry_host = command.entry_host;
+    bool const is_known_host = this->incarnations.contains(command.entry_host);
     if (this->records.size() >= this->settings.largest_records ||
-        this->bytes_held + size_of(command.key, record) >
-            this->settings.largest_total_bytes)
+        (!is_known_host &&
+         this->incarnations.size() >= this->settings.largest_hosts))
     {
         return claim_refusal::no_room;
     }
@@ -274,10 +291,15 @@
     return refused;
 }
 
-void once_records::insert(claim_key const& key, claim_record record)
+void once_records::insert(work_digest const& key, caller_id const& caller,
+                          host_id const& host, claim_record record)
 {
-    this->bytes_held += size_of(key, record);
-    ++this->records_of_caller[key.caller];
+    // A host that claims before it registered is known from now on.
+    record.entry_host =
+        &this->incarnations.emplace(host, record.incarnation).first->first;
+    record.caller = &*this->records_of_caller.emplace(caller, 0).first;
+    ++record.caller->second;
+    this->bytes_held += size_of(record.answer);
     duration const due_at = record.due;
     auto const placed = this->records.emplace(key, std::move(record)).first;
     this->due.emplace(due_at, &placed->first);
@@ -285,13 +307,13 @@
 
 void once_records::erase(record_map::iterator found)
 {
-    this->bytes_held -= size_of(found->first, found->second);
-    auto const held = this->records_of_caller.find(found->first.caller);
-    if (--held->second == 0)
+    claim_record& record = found->second;
+    this->bytes_held -= size_of(record.answer);
+    if (--record.caller->second == 0)
     {
-        this->records_of_caller.erase(held);
+        this->records_of_caller.erase(caller_id(record.caller->first));
     }
-    this->due.erase({found->second.due, &found->first});
+    this->due.erase({record.due, &found->first});
     this->records.erase(found);
 }
 
@@ -306,10 +328,9 @@
 
 recorded_answer once_records::cut_to_room(recorded_answer answer) const
 {
-    std::size_t const size = answer.body.size() + answer.content_type.size();
     if (answer.body.size() > this->settings.largest_recorded_body ||
         answer.content_type.size() > this->settings.longest_name ||
-        this->bytes_held + size > this->settings.largest_total_bytes)
+        this->bytes_held + size_of(answer) > this->settings.largest_total_bytes)
     {
         answer.body = bytes();
         answer.content_type.clear();
@@ -327,12 +348,14 @@
 
 std::optional<claim_state> once_records::state_of(claim_key const& key) const
 {
-    auto const found = this->records.find(key);
-    if (found == this->records.end())
+    work_digest const digest = work_digest::of(key);
+    auto const found = this->records.find(digest);
+    if (found != this->records.end())
     {
-        return std::nullopt;
+        return found->second.state;
     }
-    return found->second.state;
+    return this->spent.contains(digest) ? std::optional(claim_state::unknown)
+                                        : std::nullopt;
 }
 
 std::size_t once_records::size() const
@@ -340,6 +363,11 @@
     return this->records.size();
 }
 
+std::size_t once_records::spent_size() const
+{
+    return this->spent.size();
+}
+
 std::size_t once_records::held_bytes() const
 {
     return this->bytes_held;
--- a/bilberrylead/once/once_records.hpp
+++ b/bilberrylead/once/once_records.hpp
@@ -11,7 +11,10 @@
 #include "bilberrylead/once/once_settings.hpp"
 #include "bilberrylead/once/registration.hpp"
 #include "bilberrylead/once/settle_result.hpp"
+#include "bilberrylead/once/spent_keys.hpp"
+#include "bilberrylead/once/work_digest.hpp"
 
+#include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
 #include <cstddef>
@@ -59,7 +62,10 @@
     std::optional<claim_state> state_of(claim_key const& key) const;
     /// Records held, 0 to once_settings::largest_records.
     std::size_t size() const;
-    /// Bytes of keys, names and answers held.
+    /// Keys held whose answer is gone, 0 to
+    /// once_settings::largest_spent_keys.
+    std::size_t spent_size() const;
+    /// Bytes of answers held.
     std::size_t held_bytes() const;
     /// Time of the log: sum of all advance_time commands.
     duration log_time() const;
@@ -72,25 +78,48 @@
     decode(once_settings const& bounds, std::span<std::uint8_t const> input);
 
 private:
-    using record_map = std::map<claim_key, claim_record>;
-    using due_entry = std::pair<duration, claim_key const*>;
+    using record_map = std::map<work_digest, claim_record>;
+    using due_entry = std::pair<duration, work_digest const*>;
+    /// Records that fall due at once do so in the order of their keys. By
+    /// where they lie in memory, replicas would differ in which one finds
+    /// the last room among the spent keys.
+    struct falls_due_before
+    {
+        bool operator()(due_entry const& left, due_entry const& right) const
+        {
+            return left.first != right.first ? left.first < right.first
+                                             : *left.second < *right.second;
+        }
+    };
+    /// Nodes stay where they are, so that records can point to them.
+    using caller_map = std::unordered_map<caller_id, std::size_t>;
+    using host_map = std::map<host_id, std::uint64_t>;
 
     std::optional<claim_refusal> refusal_of(claim const& command) const;
     claim_verdict repeat(record_map::value_type& found, claim const& command);
     claim_verdict refuse(claim_refusal reason) const;
-    void insert(claim_key const& key, claim_record record);
+    void insert(work_digest const& key, caller_id const& caller,
+                host_id const& host, claim_record record);
     void erase(record_map::iterator found);
     void settle(record_map::value_type& found, claim_state state,
                 duration kept_for);
     recorded_answer cut_to_room(recorded_answer answer) const;
     void fall_due();
+    void expire(record_map::iterator found);
     bool is_superseded(host_id const& host, std::uint64_t incarnation) const;
+    absl::Status take_hosts(std::uint64_t hosts,
+                            std::span<std::uint8_t const>& input);
+    absl::Status take_spent(std::uint64_t stretches,
+                            std::span<std::uint8_t const>& input);
+    absl::Status take_records(std::uint64_t number,
+                              std::span<std::uint8_t const>& input);
 
     once_settings settings;
     record_map records;
-    std::set<due_entry> due;
-    std::map<host_id, std::uint64_t> incarnations;
-    std::unordered_map<caller_id, std::size_t> records_of_caller;
+    std::set<due_entry, falls_due_before> due;
+    host_map incarnations;
+    caller_map records_of_caller;
+    spent_keys spent;
     std::size_t bytes_held = 0;
     duration now{};
 };
--- a/bilberrylead/once/once_settings.hpp
+++ b/bilberrylead/once/once_settings.hpp
@@ -15,23 +15,28 @@
 /// program and never read from a host's settings file.
 struct once_settings
 {
-    /// How long a settled record is kept, in time of the log, over 0. A
-    /// repeat after that would run again: it has to be longer than any
-    /// caller goes on resending.
-    duration retention = std::chrono::hours(24);
+    /// How long an answer is kept for repeats, in time of the log, over 0.
+    /// Callers that lost an answer ask again within minutes.
+    duration retention = std::chrono::hours(2);
+    /// How long after that its key is still known and its work is never run
+    /// again; over 0. A repeat after both would run: they have to be longer
+    /// than any caller goes on resending.
+    duration spent_retention = std::chrono::hours(24);
     /// How long a claim may stay open before its outcome counts as
     /// unknown, over 0; far above the longest deadline of a guarded
     /// request, so that it only catches holders that are gone.
     duration longest_run = std::chrono::minutes(10);
-    /// Records kept at most; with the next two lines it bounds memory.
-    std::size_t largest_records = 400'000;
-    /// Records one caller may hold of one service's and all others', so
-    /// that a caller that sends new keys without end cannot shut out the
-    /// others.
-    std::size_t largest_records_per_caller = 100'000;
-    /// Bytes of keys, names and answers kept at most. When they are used
-    /// up, answers are kept without their body and claims are refused.
-    std::size_t largest_total_bytes = std::size_t{96} << 20U;
+    /// Records kept at most; with the two totals below it bounds memory.
+    std::size_t largest_records = 250'000;
+    /// Records one caller may hold, so that a caller that sends new keys
+    /// without end cannot shut out the others.
+    std::size_t largest_records_per_caller = 62'500;
+    /// Keys kept at most beyond their answer. As many a second as records:
+    /// 35 sustained, each.
+    std::size_t largest_spent_keys = 3'000'000;
+    /// Bytes of answers kept at most. When they are used up, answers are
+    /// kept without their body.
+    std::size_t largest_total_bytes = std::size_t{40} << 20U;
     /// Largest body of an answer that is kept, bytes.
     std::size_t largest_recorded_body = std::size_t{16} << 10U;
     /// Longest name or key that is taken, bytes.
--- a/performance/state_slopes/state_slopes.cpp
+++ b/performance/state_slopes/state_slopes.cpp
@@ -56,6 +56,7 @@
 {
     return {.largest_records = 1'000'000,
             .largest_records_per_caller = 1'000'000,
+            .largest_spent_keys = 10'000'000,
             .largest_total_bytes = std::size_t{1} << 30U};
 }
 
@@ -122,6 +123,52 @@
     }
 }
 
+void measure_spent_keys(double reference)
+{
+    slope_table memory("memory of spent keys", "bytes", "keys");
+    slope_table look_up("100,000 claims of new keys beside spent keys", "ns",
+                        "spent keys");
+    for (std::size_t const size : {375'000U, 750'000U, 1'500'000U, 3'000'000U})
+    {
+        std::mt19937_64 random(seed);
+        once::once_settings const bounds = wide_bounds();
+        double const before = heap_bytes();
+        std::unique_ptr<once::spent_keys> const spent =
+            std::make_unique<once::spent_keys>(bounds);
+        for (std::size_t number = 0; number < size; ++number)
+        {
+            once::work_digest key;
+            for (std::uint8_t& each : key.content)
+            {
+                each = static_cast<std::uint8_t>(random());
+            }
+            // Spread over the whole retention, as a steady load would be.
+            static_cast<void>(
+                spent->add(key, bounds.spent_retention / size * number));
+        }
+        memory.add(size, heap_bytes() - before);
+        std::uint64_t found = 0;
+        once::work_digest wanted;
+        look_up.add(size, nanoseconds_of(
+                              [&]
+                              {
+                                  for (std::size_t i = 0; i < 100'000; ++i)
+                                  {
+                                      wanted.content[i % 16] =
+                                          static_cast<std::uint8_t>(random());
+                                      found +=
+                                          spent->contains(wanted) ? 1U : 0U;
+                                  }
+                              }));
+        if (found > 0)
+        {
+            std::abort();
+        }
+    }
+    memory.print(reference);
+    look_up.print(reference);
+}
+
 void measure_changes(double reference)
 {
     slope_table by_document("change decoded and applied, by document size",
@@ -273,6 +320,7 @@
     fmt::print("state_slopes: seed {}, reference step {:.3f} ns\n", seed,
                reference);
     measure_claims(reference);
+    measure_spent_keys(reference);
     measure_changes(reference);
     measure_journal(parent, reference);
     return 0;
