--- /dev/null
+++ b/tests/unit/policy/choice_and_retry_test.cpp
@@ -0,0 +1,128 @@
+#include "bilberrylead/policy/completion_choice.hpp"
+#include "bilberrylead/policy/least_in_flight_choice.hpp"
+#include "bilberrylead/policy/random_choice.hpp"
+#include "bilberrylead/policy/retry_budget.hpp"
+#include "bilberrylead/policy/round_robin_choice.hpp"
+#include "bilberrylead/policy/two_choices.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <string>
+
+using namespace bilberrylead;
+using namespace bilberrylead::policy;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+upstream_set three_upstreams()
+{
+    upstream_set set;
+    for (char const* const name : {"a", "b", "c"})
+    {
+        upstream_view view;
+        view.id = upstream_id(name);
+        view.slots = 3;
+        view.usable_slots = 3;
+        set.upstreams.push_back(view);
+    }
+    return set;
+}
+
+template <upstream_choice Choice>
+std::optional<std::size_t> choose(Choice choice, upstream_set const& set)
+{
+    generator random(1);
+    return choice.choose(set, instant{}, random);
+}
+
+} // namespace
+
+Test(upstream_choice, leaving_ejected_and_forbidden_upstreams_get_nothing)
+{
+    upstream_set set = three_upstreams();
+    set.upstreams[0].leaving = true;
+    set.upstreams[1].usable_slots = 0;
+    set.upstreams[2].allowed = false;
+    cr_assert_not(choose(random_choice(), set).has_value());
+    cr_assert_not(choose(round_robin_choice(), set).has_value());
+    cr_assert_not(choose(least_in_flight_choice(), set).has_value());
+    cr_assert_not(choose(two_choices(), set).has_value());
+    cr_assert_not(choose(completion_choice(), set).has_value());
+}
+
+Test(completion_choice, slow_upstream_comes_last_until_others_are_full)
+{
+    upstream_set set = three_upstreams();
+    set.upstreams[0].service_time = 100ms;
+    set.upstreams[1].in_flight = 3;
+    set.upstreams[2].in_flight = 3;
+    cr_assert_neq(*choose(completion_choice(), set), 0);
+    cr_assert_eq(*choose(least_in_flight_choice(), set), 0);
+    set.upstreams[1].in_flight = 20;
+    set.upstreams[2].in_flight = 20;
+    cr_assert_eq(*choose(completion_choice(), set), 0);
+}
+
+// An upstream that reports "idle" whatever it holds must not draw work: the
+// report can only add to the own count.
+Test(completion_choice, idle_report_does_not_hide_own_requests)
+{
+    upstream_set set = three_upstreams();
+    set.upstreams[0].in_flight = 6;
+    set.upstreams[0].in_use_by_others = 0;
+    set.upstreams[0].report_age = 0ms;
+    cr_assert_neq(*choose(completion_choice(), set), 0);
+}
+
+Test(completion_choice, report_fades_with_its_age)
+{
+    upstream_view view = three_upstreams().upstreams[0];
+    completion_choice const choice;
+    view.in_use_by_others = 9;
+    view.report_age = 0ms;
+    cr_assert(choice.expected_completion(view) > 60ms);
+    view.report_age = 100ms;
+    cr_assert(choice.expected_completion(view) == 20ms);
+}
+
+// A region fails: 1,000 requests, none succeeds. Without the budget each of
+// them is sent three times, and what still works gets three times the load.
+Test(retry_budget, failing_region_is_not_multiplied)
+{
+    retry_budget budget;
+    generator random(1);
+    retry_question const question{true, false, 1, instant(2s), 100ms};
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request)
+    {
+        retries += budget.ask(question, instant{}, random) ? 1 : 0;
+    }
+    cr_assert_eq(retries, 3);
+    for (int request = 0; request < 1000; ++request)
+    {
+        budget.succeeded();
+    }
+    cr_assert_float_eq(budget.available(), 10, 1e-9);
+}
+
+Test(retry_budget, request_that_may_have_run_is_not_repeated)
+{
+    retry_budget budget;
+    generator random(1);
+    retry_question question{false, false, 1, instant(2s), 100ms};
+    cr_assert_not(budget.ask(question, instant{}, random));
+    question.surely_not_run = true;
+    cr_assert(budget.ask(question, instant{}, random));
+}
+
+Test(retry_budget, retry_beyond_the_deadline_or_attempts_is_given_up)
+{
+    retry_budget budget;
+    generator random(1);
+    cr_assert_not(
+        budget.ask({true, false, 1, instant(50ms), 100ms}, {}, random));
+    cr_assert_not(budget.ask({true, false, 3, instant(2s), 100ms}, {}, random));
+}
--- /dev/null
+++ b/tests/unit/policy/slot_owner_test.cpp
@@ -0,0 +1,256 @@
+#include "bilberrylead/policy/slot_owner.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <variant>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace bilberrylead::policy;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+slot_owner_settings strict_settings()
+{
+    slot_owner_settings settings;
+    settings.slots.sent_ahead = 0;
+    return settings;
+}
+
+/// Two upstreams with three slots each, one neighbour zone 1 ms away and
+/// one 35 ms away, in ownership for ten seconds.
+struct owner_fixture
+{
+    slot_owner owner;
+    instant now{};
+    std::uint64_t tickets = 0;
+    std::uint32_t host = 0;
+
+    explicit owner_fixture(
+        slot_owner_settings const& settings = strict_settings())
+        : owner({3, 3},
+                {neighbour_zone{1ms, 0, {}, {}, 0},
+                 neighbour_zone{35ms, 0, {}, {}, 0}},
+                settings)
+    {
+        this->owner.reduce(ownership_started{1, this->now + 10s, {}, 0},
+                           this->now);
+    }
+
+    std::vector<slot_owner_effect> reduce(slot_owner_event const& event)
+    {
+        return this->owner.reduce(event, this->now);
+    }
+
+    std::vector<slot_owner_effect> ask(std::uint32_t flow = 0,
+                                       bool moved = false)
+    {
+        ++this->tickets;
+        slot_asked asked;
+        asked.host = this->host;
+        asked.ticket = this->tickets;
+        asked.flow =
+            flow == 0 ? 1000 + static_cast<std::uint32_t>(tickets) : flow;
+        asked.time_left = 2s;
+        asked.moved = moved;
+        return this->reduce(asked);
+    }
+
+    template <class Effect>
+    int ask_many(int count)
+    {
+        int seen = 0;
+        for (int number = 0; number < count; ++number)
+        {
+            for (slot_owner_effect const& effect : this->ask())
+            {
+                seen += std::holds_alternative<Effect>(effect) ? 1 : 0;
+            }
+        }
+        return seen;
+    }
+};
+
+} // namespace
+
+Test(slot_owner, asks_beyond_the_slots_wait_for_a_release)
+{
+    owner_fixture fixture;
+    cr_assert_eq(fixture.ask_many<slot_granted>(8), 6);
+    cr_assert_eq(fixture.owner.slots().granted(0), 3);
+    std::vector<slot_owner_effect> const effects =
+        fixture.reduce(slot_released{0, 1, 20ms});
+    cr_assert_eq(effects.size(), 1);
+    cr_assert_eq(std::get<slot_granted>(effects[0]).ticket, 7);
+}
+
+Test(slot_owner, release_sent_twice_frees_one_slot)
+{
+    owner_fixture fixture;
+    fixture.ask_many<slot_granted>(8);
+    fixture.reduce(slot_released{0, 1, 20ms});
+    cr_assert(fixture.reduce(slot_released{0, 1, 20ms}).empty());
+    cr_assert_eq(fixture.owner.waiting(), 1);
+}
+
+// An entry host dies with all slots. Its callers are lost to it anyway, but
+// without an end of the grants nobody would ever get these slots again.
+Test(slot_owner, grants_of_a_silent_host_end_and_go_to_others)
+{
+    owner_fixture fixture;
+    fixture.ask_many<slot_granted>(6);
+    fixture.host = 1;
+    fixture.now += 2900ms;
+    cr_assert_eq(fixture.ask_many<slot_granted>(1), 0);
+    fixture.now += 100ms;
+    // The one that waits and the new one.
+    cr_assert_eq(fixture.ask_many<slot_granted>(1), 2);
+}
+
+Test(slot_owner, grants_of_a_host_that_is_heard_go_on)
+{
+    owner_fixture fixture;
+    fixture.ask_many<slot_granted>(6);
+    for (int second = 0; second < 8; ++second)
+    {
+        fixture.now += 1s;
+        fixture.reduce(host_heard{0});
+    }
+    cr_assert_eq(fixture.owner.slots().granted(0), 3);
+}
+
+// The owner is frozen for longer than its lease; another host took over and
+// grants the same slots. When it thaws, its first event is an old ask. It
+// must not grant, and a late renewal must not bring it back to life.
+Test(slot_owner, thawed_owner_past_its_lease_grants_nothing)
+{
+    owner_fixture fixture;
+    fixture.now += 10s;
+    cr_assert_eq(fixture.ask_many<slot_granted>(1), 0);
+    fixture.reduce(ownership_renewed{fixture.now + 10s});
+    cr_assert_not(fixture.owner.grants_slots(fixture.now));
+}
+
+// A new owner does not know what the former one granted. Without the pause
+// (settle and hosts_to_report zero) it grants all six slots a second time,
+// and every upstream gets twice its slots.
+Test(slot_owner, new_owner_waits_for_what_hosts_hold)
+{
+    owner_fixture careless;
+    cr_assert_eq(careless.ask_many<slot_granted>(6), 6);
+
+    owner_fixture fixture;
+    fixture.reduce(ownership_started{2, fixture.now + 10s, 3s, 2});
+    cr_assert_eq(fixture.ask_many<slot_granted>(6), 0);
+    slot_grant held;
+    held.id = 77;
+    held.host = 1;
+    fixture.reduce(grant_reported{held, true});
+    cr_assert_not(fixture.owner.grants_slots(fixture.now));
+    fixture.reduce(grant_reported{{}, true});
+    cr_assert(fixture.owner.grants_slots(fixture.now));
+    cr_assert_eq(
+        fixture.owner.slots().granted(0) + fixture.owner.slots().granted(1), 6);
+    cr_assert_eq(fixture.owner.waiting(), 1);
+}
+
+Test(slot_owner, new_owner_without_reports_waits_out_the_old_grants)
+{
+    owner_fixture fixture;
+    fixture.reduce(ownership_started{2, fixture.now + 10s, 1s, 2});
+    fixture.ask_many<slot_granted>(1);
+    fixture.now += 999ms;
+    cr_assert(fixture.reduce(time_passed{}).empty());
+    fixture.now += 1ms;
+    cr_assert_eq(fixture.reduce(time_passed{}).size(), 1);
+}
+
+Test(slot_owner, request_moves_to_a_near_zone_with_room)
+{
+    for (bool const moves : {false, true})
+    {
+        slot_owner_settings settings = strict_settings();
+        settings.moves = moves;
+        owner_fixture fixture(settings);
+        fixture.ask_many<slot_granted>(8);
+        std::vector<slot_owner_effect> const moved =
+            fixture.reduce(zone_load_reported{0, 6, {}});
+        cr_assert_eq(moved.size(), moves ? 1 : 0);
+        fixture.now += 1s;
+        // The report is a second old now: it moves nothing.
+        cr_assert_eq(fixture.ask_many<request_moved>(1), 0);
+    }
+}
+
+// Two zones that each think the other idle would pass a request back and
+// forth until its deadline.
+Test(slot_owner, moved_request_stays)
+{
+    owner_fixture fixture;
+    fixture.ask_many<slot_granted>(12);
+    fixture.reduce(zone_load_reported{0, 6, {}});
+    cr_assert(fixture.ask(0, true).empty());
+}
+
+Test(slot_owner, distant_zone_without_room_takes_nothing)
+{
+    owner_fixture fixture;
+    fixture.ask_many<slot_granted>(60);
+    cr_assert(fixture.reduce(zone_load_reported{1, 6, 50ms}).empty());
+    cr_assert_not(fixture.reduce(zone_load_reported{1, 6, {}}).empty());
+}
+
+// One upstream gets five times slower. With the rule off (avoid_slow false)
+// it goes on to hold half of the zone's requests.
+Test(slot_owner, slow_upstream_gets_probes_only)
+{
+    for (bool const avoid : {false, true})
+    {
+        slot_owner_settings settings = strict_settings();
+        settings.slots.avoid_slow = avoid;
+        owner_fixture fixture(settings);
+        int slow_grants = 0;
+        for (int round = 0; round < 400; ++round)
+        {
+            fixture.now += 5ms;
+            slot_granted const granted =
+                std::get<slot_granted>(fixture.ask().at(0));
+            bool const slow = granted.upstream == 0;
+            slow_grants += slow && round >= 200 ? 1 : 0;
+            fixture.reduce(
+                slot_released{0, granted.grant, slow ? 100ms : 20ms});
+        }
+        cr_assert(avoid ? slow_grants <= 2 : slow_grants == 200);
+    }
+}
+
+// Everything behind the service gets slow. Were all upstreams set aside,
+// there would be no slots left at all.
+Test(slot_owner, all_upstreams_slow_stay_in_use)
+{
+    owner_fixture fixture;
+    for (int round = 0; round < 400; ++round)
+    {
+        fixture.now += 5ms;
+        slot_granted const granted =
+            std::get<slot_granted>(fixture.ask().at(0));
+        fixture.reduce(slot_released{0, granted.grant, 200ms});
+    }
+    cr_assert_geq(fixture.owner.slots().pool().usable, 3);
+}
+
+Test(slot_owner, same_events_give_the_same_effects)
+{
+    owner_fixture first;
+    owner_fixture second;
+    for (int round = 0; round < 50; ++round)
+    {
+        first.now += 3ms;
+        second.now += 3ms;
+        cr_assert_eq(first.ask().size(), second.ask().size());
+    }
+    cr_assert_eq(first.owner.waiting(), second.owner.waiting());
+}
