policy_bench: slots dealt out to entry hosts as a cheaper way

Cause: an owner per zone costs a message there and back for hosts that are not the owner; a fixed part of the slots for each host costs none.

--- a/performance/policy_bench/direct_model.hpp
+++ b/performance/policy_bench/direct_model.hpp
@@ -32,7 +32,8 @@
     {
         for (std::uint32_t index = 0; index < upstream_zones.size(); ++index)
         {
-            this->upstreams.emplace_back(index, where.slots, what);
+            this->upstreams.emplace_back(where.machines[index], where.slots,
+                                         what);
         }
         for (std::uint32_t const zone : this->host_zones)
         {
@@ -121,9 +122,9 @@
             this->report();
             break;
         case kind::restart:
-            if (this->what.cold_start)
+            for (upstream_model& upstream : this->upstreams)
             {
-                this->upstreams[2].restart();
+                upstream.restart();
             }
             break;
         }
--- a/performance/policy_bench/ideal_model.cpp
+++ b/performance/policy_bench/ideal_model.cpp
@@ -38,9 +38,8 @@
     for (std::uint32_t const zone : where.upstream_zones())
     {
         static_cast<void>(zone);
-        this->upstreams.emplace_back(
-            static_cast<std::uint32_t>(this->upstreams.size()), where.slots,
-            what);
+        this->upstreams.emplace_back(where.machines[this->upstreams.size()],
+                                     where.slots, what);
     }
 }
 
@@ -54,9 +53,9 @@
         event const next = this->events.next();
         if (next.request == this->arrivals.size())
         {
-            if (this->what.cold_start)
+            for (upstream_model& upstream : this->upstreams)
             {
-                this->upstreams[2].restart();
+                upstream.restart();
             }
             continue;
         }
--- a/performance/policy_bench/owner_model.cpp
+++ b/performance/policy_bench/owner_model.cpp
@@ -52,9 +52,8 @@
             static_cast<std::uint32_t>(this->upstreams.size());
         for (std::uint32_t at = 0; at < where.zone_upstreams[zone]; ++at)
         {
-            this->upstreams.emplace_back(
-                static_cast<std::uint32_t>(this->upstreams.size()), where.slots,
-                what);
+            this->upstreams.emplace_back(where.machines[this->upstreams.size()],
+                                         where.slots, what);
         }
         std::vector<neighbour_zone> neighbours;
         for (std::uint32_t other = 0; other < where.zones(); ++other)
@@ -154,9 +153,9 @@
         this->tick();
         break;
     case kind::restart:
-        if (this->what.cold_start)
+        for (upstream_model& upstream : this->upstreams)
         {
-            this->upstreams[2].restart();
+            upstream.restart();
         }
         break;
     }
--- a/performance/policy_bench/owner_model.hpp
+++ b/performance/policy_bench/owner_model.hpp
@@ -100,7 +100,7 @@
     bilberrylead::duration to_owner(std::uint32_t host,
                                     std::uint32_t zone) const;
 
-    profile const& where;
+    profile where;
     scenario const& what;
     std::vector<arrival> const& arrivals;
     steering steer;
--- a/performance/policy_bench/policy_row.cpp
+++ b/performance/policy_bench/policy_row.cpp
@@ -42,6 +42,23 @@
         }};
 }
 
+/// The cheaper way: each entry host has a fixed part of its zone's slots and
+/// asks nobody; work may move to hosts with room, or stay.
+policy_row fixed_parts(std::string name, bool moves)
+{
+    slot_owner_settings settings;
+    settings.moves = moves;
+    settings.slots.sent_ahead = 0;
+    return {std::move(name),
+            [settings](profile const& where, scenario const& what,
+                       std::vector<arrival> const& arrivals)
+            {
+                return owner_model(split_by_entry_host(where), what, arrivals,
+                                   steering_kind::by_capacity, settings)
+                    .run();
+            }};
+}
+
 /// The product with one rule switched off.
 template <class Change>
 policy_row without(std::string name, Change change)
@@ -110,6 +127,8 @@
     std::vector<policy_row> rows;
     add_baselines(rows);
     add_rules_off(rows);
+    rows.push_back(fixed_parts("slots dealt out to entry hosts", false));
+    rows.push_back(fixed_parts("slots dealt out, work moves", true));
     rows.push_back(owner(product_name, steering_kind::by_capacity, {}));
     rows.push_back({ideal_name, [](profile const& where, scenario const& what,
                                    std::vector<arrival> const& arrivals)
--- a/performance/policy_bench/steering.cpp
+++ b/performance/policy_bench/steering.cpp
@@ -14,14 +14,6 @@
 /// Use of a region's slots beyond which its callers go elsewhere.
 constexpr double largest_use = 0.97;
 
-/// Slots of a zone; the slow upstream's (in zone 0) for what they do.
-double zone_capacity(profile const& where, scenario const& what,
-                     std::uint32_t zone)
-{
-    double const lost = zone == 0 ? 1 - 1 / what.slow_factor : 0;
-    return where.slots * (where.zone_upstreams[zone] - lost);
-}
-
 } // namespace
 
 steering::steering(steering_kind kind, profile const& where,
@@ -34,15 +26,17 @@
                               std::vector<double>(host_zones.size(), 0));
     for (std::uint32_t zone = 0; zone < where.zones(); ++zone)
     {
-        capacities[where.region_of(zone)] += zone_capacity(where, what, zone);
+        capacities[where.region_of(zone)] +=
+            where.zone_capacity(zone, what.slow_factor);
     }
     for (std::uint32_t host = 0; host < host_zones.size(); ++host)
     {
         std::uint32_t const zone = host_zones[host];
         this->host_weights[where.region_of(zone)][host] =
-            kind == steering_kind::even ? 1
-                                        : zone_capacity(where, what, zone) /
-                                              where.zone_entry_hosts[zone];
+            kind == steering_kind::even
+                ? 1
+                : where.zone_capacity(zone, what.slow_factor) /
+                      where.zone_entry_hosts[zone];
     }
 
     // Each region's callers bring a third of the work. What is beyond the
--- a/performance/policy_bench/upstream_model.cpp
+++ b/performance/policy_bench/upstream_model.cpp
@@ -8,17 +8,19 @@
 namespace
 {
 
-constexpr std::uint32_t slow_upstream = 0;
-constexpr std::uint32_t lying_upstream = 1;
+constexpr std::uint32_t slow_machine = 0;
+constexpr std::uint32_t lying_machine = 1;
+constexpr std::uint32_t cold_machine = 2;
 constexpr std::uint32_t cold_start_requests = 200;
 constexpr double cold_factor = 5;
 
 } // namespace
 
-upstream_model::upstream_model(std::uint32_t number, std::uint32_t slots,
+upstream_model::upstream_model(std::uint32_t machine, std::uint32_t slots,
                                scenario const& what)
-    : slots(slots), factor(number == slow_upstream ? what.slow_factor : 1),
-      lies(number == lying_upstream && what.lying_report)
+    : slots(slots), factor(machine == slow_machine ? what.slow_factor : 1),
+      lies(machine == lying_machine && what.lying_report),
+      restarts(machine == cold_machine && what.cold_start)
 {
 }
 
@@ -59,7 +61,7 @@
 
 void upstream_model::restart()
 {
-    this->cold_requests = cold_start_requests;
+    this->cold_requests = this->restarts ? cold_start_requests : 0;
 }
 
 std::uint32_t upstream_model::held() const
--- a/performance/policy_bench/upstream_model.hpp
+++ b/performance/policy_bench/upstream_model.hpp
@@ -15,8 +15,8 @@
 class upstream_model
 {
 public:
-    /// Makes upstream `number` of a scenario.
-    upstream_model(std::uint32_t number, std::uint32_t slots,
+    /// Makes an upstream on `machine` of a scenario.
+    upstream_model(std::uint32_t machine, std::uint32_t slots,
                    scenario const& what);
 
     /// Takes a request; true if it starts at once.
@@ -28,7 +28,7 @@
     /// Time that the work takes here, if it starts now.
     bilberrylead::duration run_time(bilberrylead::duration work);
 
-    /// Restarts it: what comes next meets cold caches.
+    /// Restarts it, if it is the one: what comes next meets cold caches.
     void restart();
 
     /// Requests that run or wait.
@@ -44,6 +44,7 @@
     double factor = 1;
     std::uint32_t cold_requests = 0;
     bool lies = false;
+    bool restarts = false;
 };
 
 } // namespace policy_bench
--- a/performance/policy_bench/workload.cpp
+++ b/performance/policy_bench/workload.cpp
@@ -60,12 +60,12 @@
 
 double capacity(profile const& where, scenario const& what)
 {
-    double upstreams = 0;
-    for (std::uint32_t const count : where.zone_upstreams)
+    double sum = 0;
+    for (std::uint32_t zone = 0; zone < where.zones(); ++zone)
     {
-        upstreams += count;
+        sum += where.zone_capacity(zone, what.slow_factor);
     }
-    return where.slots * (upstreams - 1 + 1 / what.slow_factor);
+    return sum;
 }
 
 std::vector<arrival> draw_arrivals(profile const& where, scenario const& what)
