Request and drain life cycles in MSM, caller blocks by longest prefix

The state of a request was an enum that any line could set; now a table says which step may follow which, so an answer that has begun has no way back to another try.

A caller's place was looked up by its exact address only; it is now the longest block of the steering table.

--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <chrono>
 #include <variant>
 
 namespace bilberrylead::entry
@@ -58,7 +57,7 @@
 
 bool entry_reducer::ready() const
 {
-    return this->routing != nullptr && !this->drain_started;
+    return this->routing != nullptr && !this->draining();
 }
 
 config::service const* entry_reducer::find_service(service_id const& id) const
@@ -185,7 +184,8 @@
     }
     this->admit(std::move(request));
     live_request* admitted = this->find(happened.request);
-    if (admitted != nullptr && admitted->state == request_state::claiming)
+    if (admitted != nullptr &&
+        admitted->life.current() == request_state::claiming)
     {
         this->out.push_back(request_claim{admitted->number, admitted->claim,
                                           happened.body_digest});
@@ -220,7 +220,7 @@
         this->refuse(request, refusal_reason::claim_refused);
         return;
     }
-    request.state = request_state::claiming;
+    request.life.claim();
 }
 
 bool entry_reducer::claim_is_worth_it(live_request const& request)
@@ -260,7 +260,7 @@
 
 void entry_reducer::place(live_request& request)
 {
-    request.state = request_state::waiting;
+    request.life.wait();
     this->set_wake(request, request.deadline);
     policy::admission_verdict const verdict =
         this->state_of(request.service)
@@ -268,7 +268,7 @@
     if (policy::refuse const* refused = std::get_if<policy::refuse>(&verdict))
     {
         // It is in no queue, so nothing has to take it out.
-        request.state = request_state::pausing;
+        request.life.pause();
         this->refuse(request, reason_of(refused->reason), refused->retry_after);
         return;
     }
@@ -280,19 +280,19 @@
 
 void entry_reducer::start(live_request& request)
 {
-    assert(request.state == request_state::waiting);
+    assert(request.life.current() == request_state::waiting);
     service_state& state = this->state_of(request.service);
     config::upstream const* upstream =
         state.choose(request.reached, request.tried, this->now);
     if (upstream == nullptr)
     {
-        request.state = request_state::pausing;
+        request.life.pause();
         this->refuse(request, refusal_reason::no_upstream);
         return;
     }
     state.take_slot(upstream->id);
     request.tried.push_back(upstream->id);
-    request.state = request_state::running;
+    request.life.send();
     request.sent = this->now;
     bool const last_try =
         !request.repeatable || !request.body_kept ||
@@ -323,7 +323,7 @@
     {
         live_request* late = this->find(static_cast<request_number>(*ticket));
         assert(late != nullptr);
-        late->state = request_state::pausing;
+        late->life.pause();
         this->refuse(*late, refusal_reason::deadline);
     }
 }
@@ -369,27 +369,29 @@
 
 void entry_reducer::on(drain_requested const& /*happened*/)
 {
-    if (this->drain_started)
+    if (this->drain.begin())
     {
-        return;
+        this->drain_began = this->now;
+        this->out.push_back(close_callers_after_answer{});
     }
-    this->drain_started = true;
-    this->drain_began = this->now;
-    this->out.push_back(close_callers_after_answer{});
 }
 
 void entry_reducer::look_for_drain_end()
 {
+    if (!this->draining())
+    {
+        return;
+    }
     // Callers may hold a steering answer that names this host until it
     // expires, so requests are taken until then and a little longer.
-    bool const expired = this->now >= this->drain_began +
-                                          this->chosen.steering_ttl +
-                                          this->chosen.drain_quiet;
+    if (this->now >= this->drain_began + this->chosen.steering_ttl +
+                         this->chosen.drain_quiet)
+    {
+        this->drain.expire_answers();
+    }
     bool const quiet = this->now >= this->last_work + this->chosen.drain_quiet;
-    if (this->drain_started && !this->drain_reported && expired && quiet &&
-        this->live.empty())
+    if (quiet && this->live.empty() && this->drain.end())
     {
-        this->drain_reported = true;
         this->out.push_back(drained{});
     }
 }
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
 #define BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
 
+#include "bilberrylead/entry/drain_life_cycle.hpp"
 #include "bilberrylead/entry/effect.hpp"
 #include "bilberrylead/entry/entry_counters.hpp"
 #include "bilberrylead/entry/entry_settings.hpp"
@@ -54,7 +55,7 @@
     /// True once a drain was asked for.
     bool draining() const
     {
-        return this->drain_started;
+        return this->drain.current() != drain_state::serving;
     }
 
     /// Requests that have not come to their end.
@@ -147,8 +148,7 @@
     std::unordered_map<request_number, once::claim_key> late_claims;
     std::deque<std::pair<instant, request_number>> late_claim_ends;
     bool control_answers = true;
-    bool drain_started = false;
-    bool drain_reported = false;
+    drain_life_cycle drain;
     instant drain_began{};
     instant last_work{};
     entry_counters counted;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -18,21 +18,6 @@
 /// answer after that is theirs to expire.
 constexpr duration late_claim_time = std::chrono::seconds(60);
 
-refusal_reason reason_of(exchange_fault fault)
-{
-    switch (fault)
-    {
-    case exchange_fault::connect_failed:
-        return refusal_reason::connect_failed;
-    case exchange_fault::silent:
-        return refusal_reason::upstream_silent;
-    case exchange_fault::connection_lost:
-    case exchange_fault::bad_answer:
-        break;
-    }
-    return refusal_reason::connection_lost;
-}
-
 } // namespace
 
 live_request* entry_reducer::find(request_number number)
@@ -55,12 +40,6 @@
     this->freed.insert(request.service);
 }
 
-void entry_reducer::note_failure(live_request const& request)
-{
-    this->state_of(request.service)
-        .note_failure(request.tried.back(), this->now);
-}
-
 void entry_reducer::on(claim_answered const& happened)
 {
     bool const granted =
@@ -76,11 +55,12 @@
         return;
     }
     live_request* request = this->find(happened.request);
-    if (request == nullptr || request->state != request_state::claiming)
+    if (request == nullptr ||
+        request->life.current() != request_state::claiming)
     {
         return;
     }
-    request->state = request_state::pausing;
+    request->life.pause();
     if (granted)
     {
         request->holds_claim = true;
@@ -121,79 +101,10 @@
     this->refuse(request, refusal_reason::claim_refused);
 }
 
-void entry_reducer::on(upstream_head_received const& happened)
-{
-    live_request* request = this->find(happened.request);
-    if (request == nullptr || request->state != request_state::running)
-    {
-        return;
-    }
-    upstream_id const upstream = request->tried.back();
-    service_state& state = this->state_of(request->service);
-    if (happened.leaving)
-    {
-        state.note_leaving(upstream, this->now + this->chosen.leaving_memory);
-    }
-    if (happened.not_run)
-    {
-        this->out.push_back(cancel_upstream{request->number});
-        state.note_refusal(upstream, this->now);
-        this->free_slot(*request);
-        this->try_again(*request, refusal_reason::upstream_refused,
-                        request->body_kept);
-        return;
-    }
-    state.note_answer(upstream, this->now - request->sent, this->now);
-    if (request->guarded)
-    {
-        request->state = request_state::collecting;
-        this->out.push_back(collect_answer{request->number});
-        return;
-    }
-    request->state = request_state::passing;
-    this->wakes.erase({request->wake, request->number});
-    this->count_end(*request, &service_counters::done);
-    this->out.push_back(pass_answer_on{request->number});
-}
-
-void entry_reducer::on(upstream_answer_finished const& happened)
-{
-    live_request* request = this->find(happened.request);
-    if (request == nullptr)
-    {
-        return;
-    }
-    service_state& state = this->state_of(request->service);
-    if (request->state == request_state::passing)
-    {
-        state.note_held(request->tried.back(), this->now - request->sent);
-        this->free_slot(*request);
-        this->finish(*request);
-        return;
-    }
-    if (request->state != request_state::collecting ||
-        !happened.collected.has_value())
-    {
-        return;
-    }
-    state.note_held(request->tried.back(), this->now - request->sent);
-    this->free_slot(*request);
-    this->out.push_back(report_completion{request->number, request->claim,
-                                          *happened.collected});
-    if (request->answered)
-    {
-        this->finish(*request);
-        return;
-    }
-    request->state = request_state::storing;
-    this->set_wake(*request, std::min(request->deadline,
-                                      this->now + this->chosen.record_wait));
-}
-
 void entry_reducer::on(completion_stored const& happened)
 {
     live_request* request = this->find(happened.request);
-    if (request != nullptr && request->state == request_state::storing)
+    if (request != nullptr && request->life.current() == request_state::storing)
     {
         this->out.push_back(answer_collected{request->number});
         this->count_end(*request, &service_counters::done);
@@ -201,65 +112,6 @@
     }
 }
 
-void entry_reducer::on(upstream_failed const& happened)
-{
-    live_request* request = this->find(happened.request);
-    if (request == nullptr || (request->state != request_state::running &&
-                               request->state != request_state::passing &&
-                               request->state != request_state::collecting))
-    {
-        return;
-    }
-    refusal_reason const reason = reason_of(happened.fault);
-    this->free_slot(*request);
-    this->note_failure(*request);
-    if (request->state == request_state::passing)
-    {
-        // The caller's connection breaks with the answer: it can see that
-        // the answer is not whole.
-        this->finish(*request);
-        return;
-    }
-    request->maybe_ran =
-        request->maybe_ran || happened.phase != exchange_phase::not_sent;
-    this->try_again(*request, reason,
-                    request->body_kept ||
-                        happened.phase == exchange_phase::not_sent);
-}
-
-void entry_reducer::try_again(live_request& request, refusal_reason reason,
-                              bool body_usable)
-{
-    // A request that may not be repeated is never sent again once a byte
-    // may have reached an upstream; not even to "make sure".
-    service_state& state = this->state_of(request.service);
-    policy::retry_question question;
-    question.idempotent = request.repeatable;
-    question.surely_not_run = !request.maybe_ran;
-    question.attempts = static_cast<unsigned>(request.tried.size());
-    question.deadline = request.deadline;
-    question.needed = state.usual_answer();
-    std::optional<duration> pause;
-    if (body_usable && !request.answered &&
-        state.takes_work(request.reached, this->now))
-    {
-        pause = state.budget.ask(question, this->now, state.random);
-    }
-    if (pause.has_value())
-    {
-        ++this->counted.services[request.service].retries;
-        request.state = request_state::pausing;
-        this->set_wake(request, this->now + *pause);
-        return;
-    }
-    if (request.maybe_ran)
-    {
-        this->give_up_unknown(request, reason);
-        return;
-    }
-    this->refuse(request, reason);
-}
-
 void entry_reducer::on(caller_gone const& happened)
 {
     live_request* request = this->find(happened.request);
@@ -269,7 +121,7 @@
     }
     ++this->counted.services[request->service].callers_gone;
     request->answered = true;
-    switch (request->state)
+    switch (request->life.current())
     {
     case request_state::claiming:
     case request_state::waiting:
@@ -323,7 +175,7 @@
 
 void entry_reducer::expire(live_request& request)
 {
-    switch (request.state)
+    switch (request.life.current())
     {
     case request_state::claiming:
     case request_state::waiting:
@@ -346,35 +198,6 @@
     }
 }
 
-void entry_reducer::expire_run(live_request& request)
-{
-    if (request.answered)
-    {
-        return;
-    }
-    request.maybe_ran = true;
-    if (request.guarded)
-    {
-        // The caller hears at once that the outcome is unknown; the work
-        // goes on for its record until it falls silent.
-        request.answered = true;
-        this->out.push_back(
-            answer_unknown{request.number, refusal_reason::deadline});
-        this->count_end(request, &service_counters::unknown);
-        ++this->counted.refusals.at(
-            static_cast<std::size_t>(refusal_reason::deadline));
-        return;
-    }
-    this->out.push_back(cancel_upstream{request.number});
-    this->note_failure(request);
-    this->free_slot(request);
-    this->try_again(request,
-                    this->now < request.deadline
-                        ? refusal_reason::upstream_silent
-                        : refusal_reason::deadline,
-                    request.body_kept);
-}
-
 void entry_reducer::refuse(live_request& request, refusal_reason reason)
 {
     this->refuse(request, reason, this->chosen.retry_after);
@@ -389,7 +212,7 @@
         this->give_up_unknown(request, reason);
         return;
     }
-    if (request.guarded && request.state == request_state::claiming)
+    if (request.guarded && request.life.current() == request_state::claiming)
     {
         this->late_claims.emplace(request.number, request.claim);
         this->late_claim_ends.emplace_back(this->now + late_claim_time,
@@ -429,7 +252,7 @@
 {
     this->last_work = this->now;
     request_number const number = request.number;
-    if (request.state == request_state::waiting)
+    if (request.life.current() == request_state::waiting)
     {
         this->state_of(request.service)
             .cancel(static_cast<std::uint64_t>(number), request.reached);
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/request_life_cycle.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/service_state.hpp"
 #include "bilberrylead/once/claim_key.hpp"
@@ -15,32 +16,13 @@
 namespace bilberrylead::entry
 {
 
-/// Where a request is on its way.
-enum class request_state
-{
-    /// Waits for the verdict on its claim.
-    claiming,
-    /// Waits for a slot.
-    waiting,
-    /// Waits for a moment before another try.
-    pausing,
-    /// Sent to an upstream, no answer yet.
-    running,
-    /// The upstream's answer streams to the caller.
-    passing,
-    /// The upstream's answer is being collected for the record.
-    collecting,
-    /// The collected answer waits for its record to be durable.
-    storing,
-};
-
 /// A request that has not come to its end here.
 struct live_request
 {
     /// Its number.
     request_number number{};
-    /// Where it is.
-    request_state state = request_state::waiting;
+    /// Where it is on its way.
+    request_life_cycle life;
     /// The service, as it was configured when the request came.
     service_id service;
     /// May be sent again.
--- a/bilberrylead/entry/routing_table.cpp
+++ b/bilberrylead/entry/routing_table.cpp
@@ -1,7 +1,11 @@
 #include "bilberrylead/entry/routing_table.hpp"
 
+#include "bilberrylead/core/log.hpp"
+
 #include <algorithm>
 #include <cassert>
+#include <cstddef>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -49,6 +53,34 @@
     {
         this->selectors[selector.service].push_back(&selector);
     }
+    this->arrange_blocks();
+}
+
+void routing_table::arrange_blocks()
+{
+    std::vector<steering::valued_block> valued;
+    valued.reserve(this->content->callers.size());
+    for (std::size_t place = 0; place < this->content->callers.size(); ++place)
+    {
+        absl::StatusOr<steering::address_block> const block =
+            steering::address_block::parse(this->content->callers[place].block);
+        if (block.ok())
+        {
+            valued.push_back(
+                {*block, static_cast<steering::block_value>(place)});
+        }
+    }
+    absl::StatusOr<steering::block_table> built =
+        steering::block_table::build(valued);
+    if (built.ok())
+    {
+        this->blocks = *std::move(built);
+        return;
+    }
+    // Checked before it was accepted, so this is another version's check.
+    // Callers without a place are still served, from here.
+    part_log("entry").warning("The caller blocks are not used: {}",
+                              std::string(built.status().message()));
 }
 
 config::service const* routing_table::find_service(service_id const& id) const
@@ -67,15 +99,20 @@
 
 caller_place routing_table::place_of(std::string const& caller_address) const
 {
-    // Exact addresses only, until the compiled block table is there.
-    for (config::caller_block const& block : this->content->callers)
+    absl::StatusOr<steering::ip_address> const address =
+        steering::ip_address::parse(caller_address);
+    if (!address.ok())
     {
-        if (block.block == caller_address)
-        {
-            return {block.zone, &block.labels};
-        }
+        return {};
     }
-    return {};
+    std::optional<steering::block_match> const found =
+        this->blocks.find(*address);
+    if (!found.has_value())
+    {
+        return {};
+    }
+    config::caller_block const& block = this->content->callers[found->value];
+    return {block.zone, &block.labels};
 }
 
 bool routing_table::reaches(caller_place const& caller,
--- a/bilberrylead/entry/routing_table.hpp
+++ b/bilberrylead/entry/routing_table.hpp
@@ -3,6 +3,7 @@
 
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/steering/block_table.hpp"
 
 #include <memory>
 #include <string>
@@ -66,6 +67,7 @@
     }
 
 private:
+    void arrange_blocks();
     region_id region_of(zone_id const& zone) const;
     duration latency_between(region_id const& one,
                              region_id const& other) const;
@@ -76,6 +78,7 @@
         upstreams;
     std::unordered_map<service_id, std::vector<config::selector const*>>
         selectors;
+    steering::block_table blocks;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -26,15 +26,8 @@
 {
 
 constexpr std::uint32_t largest_answer_head = std::uint32_t{64} << 10U;
-/// A refusal's body up to this is read, so that its connection is kept.
-constexpr std::uint64_t largest_refusal = 4096;
 constexpr std::size_t piece_size = std::size_t{16} << 10U;
 
-bool carries_word(answer_parser const& parser, std::string_view name)
-{
-    return parser.get()[name] == "1";
-}
-
 } // namespace
 
 upstream_exchange::upstream_exchange(executor const& place, upstream_pool& kept,
@@ -218,157 +211,6 @@
     co_return true;
 }
 
-task<void> upstream_exchange::report_head()
-{
-    entry::upstream_head_received head;
-    head.request = this->request->number;
-    head.status = this->parser->get().result_int();
-    head.not_run = this->parser->get().result() ==
-                       beast::http::status::service_unavailable &&
-                   carries_word(*this->parser, not_run_header);
-    head.leaving = carries_word(*this->parser, leaving_header);
-    if (head.not_run && this->parser->content_length().value_or(
-                            largest_refusal + 1) <= largest_refusal)
-    {
-        // Read to its end first: a shed request should not cost the
-        // connection, too.
-        std::vector<char> piece(largest_refusal);
-        error_code error;
-        this->parser->get().body().data = piece.data();
-        this->parser->get().body().size = piece.size();
-        this->give_up_at = clock_now() + this->order.progress_timeout;
-        co_await beast::http::async_read(this->connection->socket,
-                                         this->connection->buffer,
-                                         *this->parser, to_task(error));
-        if (this->over)
-        {
-            co_return;
-        }
-        if (!error)
-        {
-            this->finish();
-        }
-    }
-    this->give_up_at = instant::max();
-    this->phase = entry::exchange_phase::answer_started;
-    this->report(head);
-}
-
-task<std::size_t> upstream_exchange::read_some(std::span<char> piece,
-                                               error_code& error)
-{
-    std::size_t count = 0;
-    error = {};
-    while (!this->over && count == 0 && !this->parser->is_done())
-    {
-        this->give_up_at = clock_now() + this->order.progress_timeout;
-        this->parser->get().body().data = piece.data();
-        this->parser->get().body().size = piece.size();
-        co_await beast::http::async_read_some(this->connection->socket,
-                                              this->connection->buffer,
-                                              *this->parser, to_task(error));
-        this->give_up_at = instant::max();
-        if (this->over)
-        {
-            break;
-        }
-        if (error == beast::http::error::need_buffer)
-        {
-            error = {};
-        }
-        if (error)
-        {
-            this->fail(this->timed_out
-                           ? entry::exchange_fault::silent
-                           : entry::exchange_fault::connection_lost);
-            co_return 0;
-        }
-        count = piece.size() - this->parser->get().body().size;
-    }
-    if (this->over && !this->parser->is_done())
-    {
-        error = asio::error::operation_aborted;
-        co_return 0;
-    }
-    if (this->parser->is_done() && !this->over)
-    {
-        this->finish();
-        this->report(entry::upstream_answer_finished{this->request->number,
-                                                     std::nullopt});
-    }
-    co_return count;
-}
-
-void upstream_exchange::collect(std::size_t largest_answer,
-                                std::size_t largest_record)
-{
-    asio::co_spawn(
-        this->where,
-        [self = this->shared_from_this(), largest_answer,
-         largest_record]() -> task<void>
-        {
-            co_await self->collect_body(largest_answer, largest_record);
-        },
-        asio::detached);
-}
-
-task<void> upstream_exchange::collect_body(std::size_t largest_answer,
-                                           std::size_t largest_record)
-{
-    once::recorded_answer answer;
-    answer.status = this->parser->get().result_int();
-    answer.content_type =
-        std::string(this->parser->get()[beast::http::field::content_type]);
-    std::vector<char> piece(piece_size);
-    error_code error;
-    while (!this->over && !this->parser->is_done())
-    {
-        this->give_up_at = clock_now() + this->order.progress_timeout;
-        this->parser->get().body().data = piece.data();
-        this->parser->get().body().size = piece.size();
-        co_await beast::http::async_read_some(this->connection->socket,
-                                              this->connection->buffer,
-                                              *this->parser, to_task(error));
-        if (this->over)
-        {
-            co_return;
-        }
-        if (error && error != beast::http::error::need_buffer)
-        {
-            this->fail(this->timed_out
-                           ? entry::exchange_fault::silent
-                           : entry::exchange_fault::connection_lost);
-            co_return;
-        }
-        std::size_t const count =
-            piece.size() - this->parser->get().body().size;
-        answer.body_dropped =
-            answer.body_dropped || answer.body.size() + count > largest_answer;
-        if (!answer.body_dropped)
-        {
-            answer.body.insert(answer.body.end(), piece.data(),
-                               piece.data() + count);
-        }
-    }
-    if (this->over)
-    {
-        co_return;
-    }
-    this->finish();
-    if (answer.body_dropped)
-    {
-        answer.body.clear();
-    }
-    this->request->collected = answer;
-    if (answer.body.size() > largest_record)
-    {
-        answer.body.clear();
-        answer.body_dropped = true;
-    }
-    this->report(entry::upstream_answer_finished{this->request->number,
-                                                 std::move(answer)});
-}
-
 void upstream_exchange::cancel()
 {
     if (this->over)
@@ -406,21 +248,6 @@
     }
 }
 
-void upstream_exchange::finish()
-{
-    this->over = true;
-    this->give_up_at = instant::max();
-    if (this->parser->keep_alive() && !this->parser->need_eof() &&
-        this->connection->buffer.size() == 0)
-    {
-        this->pool.give_back(std::move(this->connection), clock_now());
-    }
-    else
-    {
-        this->close();
-    }
-}
-
 void upstream_exchange::fail(entry::exchange_fault fault)
 {
     assert(!this->over);
--- a/performance/entry_bench/main.cpp
+++ b/performance/entry_bench/main.cpp
@@ -198,6 +198,7 @@
     std::atomic<bool> stop = false;
     std::atomic<std::uint64_t> answers = 0;
     std::vector<std::thread> threads;
+    threads.reserve(load_connections / 4);
     for (int each = 0; each < load_connections / 4; ++each)
     {
         threads.emplace_back(
@@ -205,6 +206,7 @@
             {
                 boost::asio::io_context context;
                 std::vector<client_socket> sockets;
+                sockets.reserve(4);
                 for (int place = 0; place < 4; ++place)
                 {
                     sockets.push_back(connect(context, port));
@@ -251,6 +253,7 @@
     boost::asio::io_context context;
     double const before = resident_mib();
     std::vector<client_socket> sockets;
+    sockets.reserve(downloads);
     for (int each = 0; each < downloads; ++each)
     {
         sockets.push_back(connect(context, entry.port()));
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -3,6 +3,8 @@
 
 #include "bilberrylead/entry/entry_reducer.hpp"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <memory>
 #include <string>
@@ -31,7 +33,7 @@
         for (std::string const letter : {"a", "b"})
         {
             config::upstream upstream;
-            upstream.id = upstream_id(name + "-" + letter);
+            upstream.id = upstream_id(fmt::format("{}-{}", name, letter));
             upstream.service = service.id;
             upstream.zone = zone_id("z1");
             upstream.address = {"127.0.0.1", 9};
