--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -231,13 +231,16 @@
 
 int deployment::ctl(std::vector<std::string> arguments)
 {
-    for (std::map<std::string, host>::value_type const& row : this->hosts)
+    return this->ctl_at(this->control_names(), std::move(arguments));
+}
+
+int deployment::ctl_at(std::vector<std::string> const& controls,
+                       std::vector<std::string> arguments)
+{
+    for (std::string const& name : controls)
     {
-        if (row.second.is_control)
-        {
-            arguments.push_back("--control");
-            arguments.push_back(loopback(row.second.second_port));
-        }
+        arguments.push_back("--control");
+        arguments.push_back(loopback(this->hosts.at(name).second_port));
     }
     arguments.insert(arguments.end(), {"--key", operator_key});
     std::string const name = fmt::format("ctl-{}", ++this->runs);
--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -62,8 +62,12 @@
     /// Opens every relay.
     void heal();
 
-    /// Runs bilberryctl; what it wrote is in last_output().
+    /// Runs bilberryctl against all control hosts; what it wrote is in
+    /// last_output().
     int ctl(std::vector<std::string> arguments);
+    /// Runs bilberryctl against these control hosts only.
+    int ctl_at(std::vector<std::string> const& controls,
+               std::vector<std::string> arguments);
     /// What the last bilberryctl wrote to standard output.
     std::string const& last_output() const;
     /// Name of the control host that leads, empty if none does.
--- a/tests/scenario_runner/http_call.cpp
+++ b/tests/scenario_runner/http_call.cpp
@@ -71,6 +71,7 @@
 
 call_result call(std::uint16_t port, std::string const& method,
                  std::string const& target, std::string const& body,
+                 std::map<std::string, std::string> const& headers,
                  std::chrono::milliseconds patience)
 {
     one_call once;
@@ -79,6 +80,10 @@
     once.request.target(target);
     once.request.set(http::field::host, "127.0.0.1");
     once.request.keep_alive(false);
+    for (std::pair<std::string const, std::string> const& header : headers)
+    {
+        once.request.set(header.first, header.second);
+    }
     once.request.body() = body;
     once.request.prepare_payload();
     once.stream.expires_after(patience);
--- a/tests/scenario_runner/http_call.hpp
+++ b/tests/scenario_runner/http_call.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace bilberrylead::scenario
@@ -21,6 +22,7 @@
 call_result
 call(std::uint16_t port, std::string const& method, std::string const& target,
      std::string const& body = {},
+     std::map<std::string, std::string> const& headers = {},
      std::chrono::milliseconds patience = std::chrono::milliseconds(2000));
 
 } // namespace bilberrylead::scenario
--- a/tests/scenario_runner/revision_watch.cpp
+++ b/tests/scenario_runner/revision_watch.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace bilberrylead::scenario
@@ -63,7 +64,7 @@
     {
         call_result const answer =
             call(row.second, "GET", "/steering?service=" + this->service, {},
-                 sample_patience);
+                 {}, sample_patience);
         nlohmann::json const body =
             nlohmann::json::parse(answer.body, nullptr, false);
         if (answer.status == 200 && body.is_object())
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -1,6 +1,7 @@
 #include "scenario_steps.hpp"
 
 #include "http_call.hpp"
+#include "wait_until.hpp"
 
 #include "bilberrylead/config/parse_configuration.hpp"
 
@@ -21,25 +22,7 @@
 using json = nlohmann::json;
 using clock = std::chrono::steady_clock;
 
-/// How long a step waits for what must come. No promise hangs on it: it
-/// only ends a scenario that would never end.
-constexpr std::chrono::seconds patience{30};
-constexpr std::chrono::milliseconds poll_pause{20};
-
-template <class Condition>
-bool wait_until(Condition condition)
-{
-    clock::time_point const deadline = clock::now() + patience;
-    while (!condition())
-    {
-        if (clock::now() >= deadline)
-        {
-            return false;
-        }
-        std::this_thread::sleep_for(poll_pause);
-    }
-    return true;
-}
+constexpr unsigned not_run_status = 503;
 
 bool compare(std::int64_t left, std::string const& how, std::int64_t right)
 {
@@ -105,7 +88,12 @@
         {"heal", &scenario_steps::heal},
         {"set", &scenario_steps::set},
         {"leads", &scenario_steps::leads},
-        {"wait-status", &scenario_steps::wait_status},
+        {"refuses", &scenario_steps::refuses},
+        {"follows", &scenario_steps::follows},
+        {"wait-voter", &scenario_steps::wait_voter},
+        {"wait-caught-up", &scenario_steps::wait_caught_up},
+        {"change", &scenario_steps::change},
+        {"post", &scenario_steps::post_entry},
         {"pause", &scenario_steps::pause},
         {"expect", &scenario_steps::expect},
         {"call", &scenario_steps::call_entry},
@@ -174,64 +162,6 @@
     }
 }
 
-// found
-void scenario_steps::found(scenario_line const&)
-{
-    this->need(wait_until(
-                   [this]()
-                   {
-                       return this->world.ctl({"found"}) == 0;
-                   }),
-               "no group could be founded");
-    this->need(wait_until(
-                   [this]()
-                   {
-                       return !this->world.leader().empty();
-                   }),
-               "nobody leads");
-}
-
-// apply: the declared configuration becomes the next revision
-void scenario_steps::apply(scenario_line const&)
-{
-    std::string const outcome =
-        this->apply_once({"apply", this->world.write_configuration()});
-    this->need(outcome == "accepted", "the outcome is '" + outcome + "'");
-}
-
-// submit ID base REVISION [drained NAME] expect OUTCOME
-void scenario_steps::submit(scenario_line const& line)
-{
-    config::configuration const before = this->world.declared();
-    for (config::entry_host& host : this->world.declared().entry_hosts)
-    {
-        host.leaving = host.leaving || host.id.text() == line.after("drained");
-    }
-    std::string const file = this->world.write_configuration();
-    this->world.declared() = before;
-    std::string const outcome =
-        this->apply_once({"apply", file, "--change-id", line.word(1), "--base",
-                          line.after("base")});
-    this->need(outcome == line.after("expect"),
-               "the outcome is '" + outcome + "'");
-}
-
-// ctl ARGUMENTS...: bilberryctl, which has to succeed
-void scenario_steps::ctl(scenario_line const& line)
-{
-    std::vector<std::string> arguments(line.words.begin() + 1,
-                                       line.words.end());
-    arguments.insert(arguments.end(), {"--output", "json"});
-    int const code = this->world.ctl(arguments);
-    this->need(code == 0, fmt::format("bilberryctl ended with {}: {}", code,
-                                      this->world.last_output()));
-    json const answer = json::parse(this->world.last_output(), nullptr, false);
-    if (answer.is_object() && answer.contains("revision"))
-    {
-        this->last_revision = answer.at("revision").get<std::uint64_t>();
-    }
-}
-
 // in-force [REVISION] [at ENTRY...]: waits for the newest revision
 void scenario_steps::in_force(scenario_line const& line)
 {
@@ -371,40 +301,6 @@
                fmt::format("status {}: {}", answer.status, answer.body));
 }
 
-// leads NAME | leads as WORD: waits for a leader, and remembers who it is
-void scenario_steps::leads(scenario_line const& line)
-{
-    std::string const wanted =
-        line.word(1) == "as" ? std::string() : line.word(1);
-    std::string found;
-    bool const leads = wait_until(
-        [this, &wanted, &found]()
-        {
-            found = this->world.leader();
-            return !found.empty() && (wanted.empty() || found == wanted);
-        });
-    this->need(leads, "'" + found + "' leads");
-    if (!line.after("as").empty())
-    {
-        this->remembered[line.after("as")] = found;
-    }
-}
-
-// wait-status TEXT: until bilberryctl status --output json contains it
-void scenario_steps::wait_status(scenario_line const& line)
-{
-    std::string const wanted = line.rest(1);
-    bool const seen = wait_until(
-        [this, &wanted]()
-        {
-            this->world.ctl({"status", "--output", "json"});
-            json const status =
-                json::parse(this->world.last_output(), nullptr, false);
-            return status.dump().find(wanted) != std::string::npos;
-        });
-    this->need(seen, "it never said so: " + this->world.last_output());
-}
-
 // pause MILLISECONDS: lets a fault last
 void scenario_steps::pause(scenario_line const& line)
 {
@@ -420,6 +316,26 @@
                fmt::format("status {}: {}", answer.status, answer.body));
 }
 
+// post ENTRY TARGET key KEY expect STATUS: a caller's guarded request, sent
+// again while it hears that it was not run and another answer is wanted
+void scenario_steps::post_entry(scenario_line const& line)
+{
+    std::string const wanted = line.after("expect");
+    call_result answer;
+    wait_until(
+        [this, &line, &wanted, &answer]()
+        {
+            answer = call(this->world.caller_port(line.word(1)), "POST",
+                          line.word(2), "a posting",
+                          {{"Idempotency-Key", line.after("key")},
+                           {"Bilberry-Caller", "scenario"}});
+            return fmt::to_string(answer.status) == wanted ||
+                   answer.status != not_run_status;
+        });
+    this->need(fmt::to_string(answer.status) == wanted,
+               fmt::format("status {}: {}", answer.status, answer.body));
+}
+
 // expect LOAD.FIELD ==|>=|<= N | expect no-decrease
 void scenario_steps::expect(scenario_line const& line)
 {
@@ -493,23 +409,6 @@
     }
 }
 
-std::string scenario_steps::apply_once(std::vector<std::string> arguments)
-{
-    arguments.insert(arguments.end(), {"--output", "json"});
-    this->world.ctl(arguments);
-    json const answer = json::parse(this->world.last_output(), nullptr, false);
-    if (!answer.is_object())
-    {
-        return this->world.last_output();
-    }
-    std::string const outcome = answer.value("outcome", "");
-    if (outcome == "accepted")
-    {
-        this->last_revision = answer.at("revision").get<std::uint64_t>();
-    }
-    return outcome;
-}
-
 void scenario_steps::wait_in_force(std::uint64_t revision,
                                    std::vector<std::string> const& entries)
 {
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -59,13 +59,24 @@
     void heal(scenario_line const& line);
     void set(scenario_line const& line);
     void leads(scenario_line const& line);
-    void wait_status(scenario_line const& line);
     void pause(scenario_line const& line);
     void expect(scenario_line const& line);
+    void refuses(scenario_line const& line);
+    void follows(scenario_line const& line);
+    void wait_voter(scenario_line const& line);
+    void wait_caught_up(scenario_line const& line);
+    void change(scenario_line const& line);
+    void post_entry(scenario_line const& line);
     void call_entry(scenario_line const& line);
     void report(scenario_line const& line);
 
     std::string host_of(std::string const& word);
+    /// A control host's own status; an empty object if it gives none.
+    nlohmann::json status_of(std::string const& control);
+    /// Waits until a control host's status fulfils the condition.
+    template <class Condition>
+    void wait_for_status(std::string const& control, Condition condition,
+                         std::string const& otherwise);
     void need(bool condition, std::string const& otherwise) const;
     std::string apply_once(std::vector<std::string> arguments);
     void wait_in_force(std::uint64_t revision,
