--- a/tests/unit/agreement/schedule.cpp
+++ b/tests/unit/agreement/schedule.cpp
@@ -135,6 +135,11 @@
     return this->group.checker.breach;
 }
 
+std::string schedule::describe() const
+{
+    return this->group.describe();
+}
+
 void schedule::step()
 {
     struct choice
--- a/tests/unit/agreement/schedule.hpp
+++ b/tests/unit/agreement/schedule.hpp
@@ -29,6 +29,9 @@
     /// group to accept again. Gives the first breach.
     std::optional<std::string> run(std::size_t steps);
 
+    /// How the group stands, for comparison.
+    std::string describe() const;
+
 private:
     void step();
     void calm_down();
