--- a/tests/unit/agreement/codec_test.cpp
+++ b/tests/unit/agreement/codec_test.cpp
@@ -45,6 +45,7 @@
         timeout_now{},
     };
     std::vector<message> messages;
+    messages.reserve(bodies.size());
     for (message_body const& body : bodies)
     {
         messages.push_back(message{5, 2, body});
