--- a/bilberrylead/store/journal.hpp
+++ b/bilberrylead/store/journal.hpp
@@ -58,9 +58,12 @@
     absl::Status sync();
 
     /// Replaces the snapshot by one of all records up to `index` and drops
-    /// those; records after it stay (see drop_after). Syncs everything. An
-    /// error that leaves the old snapshot in place, such as a full disk,
-    /// doesn't end the journal: see has_failed().
+    /// those; records after it stay. Syncs everything. Where they don't
+    /// belong to the snapshot's history, call drop_after(index) first: the
+    /// other way round a crash in between leaves them behind the snapshot,
+    /// where their older term lets the host vote for a candidate that lacks
+    /// what the snapshot holds. An error that leaves the old snapshot in place,
+    /// such as a full disk, doesn't end the journal: see has_failed().
     absl::Status install_snapshot(std::uint64_t index,
                                   std::span<std::uint8_t const> content);
 
--- a/tests/unit/store/journal_crash_test.cpp
+++ b/tests/unit/store/journal_crash_test.cpp
@@ -212,6 +212,33 @@
     cr_assert_eq(recovered.snapshot_index(), 4);
 }
 
+// A follower gets a snapshot from the leader that its own records after it
+// contradict. It drops them first. Whether it dies before the snapshot or
+// between snapshot and journal, none of them stands behind the snapshot: the
+// host would vote by their older term.
+Test(journal, records_dropped_before_a_snapshot_when_crashed_stay_gone)
+{
+    temporary_folder const folder;
+    bytes dropped;
+    {
+        journal written = open_journal(folder);
+        append_synced(written, 1, 9);
+        cr_assert(written.drop_after(6).ok());
+        cr_assert(written.sync().ok());
+        dropped = read_all(folder.file("journal"));
+        cr_assert(written.install_snapshot(6, to_bytes("to 6")).ok());
+    }
+    write_all(folder.file("journal"), dropped);
+    {
+        journal recovered = open_journal(folder);
+        cr_assert_eq(recovered.recovered().snapshot->index, 6);
+        cr_assert(recovered.recovered().entries.empty());
+    }
+    write_all(folder.file("journal"), dropped);
+    std::filesystem::remove(folder.file("snapshot"));
+    cr_assert(open_journal(folder).recovered().entries == entries_of(1, 6));
+}
+
 // Files vanish or are damaged one by one under a host that had records.
 // Started anyway, it would vote a second time as its former self.
 Test(journal, each_file_when_lost_or_damaged_is_refused)
