--- /dev/null
+++ b/bilberrylead/agreement/replica_core.cpp
@@ -0,0 +1,98 @@
+#include "bilberrylead/agreement/replica_core.hpp"
+
+#include <utility>
+
+namespace bilberrylead::agreement
+{
+
+replica_core::replica_core(host_id const& own_id, std::uint64_t own_incarnation,
+                           replica_settings const& pace, std::uint64_t seed,
+                           safeguards const& kept)
+    : self(own_id), incarnation(own_incarnation), settings(pace),
+      switches(kept), random(seed)
+{
+}
+
+agreement::role replica_core::role() const
+{
+    return this->life.current();
+}
+
+bool replica_core::is_voter() const
+{
+    return this->counts_vote(this->memberships.current(), this->self,
+                             this->incarnation);
+}
+
+/// A host that an uncommitted change takes out may be the only one with
+/// that entry. Nobody with a shorter log gets its vote, so that the group
+/// stands still for ever unless it leads once more, to settle the change.
+bool replica_core::may_lead() const
+{
+    if (this->is_voter())
+    {
+        return true;
+    }
+    return this->memberships.current_index() > this->commit_index &&
+           this->memberships.previous().is_voter(this->self, this->incarnation);
+}
+
+void replica_core::adopt_term(std::uint64_t term)
+{
+    if (term > this->hard_state.term)
+    {
+        this->set_hard_state(term, host_id());
+        this->leader = host_id();
+        this->life.follow();
+    }
+}
+
+void replica_core::set_hard_state(std::uint64_t term, host_id const& voted_for)
+{
+    this->hard_state = {term, voted_for};
+    this->out.write(persist_hard_state{this->hard_state});
+}
+
+message replica_core::make_message(message_body body) const
+{
+    return {this->hard_state.term, this->incarnation, std::move(body)};
+}
+
+void replica_core::answer(host_id const& to, message_body body,
+                          bool durable_first)
+{
+    send next{to, this->make_message(std::move(body))};
+    if (durable_first)
+    {
+        this->out.add(std::move(next));
+    }
+    else
+    {
+        this->out.add_before_writes(std::move(next));
+    }
+}
+
+void replica_core::match_role_to_membership()
+{
+    if (this->may_lead())
+    {
+        this->life.join_voters();
+    }
+    else
+    {
+        this->life.leave_voters();
+    }
+}
+
+bool replica_core::counts_vote(membership const& members, host_id const& host,
+                               std::uint64_t sender) const
+{
+    if (this->switches.incarnation_check)
+    {
+        return members.is_voter(host, sender);
+    }
+    member const* const listed = members.find(host);
+    return listed != nullptr && listed->voter;
+}
+
+} // namespace bilberrylead::agreement
--- /dev/null
+++ b/bilberrylead/steering/block_table.cpp
@@ -0,0 +1,194 @@
+#include "bilberrylead/steering/block_table.hpp"
+
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/steering/family_change.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::steering
+{
+
+namespace
+{
+
+/// The lists of the blocks of each kind while a table is built.
+struct sorted_blocks
+{
+    std::vector<block_entry<std::uint32_t>> v4;
+    std::vector<block_entry<std::uint64_t>> v6;
+    std::vector<block_entry<v6_key>> v6_long;
+};
+
+/// What changes in each kind.
+struct table_change
+{
+    family_change<std::uint32_t> v4;
+    family_change<std::uint64_t> v6;
+    family_change<v6_key> v6_long;
+};
+
+/// Calls `action` with the part of `parts` that the block belongs to and
+/// the block's first address as that part has it.
+template <class Parts, class Action>
+auto with_part(Parts& parts, address_block const& block, Action&& action)
+{
+    ip_address const& first = block.first();
+    if (first.is_v4())
+    {
+        return action(parts.v4, first.v4());
+    }
+    constexpr unsigned upper_half = 64;
+    return block.length() <= upper_half ? action(parts.v6, first.v6().high)
+                                        : action(parts.v6_long, first.v6());
+}
+
+absl::Status check_value(valued_block const& each)
+{
+    if (each.value < largest_block_value)
+    {
+        return absl::OkStatus();
+    }
+    return make_error(
+        error_kind::no_room,
+        fmt::format("Block {} stands for number {}, the largest is {}.",
+                    each.block.to_string(), each.value,
+                    largest_block_value - 1),
+        "Let blocks with equal zone and labels share a number.");
+}
+
+absl::Status absent(address_block const& block)
+{
+    return make_error(error_kind::unknown_name,
+                      fmt::format("Block {} is to be removed and isn't there.",
+                                  block.to_string()),
+                      "Fetch the whole table again.");
+}
+
+} // namespace
+
+absl::StatusOr<block_table>
+block_table::build(std::span<valued_block const> blocks)
+{
+    sorted_blocks parts;
+    for (valued_block const& each : blocks)
+    {
+        absl::Status status = check_value(each);
+        if (!status.ok())
+        {
+            return status;
+        }
+        packed_block const packed(each.block.length(), each.value);
+        with_part(parts, each.block,
+                  [&packed](auto& entries, auto const& start)
+                  {
+                      entries.push_back({start, packed});
+                  });
+    }
+    absl::Status status = sort_unique(parts.v4);
+    status.Update(sort_unique(parts.v6));
+    status.Update(sort_unique(parts.v6_long));
+    if (!status.ok())
+    {
+        return status;
+    }
+    block_table table;
+    table.v4 = layered_family<std::uint32_t>(parts.v4);
+    table.v6 = layered_family<std::uint64_t>(parts.v6);
+    table.v6_long = layered_family<v6_key>(parts.v6_long);
+    return table;
+}
+
+std::optional<block_match> block_table::find(ip_address const& address) const
+{
+    if (address.is_v4())
+    {
+        return this->v4.find(address.v4());
+    }
+    if (this->v6_long.size() > 0)
+    {
+        std::optional<block_match> const match =
+            this->v6_long.find(address.v6());
+        if (match.has_value())
+        {
+            return match;
+        }
+    }
+    return this->v6.find(address.v6().high);
+}
+
+absl::StatusOr<block_table> block_table::with(block_delta const& delta) const
+{
+    table_change change{family_change(this->v4), family_change(this->v6),
+                        family_change(this->v6_long)};
+    for (address_block const& block : delta.removed)
+    {
+        bool const was_there =
+            with_part(change, block,
+                      [&block](auto& part, auto const& start)
+                      {
+                          return part.remove(start, block.length());
+                      });
+        if (!was_there)
+        {
+            return absent(block);
+        }
+    }
+    for (valued_block const& each : delta.set)
+    {
+        absl::Status status = check_value(each);
+        if (!status.ok())
+        {
+            return status;
+        }
+        packed_block const packed(each.block.length(), each.value);
+        with_part(change, each.block,
+                  [&packed](auto& part, auto const& start)
+                  {
+                      part.set(start, packed);
+                  });
+    }
+    absl::Status status = change.v4.finish();
+    status.Update(change.v6.finish());
+    status.Update(change.v6_long.finish());
+    if (!status.ok())
+    {
+        return status;
+    }
+    block_table table;
+    table.v4 = std::move(change.v4).result();
+    table.v6 = std::move(change.v6).result();
+    table.v6_long = std::move(change.v6_long).result();
+    return table;
+}
+
+block_table block_table::compacted() const
+{
+    block_table table;
+    table.v4 = layered_family<std::uint32_t>(this->v4.all());
+    table.v6 = layered_family<std::uint64_t>(this->v6.all());
+    table.v6_long = layered_family<v6_key>(this->v6_long.all());
+    return table;
+}
+
+std::size_t block_table::size() const
+{
+    return this->v4.size() + this->v6.size() + this->v6_long.size();
+}
+
+std::size_t block_table::changed_blocks() const
+{
+    return this->v4.overlay_size() + this->v6.overlay_size() +
+           this->v6_long.overlay_size();
+}
+
+std::size_t block_table::bytes_held() const
+{
+    return this->v4.bytes_held() + this->v6.bytes_held() +
+           this->v6_long.bytes_held();
+}
+
+} // namespace bilberrylead::steering
