--- a/bilberrylead/config/json_text.cpp
+++ b/bilberrylead/config/json_text.cpp
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
-#include <functional>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,47 +21,114 @@
 /// the reader hold a frame for each of them.
 constexpr std::size_t deepest_nesting = 32;
 
-struct nested_too_deep
+/// The library's message without its bracketed code.
+std::string message_of(nlohmann::json::exception const& error)
 {
-};
+    std::string const text = error.what();
+    std::size_t const end = text.find("] ");
+    return end == std::string::npos ? text : text.substr(end + 2);
+}
 
-/// Follows the parser through the text and finds fields that stand twice:
-/// the library keeps the last one and says nothing, so an operator who
-/// edits the first one would see no effect and no error.
-class duplicate_watch
+/// Goes through a text before its value is built, and finds what the
+/// library lets pass: fields that stand twice, of which it keeps the last
+/// one and says nothing, so that an operator who edits the first would see
+/// neither effect nor error; and nesting without bound.
+///
+/// A pass of its own, because the library's callback for building values
+/// walks the whole surrounding list at the end of each of its objects: time
+/// grows with the square of the list.
+class text_scan
 {
 public:
-    explicit duplicate_watch(error_list& list) : errors(&list)
+    explicit text_scan(error_list& list) : errors(&list)
+    {
+    }
+
+    bool null()
+    {
+        return this->count_element();
+    }
+
+    bool boolean(bool /*value*/)
+    {
+        return this->count_element();
+    }
+
+    bool number_integer(std::int64_t /*value*/)
+    {
+        return this->count_element();
+    }
+
+    bool number_unsigned(std::uint64_t /*value*/)
     {
+        return this->count_element();
     }
 
-    bool operator()(int /*depth*/, nlohmann::json::parse_event_t event,
-                    nlohmann::json& parsed)
+    bool number_float(double /*value*/, std::string const& /*text*/)
     {
-        using event_type = nlohmann::json::parse_event_t;
-        switch (event)
+        return this->count_element();
+    }
+
+    bool string(std::string& /*value*/)
+    {
+        return this->count_element();
+    }
+
+    bool binary(nlohmann::json::binary_t& /*value*/)
+    {
+        return this->count_element();
+    }
+
+    bool start_object(std::size_t /*elements*/)
+    {
+        return this->enter(false);
+    }
+
+    bool start_array(std::size_t /*elements*/)
+    {
+        return this->enter(true);
+    }
+
+    bool end_object()
+    {
+        this->frames.pop_back();
+        return true;
+    }
+
+    bool end_array()
+    {
+        this->frames.pop_back();
+        return true;
+    }
+
+    bool key(std::string const& name)
+    {
+        frame& top = this->frames.back();
+        top.key = name;
+        if (!top.keys.insert(name).second)
         {
-        case event_type::object_start:
-        case event_type::array_start:
-            this->enter(event == event_type::array_start);
-            break;
-        case event_type::object_end:
-        case event_type::array_end:
-            this->frames.pop_back();
-            break;
-        case event_type::key:
-            this->note_key(parsed.get_ref<std::string const&>());
-            break;
-        case event_type::value:
-            this->count_element();
-            break;
+            this->fault_found = true;
+            this->errors->add(error_kind::duplicate_name, this->path(),
+                              "The field stands here twice.",
+                              "Take one of them away.");
         }
         return true;
     }
 
-    bool found() const
+    bool parse_error(std::size_t /*position*/, std::string const& /*token*/,
+                     nlohmann::json::exception const& error)
     {
-        return this->found_any;
+        this->fault_found = true;
+        this->errors->add(
+            error_kind::syntax, "",
+            fmt::format("Not JSON with comments: {}.", message_of(error)),
+            "Mend the text there.");
+        return false;
+    }
+
+    bool found_fault() const
+    {
+        return this->fault_found;
     }
 
 private:
@@ -73,35 +140,29 @@
         std::set<std::string> keys;
     };
 
-    void enter(bool is_array)
+    bool enter(bool is_array)
     {
         if (this->frames.size() == deepest_nesting)
         {
-            throw nested_too_deep();
+            this->fault_found = true;
+            this->errors->add(
+                error_kind::syntax, "",
+                fmt::format("Values nest deeper than {}.", deepest_nesting),
+                "Compare it with the examples.");
+            return false;
         }
         this->count_element();
         this->frames.push_back(frame{is_array, 0, {}, {}});
+        return true;
     }
 
-    void count_element()
+    bool count_element()
     {
         if (!this->frames.empty())
         {
             ++this->frames.back().elements;
         }
-    }
-
-    void note_key(std::string const& key)
-    {
-        frame& top = this->frames.back();
-        top.key = key;
-        if (!top.keys.insert(key).second)
-        {
-            this->found_any = true;
-            this->errors->add(error_kind::duplicate_name, this->path(),
-                              "The field stands here twice.",
-                              "Take one of them away.");
-        }
+        return true;
     }
 
     std::string path() const
@@ -122,40 +183,25 @@
     }
 
     error_list* errors;
-    bool found_any = false;
+    bool fault_found = false;
     std::vector<frame> frames;
 };
 
-/// The library's message without its bracketed code.
-std::string message_of(nlohmann::json::exception const& error)
-{
-    std::string const text = error.what();
-    std::size_t const end = text.find("] ");
-    return end == std::string::npos ? text : text.substr(end + 2);
-}
-
 } // namespace
 
 std::optional<nlohmann::json> parse_json(std::string_view text,
                                          error_list& errors)
 {
-    duplicate_watch watch(errors);
+    text_scan scan(errors);
     try
     {
-        nlohmann::json::parser_callback_t const callback = std::ref(watch);
-        nlohmann::json value =
-            nlohmann::json::parse(text, callback, true, true);
-        if (watch.found())
+        nlohmann::json::sax_parse(
+            text, &scan, nlohmann::json::input_format_t::json, true, true);
+        if (scan.found_fault())
         {
             return std::nullopt;
         }
-        return value;
-    }
-    catch (nested_too_deep const&)
-    {
-        errors.add(error_kind::syntax, "",
-                   fmt::format("Values nest deeper than {}.", deepest_nesting),
-                   "Compare it with the examples.");
+        return nlohmann::json::parse(text, nullptr, true, true);
     }
     catch (nlohmann::json::exception const& error)
     {
