policy: mean service time over a thousand answers; ideal within regions

Cause: in bursts zones traded requests for nothing. They compare waits by their mean service times, which over a hundred answers stray by a tenth: more, at a wait of 150 ms, than a move within the region costs. How much of the gap the regions' distance explains is now a row of its own.

--- a/bilberrylead/policy/service_time_estimate.cpp
+++ b/bilberrylead/policy/service_time_estimate.cpp
@@ -15,8 +15,11 @@
 /// Samples after which all counts are halved, so that an upstream that got
 /// slow shows within a few thousand answers.
 constexpr std::uint32_t samples_kept = 8192;
-/// Weight of one sample in the mean: about the last hundred count.
-constexpr double mean_weight = 0.01;
+/// Least weight of one sample in the mean: about the last thousand count,
+/// two to three seconds of a zone's work. Zones compare their waits by their
+/// means; over the last hundred the mean strays by a tenth, which at a wait
+/// of 150 ms is more than what a move within the region costs.
+constexpr double mean_weight = 0.001;
 /// Samples that the first guess stands for.
 constexpr std::uint32_t guess_weight = 4;
 
@@ -42,8 +45,11 @@
 
 void service_time_estimate::add(duration sample)
 {
+    ++this->samples;
+    double const weight = std::max(
+        mean_weight, 1.0 / static_cast<double>(this->samples + guess_weight));
     this->mean_ns +=
-        mean_weight * (static_cast<double>(sample.count()) - this->mean_ns);
+        weight * (static_cast<double>(sample.count()) - this->mean_ns);
     ++this->buckets[bucket_of(sample)];
     ++this->total;
     if (this->total < samples_kept)
--- a/bilberrylead/policy/service_time_estimate.hpp
+++ b/bilberrylead/policy/service_time_estimate.hpp
@@ -17,7 +17,7 @@
 class service_time_estimate
 {
 public:
-    /// Starts from a guess that the first hundred samples wash out.
+    /// Starts from a guess that counts as four samples.
     explicit service_time_estimate(
         duration first_guess = std::chrono::milliseconds(20));
 
@@ -38,6 +38,7 @@
 
     std::array<std::uint32_t, bucket_count> buckets{};
     std::uint32_t total = 0;
+    std::uint64_t samples = 0;
     double mean_ns = 0;
 };
 
--- a/performance/policy_bench/policy_row.cpp
+++ b/performance/policy_bench/policy_row.cpp
@@ -59,6 +59,24 @@
             }};
 }
 
+/// What is possible without work that crosses regions: one queue for each
+/// region, no links within.
+policy_row ideal_of_regions()
+{
+    slot_owner_settings settings;
+    settings.moves = false;
+    settings.slots.sent_ahead = 0;
+    settings.admission.queue.by_flow = false;
+    return {"ideal within each region",
+            [settings](profile const& where, scenario const& what,
+                       std::vector<arrival> const& arrivals)
+            {
+                return owner_model(merge_regions(where), what, arrivals,
+                                   steering_kind::by_capacity, settings)
+                    .run();
+            }};
+}
+
 /// The product with one rule switched off.
 template <class Change>
 policy_row without(std::string name, Change change)
@@ -130,6 +148,7 @@
     rows.push_back(fixed_parts("slots dealt out to entry hosts", false));
     rows.push_back(fixed_parts("slots dealt out, work moves", true));
     rows.push_back(owner(product_name, steering_kind::by_capacity, {}));
+    rows.push_back(ideal_of_regions());
     rows.push_back({ideal_name, [](profile const& where, scenario const& what,
                                    std::vector<arrival> const& arrivals)
                     {
--- a/performance/policy_bench/profile.cpp
+++ b/performance/policy_bench/profile.cpp
@@ -104,6 +104,24 @@
     return six_zones("maksuamet", {3, 3, 3, 3, 3, 3}, 500us);
 }
 
+profile merge_regions(profile const& whole)
+{
+    profile merged = whole;
+    merged.zone_upstreams.assign(whole.regions(), 0);
+    merged.zone_entry_hosts.assign(whole.regions(), 0);
+    merged.zone_regions.resize(whole.regions());
+    std::iota(merged.zone_regions.begin(), merged.zone_regions.end(), 0U);
+    merged.zone_sites = merged.zone_regions;
+    for (std::uint32_t zone = 0; zone < whole.zones(); ++zone)
+    {
+        std::uint32_t const region = whole.region_of(zone);
+        merged.zone_upstreams[region] += whole.zone_upstreams[zone];
+        merged.zone_entry_hosts[region] += whole.zone_entry_hosts[zone];
+    }
+    merged.within_zone = {};
+    return merged;
+}
+
 profile split_by_entry_host(profile const& whole)
 {
     profile split = whole;
--- a/performance/policy_bench/profile.hpp
+++ b/performance/policy_bench/profile.hpp
@@ -60,6 +60,9 @@
 /// for good: every entry host is a zone of its own.
 profile split_by_entry_host(profile const& whole);
 
+/// The same hosts, but each region is one zone without distances in it.
+profile merge_regions(profile const& whole);
+
 /// Maksuamet: 18 query upstreams, 9 entry hosts, zones 0.5 ms apart.
 profile maksuamet();
 
--- /dev/null
+++ b/tests/unit/policy/service_time_estimate_test.cpp
@@ -0,0 +1,54 @@
+#include "bilberrylead/policy/service_time_estimate.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+
+using namespace bilberrylead;
+using namespace bilberrylead::policy;
+using namespace std::chrono_literals;
+
+Test(service_time_estimate, first_guess_is_washed_out_by_a_hundred_samples)
+{
+    service_time_estimate estimate(20ms);
+    for (int sample = 0; sample < 100; ++sample)
+    {
+        estimate.add(5ms);
+    }
+    cr_assert(estimate.mean() > 5ms && estimate.mean() < 6ms);
+}
+
+// Two zones with the same work would move requests to and fro for the
+// difference between their means. With a weight of 0.01, which counts the
+// last hundred samples, this fails.
+Test(service_time_estimate, mean_of_spread_samples_strays_little)
+{
+    service_time_estimate estimate(20ms);
+    for (int sample = 0; sample < 5000; ++sample)
+    {
+        estimate.add(sample % 20 == 0 ? 210ms : 10ms);
+    }
+    duration lowest = estimate.mean();
+    duration highest = estimate.mean();
+    for (int sample = 0; sample < 5000; ++sample)
+    {
+        // The same share of long samples, but in clusters of five.
+        estimate.add(sample % 100 < 5 ? 210ms : 10ms);
+        lowest = std::min(lowest, estimate.mean());
+        highest = std::max(highest, estimate.mean());
+    }
+    cr_assert(highest - lowest < 2ms);
+}
+
+Test(service_time_estimate, quantile_is_rounded_up_by_under_a_fifth)
+{
+    service_time_estimate estimate(10ms);
+    for (int sample = 0; sample < 2000; ++sample)
+    {
+        estimate.add(sample % 100 == 0 ? 200ms : 10ms);
+    }
+    cr_assert(estimate.quantile(0.5) >= 10ms);
+    cr_assert(estimate.quantile(0.5) < 12ms);
+    cr_assert(estimate.quantile(0.999) >= 200ms);
+    cr_assert(estimate.quantile(0.999) < 240ms);
+}
