policy: steering looks at one region only; slots dealt out to hosts

Cause: an answer weighed every entry host against every other, which ten hosts bear and thousands do not. The time of an answer was not measured.

--- a/bilberrylead/policy/steering_policy.cpp
+++ b/bilberrylead/policy/steering_policy.cpp
@@ -15,14 +15,38 @@
 
 } // namespace
 
-steering_policy::steering_policy(
-    std::vector<steering_zone> const& zones,
-    std::vector<steering_host> const& hosts,
-    std::vector<std::vector<std::size_t>> const& nearest,
-    steering_settings const& settings)
-    : settings(settings), places(zones), hosts(hosts), nearest(nearest)
+steering_policy::steering_policy(std::vector<steering_zone> const& zones,
+                                 std::vector<steering_host> const& hosts,
+                                 steering_settings const& settings)
+    : settings(settings), places(zones), hosts(hosts), taking(zones.size())
 {
     assert(settings.shortest_ttl <= settings.longest_ttl);
+    for (std::size_t zone = 0; zone < zones.size(); ++zone)
+    {
+        std::size_t const region = zones[zone].region;
+        if (region >= this->own_zones.size())
+        {
+            this->own_zones.resize(region + 1);
+        }
+        this->own_zones[region].push_back(zone);
+        this->list_hosts(zone);
+    }
+}
+
+void steering_policy::list_hosts(std::size_t zone)
+{
+    zone_hosts& listed = this->taking[zone];
+    listed.hosts.clear();
+    listed.weight = 0;
+    for (std::size_t index = 0; index < this->hosts.size(); ++index)
+    {
+        steering_host const& host = this->hosts[index];
+        if (host.zone == zone && host.takes_callers && host.weight > 0)
+        {
+            listed.hosts.push_back(index);
+            listed.weight += host.weight;
+        }
+    }
 }
 
 void steering_policy::report(std::size_t zone, std::uint32_t slots,
@@ -43,6 +67,7 @@
 void steering_policy::set_takes_callers(std::size_t host, bool takes_callers)
 {
     this->hosts.at(host).takes_callers = takes_callers;
+    this->list_hosts(this->hosts[host].zone);
 }
 
 steering_answer steering_policy::answer(std::size_t region,
@@ -51,8 +76,7 @@
 {
     steering_answer given;
     std::size_t const serving = this->pick_region(region, shares, random);
-    this->add_picked(serving, given, random);
-    if (given.count == 0)
+    if (!this->add_picked(serving, given, random))
     {
         // The region is lost and its callers were not moved yet, for want
         // of room or by the cap: not run, come back when the plan went on.
@@ -102,46 +126,52 @@
     return std::max(0.0, free / zone.slots);
 }
 
-double steering_policy::weight(steering_host const& host,
-                               std::size_t region) const
+double steering_policy::room(std::size_t zone) const
 {
-    steering_zone const& zone = this->places[host.zone];
-    if (!host.takes_callers || host.weight == 0 || zone.region != region ||
-        zone.slots == 0)
+    if (this->taking[zone].weight == 0)
     {
         return 0;
     }
-    // The zone's free slots, shared out among its hosts by their weights.
-    std::uint32_t zone_weight = 0;
-    for (steering_host const& other : this->hosts)
+    steering_zone const& place = this->places[zone];
+    return std::max(this->settings.least_weight, this->free_share(place)) *
+           place.slots;
+}
+
+std::size_t steering_policy::pick_host(std::size_t zone,
+                                       generator& random) const
+{
+    zone_hosts const& listed = this->taking[zone];
+    std::uint32_t at = random.below(listed.weight);
+    for (std::size_t const host : listed.hosts)
     {
-        bool const counts = other.zone == host.zone && other.takes_callers;
-        zone_weight += counts ? other.weight : 0;
+        if (at < this->hosts[host].weight)
+        {
+            return host;
+        }
+        at -= this->hosts[host].weight;
     }
-    double const room =
-        std::max(this->settings.least_weight, this->free_share(zone));
-    return room * zone.slots * host.weight / zone_weight;
+    return listed.hosts.back();
 }
 
-void steering_policy::add_picked(std::size_t region, steering_answer& given,
+bool steering_policy::add_picked(std::size_t region, steering_answer& given,
                                  generator& random) const
 {
-    // One host by chance, each as likely as its weight says.
+    // A zone by chance, as likely as its room says; then one of its hosts.
     double total = 0;
-    for (steering_host const& host : this->hosts)
+    for (std::size_t const zone : this->own_zones[region])
     {
-        total += this->weight(host, region);
+        total += this->room(zone);
     }
     double left = random.unit() * total;
     std::optional<std::size_t> picked;
-    for (std::size_t index = 0; index < this->hosts.size(); ++index)
+    for (std::size_t const zone : this->own_zones[region])
     {
-        double const own = this->weight(this->hosts[index], region);
+        double const own = this->room(zone);
         if (own <= 0)
         {
             continue;
         }
-        picked = index;
+        picked = zone;
         left -= own;
         if (left < 0)
         {
@@ -150,12 +180,15 @@
     }
     if (!picked.has_value())
     {
-        return;
+        return false;
     }
-    double const part = this->weight(this->hosts[*picked], region) / total;
-    given.hosts[0] = {*picked, static_cast<std::uint32_t>(std::max(
-                                   1.0, std::round(largest_weight * part)))};
+    std::size_t const host = this->pick_host(*picked, random);
+    double const part = this->room(*picked) / total * this->hosts[host].weight /
+                        this->taking[*picked].weight;
+    given.hosts[0] = {host, static_cast<std::uint32_t>(std::max(
+                                1.0, std::round(largest_weight * part)))};
     given.count = 1;
+    return true;
 }
 
 void steering_policy::add_fallbacks(std::size_t region,
@@ -163,34 +196,21 @@
 {
     // Others for when the first does not answer: of the same region only,
     // since a caller that goes elsewhere by itself is a move beyond the cap.
-    for (std::size_t const zone : this->nearest[region])
+    for (std::size_t const zone : this->own_zones[region])
     {
-        for (std::size_t index = 0; index < this->hosts.size(); ++index)
+        for (std::size_t const host : this->taking[zone].hosts)
         {
-            steering_host const& host = this->hosts[index];
-            bool const usable =
-                host.zone == zone && this->weight(host, region) > 0;
-            if (!usable || given.count == given.most_hosts ||
-                contains(given, index))
+            if (given.count == steering_answer::most_hosts)
             {
-                continue;
+                return;
+            }
+            if (host != given.hosts[0].host)
+            {
+                given.hosts[given.count] = {host, 1};
+                ++given.count;
             }
-            given.hosts[given.count] = {index, 1};
-            ++given.count;
-        }
-    }
-}
-
-bool steering_policy::contains(steering_answer const& given, std::size_t host)
-{
-    for (std::size_t index = 0; index < given.count; ++index)
-    {
-        if (given.hosts[index].host == host)
-        {
-            return true;
         }
     }
-    return false;
 }
 
 } // namespace bilberrylead::policy
--- a/bilberrylead/policy/steering_policy.hpp
+++ b/bilberrylead/policy/steering_policy.hpp
@@ -22,15 +22,15 @@
 /// clients keep the answer. Here each answer counts as load before it
 /// arrives, and answers are kept for a shorter time the less room there is.
 /// Regions are picked by the shares of the plan, never by this host's own
-/// idea, or the cap on shifts would not hold. No allocation per answer.
+/// idea, or the cap on shifts would not hold. An answer looks at the zones
+/// of one region and the hosts of one or two zones, however many hosts there
+/// are, and allocates nothing.
 class steering_policy
 {
 public:
-    /// Makes a policy over these zones and hosts. `nearest[region]` lists
-    /// zones by their distance from it.
+    /// Makes a policy over these zones and hosts.
     steering_policy(std::vector<steering_zone> const& zones,
                     std::vector<steering_host> const& hosts,
-                    std::vector<std::vector<std::size_t>> const& nearest,
                     steering_settings const& settings = {});
 
     /// A zone's report came in.
@@ -51,19 +51,31 @@
     }
 
 private:
+    /// What is looked up for each answer, kept up when hosts change.
+    struct zone_hosts
+    {
+        /// The zone's hosts that take callers.
+        std::vector<std::size_t> hosts;
+        /// The sum of their weights.
+        std::uint32_t weight = 0;
+    };
+
     std::size_t pick_region(std::size_t region, traffic_shares const& shares,
                             generator& random) const;
-    double weight(steering_host const& host, std::size_t region) const;
+    double room(std::size_t zone) const;
     double free_share(steering_zone const& zone) const;
-    void add_picked(std::size_t region, steering_answer& given,
+    void list_hosts(std::size_t zone);
+    std::size_t pick_host(std::size_t zone, generator& random) const;
+    bool add_picked(std::size_t region, steering_answer& given,
                     generator& random) const;
     void add_fallbacks(std::size_t region, steering_answer& given) const;
-    static bool contains(steering_answer const& given, std::size_t host);
 
     steering_settings settings;
     std::vector<steering_zone> places;
     std::vector<steering_host> hosts;
-    std::vector<std::vector<std::size_t>> nearest;
+    std::vector<zone_hosts> taking;
+    /// Each region's own zones, nearest first.
+    std::vector<std::vector<std::size_t>> own_zones;
 };
 
 } // namespace bilberrylead::policy
--- a/tests/unit/policy/steering_policy_test.cpp
+++ b/tests/unit/policy/steering_policy_test.cpp
@@ -24,7 +24,7 @@
         : policy({zone(0), zone(0), zone(1), zone(1)},
                  {host(0), host(0), host(1), host(1), host(2), host(2), host(3),
                   host(3)},
-                 {{0, 1, 2, 3}, {2, 3, 0, 1}}, settings)
+                 settings)
     {
     }
 
