policy: grants are numbered by epoch, and adopted once

Cause: two owners both counted grants from one, and a host that became owner again counted its own still running grants twice when they were reported back: slots lost until the second count expired, or freed by the release of another grant. Both tests failed first (61 of 63), 63 of 63 pass.

--- a/bilberrylead/policy/slot_owner.cpp
+++ b/bilberrylead/policy/slot_owner.cpp
@@ -122,6 +122,7 @@
 {
     assert(event.epoch > this->epoch);
     this->epoch = event.epoch;
+    this->table.start_epoch(event.epoch);
     this->owner_until = event.until;
     this->settled_at = now + event.settle;
     this->reports_missing = event.hosts_to_report;
--- a/bilberrylead/policy/slot_table.cpp
+++ b/bilberrylead/policy/slot_table.cpp
@@ -163,14 +163,26 @@
     return this->grants.back();
 }
 
+void slot_table::start_epoch(std::uint64_t epoch)
+{
+    constexpr unsigned bits_within_epoch = 40;
+    this->last_id = epoch << bits_within_epoch;
+}
+
 void slot_table::adopt(slot_grant const& held, instant now)
 {
+    for (slot_grant const& known : this->grants)
+    {
+        if (known.id == held.id)
+        {
+            return;
+        }
+    }
     this->note_load(now);
     upstream_slots& slots = this->upstreams.at(held.upstream);
     ++slots.granted;
     slots.long_held += held.length == work_length::extended ? 1 : 0;
     this->long_held += held.length == work_length::extended ? 1 : 0;
-    this->last_id = std::max(this->last_id, held.id);
     this->grants.push_back(held);
 }
 
--- a/bilberrylead/policy/slot_table.hpp
+++ b/bilberrylead/policy/slot_table.hpp
@@ -42,7 +42,10 @@
                             config::work_length length, instant expires,
                             instant now);
 
-    /// Records a slot held by `host` that a former owner gave.
+    /// Numbers grants from this epoch on, unlike those of any other.
+    void start_epoch(std::uint64_t epoch);
+
+    /// Records a slot that a former owner gave; nothing if it is known.
     void adopt(slot_grant const& held, instant now);
 
     /// Takes a slot back; `service_time` is what the host measured between
--- a/tests/unit/policy/slot_owner_test.cpp
+++ b/tests/unit/policy/slot_owner_test.cpp
@@ -79,10 +79,12 @@
 Test(slot_owner, asks_beyond_the_slots_wait_for_a_release)
 {
     owner_fixture fixture;
-    cr_assert_eq(fixture.ask_many<slot_granted>(8), 6);
+    std::uint64_t const first =
+        std::get<slot_granted>(fixture.ask().at(0)).grant;
+    cr_assert_eq(fixture.ask_many<slot_granted>(7), 5);
     cr_assert_eq(fixture.owner.slots().granted(0), 3);
     std::vector<slot_owner_effect> const effects =
-        fixture.reduce(slot_released{0, 1, 20ms});
+        fixture.reduce(slot_released{0, first, 20ms});
     cr_assert_eq(effects.size(), 1);
     cr_assert_eq(std::get<slot_granted>(effects[0]).ticket, 7);
 }
@@ -90,9 +92,11 @@
 Test(slot_owner, release_sent_twice_frees_one_slot)
 {
     owner_fixture fixture;
-    fixture.ask_many<slot_granted>(8);
-    fixture.reduce(slot_released{0, 1, 20ms});
-    cr_assert(fixture.reduce(slot_released{0, 1, 20ms}).empty());
+    std::uint64_t const first =
+        std::get<slot_granted>(fixture.ask().at(0)).grant;
+    fixture.ask_many<slot_granted>(7);
+    fixture.reduce(slot_released{0, first, 20ms});
+    cr_assert(fixture.reduce(slot_released{0, first, 20ms}).empty());
     cr_assert_eq(fixture.owner.waiting(), 1);
 }
 
@@ -157,6 +161,35 @@
     cr_assert_eq(fixture.owner.waiting(), 1);
 }
 
+// A host was owner, lost the lease, and gets it back while a grant of its
+// first epoch still runs. It knows the grant and hears of it again; counted
+// twice, the slot would stay lost until the second count expires.
+Test(slot_owner, grant_that_is_reported_back_counts_once)
+{
+    owner_fixture fixture;
+    slot_granted const granted = std::get<slot_granted>(fixture.ask().at(0));
+    fixture.reduce(ownership_started{3, fixture.now + 10s, 3s, 1});
+    slot_grant held;
+    held.id = granted.grant;
+    held.upstream = granted.upstream;
+    fixture.reduce(grant_reported{held, true});
+    cr_assert_eq(fixture.owner.slots().granted(granted.upstream), 1);
+    fixture.reduce(slot_released{0, granted.grant, 20ms});
+    cr_assert_eq(fixture.owner.slots().granted(granted.upstream), 0);
+}
+
+// Two owners that both count from one: the new owner's first grant must not
+// have the number of a grant that the former owner gave.
+Test(slot_owner, grants_of_two_epochs_have_different_numbers)
+{
+    owner_fixture fixture;
+    slot_granted const first = std::get<slot_granted>(fixture.ask().at(0));
+    owner_fixture next;
+    next.reduce(ownership_started{2, next.now + 10s, {}, 0});
+    slot_granted const second = std::get<slot_granted>(next.ask().at(0));
+    cr_assert_neq(first.grant, second.grant);
+}
+
 Test(slot_owner, new_owner_without_reports_waits_out_the_old_grants)
 {
     owner_fixture fixture;
