--- a/bilberrylead/entry/routing_table.cpp
+++ b/bilberrylead/entry/routing_table.cpp
@@ -121,6 +121,14 @@
     return duration::max();
 }
 
+duration routing_table::distance(zone_id const& from, zone_id const& to) const
+{
+    duration const latency =
+        this->latency_between(this->region_of(from), this->region_of(to));
+    return from == to || latency == duration::max() ? duration::zero()
+                                                    : latency;
+}
+
 std::vector<config::entry_host const*>
 routing_table::entry_hosts_for(zone_id const& zone) const
 {
@@ -146,13 +154,14 @@
                                      : duration::zero();
         order.push_back({distance, latency, &host});
     }
-    std::stable_sort(
-        order.begin(), order.end(),
-        [](ranked const& one, ranked const& other)
-        {
-            return std::tuple(one.distance, one.latency, other.host->weight) <
-                   std::tuple(other.distance, other.latency, one.host->weight);
-        });
+    std::sort(order.begin(), order.end(),
+              [](ranked const& one, ranked const& other)
+              {
+                  return std::tie(one.distance, one.latency, other.host->weight,
+                                  one.host->id) <
+                         std::tie(other.distance, other.latency,
+                                  one.host->weight, other.host->id);
+              });
     std::vector<config::entry_host const*> hosts;
     hosts.reserve(order.size());
     for (ranked const& row : order)
