--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -38,6 +38,27 @@
         "Ask that host.");
 }
 
+absl::Status status_of(agreement::refusal reason, host_id const& leader)
+{
+    if (reason == agreement::refusal::not_leader)
+    {
+        return not_leader(leader);
+    }
+    if (reason == agreement::refusal::bad_change)
+    {
+        return make_error(
+            error_kind::bad_value,
+            "The group cannot change so: the host is a member already, or "
+            "is none, or is the last voter.",
+            "See the members with bilberryctl status. A member that lost "
+            "its disk is taken back by itself, with no command.");
+    }
+    return make_error(error_kind::no_room,
+                      fmt::format("The log refuses the change ({}).",
+                                  agreement::to_string(reason)),
+                      "Try again in a second.");
+}
+
 } // namespace
 
 control_reducer::control_reducer(control_reducer_settings const& settings)
@@ -385,15 +406,8 @@
 
 void control_reducer::carry_out(agreement::proposal_refused const& effect)
 {
-    absl::Status why = not_leader(effect.leader);
-    if (effect.reason != agreement::refusal::not_leader)
-    {
-        why = make_error(error_kind::no_room,
-                         fmt::format("The log refuses the change ({}).",
-                                     agreement::to_string(effect.reason)),
-                         "Try again in a second.");
-    }
-    this->refuse(this->open.take(effect.token), why, effect.leader);
+    this->refuse(this->open.take(effect.token),
+                 status_of(effect.reason, effect.leader), effect.leader);
 }
 
 void control_reducer::carry_out(
@@ -594,6 +608,7 @@
 {
     status_reply reply;
     reply.host = this->settings.self;
+    reply.incarnation = this->settings.incarnation;
     reply.role = this->replica.role();
     reply.term = this->replica.term();
     reply.leader = this->replica.leader();
--- a/bilberrylead/control/operator_reply.hpp
+++ b/bilberrylead/control/operator_reply.hpp
@@ -40,6 +40,8 @@
 {
     /// This host.
     host_id host;
+    /// This life of its data folder.
+    std::uint64_t incarnation = 0;
     /// Its role in the group.
     agreement::role role = agreement::role::learner;
     /// Its term.
--- a/bilberrylead/ctl/group_commands.cpp
+++ b/bilberrylead/ctl/group_commands.cpp
@@ -58,8 +58,8 @@
             error_kind::conflict,
             fmt::format("Control host {} belongs to a group already.",
                         body->value("host", "?")),
-            "Found a group only once. A repaired host joins with "
-            "bilberryctl add-member.");
+            "Found a group only once. A repaired host is taken "
+            "back by itself.");
     }
     return absl::OkStatus();
 }
--- a/bilberrylead/ctl/group_commands.hpp
+++ b/bilberrylead/ctl/group_commands.hpp
@@ -9,7 +9,7 @@
 /// Founds a new group of control hosts, once, on blank data folders.
 exit_code run_found(command_line const& line);
 
-/// Takes a control host into the group, or a repaired one back.
+/// Takes a new control host into the group.
 exit_code run_add_member(command_line const& line);
 
 /// Takes a control host out of the group.
--- a/bilberrylead/daemon/operator_api.cpp
+++ b/bilberrylead/daemon/operator_api.cpp
@@ -269,6 +269,7 @@
             hosts[row.first.text()] = row.second;
         }
         return as_answer(200, {{"host", held.host.text()},
+                               {"incarnation", held.incarnation},
                                {"role", agreement::to_string(held.role)},
                                {"term", held.term},
                                {"leader", held.leader.text()},
--- a/tests/scenario_runner/scenario_operator_steps.cpp
+++ b/tests/scenario_runner/scenario_operator_steps.cpp
@@ -124,19 +124,21 @@
         "it does not follow");
 }
 
-// wait-voter HOST: it votes again
+// wait-voter HOST: it votes, in the life that it has now
 void scenario_steps::wait_voter(scenario_line const& line)
 {
     std::string const name = this->host_of(line.word(1));
     this->wait_for_status(
-        this->host_of("leader"),
+        name,
         [&name](json const& status)
         {
             for (json const& member : status.value("members", json::array()))
             {
                 if (member.value("host", "") == name)
                 {
-                    return member.value("voter", false);
+                    return member.value("voter", false) &&
+                           member.value("incarnation", std::uint64_t{0}) ==
+                               status.value("incarnation", std::uint64_t{1});
                 }
             }
             return false;
