--- a/tests/unit/entry/entry_load_test.cpp
+++ b/tests/unit/entry/entry_load_test.cpp
@@ -53,8 +53,7 @@
 
     void note(effects const& decided)
     {
-        std::vector<effect> const copy = decided;
-        for (effect const& each : copy)
+        for (effect const& each : decided)
         {
             if (auto const* sent = std::get_if<start_upstream>(&each))
             {
