Align the leaves of small block tables

Cause: memory for arrays under 8 MB was aligned to 64 bytes, a leaf wants 256 or 512. Symptom: three of six tests of the table failed under the undefined behaviour sanitizer, none without it; on this processor the accesses work, and a leaf that crosses pages costs time only. Ruled out: large arrays, which are aligned to large pages. The alignment of the value is now passed on; all six pass under the sanitizers.

--- a/bilberrylead/steering/large_pages.cpp
+++ b/bilberrylead/steering/large_pages.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/mman.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <new>
 
@@ -21,11 +22,12 @@
 
 } // namespace
 
-void* allocate_large(std::size_t size)
+void* allocate_large(std::size_t size, std::size_t alignment)
 {
     // Below some pages the rounding would cost more than it brings.
     bool const is_large = size >= 4 * large_page;
-    std::size_t const unit = is_large ? large_page : cache_line;
+    std::size_t const unit =
+        is_large ? large_page : std::max(alignment, cache_line);
     void* const memory = std::aligned_alloc(unit, rounded_up(size, unit));
     if (memory == nullptr)
     {
--- a/bilberrylead/steering/large_pages.hpp
+++ b/bilberrylead/steering/large_pages.hpp
@@ -8,8 +8,9 @@
 
 /// Memory for a large array, on large pages where the system has them.
 /// Callers hit a table at random; on small pages nearly every access first
-/// misses the processor's list of pages. Throws std::bad_alloc.
-void* allocate_large(std::size_t size);
+/// misses the processor's list of pages. `alignment` is a power of two, up to
+/// a page of 4096 bytes. Throws std::bad_alloc.
+void* allocate_large(std::size_t size, std::size_t alignment);
 
 /// Gives back what allocate_large gave.
 void release_large(void* memory);
@@ -32,7 +33,8 @@
     /// Memory for so many values.
     Value* allocate(std::size_t count)
     {
-        return static_cast<Value*>(allocate_large(count * sizeof(Value)));
+        return static_cast<Value*>(
+            allocate_large(count * sizeof(Value), alignof(Value)));
     }
 
     /// Gives it back.
