Tell a cut answer from a damaged one in bilberry-load

Cause: an answer that ends early was counted as damaged and given up, but its caller sees that bytes are missing and asks again. Damaged now means complete and wrong, which no caller could see.

--- a/bilberrylead/load/answer_kind.cpp
+++ b/bilberrylead/load/answer_kind.cpp
@@ -13,9 +13,10 @@
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_server_error = 500;
 
-constexpr std::array<std::string_view, 9> kind_names = {
-    "done",      "not_run", "outcome_unknown", "in_progress",  "refused",
-    "not_whole", "not_own", "no_answer",       "no_connection"};
+constexpr std::array<std::string_view, 10> kind_names = {
+    "done",      "not_run",      "outcome_unknown", "in_progress",
+    "refused",   "not_whole",    "not_own",         "cut",
+    "no_answer", "no_connection"};
 
 } // namespace
 
--- a/bilberrylead/load/answer_kind.hpp
+++ b/bilberrylead/load/answer_kind.hpp
@@ -19,10 +19,14 @@
     in_progress,
     /// Another final answer: a bad request, an upstream's error.
     refused,
-    /// A "done" answer whose bytes are missing or damaged.
+    /// A "done" answer that is complete and yet not what it must be: damaged
+    /// bytes or another length. Its caller cannot tell.
     not_whole,
     /// A "done" answer that belongs to another request.
     not_own,
+    /// The connection ended or went silent within a "done" answer; its caller
+    /// can tell.
+    cut,
     /// The connection ended or went silent after the request was sent.
     no_answer,
     /// No connection could be made; nothing was sent.
--- a/bilberrylead/load/caller_exchange.cpp
+++ b/bilberrylead/load/caller_exchange.cpp
@@ -94,7 +94,7 @@
             asio::redirect_error(asio::use_awaitable, error));
         if (error && error != http::error::need_buffer)
         {
-            co_return answer_kind::not_whole;
+            co_return answer_kind::cut;
         }
         std::size_t const size = chunk.size() - parser.get().body().size;
         if (!pattern.matches(position, std::span<char>(chunk).first(size)))
--- a/bilberrylead/load/load_tally.cpp
+++ b/bilberrylead/load/load_tally.cpp
@@ -89,6 +89,7 @@
         break;
     case answer_kind::not_whole:
     case answer_kind::not_own:
+    case answer_kind::cut:
     case answer_kind::no_answer:
     case answer_kind::no_connection:
         ++tally.lost;
--- a/bilberrylead/load/request_life.cpp
+++ b/bilberrylead/load/request_life.cpp
@@ -109,7 +109,8 @@
     connection_path const path = make_path(host->address, this->plan.source);
     exchange_result const result = co_await this->attempt_at(path);
     if (result.kind == answer_kind::no_connection ||
-        result.kind == answer_kind::no_answer)
+        result.kind == answer_kind::no_answer ||
+        result.kind == answer_kind::cut)
     {
         this->avoided.push_back(id);
         this->steering->forget(this->kind->service, this->plan.source);
@@ -157,6 +158,7 @@
         ++this->sent_again;
         return tries_left ? next_step::send_again : next_step::stop;
     case answer_kind::no_answer:
+    case answer_kind::cut:
         ++this->sent_again;
         if (!may_repeat || !tries_left)
         {
