--- a/bilberrylead/policy/admission_queue.cpp
+++ b/bilberrylead/policy/admission_queue.cpp
@@ -172,6 +172,12 @@
     return late;
 }
 
+std::optional<waiting_request> admission_queue::next_to_give_up()
+{
+    std::optional<waiting_request> any = this->brief.pop();
+    return any.has_value() ? any : this->extended.pop();
+}
+
 bool admission_queue::cancel(std::uint64_t ticket)
 {
     return this->brief.remove(ticket) || this->extended.remove(ticket);
--- a/bilberrylead/policy/admission_queue.hpp
+++ b/bilberrylead/policy/admission_queue.hpp
@@ -46,6 +46,9 @@
     std::optional<waiting_request> next_expired(slot_pool const& pool,
                                                 instant now);
 
+    /// Takes out any request, for an owner that cannot serve them any more.
+    std::optional<waiting_request> next_to_give_up();
+
     /// The caller went away; false if the request does not wait here.
     bool cancel(std::uint64_t ticket);
 
--- a/bilberrylead/policy/admission_verdict.hpp
+++ b/bilberrylead/policy/admission_verdict.hpp
@@ -22,6 +22,9 @@
     no_upstream,
     /// It waited, and can no longer make its deadline.
     deadline_passed,
+    /// The host that was asked does not own the slots any more; ask the one
+    /// that does.
+    owner_changed,
     /// Its region's headroom is used up.
     no_headroom,
 };
--- a/bilberrylead/policy/slot_owner.cpp
+++ b/bilberrylead/policy/slot_owner.cpp
@@ -40,6 +40,10 @@
             this->on(what, now);
         },
         event);
+    if (!this->owns_slots(now))
+    {
+        this->give_up_all();
+    }
     this->serve(now);
     this->give_up(now);
     return this->effects;
@@ -56,7 +60,12 @@
 bool slot_owner::grants_slots(instant now) const
 {
     bool const settled = this->reports_missing == 0 || now >= this->settled_at;
-    return this->epoch > 0 && now < this->owner_until && settled;
+    return this->owns_slots(now) && settled;
+}
+
+bool slot_owner::owns_slots(instant now) const
+{
+    return this->epoch > 0 && now < this->owner_until;
 }
 
 void slot_owner::on(slot_asked const& event, instant now)
@@ -75,6 +84,13 @@
     request.may_move =
         !event.moved && this->queue.brief_waiting_of(event.flow) == 0;
 
+    if (!this->owns_slots(now))
+    {
+        this->refuse_request(request,
+                             refuse{refusal_reason::owner_changed, {}});
+        return;
+    }
+
     // Elsewhere first: a request that moves at once has lost nothing yet.
     if (request.may_move && request.length == work_length::brief)
     {
@@ -281,6 +297,15 @@
     }
 }
 
+void slot_owner::give_up_all()
+{
+    for (std::optional<waiting_request> left = this->queue.next_to_give_up();
+         left.has_value(); left = this->queue.next_to_give_up())
+    {
+        this->refuse_request(*left, refuse{refusal_reason::owner_changed, {}});
+    }
+}
+
 void slot_owner::move_waiting(instant now)
 {
     while (this->queue.brief_waiting() > 0)
--- a/bilberrylead/policy/slot_owner.hpp
+++ b/bilberrylead/policy/slot_owner.hpp
@@ -79,6 +79,8 @@
     bool try_grant(waiting_request const& request, instant now);
     void serve(instant now);
     void give_up(instant now);
+    void give_up_all();
+    bool owns_slots(instant now) const;
     void move_waiting(instant now);
     void move(waiting_request const& request, std::uint32_t zone);
     void refuse_request(waiting_request const& request, refuse const& why);
--- a/tests/unit/policy/slot_owner_test.cpp
+++ b/tests/unit/policy/slot_owner_test.cpp
@@ -138,6 +138,26 @@
     cr_assert_not(fixture.owner.grants_slots(fixture.now));
 }
 
+// Requests wait at an owner that is frozen; when it thaws, they can no longer
+// get a slot here. Kept, they would wait for their deadline; told at once,
+// their hosts ask the new owner while there is time.
+Test(slot_owner, owner_past_its_lease_gives_up_what_waits_at_once)
+{
+    owner_fixture fixture;
+    fixture.ask_many<slot_granted>(6);
+    fixture.now += 9s;
+    fixture.ask_many<slot_granted>(8);
+    cr_assert_eq(fixture.owner.waiting(), 2);
+    fixture.now += 1s;
+    std::vector<slot_owner_effect> const effects =
+        fixture.reduce(time_passed{});
+    cr_assert_eq(effects.size(), 2);
+    cr_assert(std::get<slot_refused>(effects[0]).refusal.reason ==
+              refusal_reason::owner_changed);
+    cr_assert(std::get<slot_refused>(fixture.ask().at(0)).refusal.reason ==
+              refusal_reason::owner_changed);
+}
+
 // A new owner does not know what the former one granted. Without the pause
 // (settle and hosts_to_report zero) it grants all six slots a second time,
 // and every upstream gets twice its slots.
