--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -29,6 +29,7 @@
     case policy::refusal_reason::wait_too_long:
     case policy::refusal_reason::queue_full:
     case policy::refusal_reason::no_headroom:
+    case policy::refusal_reason::owner_changed:
         break;
     }
     return refusal_reason::no_room;
