Never call a grant "not run" while an earlier sending may have run

Weighed: "unknown" for every guarded request without a quorum (right, but tells most callers less than is known), a mark of the caller's that it sends again (taken: Bilberry-Repeat), asking all entry hosts (not while one is dead). 409 says "unknown" as well now, since the key may be running.

--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -346,8 +346,12 @@
 void control_program::implementation::found(
     link::http_endpoint::answer_function const& answer)
 {
+    // A host that has heard of a term is in a group that was founded a
+    // moment ago: the leader may have listed it under its present
+    // incarnation. Founding it now would change that and set its term back.
     bool const is_blank = this->reducer->log().membership().members.empty() &&
-                          this->reducer->log().last_index() == 0;
+                          this->reducer->log().last_index() == 0 &&
+                          this->reducer->log().term() == 0;
     if (!is_blank)
     {
         answer(write_operator_reply(make_error(
--- a/bilberrylead/daemon/control_store.cpp
+++ b/bilberrylead/daemon/control_store.cpp
@@ -165,13 +165,21 @@
 absl::Status control_store::carry_out(agreement::persist_snapshot const& effect)
 {
     std::uint64_t const index = effect.snapshot.last_index;
-    absl::Status installed = this->journal.install_snapshot(
-        index, agreement::encode_snapshot(effect.snapshot));
-    if (installed.ok() && effect.discard_log)
+
+    // Entries that the snapshot contradicts go first. After a crash between
+    // the two they would stand behind a newer snapshot, and the host would
+    // judge candidates by their older term: it could help one into office
+    // that lacks committed entries.
+    if (effect.discard_log && this->journal.last_index() > index)
     {
-        installed = this->journal.drop_after(index);
+        absl::Status dropped = this->journal.drop_after(index);
+        if (!dropped.ok())
+        {
+            return dropped;
+        }
     }
-    return installed;
+    return this->journal.install_snapshot(
+        index, agreement::encode_snapshot(effect.snapshot));
 }
 
 absl::Status control_store::carry_out(agreement::sync const&)
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -78,6 +78,8 @@
     request_number request{};
     /// Why.
     refusal_reason reason{};
+    /// When to ask again; zero if asking again tells no more.
+    duration retry_after{};
 };
 
 /// Final answer: what the first run of this work answered.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -171,6 +171,7 @@
     request.guarded = service->guarded;
     request.repeatable = service->idempotent && !service->guarded;
     request.body_kept = happened.body_kept;
+    request.maybe_ran_before = happened.repeated;
     request.progress_timeout = service->progress_timeout;
     request.caller = happened.caller;
     request.caller_address = happened.caller_address;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -63,7 +63,9 @@
     request->life.pause();
     if (granted)
     {
+        // The records know of no run, so an earlier sending was not run.
         request->holds_claim = true;
+        request->maybe_ran_before = false;
         this->place(*request);
         return;
     }
@@ -212,6 +214,26 @@
         this->give_up_unknown(request, reason);
         return;
     }
+    this->drop_claim(request);
+    if (!request.answered && request.maybe_ran_before)
+    {
+        this->out.push_back(
+            answer_unknown{request.number, reason, retry_after});
+        ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+        this->count_end(request, &service_counters::unknown);
+    }
+    else if (!request.answered)
+    {
+        this->out.push_back(
+            answer_not_run{request.number, reason, retry_after});
+        ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+        this->count_end(request, &service_counters::not_run);
+    }
+    this->finish(request);
+}
+
+void entry_reducer::drop_claim(live_request& request)
+{
     if (request.guarded && request.life.current() == request_state::claiming)
     {
         this->late_claims.emplace(request.number, request.claim);
@@ -222,14 +244,6 @@
     {
         this->out.push_back(report_release{request.number, request.claim});
     }
-    if (!request.answered)
-    {
-        this->out.push_back(
-            answer_not_run{request.number, reason, retry_after});
-        ++this->counted.refusals.at(static_cast<std::size_t>(reason));
-        this->count_end(request, &service_counters::not_run);
-    }
-    this->finish(request);
 }
 
 void entry_reducer::give_up_unknown(live_request& request,
@@ -241,7 +255,7 @@
     }
     if (!request.answered)
     {
-        this->out.push_back(answer_unknown{request.number, reason});
+        this->out.push_back(answer_unknown{request.number, reason, {}});
         ++this->counted.refusals.at(static_cast<std::size_t>(reason));
         this->count_end(request, &service_counters::unknown);
     }
@@ -265,6 +279,12 @@
                                    refusal_reason reason)
 {
     ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+    if (happened.repeated)
+    {
+        this->out.push_back(
+            answer_unknown{happened.request, reason, this->chosen.retry_after});
+        return;
+    }
     this->out.push_back(
         answer_not_run{happened.request, reason, this->chosen.retry_after});
 }
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -175,7 +175,7 @@
         // goes on for its record until it falls silent.
         request.answered = true;
         this->out.push_back(
-            answer_unknown{request.number, refusal_reason::deadline});
+            answer_unknown{request.number, refusal_reason::deadline, {}});
         this->count_end(request, &service_counters::unknown);
         ++this->counted.refusals.at(
             static_cast<std::size_t>(refusal_reason::deadline));
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -45,6 +45,9 @@
     std::uint64_t body_digest = 0;
     /// True if the whole body is kept, so that it could be sent again.
     bool body_kept = true;
+    /// True if the caller says that it sent the same request before and had
+    /// no answer, so that it may have run already.
+    bool repeated = false;
     /// Time the caller still gives it; nothing if it named none.
     std::optional<duration> time_left;
 };
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -59,6 +59,11 @@
     /// True once a byte may have reached an upstream that did not take it
     /// back.
     bool maybe_ran = false;
+    /// True while an earlier sending of the same request may have run: the
+    /// caller had no answer to it. A caller that heard "not run" would take
+    /// that for both, and do the work again under another key. A granted
+    /// claim clears it, since the records know of no run then.
+    bool maybe_ran_before = false;
     /// True once the caller has its final answer or is gone, while guarded
     /// work goes on for its record.
     bool answered = false;
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -129,6 +129,7 @@
     arrival.caller =
         caller_id(caller.empty() ? this->address : std::string(caller));
     arrival.idempotency_key = std::string(head[key_header]);
+    arrival.repeated = head[repeat_header] == "1";
     beast::string_view const deadline = head[deadline_header];
     if (!deadline.empty())
     {
--- a/bilberrylead/http/header_rules.hpp
+++ b/bilberrylead/http/header_rules.hpp
@@ -26,6 +26,8 @@
 inline constexpr std::string_view body_dropped_header = "Bilberry-Body-Dropped";
 /// Names a piece of work that may run at most once.
 inline constexpr std::string_view key_header = "Idempotency-Key";
+/// "1": the caller sent this before and had no answer.
+inline constexpr std::string_view repeat_header = "Bilberry-Repeat";
 
 /// Removes the headers that speak of one connection only, and those that
 /// Connection names.
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -116,19 +116,25 @@
 {
     bool const late = decision.reason == refusal_reason::deadline ||
                       decision.reason == refusal_reason::upstream_silent;
-    return make_problem(
+    whole_answer answer = make_problem(
         late ? status::gateway_timeout : status::bad_gateway,
         to_string(decision.reason), title_of(decision.reason),
         "It may have run. Ask again with the same Idempotency-Key, or check "
         "before sending it anew.",
         "unknown");
+    if (decision.retry_after > duration::zero())
+    {
+        set_retry_after(answer, decision.retry_after);
+    }
+    return answer;
 }
 
 whole_answer make_answer(entry::answer_problem const& decision)
 {
     whole_answer answer = make_problem(
         static_cast<status>(decision.status), to_string(decision.reason),
-        title_of(decision.reason), remedy_of(decision.reason), "not-run");
+        title_of(decision.reason), remedy_of(decision.reason),
+        decision.reason == refusal_reason::in_progress ? "unknown" : "not-run");
     set_retry_after(answer, decision.retry_after);
     return answer;
 }
--- a/bilberrylead/load/caller_exchange.cpp
+++ b/bilberrylead/load/caller_exchange.cpp
@@ -64,6 +64,10 @@
     {
         request.set(to_beast(idempotency_header), given.key);
     }
+    if (given.repeated)
+    {
+        request.set(to_beast(repeat_header), "1");
+    }
     request.keep_alive(given.keep_alive);
     request.body().resize(given.request_bytes);
     body_pattern(given.request).fill(0, request.body());
--- a/bilberrylead/load/caller_exchange.hpp
+++ b/bilberrylead/load/caller_exchange.hpp
@@ -23,6 +23,8 @@
     std::string request;
     /// Idempotency-Key; empty sends none.
     std::string key;
+    /// True: an earlier sending had no answer and may have run.
+    bool repeated = false;
     /// Who sends it.
     std::string caller;
     /// Length of its body; 0 sends a GET.
--- a/bilberrylead/load/request_life.cpp
+++ b/bilberrylead/load/request_life.cpp
@@ -136,6 +136,7 @@
     request.request_bytes = this->kind->request_bytes;
     request.answer_bytes = this->kind->answer_bytes;
     request.deadline = this->kind->deadline;
+    request.repeated = this->may_have_run;
     request.keep_alive = this->plan.keep_alive;
     return request;
 }
@@ -159,6 +160,7 @@
         return tries_left ? next_step::send_again : next_step::stop;
     case answer_kind::no_answer:
     case answer_kind::cut:
+        this->may_have_run = true;
         ++this->sent_again;
         if (!may_repeat || !tries_left)
         {
@@ -177,6 +179,7 @@
     {
         // The old id was told "not run": whatever ran under it is a lie.
         this->tally->expect_no_run(this->request_name());
+        this->may_have_run = false;
     }
     ++this->come_backs;
     this->attempt_start = now();
--- a/bilberrylead/load/request_life.hpp
+++ b/bilberrylead/load/request_life.hpp
@@ -69,6 +69,8 @@
     load_tally* tally;
     std::mt19937_64 random;
     std::uint32_t come_backs = 0;
+    /// True once a sending had no answer and may have run.
+    bool may_have_run = false;
     std::uint32_t sent_again = 0;
     std::vector<std::string> avoided;
 };
--- a/bilberrylead/load/stand_in_connection.cpp
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -213,7 +213,10 @@
     target_parts const target = split_target(from_beast(request.target()));
     answered_request const own = name_of(request);
     answer value;
-    value.belongs_to = lot.swapped ? this->upstream->last_answered : own;
+    // The very first answer has no earlier one to be swapped with.
+    bool const swapped =
+        lot.swapped && !this->upstream->last_answered.caller_request.empty();
+    value.belongs_to = swapped ? this->upstream->last_answered : own;
     value.body_bytes =
         config::parse_decimal(query_field(target.query, "bytes"), largest_body)
             .value_or(model.behaviour.answer_bytes);
--- a/bilberrylead/load/wire.hpp
+++ b/bilberrylead/load/wire.hpp
@@ -25,6 +25,7 @@
 /// On a final answer of an entry host: done, not-run or unknown.
 inline constexpr std::string_view outcome_header = "Bilberry-Outcome";
 /// Names a piece of work that may run at most once.
+inline constexpr std::string_view repeat_header = "Bilberry-Repeat";
 inline constexpr std::string_view idempotency_header = "Idempotency-Key";
 /// Seconds after which to come back.
 inline constexpr std::string_view retry_after_header = "Retry-After";
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -82,6 +82,7 @@
         arrival.caller = caller_id("studio");
         arrival.caller_address = "127.0.0.1";
         arrival.idempotency_key = key;
+        arrival.repeated = this->repeated;
         return this->take(arrival);
     }
 
@@ -126,6 +127,8 @@
     instant now = instant{} + 1h;
     entry_reducer reducer{make_settings()};
     effects said;
+    /// What the next arrivals say of earlier sendings.
+    bool repeated = false;
 };
 
 } // namespace bilberrylead::entry
--- a/tests/unit/entry/guarded_request_test.cpp
+++ b/tests/unit/entry/guarded_request_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
+
 using namespace bilberrylead;
 using namespace bilberrylead::entry;
 
@@ -162,3 +164,39 @@
     cr_assert(entry.says<report_completion>());
     cr_assert_not(entry.says<answer_collected>());
 }
+
+// A caller's first sending died with its entry host after it was forwarded.
+// It sends the grant again through this host, which cannot ask the records.
+// "Not run" would be taken for both sendings, and the grant done anew under
+// another key: a second run. So the caller hears "unknown" and when to ask.
+Test(guarded_request, repeat_whose_claim_is_refused_is_not_called_not_run)
+{
+    driven_entry entry;
+    entry.repeated = true;
+    entry.arrive(1, "grant", "k");
+    entry.take(claim_answered{one, once::claim_refused{}});
+    cr_assert_not(entry.says<answer_not_run>());
+    cr_assert(entry.says<answer_unknown>());
+    cr_assert(entry.find<answer_unknown>()->retry_after > duration::zero());
+}
+
+// A granted claim proves that no earlier sending ran. If no upstream can
+// take the grant then, "not run" is true of all sendings.
+Test(guarded_request, repeat_whose_claim_is_granted_may_be_called_not_run)
+{
+    driven_entry entry;
+    entry.repeated = true;
+    entry.arrive(1, "grant", "k");
+    entry.take(claim_answered{one, once::claim_granted{}});
+    bool refused = false;
+    for (int tries = 0; tries < 50 && !refused; ++tries)
+    {
+        entry.fail(1, exchange_phase::not_sent);
+        cr_assert_not(entry.says<answer_unknown>());
+        refused = entry.says<answer_not_run>();
+        entry.after_pause();
+        cr_assert_not(entry.says<answer_unknown>());
+        refused = refused || entry.says<answer_not_run>();
+    }
+    cr_assert(refused);
+}
