--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -28,6 +28,7 @@
     case policy::refusal_reason::wait_too_long:
     case policy::refusal_reason::queue_full:
     case policy::refusal_reason::no_headroom:
+    case policy::refusal_reason::owner_changed:
         break;
     }
     return refusal_reason::no_room;
@@ -170,6 +171,7 @@
     request.guarded = service->guarded;
     request.repeatable = service->idempotent && !service->guarded;
     request.body_kept = happened.body_kept;
+    request.maybe_ran_before = happened.repeated;
     request.progress_timeout = service->progress_timeout;
     request.caller = happened.caller;
     request.caller_address = happened.caller_address;
--- a/bilberrylead/load/caller_exchange.cpp
+++ b/bilberrylead/load/caller_exchange.cpp
@@ -64,6 +64,10 @@
     {
         request.set(to_beast(idempotency_header), given.key);
     }
+    if (given.repeated)
+    {
+        request.set(to_beast(repeat_header), "1");
+    }
     request.keep_alive(given.keep_alive);
     request.body().resize(given.request_bytes);
     body_pattern(given.request).fill(0, request.body());
@@ -94,7 +98,7 @@
             asio::redirect_error(asio::use_awaitable, error));
         if (error && error != http::error::need_buffer)
         {
-            co_return answer_kind::not_whole;
+            co_return answer_kind::cut;
         }
         std::size_t const size = chunk.size() - parser.get().body().size;
         if (!pattern.matches(position, std::span<char>(chunk).first(size)))
