--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -72,7 +72,7 @@
     void carry_out(control::control_effect const& effect);
     void write(absl::Status const& written);
     void answer(control::answer_operator const& effect);
-    void serve_operator(link::http_request request,
+    void serve_operator(link::http_request const& request,
                         link::http_endpoint::answer_function answer);
     void found(link::http_endpoint::answer_function const& answer);
     void start_ticking();
@@ -316,7 +316,8 @@
 }
 
 void control_program::implementation::serve_operator(
-    link::http_request request, link::http_endpoint::answer_function answer)
+    link::http_request const& request,
+    link::http_endpoint::answer_function answer)
 {
     absl::StatusOr<std::string> const who =
         authenticate(request, this->settings.operators);
--- a/bilberrylead/link/http_endpoint.cpp
+++ b/bilberrylead/link/http_endpoint.cpp
@@ -163,7 +163,7 @@
 
 absl::Status http_endpoint::listen(config::endpoint const& address)
 {
-    absl::Status const opened = open_acceptor(this->impl->acceptor, address);
+    absl::Status opened = open_acceptor(this->impl->acceptor, address);
     if (opened.ok())
     {
         this->impl->accept_next();
--- a/bilberrylead/link/peer_node.cpp
+++ b/bilberrylead/link/peer_node.cpp
@@ -187,7 +187,7 @@
 
 absl::Status peer_node::listen(config::endpoint const& address)
 {
-    absl::Status const opened = open_acceptor(this->impl->acceptor, address);
+    absl::Status opened = open_acceptor(this->impl->acceptor, address);
     if (!opened.ok())
     {
         return opened;
--- a/tests/scenario_runner/child_process.cpp
+++ b/tests/scenario_runner/child_process.cpp
@@ -29,7 +29,8 @@
 
 child_process::child_process(std::string program,
                              std::vector<std::string> arguments,
-                             std::string output_file, std::string error_file)
+                             std::string const& output_file,
+                             std::string const& error_file)
 {
     std::vector<char*> values = {program.data()};
     for (std::string& argument : arguments)
--- a/tests/scenario_runner/child_process.hpp
+++ b/tests/scenario_runner/child_process.hpp
@@ -18,7 +18,8 @@
 public:
     /// Starts a program; its standard output and error go to files.
     child_process(std::string program, std::vector<std::string> arguments,
-                  std::string output_file, std::string error_file);
+                  std::string const& output_file,
+                  std::string const& error_file);
     ~child_process();
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -388,6 +388,7 @@
 std::vector<std::string> deployment::stand_in_names() const
 {
     std::vector<std::string> names;
+    names.reserve(this->stand_ins.size());
     for (std::map<std::string, stand_in>::value_type const& row :
          this->stand_ins)
     {
