--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -359,6 +359,18 @@
     return this->stand_ins.at(stand_in).admin_port;
 }
 
+std::uint16_t deployment::upstream_port(std::string const& upstream) const
+{
+    for (config::upstream const& row : this->configuration.upstreams)
+    {
+        if (row.id.text() == upstream)
+        {
+            return row.address.port;
+        }
+    }
+    throw std::runtime_error("no upstream " + upstream);
+}
+
 std::vector<std::string> deployment::entry_names() const
 {
     std::vector<std::string> names;
--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -87,6 +87,8 @@
     std::uint16_t caller_port(std::string const& entry) const;
     /// The port of a stand-in's admin paths, by service and zone.
     std::uint16_t admin_port(std::string const& stand_in) const;
+    /// The port of an upstream.
+    std::uint16_t upstream_port(std::string const& upstream) const;
     /// Names of all entry hosts.
     std::vector<std::string> entry_names() const;
     /// Names of all control hosts.
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -94,6 +94,7 @@
         {"wait-caught-up", &scenario_steps::wait_caught_up},
         {"change", &scenario_steps::change},
         {"post", &scenario_steps::post_entry},
+        {"idle", &scenario_steps::idle},
         {"pause", &scenario_steps::pause},
         {"expect", &scenario_steps::expect},
         {"call", &scenario_steps::call_entry},
@@ -316,6 +317,28 @@
                fmt::format("status {}: {}", answer.status, answer.body));
 }
 
+// idle UPSTREAM: from here on it gets no new work, seen over a second
+void scenario_steps::idle(scenario_line const& line)
+{
+    std::string const& name = line.word(1);
+    std::size_t const dash = name.rfind('-');
+    std::uint16_t const admin = this->world.admin_port(name.substr(0, dash));
+    std::uint16_t const port = this->world.upstream_port(name);
+    std::string const target = fmt::format("/stand-in/requests?port={}", port);
+    json const before =
+        json::parse(call(admin, "GET", target).body, nullptr, false);
+    this->need(before.is_object(), "the stand-in does not answer");
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    json const after =
+        json::parse(call(admin, "GET", target).body, nullptr, false);
+    this->need(before.dump().find("started") != std::string::npos,
+               "no such count: " + before.dump());
+    this->need(before.at("started") == after.at("started"),
+               fmt::format("it got new work: {} then {}",
+                           before.at("started").dump(),
+                           after.at("started").dump()));
+}
+
 // post ENTRY TARGET key KEY expect STATUS: a caller's guarded request, sent
 // again while it hears that it was not run and another answer is wanted
 void scenario_steps::post_entry(scenario_line const& line)
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -66,6 +66,7 @@
     void wait_voter(scenario_line const& line);
     void wait_caught_up(scenario_line const& line);
     void change(scenario_line const& line);
+    void idle(scenario_line const& line);
     void post_entry(scenario_line const& line);
     void call_entry(scenario_line const& line);
     void report(scenario_line const& line);
