Let operators see a change before it is made, and why a caller goes where

Cause: config::diff and config::routes had no command, so an operator had to apply a change to learn what it does.

bilberryctl diff FILE compares a file with the accepted configuration (an empty one before the first revision); bilberryctl explain SERVICE CALLER-ADDRESS shows the caller's block, the upstreams it reaches and the reasons. The fetch of the accepted configuration moved into one place.

Routes stand on references that resolve, so explain checks the accepted configuration first; compiling a dangling one would have thrown.

Not tried here against running control hosts.

--- a/bilberrylead/ctl/change_commands.cpp
+++ b/bilberrylead/ctl/change_commands.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/config/parse_configuration.hpp"
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/ctl/accepted_configuration.hpp"
 #include "bilberrylead/ctl/report.hpp"
 #include "bilberrylead/daemon/run_daemon.hpp"
 
@@ -21,41 +22,12 @@
 /// wins the race, the edit is made again on top of it.
 constexpr int most_edit_tries = 5;
 
-/// What is accepted now.
-struct accepted_configuration
-{
-    std::uint64_t number = 0;
-    std::string document;
-};
-
 std::string make_change_id()
 {
     std::random_device source;
     return fmt::format("{:08x}{:08x}", source(), source());
 }
 
-absl::StatusOr<accepted_configuration> fetch(operator_client& client)
-{
-    absl::StatusOr<operator_answer> const answer =
-        client.ask("GET", "/v1/configuration");
-    if (!answer.ok())
-    {
-        return answer.status();
-    }
-    absl::StatusOr<nlohmann::json> const body = body_of(*answer);
-    if (!body.ok())
-    {
-        return body.status();
-    }
-    if (!body->contains("revision"))
-    {
-        return make_error(error_kind::no_quorum, body->value("message", ""),
-                          "Try again.");
-    }
-    return accepted_configuration{body->value("revision", std::uint64_t{0}),
-                                  body->value("document", "")};
-}
-
 absl::StatusOr<operator_answer> send_change(operator_client& client,
                                             std::string const& change_id,
                                             std::uint64_t base_revision,
@@ -156,7 +128,8 @@
     operator_client client(line.client);
     for (int left = most_edit_tries;; --left)
     {
-        absl::StatusOr<accepted_configuration> const accepted = fetch(client);
+        absl::StatusOr<accepted_configuration> const accepted =
+            fetch_accepted(client);
         if (!accepted.ok())
         {
             return report(accepted.status());
@@ -230,7 +203,8 @@
     std::uint64_t base = line.base_revision;
     if (!line.has_base_revision)
     {
-        absl::StatusOr<accepted_configuration> const accepted = fetch(client);
+        absl::StatusOr<accepted_configuration> const accepted =
+            fetch_accepted(client);
         if (!accepted.ok())
         {
             return report(accepted.status());
--- a/bilberrylead/ctl/commands.cpp
+++ b/bilberrylead/ctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/ctl/commands.hpp"
 
 #include "bilberrylead/ctl/change_commands.hpp"
+#include "bilberrylead/ctl/explain_commands.hpp"
 #include "bilberrylead/ctl/group_commands.hpp"
 #include "bilberrylead/ctl/view_commands.hpp"
 
@@ -19,6 +20,11 @@
                 run_apply},
         command{"get", "[REVISION]", "Show the accepted configuration.",
                 run_get},
+        command{"diff", "FILE",
+                "Show what a file would change in the accepted configuration.",
+                run_diff},
+        command{"explain", "SERVICE CALLER-ADDRESS",
+                "Show which upstreams a caller reaches, and why.", run_explain},
         command{"drain", "NAME",
                 "Mark an upstream or entry host as leaving: no new work.",
                 run_drain},
--- a/programs/bilberryctl/main.cpp
+++ b/programs/bilberryctl/main.cpp
@@ -32,7 +32,7 @@
     fmt::print("bilberryctl COMMAND [ARGUMENT] [OPTIONS]\n\nCommands:\n");
     for (ctl::command const& known : ctl::all_commands())
     {
-        fmt::print("  {:<14} {:<11} {}\n", known.name, known.subject,
+        fmt::print("  {:<14} {:<22} {}\n", known.name, known.subject,
                    known.help);
     }
     fmt::print(
@@ -148,6 +148,10 @@
     {
         line.subject = subjects.getValue().front();
     }
+    if (subjects.getValue().size() > 1)
+    {
+        line.second_subject = subjects.getValue()[1];
+    }
     return line;
 }
 
@@ -169,7 +173,10 @@
     }
     bool const needs_subject =
         !chosen->subject.empty() && !chosen->subject.starts_with('[');
-    if (needs_subject && line->subject.empty())
+    bool const needs_second =
+        needs_subject && chosen->subject.find(' ') != std::string_view::npos;
+    if ((needs_subject && line->subject.empty()) ||
+        (needs_second && line->second_subject.empty()))
     {
         fmt::print(stderr, "bilberryctl: {} needs {}.\n", chosen->name,
                    chosen->subject);
