--- a/bilberrylead/ctl/change_commands.cpp
+++ b/bilberrylead/ctl/change_commands.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/ctl/change_commands.hpp"
 
+#include "bilberrylead/config/check.hpp"
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/config/parse_configuration.hpp"
 #include "bilberrylead/core/error.hpp"
@@ -84,6 +85,25 @@
                                          : exit_code::done;
 }
 
+/// Reads a configuration and checks that it is consistent, as control hosts
+/// do before they accept it.
+absl::StatusOr<config::configuration> read_valid(std::string const& text,
+                                                 std::string const& source)
+{
+    absl::StatusOr<config::configuration> parsed =
+        config::parse_configuration(text, source);
+    if (!parsed.ok())
+    {
+        return parsed;
+    }
+    absl::Status consistent = config::check(*parsed);
+    if (!consistent.ok())
+    {
+        return consistent;
+    }
+    return parsed;
+}
+
 /// Sets the mark of whatever carries the name; false if nothing does.
 template <class Items, class Id>
 bool set_leaving(Items& items, Id const& id, bool leaving)
@@ -165,7 +185,7 @@
         return report(text.status());
     }
     absl::StatusOr<config::configuration> const parsed =
-        config::parse_configuration(*text, line.subject);
+        read_valid(*text, line.subject);
     if (!parsed.ok())
     {
         return report(parsed.status());
@@ -194,7 +214,7 @@
         return report(text.status());
     }
     absl::StatusOr<config::configuration> const parsed =
-        config::parse_configuration(*text, line.subject);
+        read_valid(*text, line.subject);
     if (!parsed.ok())
     {
         return report(parsed.status());
--- a/bilberrylead/ctl/explain_commands.cpp
+++ b/bilberrylead/ctl/explain_commands.cpp
@@ -122,7 +122,7 @@
     }
 
     // Routes stand on references that resolve.
-    absl::Status const valid = config::check(*accepted);
+    absl::Status valid = config::check(*accepted);
     if (!valid.ok())
     {
         return valid;
--- /dev/null
+++ b/bilberrylead/daemon/operator_replies.cpp
@@ -0,0 +1,178 @@
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/daemon/operator_api.hpp"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+namespace bilberrylead::daemon
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+json outcome_json(catalog::change_outcome const& outcome)
+{
+    struct writer
+    {
+        json operator()(catalog::change_accepted const& held) const
+        {
+            return {{"outcome", "accepted"}, {"revision", held.accepted}};
+        }
+
+        json operator()(catalog::change_already_accepted const& held) const
+        {
+            return {{"outcome", "already_accepted"},
+                    {"revision", held.accepted}};
+        }
+
+        json operator()(catalog::change_conflict const& held) const
+        {
+            return {{"outcome", "conflict"},
+                    {"current_revision", held.current},
+                    {"winner", held.winner.text()},
+                    {"winner_operator", held.winner_operator}};
+        }
+
+        json operator()(catalog::change_id_reused const&) const
+        {
+            return {{"outcome", "change_id_reused"}};
+        }
+    };
+    return std::visit(writer{}, outcome);
+}
+
+unsigned status_for(catalog::change_outcome const& outcome)
+{
+    if (std::holds_alternative<catalog::change_conflict>(outcome))
+    {
+        return 409;
+    }
+    if (std::holds_alternative<catalog::change_id_reused>(outcome))
+    {
+        return 422;
+    }
+    return 200;
+}
+
+unsigned status_for(absl::Status const& status)
+{
+    switch (kind_of(status).value_or(error_kind::storage))
+    {
+    case error_kind::syntax:
+    case error_kind::unknown_field:
+    case error_kind::missing_field:
+    case error_kind::bad_value:
+    case error_kind::unknown_name:
+    case error_kind::duplicate_name:
+        return 400;
+    case error_kind::not_trusted:
+        return 401;
+    case error_kind::conflict:
+        return 409;
+    case error_kind::not_leader:
+        return 421;
+    case error_kind::timeout:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+link::http_answer as_answer(unsigned status, json const& body)
+{
+    // Messages quote what was sent, which need not be UTF-8; a strict dump
+    // would throw and end the host.
+    return {status, "application/json",
+            body.dump(2, ' ', false, json::error_handler_t::replace) + "\n"};
+}
+
+/// Turns each reply into its answer.
+struct reply_writer
+{
+    link::http_answer operator()(catalog::change_outcome const& held) const
+    {
+        return as_answer(status_for(held), outcome_json(held));
+    }
+
+    link::http_answer operator()(control::configuration_reply const& held) const
+    {
+        return as_answer(200, {{"revision", held.number},
+                               {"document", std::string(held.document.begin(),
+                                                        held.document.end())}});
+    }
+
+    link::http_answer operator()(control::audit_reply const& held) const
+    {
+        json entries = json::array();
+        for (catalog::audit_entry const& entry : held.entries)
+        {
+            entries.push_back({{"number", entry.number},
+                               {"change_id", entry.change.text()},
+                               {"operator", entry.operator_name},
+                               {"at", fmt::format("{:%Y-%m-%dT%H:%M:%S}Z",
+                                                  entry.accepted_at)},
+                               {"base_revision", entry.base_revision},
+                               {"document_bytes", entry.document_bytes},
+                               {"document_digest",
+                                fmt::format("{:016x}", entry.document_digest)},
+                               {"result", outcome_json(entry.result)}});
+        }
+        return as_answer(200, {{"entries", entries}});
+    }
+
+    link::http_answer operator()(control::status_reply const& held) const
+    {
+        json members = json::array();
+        for (agreement::member const& member : held.members.members)
+        {
+            members.push_back({{"host", member.host.text()},
+                               {"incarnation", member.incarnation},
+                               {"voter", member.voter}});
+        }
+        json hosts = json::object();
+        for (std::pair<host_id const, revision> const& row : held.entry_hosts)
+        {
+            hosts[row.first.text()] = row.second;
+        }
+        return as_answer(200, {{"host", held.host.text()},
+                               {"incarnation", held.incarnation},
+                               {"role", agreement::to_string(held.role)},
+                               {"term", held.term},
+                               {"leader", held.leader.text()},
+                               {"commit_index", held.commit_index},
+                               {"last_index", held.last_index},
+                               {"revision", held.accepted},
+                               {"members", members},
+                               {"entry_hosts", hosts},
+                               {"claims", held.claims}});
+    }
+
+    link::http_answer operator()(control::done_reply const&) const
+    {
+        return as_answer(200, {{"outcome", "done"}});
+    }
+
+    link::http_answer operator()(absl::Status const& status) const
+    {
+        std::string const kind(
+            to_string(kind_of(status).value_or(error_kind::storage)));
+        return as_answer(
+            status_for(status),
+            {{"error", kind}, {"message", std::string(status.message())}});
+    }
+};
+
+} // namespace
+
+link::http_answer write_operator_reply(control::operator_reply const& reply)
+{
+    return std::visit(reply_writer{}, reply);
+}
+
+} // namespace bilberrylead::daemon
