--- a/bilberrylead/ctl/explain_commands.cpp
+++ b/bilberrylead/ctl/explain_commands.cpp
@@ -70,6 +70,19 @@
     return best;
 }
 
+absl::StatusOr<config::ip_address> read_caller(std::string const& caller)
+{
+    std::optional<config::ip_address> const address =
+        config::parse_ip_address(caller);
+    if (!address.has_value())
+    {
+        return make_error(error_kind::bad_value,
+                          fmt::format("'{}' is no IP address.", caller),
+                          "Write it as 192.0.2.1 or 2001:db8::1.");
+    }
+    return *address;
+}
+
 bool has_service(config::configuration const& accepted, service_id const& id)
 {
     return std::any_of(accepted.services.begin(), accepted.services.end(),
@@ -112,13 +125,10 @@
 explain_caller(std::shared_ptr<config::configuration const> const& accepted,
                std::string const& service, std::string const& caller)
 {
-    std::optional<config::ip_address> const address =
-        config::parse_ip_address(caller);
-    if (!address.has_value())
+    absl::StatusOr<config::ip_address> const address = read_caller(caller);
+    if (!address.ok())
     {
-        return make_error(error_kind::bad_value,
-                          fmt::format("'{}' is no IP address.", caller),
-                          "Write it as 192.0.2.1 or 2001:db8::1.");
+        return address.status();
     }
 
     // Routes stand on references that resolve.
@@ -231,6 +241,13 @@
 
 exit_code run_explain(command_line const& line)
 {
+    // Wrong input is told even when no control host answers.
+    absl::StatusOr<config::ip_address> const caller =
+        read_caller(line.second_subject);
+    if (!caller.ok())
+    {
+        return report(caller.status());
+    }
     operator_client client(line.client);
     absl::StatusOr<accepted_configuration> const accepted =
         fetch_accepted(client);
--- a/bilberrylead/ctl/view_commands.cpp
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/ctl/view_commands.hpp"
 
 #include "bilberrylead/config/configuration.hpp"
+#include "bilberrylead/config/decimal.hpp"
 #include "bilberrylead/config/parse_configuration.hpp"
 #include "bilberrylead/core/error.hpp"
 #include "bilberrylead/ctl/report.hpp"
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <map>
 #include <thread>
 
@@ -123,6 +125,15 @@
 
 exit_code run_get(command_line const& line)
 {
+    // What is no number could otherwise add to the query.
+    constexpr std::uint64_t newest = std::numeric_limits<std::uint64_t>::max();
+    if (!line.subject.empty() &&
+        !config::parse_decimal(line.subject, newest).has_value())
+    {
+        return report(make_error(error_kind::bad_value,
+                                 "A revision is a number.",
+                                 "Leave it out for the newest."));
+    }
     operator_client client(line.client);
     std::string const target =
         line.subject.empty() ? std::string("/v1/configuration")
