--- /dev/null
+++ b/tests/unit/link/message_test.cpp
@@ -0,0 +1,171 @@
+#include "bilberrylead/link/message.hpp"
+
+#include "bilberrylead/catalog/replicated_command.hpp"
+#include "bilberrylead/core/cbor.hpp"
+#include "bilberrylead/core/error.hpp"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using nlohmann::json;
+
+namespace
+{
+
+once::claim_key const key{service_id("s"), caller_id("c"), "k"};
+
+/// Every kind of message, and every kind of what some of them hold.
+std::vector<link::message> one_of_each()
+{
+    once::claim_refused const refused{once::claim_refusal::given_up,
+                                      std::chrono::seconds(3)};
+    once::claim const claim{key, 9, request_id("r"), host_id("e1"), 4};
+    return {
+        link::replica_message{bytes{1, 2, 3}},
+        link::subscription{7, link::delivery::pushed},
+        link::subscription{0, link::delivery::announced},
+        link::revision_announcement{8},
+        link::configuration_update{9, 8, bytes{'{', '}'}},
+        link::registration_request{11},
+        link::registration_reply{{true, 12, 3}},
+        link::once_request{1, claim},
+        link::once_request{2, once::complete{key,
+                                             request_id("r"),
+                                             {200, "a/b", bytes(5), false}}},
+        link::once_request{3, once::release{key, request_id("r")}},
+        link::once_request{4, once::mark_unknown{key, request_id("r")}},
+        link::claim_reply{5, once::claim_granted{}},
+        link::claim_reply{6, once::claim_in_progress{}},
+        link::claim_reply{7, once::claim_recorded{{599, "", bytes{0}, true}}},
+        link::claim_reply{8, once::claim_outcome_unknown{}},
+        link::claim_reply{9, once::claim_mismatch{}},
+        link::claim_reply{10, refused},
+        link::settle_reply{11, once::settle_result::no_record},
+        link::leader_notice{host_id("c1"), 12},
+        link::leader_notice{host_id(), 0},
+    };
+}
+
+bytes cbor(json const& record)
+{
+    bytes output;
+    append_cbor(record, output);
+    return output;
+}
+
+bool is_typed_error(bytes const& encoded)
+{
+    absl::StatusOr<link::message> const read = link::decode(encoded);
+    return kind_of(read.status()) == error_kind::syntax ||
+           kind_of(read.status()) == error_kind::bad_value;
+}
+
+/// A once_request that carries any command, also one that isn't allowed.
+bytes request_with(catalog::replicated_command const& command)
+{
+    return cbor(
+        json::array({7U, 1U, json::binary(catalog::encode_command(command))}));
+}
+
+struct hostile_row
+{
+    char const* name;
+    bytes encoded;
+};
+
+} // namespace
+
+Test(message, each_kind_when_decoded_is_what_was_encoded)
+{
+    for (link::message const& content : one_of_each())
+    {
+        bytes const encoded = link::encode(content);
+        absl::StatusOr<link::message> const read = link::decode(encoded);
+        cr_assert(read.ok(), "kind %zu", content.index());
+        cr_assert_eq(read->index(), content.index());
+        cr_assert(link::encode(*read) == encoded, "kind %zu", content.index());
+    }
+
+    // Encoding again says nothing of a field that was never written.
+    absl::StatusOr<link::message> const read =
+        link::decode(link::encode(one_of_each().at(7)));
+    link::once_request const& request = std::get<link::once_request>(*read);
+    cr_assert_eq(request.number, 1U);
+    once::claim const claim{key, 9, request_id("r"), host_id("e1"), 4};
+    cr_assert(std::get<once::claim>(request.command) == claim);
+}
+
+// A link breaks in the middle of a message, or a peer lies about its length.
+Test(message, each_kind_when_cut_at_any_byte_is_a_typed_error)
+{
+    for (link::message const& content : one_of_each())
+    {
+        bytes cut = link::encode(content);
+        while (!cut.empty())
+        {
+            cut.pop_back();
+            cr_assert(is_typed_error(cut), "kind %zu at %zu", content.index(),
+                      cut.size());
+        }
+    }
+}
+
+// A peer of another version, or a hostile one, sends what is CBOR and no
+// message. Above all an entry host must not slip an operator's change or a
+// step of the log's time into the log by way of a once_request.
+Test(message, hostile_bytes_when_decoded_are_a_typed_error)
+{
+    json const binary = json::binary(bytes{1});
+    std::vector<hostile_row> const rows{
+        {"not an array", cbor(json(1U))},
+        {"no tag", cbor(json::array())},
+        {"tag 0", cbor(json::array({0U, binary}))},
+        {"tag 11", cbor(json::array({11U, 1U}))},
+        {"tag 2^32 + 1", cbor(json::array({4294967297U, binary}))},
+        {"text as tag", cbor(json::array({"1", binary}))},
+        {"text as bytes", cbor(json::array({1U, "text"}))},
+        {"negative revision", cbor(json::array({3U, -1}))},
+        {"number as truth", cbor(json::array({2U, 1U, 1U}))},
+        {"bytes as host", cbor(json::array({10U, binary, 1U}))},
+        {"long host", cbor(json::array({10U, std::string(4097, 'a'), 1U}))},
+        {"field too many", cbor(json::array({3U, 1U, 1U}))},
+        {"verdict 0", cbor(json::array({8U, 1U, 0U}))},
+        {"verdict 7", cbor(json::array({8U, 1U, 7U}))},
+        {"refusal 6", cbor(json::array({8U, 1U, 6U, 6U, 0}))},
+        {"result 4", cbor(json::array({9U, 1U, 4U}))},
+        {"no command", cbor(json::array({7U, 1U, binary}))},
+        {"operator's change", request_with(catalog::change_command{})},
+        {"time step", request_with(once::advance_time{})},
+        {"registration", request_with(once::register_entry_host{})},
+    };
+    for (hostile_row const& row : rows)
+    {
+        cr_assert(is_typed_error(row.encoded), "%s", row.name);
+    }
+}
+
+Test(message, each_kind_when_mutated_is_read_or_a_typed_error)
+{
+    std::mt19937_64 generator(20);
+    std::vector<link::message> const messages = one_of_each();
+    for (int round = 0; round < 20'000; ++round)
+    {
+        bytes mutated =
+            link::encode(messages.at(generator() % messages.size()));
+        std::uint64_t const changes = 1 + generator() % 4;
+        for (std::uint64_t change = 0; change < changes; ++change)
+        {
+            mutated.at(generator() % mutated.size()) =
+                static_cast<std::uint8_t>(generator());
+        }
+        cr_assert(link::decode(mutated).ok() || is_typed_error(mutated),
+                  "round %d", round);
+    }
+}
