Refuse an answer's status that does not fit, instead of cutting it

Ruled out: a change of what replicas decide on an existing log. Every record is encoded anew before it is proposed, so none holds such a status.

--- a/bilberrylead/catalog/replicated_command.cpp
+++ b/bilberrylead/catalog/replicated_command.cpp
@@ -150,7 +150,7 @@
     once::complete command;
     command.key = take_key(fields);
     command.request = request_id(fields.take_text(longest_text));
-    command.answer.status = static_cast<std::uint16_t>(fields.take_unsigned());
+    command.answer.status = fields.take_unsigned_16();
     command.answer.content_type = fields.take_text(longest_text);
     command.answer.body = fields.take_bytes();
     command.answer.body_dropped = fields.take_bool();
--- a/bilberrylead/core/cbor_fields.cpp
+++ b/bilberrylead/core/cbor_fields.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <utility>
 
 namespace bilberrylead
@@ -70,6 +71,17 @@
     return field->get<std::uint64_t>();
 }
 
+std::uint16_t cbor_fields::take_unsigned_16()
+{
+    std::uint64_t const number = this->take_unsigned();
+    if (number > std::numeric_limits<std::uint16_t>::max())
+    {
+        this->spoiled = true;
+        return 0;
+    }
+    return static_cast<std::uint16_t>(number);
+}
+
 std::int64_t cbor_fields::take_signed()
 {
     nlohmann::json* const field = this->next();
--- a/bilberrylead/core/cbor_fields.hpp
+++ b/bilberrylead/core/cbor_fields.hpp
@@ -37,6 +37,8 @@
 
     /// The next field, a number from 0.
     std::uint64_t take_unsigned();
+    /// The next field, a number from 0 to 65535.
+    std::uint16_t take_unsigned_16();
     /// The next field, a number.
     std::int64_t take_signed();
     /// The next field, true or false.
--- a/bilberrylead/link/message.cpp
+++ b/bilberrylead/link/message.cpp
@@ -270,8 +270,7 @@
     case verdict_tag::recorded:
     {
         once::claim_recorded verdict;
-        verdict.answer.status =
-            static_cast<std::uint16_t>(fields.take_unsigned());
+        verdict.answer.status = fields.take_unsigned_16();
         verdict.answer.content_type = fields.take_text(longest_text);
         verdict.answer.body = fields.take_bytes();
         verdict.answer.body_dropped = fields.take_bool();
--- a/bilberrylead/once/once_snapshot.cpp
+++ b/bilberrylead/once/once_snapshot.cpp
@@ -145,8 +145,7 @@
     taken.record.incarnation = fields->take_unsigned();
     taken.caller = caller_id(fields->take_text(any_length));
     taken.record.due = duration(fields->take_signed());
-    taken.record.answer.status =
-        static_cast<std::uint16_t>(fields->take_unsigned());
+    taken.record.answer.status = fields->take_unsigned_16();
     taken.record.answer.content_type = fields->take_text(any_length);
     taken.record.answer.body = fields->take_bytes();
     taken.record.answer.body_dropped = fields->take_bool();
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -74,6 +74,21 @@
         json::array({7U, 1U, json::binary(catalog::encode_command(command))}));
 }
 
+/// A report of an answer with a status that no answer can have.
+bytes request_with_status(std::uint64_t status)
+{
+    once::complete const report{key, request_id("r"), {200, "", {}, false}};
+    absl::StatusOr<json> record = parse_cbor(catalog::encode_command(report));
+    for (json& field : *record)
+    {
+        if (field == 200U)
+        {
+            field = status;
+        }
+    }
+    return cbor(json::array({7U, 1U, json::binary(cbor(*record))}));
+}
+
 struct hostile_row
 {
     char const* name;
@@ -144,6 +159,9 @@
         {"operator's change", request_with(catalog::change_command{})},
         {"time step", request_with(once::advance_time{})},
         {"registration", request_with(once::register_entry_host{})},
+        {"report of status 65736", request_with_status(65736)},
+        {"status 65736",
+         cbor(json::array({8U, 1U, 3U, 65736U, "a/b", binary, false}))},
     };
     for (hostile_row const& row : rows)
     {
