Test the control host's reducer over three scripted founders

Cause: control_reducer, which decides what operators and entry hosts hear, was tested only through real processes. First try: the read at the woken leader was thought to wait until it hears of its successor; it is refused in the same call, which the test asks now.

--- /dev/null
+++ b/tests/unit/control/control_group.hpp
@@ -0,0 +1,210 @@
+#ifndef BILBERRYLEAD_TESTS_CONTROL_CONTROL_GROUP_HPP
+#define BILBERRYLEAD_TESTS_CONTROL_CONTROL_GROUP_HPP
+
+#include "bilberrylead/control/control_reducer.hpp"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::tests
+{
+
+inline host_id control_host(std::size_t place)
+{
+    return host_id("c" + std::to_string(place + 1));
+}
+
+/// Three founders whose messages arrive when the test says so. Links below
+/// `entry_link` lead to the other founders, the others to entry hosts.
+struct control_group
+{
+    static constexpr std::size_t hosts = 3;
+    static constexpr link::link_number entry_link = 100;
+
+    struct letter
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        link::message content;
+    };
+
+    control_group()
+    {
+        agreement::started recovered;
+        recovered.founding.emplace();
+        for (std::size_t place = 0; place < hosts; ++place)
+        {
+            recovered.founding->put({control_host(place), 1, true, false});
+            control::control_reducer_settings settings;
+            settings.self = control_host(place);
+            settings.seed = place + 1;
+            this->nodes.at(place) =
+                std::make_unique<control::control_reducer>(settings);
+        }
+        for (std::size_t place = 0; place < hosts; ++place)
+        {
+            this->give(place, {control::control_started{recovered}});
+            for (std::size_t other = 0; other < hosts; ++other)
+            {
+                if (other != place)
+                {
+                    this->connect(place, other, control_host(other),
+                                  link::peer_role::control);
+                }
+            }
+        }
+    }
+
+    void connect(std::size_t place, link::link_number number,
+                 host_id const& peer, link::peer_role role)
+    {
+        this->give(place, {control::peer_connected{number, {peer, role, 1}}});
+    }
+
+    /// Hands events over in one call and carries the effects out.
+    void give(std::size_t place,
+              std::vector<control::control_event> const& events)
+    {
+        for (control::control_effect& effect :
+             this->nodes.at(place)->reduce(events, this->time))
+        {
+            if (std::holds_alternative<agreement::sync>(effect))
+            {
+                ++this->syncs;
+            }
+            else if (control::answer_operator* const answered =
+                         std::get_if<control::answer_operator>(&effect))
+            {
+                this->answers[answered->number].push_back(answered->reply);
+            }
+            else if (control::send_to_peer* const sent =
+                         std::get_if<control::send_to_peer>(&effect))
+            {
+                this->post(place, *sent);
+            }
+        }
+    }
+
+    void post(std::size_t from, control::send_to_peer& sent)
+    {
+        if (sent.link >= entry_link)
+        {
+            this->told[{from, sent.link}].push_back(std::move(sent.content));
+            return;
+        }
+        this->on_way.push_back({from, sent.link, std::move(sent.content)});
+    }
+
+    /// Delivers until nothing is on its way; what a lost host sends or
+    /// should get is lost.
+    void deliver()
+    {
+        while (!this->on_way.empty())
+        {
+            letter const next = std::move(this->on_way.front());
+            this->on_way.pop_front();
+            if (!this->isolated.contains(next.from) &&
+                !this->isolated.contains(next.to) &&
+                !this->deaf.contains(next.to))
+            {
+                this->give(next.to,
+                           {control::peer_message{next.from, next.content}});
+            }
+        }
+    }
+
+    /// Lets time pass in ticks; frozen hosts do not notice.
+    void advance(int ticks)
+    {
+        for (int tick = 0; tick < ticks; ++tick)
+        {
+            this->time += agreement::replica_settings{}.tick_interval;
+            for (std::size_t place = 0; place < hosts; ++place)
+            {
+                if (!this->frozen.contains(place))
+                {
+                    this->give(place, {control::control_tick{}});
+                }
+            }
+            this->deliver();
+        }
+    }
+
+    /// Lets time pass until a host that can be reached leads with a lease.
+    std::size_t lead()
+    {
+        for (int tick = 0; tick < 200; ++tick)
+        {
+            this->advance(1);
+            for (std::size_t place = 0; place < hosts; ++place)
+            {
+                if (!this->isolated.contains(place) &&
+                    this->nodes.at(place)->log().holds_lease(this->time))
+                {
+                    return place;
+                }
+            }
+        }
+        cr_assert_fail("no leader within 200 ticks");
+        return hosts;
+    }
+
+    void ask(std::size_t place, std::uint64_t number,
+             control::operator_request const& request)
+    {
+        this->give(place,
+                   {control::operator_asked{number, request, wall_time{}}});
+    }
+
+    void say(std::size_t place, link::message const& content)
+    {
+        this->give(place, {control::peer_message{entry_link, content}});
+        this->deliver();
+    }
+
+    /// The answer to a request, which must have got exactly one.
+    control::operator_reply const& answer_to(std::uint64_t number)
+    {
+        cr_assert_eq(this->answers[number].size(), 1U,
+                     "request %zu has %zu answers", std::size_t(number),
+                     this->answers[number].size());
+        return this->answers[number].front();
+    }
+
+    /// The last message over the entry link of a host, of this kind.
+    template <class Kind>
+    Kind last_told(std::size_t place)
+    {
+        std::vector<link::message> const& all = this->told[{place, entry_link}];
+        cr_assert_not(all.empty());
+        Kind const* const content = std::get_if<Kind>(&all.back());
+        cr_assert_not_null(content);
+        return *content;
+    }
+
+    std::array<std::unique_ptr<control::control_reducer>, hosts> nodes;
+    instant time{std::chrono::seconds(1)};
+    std::deque<letter> on_way;
+    std::set<std::size_t> isolated;
+    std::set<std::size_t> deaf;
+    std::set<std::size_t> frozen;
+    std::map<std::uint64_t, std::vector<control::operator_reply>> answers;
+    std::map<std::pair<std::size_t, link::link_number>,
+             std::vector<link::message>>
+        told;
+    std::size_t syncs = 0;
+};
+
+} // namespace bilberrylead::tests
+
+#endif
--- /dev/null
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -0,0 +1,268 @@
+#include "bilberrylead/control/control_reducer.hpp"
+
+#include "bilberrylead/agreement/codec.hpp"
+#include "bilberrylead/core/error.hpp"
+#include "tests/unit/control/control_group.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace bilberrylead::tests;
+
+namespace
+{
+
+once::claim_key const key{service_id("s"), caller_id("c"), "k"};
+
+control::submit_change change(char const* name, revision base)
+{
+    bytes const document{'{', '}', static_cast<std::uint8_t>(*name)};
+    return {{change_id(name), base, "operator", {}, document}};
+}
+
+catalog::change_outcome outcome_of(control::operator_reply const& reply)
+{
+    catalog::change_outcome const* const outcome =
+        std::get_if<catalog::change_outcome>(&reply);
+    cr_assert_not_null(outcome);
+    return *outcome;
+}
+
+absl::Status refusal_of(control::operator_reply const& reply)
+{
+    absl::Status const* const status = std::get_if<absl::Status>(&reply);
+    cr_assert_not_null(status);
+    return *status;
+}
+
+link::once_request claim_of(std::uint64_t number, char const* request)
+{
+    return {number, once::claim{key, 9, request_id(request), host_id("e1"), 1}};
+}
+
+/// A group with a leader, and an entry host that is linked to every host.
+struct led_group : control_group
+{
+    std::size_t leader = this->lead();
+    std::size_t follower = (this->leader + 1) % hosts;
+
+    led_group()
+    {
+        for (std::size_t place = 0; place < hosts; ++place)
+        {
+            this->connect(place, entry_link, host_id("e1"),
+                          link::peer_role::entry);
+        }
+    }
+
+    template <class Verdict>
+    void expect_verdict(std::uint64_t number)
+    {
+        link::claim_reply const reply =
+            this->last_told<link::claim_reply>(this->leader);
+        cr_assert_eq(reply.number, number);
+        cr_assert(std::holds_alternative<Verdict>(reply.verdict));
+    }
+};
+
+} // namespace
+
+Test(control_reducer, change_when_a_quorum_has_it_is_answered_and_published)
+{
+    led_group group;
+    std::vector<std::size_t> const places{group.leader, group.follower};
+    for (std::size_t const place : places)
+    {
+        group.say(place, link::subscription{0, link::delivery::pushed});
+    }
+    group.ask(group.leader, 1, change("a", 0));
+    cr_assert(group.answers.empty());
+    group.deliver();
+    cr_assert(outcome_of(group.answer_to(1)) ==
+              catalog::change_outcome(catalog::change_accepted{1}));
+    group.advance(3);
+    for (std::size_t const place : places)
+    {
+        link::configuration_update const update =
+            group.last_told<link::configuration_update>(place);
+        cr_assert_eq(update.target, 1U);
+        cr_assert(update.content == bytes({'{', '}', 'a'}));
+    }
+}
+
+// The operator's answer is lost: the leader's followers have the change, and
+// the leader is cut off before it hears so. The operator sends the change
+// again through the next leader and must learn that it was accepted, as
+// revision 1 and not as another one. The old leader never claims it.
+Test(control_reducer, change_when_resent_after_a_leader_change_counts_once)
+{
+    led_group group;
+    group.deaf = {group.leader};
+    group.ask(group.leader, 1, change("a", 0));
+    group.deliver();
+    group.isolated = {group.leader};
+    std::size_t const next = group.lead();
+    cr_assert_neq(next, group.leader);
+    group.ask(next, 2, change("a", 0));
+    group.deliver();
+    cr_assert(outcome_of(group.answer_to(2)) ==
+              catalog::change_outcome(catalog::change_already_accepted{1}));
+
+    group.deaf.clear();
+    group.isolated.clear();
+    group.advance(30);
+    cr_assert(kind_of(refusal_of(group.answer_to(1))) == error_kind::timeout);
+    cr_assert_eq(group.nodes.at(group.leader)
+                     ->state()
+                     .configurations()
+                     .current_revision(),
+                 1U);
+}
+
+Test(control_reducer, changes_when_racing_from_one_base_have_one_winner)
+{
+    led_group group;
+    group.ask(group.leader, 1, change("a", 0));
+    group.ask(group.leader, 2, change("b", 0));
+    group.deliver();
+    cr_assert(outcome_of(group.answer_to(1)) ==
+              catalog::change_outcome(catalog::change_accepted{1}));
+    catalog::change_conflict const lost{1, change_id("a"), "operator"};
+    cr_assert(outcome_of(group.answer_to(2)) == catalog::change_outcome(lost));
+}
+
+Test(control_reducer, operator_at_a_follower_hears_who_leads)
+{
+    led_group group;
+    group.ask(group.follower, 1, change("a", 0));
+    group.ask(group.follower, 2, control::read_configuration{});
+    group.ask(group.follower, 3, control::read_audit{});
+    group.ask(group.follower, 4, control::hand_over{});
+    std::string const name = control_host(group.leader).text();
+    for (std::uint64_t number = 1; number <= 4; ++number)
+    {
+        absl::Status const refused = refusal_of(group.answer_to(number));
+        cr_assert(kind_of(refused) == error_kind::not_leader);
+        cr_assert(std::string(refused.message()).find(name) !=
+                  std::string::npos);
+    }
+}
+
+// Both followers are cut off. The operator must not hear that a change was
+// accepted, or an entry host that a claim was granted, while only the leader
+// has it: another leader may come that never heard of either.
+Test(control_reducer, requests_without_a_quorum_are_never_called_accepted)
+{
+    led_group group;
+    group.isolated = {group.leader};
+    group.ask(group.leader, 1, change("a", 0));
+    group.say(group.leader, claim_of(1, "r1"));
+    group.advance(60);
+    cr_assert(kind_of(refusal_of(group.answer_to(1))) == error_kind::timeout);
+    for (link::message const& told :
+         group.told[{group.leader, led_group::entry_link}])
+    {
+        cr_assert_not(std::holds_alternative<link::claim_reply>(told));
+    }
+}
+
+// An entry host that bears a control host's name says that it leads in a far
+// later term. The leader would step down for it, and every request would
+// wait for an election: any entry host could stop the group.
+Test(control_reducer, replica_message_of_an_entry_host_is_ignored)
+{
+    led_group group;
+    std::uint64_t const term = group.nodes.at(group.leader)->log().term();
+    link::replica_message const said{
+        agreement::encode_message({term + 9, 1, agreement::append_request{}})};
+    group.connect(group.leader, 101, control_host(group.follower),
+                  link::peer_role::entry);
+    group.give(group.leader, {control::peer_message{101, said}});
+    cr_assert_eq(group.nodes.at(group.leader)->log().term(), term);
+
+    // The same words over a control host's link are heard.
+    group.give(group.leader, {control::peer_message{group.follower, said}});
+    cr_assert_eq(group.nodes.at(group.leader)->log().term(), term + 9);
+}
+
+Test(control_reducer, claim_when_repeated_is_in_progress_and_then_recorded)
+{
+    led_group group;
+    group.say(group.leader, link::registration_request{1});
+    cr_assert(group.last_told<link::registration_reply>(group.leader)
+                  .result.accepted);
+    group.say(group.leader, claim_of(1, "r1"));
+    group.expect_verdict<once::claim_granted>(1);
+    group.say(group.leader, claim_of(2, "r2"));
+    group.expect_verdict<once::claim_in_progress>(2);
+
+    once::recorded_answer const answer{201, "a/b", {1, 2}, false};
+    group.say(
+        group.leader,
+        link::once_request{3, once::complete{key, request_id("r1"), answer}});
+    cr_assert(group.last_told<link::settle_reply>(group.leader).result ==
+              once::settle_result::done);
+    group.say(group.leader, claim_of(4, "r2"));
+    group.expect_verdict<once::claim_recorded>(4);
+    link::claim_reply const reply =
+        group.last_told<link::claim_reply>(group.leader);
+    cr_assert(std::get<once::claim_recorded>(reply.verdict).answer == answer);
+}
+
+Test(control_reducer, claim_at_a_follower_is_refused_with_the_leaders_name)
+{
+    led_group group;
+    group.say(group.follower, claim_of(7, "r1"));
+    link::leader_notice const notice =
+        group.last_told<link::leader_notice>(group.follower);
+    cr_assert_eq(notice.refused_number, 7U);
+    cr_assert(notice.leader == control_host(group.leader));
+}
+
+// The leader is frozen and cut off, another one is elected and accepts a
+// change. The old one wakes up and is asked before it hears anything. It has
+// to see that its time is over and not give out the old configuration.
+Test(control_reducer, read_at_an_old_leader_after_its_lease_is_refused)
+{
+    led_group group;
+    group.ask(group.leader, 1, control::read_configuration{});
+    cr_assert(std::holds_alternative<control::configuration_reply>(
+        group.answer_to(1)));
+    group.isolated = {group.leader};
+    group.frozen = {group.leader};
+    std::size_t const next = group.lead();
+    group.ask(next, 2, change("a", 0));
+    group.deliver();
+    cr_assert(outcome_of(group.answer_to(2)) ==
+              catalog::change_outcome(catalog::change_accepted{1}));
+
+    group.frozen.clear();
+    group.ask(group.leader, 3, control::read_configuration{});
+    absl::Status const refused = refusal_of(group.answer_to(3));
+    cr_assert(kind_of(refused) == error_kind::no_quorum, "%s",
+              std::string(refused.message()).c_str());
+}
+
+Test(control_reducer, events_in_one_call_share_one_sync)
+{
+    led_group group;
+    std::vector<control::control_event> events;
+    for (std::uint64_t number = 1; number <= 5; ++number)
+    {
+        control::operator_asked asked;
+        asked.number = number;
+        asked.request = change(std::to_string(number).c_str(), 0);
+        events.emplace_back(asked);
+    }
+    std::size_t const before = group.syncs;
+    group.give(group.leader, events);
+    cr_assert_eq(group.syncs, before + 1);
+    group.deliver();
+    cr_assert(outcome_of(group.answer_to(1)) ==
+              catalog::change_outcome(catalog::change_accepted{1}));
+    cr_assert_eq(group.answers.size(), 5U);
+}
