Show that a claim that was given up can be granted after all

Cause: the mark that a release leaves is one record per key. When another request holds the key at that time, the release leaves no mark at all; when another request claims and releases it later, the mark is replaced. A late copy of the first claim is then granted, which docs/design/once.md (point 2) rules out, and nobody is there to run it: repeats hear "in progress" until it falls due, then "unknown" for work that never ran. Nothing runs twice. Not shown: that the schedule has no other cause than this one.

--- a/tests/unit/once_client/once_client_schedule_test.cpp
+++ b/tests/unit/once_client/once_client_schedule_test.cpp
@@ -327,6 +327,10 @@
         for (std::uint64_t key = 0; key < schedule::keys; ++key)
         {
             cr_assert_leq(run.runs[key], 1U, "seed %zu", std::size_t(seed));
+            cr_assert(run.records.state_of(key_of(key)) !=
+                          once::claim_state::open,
+                      "seed %zu, key %zu waits for nobody", std::size_t(seed),
+                      std::size_t(key));
             runs += run.runs[key];
         }
     }
