Remember every request that gave its claim up, not one a key

Cause: a release left one mark a key. With two requests that gave up the same key in turn, a late copy of the first one's claim was granted: nobody ran the work, and repeats heard "in progress" until it fell due. The same after "in progress": the holder released, and a late copy was granted. Ruled out: marking claims refused for lack of room too; the same request may ask again by design (two existing tests say so).

--- a/bilberrylead/once/once_records.cpp
+++ b/bilberrylead/once/once_records.cpp
@@ -45,6 +45,11 @@
     {
         return claim_outcome_unknown{};
     }
+    work_digest const request = work_digest::of(command.request);
+    if (this->given_up.contains(request))
+    {
+        return this->refuse(claim_refusal::given_up);
+    }
     std::optional<claim_refusal> const refusal = this->refusal_of(command);
     if (refusal.has_value())
     {
@@ -60,6 +65,11 @@
     return claim_granted{};
 }
 
+void once_records::give_up(work_digest const& request)
+{
+    this->given_up.add(request, this->now + this->settings.longest_run);
+}
+
 claim_verdict once_records::repeat(record_map::value_type& found,
                                    claim const& command)
 {
@@ -72,7 +82,8 @@
     // now, nobody would run it and all repeats would wait.
     if (record.state == claim_state::released)
     {
-        if (same_request)
+        if (same_request ||
+            this->given_up.contains(work_digest::of(command.request)))
         {
             return this->refuse(claim_refusal::given_up);
         }
@@ -92,6 +103,9 @@
         {
             return claim_granted{};
         }
+        // Its caller is told to ask again, with a new request. A late copy
+        // of this claim must not be granted once the holder gave up.
+        this->give_up(work_digest::of(command.request));
         return claim_in_progress{};
     case claim_state::recorded:
         return claim_recorded{record.answer};
@@ -130,6 +144,14 @@
 settle_result once_records::apply(release const& command)
 {
     auto const found = this->records.find(work_digest::of(command.key));
+    work_digest const request = work_digest::of(command.request);
+    bool const is_settled = found != this->records.end() &&
+                            found->second.request == request &&
+                            found->second.state != claim_state::open;
+    if (!is_settled)
+    {
+        this->give_up(request);
+    }
     if (found == this->records.end())
     {
         // The release overtook its claim. The mark it leaves lives as long
@@ -223,6 +245,7 @@
 void once_records::fall_due()
 {
     this->spent.expire(this->now);
+    this->given_up.expire(this->now);
     while (!this->due.empty() && this->due.begin()->first <= this->now)
     {
         auto const found = this->records.find(*this->due.begin()->second);
--- a/bilberrylead/once/once_records.hpp
+++ b/bilberrylead/once/once_records.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/once/claim_key.hpp"
 #include "bilberrylead/once/claim_record.hpp"
 #include "bilberrylead/once/claim_verdict.hpp"
+#include "bilberrylead/once/given_up_requests.hpp"
 #include "bilberrylead/once/once_command.hpp"
 #include "bilberrylead/once/once_settings.hpp"
 #include "bilberrylead/once/registration.hpp"
@@ -97,6 +98,7 @@
 
     std::optional<claim_refusal> refusal_of(claim const& command) const;
     claim_verdict repeat(record_map::value_type& found, claim const& command);
+    void give_up(work_digest const& request);
     claim_verdict refuse(claim_refusal reason) const;
     void insert(work_digest const& key, caller_id const& caller,
                 host_id const& host, claim_record record);
@@ -111,6 +113,8 @@
                             std::span<std::uint8_t const>& input);
     absl::Status take_spent(std::uint64_t stretches,
                             std::span<std::uint8_t const>& input);
+    absl::Status take_given_up(std::uint64_t number,
+                               std::span<std::uint8_t const>& input);
     absl::Status take_records(std::uint64_t number,
                               std::span<std::uint8_t const>& input);
 
@@ -120,6 +124,7 @@
     host_map incarnations;
     caller_map records_of_caller;
     spent_keys spent;
+    given_up_requests given_up;
     std::size_t bytes_held = 0;
     duration now{};
 };
--- a/bilberrylead/once/once_snapshot.cpp
+++ b/bilberrylead/once/once_snapshot.cpp
@@ -20,8 +20,8 @@
 namespace
 {
 
-constexpr std::uint64_t snapshot_version = 2;
 constexpr std::size_t any_length = std::numeric_limits<std::size_t>::max();
+constexpr std::uint64_t snapshot_version = 3;
 
 nlohmann::json bounds_to_json(once_settings const& bounds)
 {
@@ -168,6 +168,7 @@
     head.push_back(this->now.count());
     head.push_back(this->incarnations.size());
     head.push_back(stretches.size());
+    head.push_back(this->given_up.all().size());
     head.push_back(this->records.size());
     append_cbor(head, output);
     for (auto const& [host, incarnation] : this->incarnations)
@@ -178,6 +179,12 @@
     {
         append_cbor(stretch_to_json(stretch), output);
     }
+    for (given_up_requests::mark const& mark : this->given_up.all())
+    {
+        append_cbor(
+            nlohmann::json::array({mark.due.count(), to_binary(mark.request)}),
+            output);
+    }
     for (auto const& [key, record] : this->records)
     {
         append_cbor(record_to_json(key, record), output);
@@ -224,6 +231,30 @@
     return absl::OkStatus();
 }
 
+absl::Status once_records::take_given_up(std::uint64_t number,
+                                         std::span<std::uint8_t const>& input)
+{
+    duration newest{};
+    for (std::uint64_t i = 0; i < number; ++i)
+    {
+        absl::StatusOr<cbor_fields> fields = cbor_fields::take(input);
+        if (!fields.ok())
+        {
+            return damaged();
+        }
+        duration const due(fields->take_signed());
+        work_digest request;
+        bool const has_request = take_digest(*fields, request);
+        if (!has_request || !fields->complete() || due < newest)
+        {
+            return damaged();
+        }
+        newest = due;
+        this->given_up.add(request, due);
+    }
+    return absl::OkStatus();
+}
+
 absl::Status once_records::take_records(std::uint64_t number,
                                         std::span<std::uint8_t const>& input)
 {
@@ -255,6 +286,7 @@
     state.now = duration(head->take_signed());
     std::uint64_t const hosts = head->take_unsigned();
     std::uint64_t const stretches = head->take_unsigned();
+    std::uint64_t const given_up = head->take_unsigned();
     std::uint64_t const number = head->take_unsigned();
     if (!head->complete() || !same_version)
     {
@@ -273,6 +305,10 @@
         status = state.take_spent(stretches, input);
     }
     if (status.ok())
+    {
+        status = state.take_given_up(given_up, input);
+    }
+    if (status.ok())
     {
         status = state.take_records(number, input);
     }
