Try a download elsewhere whose upstream never begins its answer

Work that may be repeated waits for the progress timeout now; guarded work waits as before, since it can't be sent elsewhere.

--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -142,10 +142,10 @@
     }
 
     this->operators.emplace(this->io,
-                            [this](link::http_request request,
+                            [this](link::http_request const& request,
                                    link::http_endpoint::answer_function answer)
                             {
-                                this->serve_operator(std::move(request),
+                                this->serve_operator(request,
                                                      std::move(answer));
                             });
     listening = this->operators->listen(this->settings.operator_listen);
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -174,6 +174,15 @@
     // Work whose caller has stopped waiting may still end well and be
     // recorded, so an answer may be late by one silence.
     this->give_up_at = this->order.deadline + this->order.progress_timeout;
+
+    // Work that may be repeated is not left with an upstream that says
+    // nothing: a download's deadline is minutes, and a connection that went
+    // silent would hold its slot and its caller for all of them.
+    if (!this->order.run_once)
+    {
+        this->give_up_at = std::min(this->give_up_at,
+                                    clock_now() + this->order.progress_timeout);
+    }
     error_code error;
     do
     {
--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -179,6 +179,37 @@
     cr_assert_not(entry.ask(get("/s/1")).has_value());
 }
 
+// A download's deadline is an hour. Its first upstream takes the request and
+// never answers, as when the connection went silent. Its caller must not
+// wait for the hour, nor the slot be held for it: after the progress timeout
+// it is tried elsewhere.
+Test(upstream_failure, download_without_a_head_is_tried_elsewhere_in_time,
+     .timeout = 60)
+{
+    fake_upstream silent(
+        [](wire& connection, int)
+        {
+            connection.request();
+            connection.closed();
+        });
+    fake_upstream running(
+        [](wire& connection, int)
+        {
+            echo(connection);
+        });
+    running_server entry;
+    entry.configure({silent.port(), running.port()},
+                    [](config::service& service)
+                    {
+                        service.deadline = std::chrono::hours(1);
+                        service.progress_timeout = 100ms;
+                    });
+    for (int each = 0; each < 4; ++each)
+    {
+        cr_assert(entry.ask(get("/s/1")).has_value());
+    }
+}
+
 Test(upstream_failure, post_that_upstream_turned_away_runs_once_elsewhere)
 {
     // The first upstream sheds the post and says that it was not run; so it
