--- a/tests/unit/once/once_records_test.cpp
+++ b/tests/unit/once/once_records_test.cpp
@@ -403,3 +403,21 @@
     register_entry_host const older{host_id("e1"), 5};
     cr_assert(records.apply(older) == late);
 }
+
+// A request gives up while its claim is still on its way, and its release
+// comes first, when the records are full: no record can remember it. Room
+// comes back before the claim arrives. Granted then, nobody would run it.
+Test(once_records, late_claim_whose_release_found_no_room_is_refused)
+{
+    once_settings bounds;
+    bounds.largest_records = 1;
+    once_records records(bounds);
+    records.apply(claim_of("held", "first"));
+    records.apply(release_of("held", "first"));
+    pass(records, std::chrono::seconds(5));
+    records.apply(release_of("wanted", "late"));
+    pass(records, bounds.longest_run - std::chrono::seconds(3));
+    cr_assert_eq(records.size(), 0U);
+    cr_assert(is_refused(records.apply(claim_of("wanted", "late")),
+                         claim_refusal::given_up));
+}
