--- a/bilberrylead/ctl/view_commands.cpp
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/config/decimal.hpp"
 #include "bilberrylead/config/parse_configuration.hpp"
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/ctl/accepted_configuration.hpp"
 #include "bilberrylead/ctl/report.hpp"
 
 #include <fmt/format.h>
@@ -66,19 +67,14 @@
 /// Entry hosts of the accepted configuration.
 absl::StatusOr<std::vector<std::string>> expected_hosts(operator_client& client)
 {
-    absl::StatusOr<operator_answer> const answer =
-        client.ask("GET", "/v1/configuration");
-    if (!answer.ok())
-    {
-        return answer.status();
-    }
-    absl::StatusOr<nlohmann::json> const body = body_of(*answer);
-    if (!body.ok())
+    absl::StatusOr<accepted_configuration> const accepted =
+        fetch_accepted(client);
+    if (!accepted.ok())
     {
-        return body.status();
+        return accepted.status();
     }
     absl::StatusOr<config::configuration> const parsed =
-        config::parse_configuration(body->value("document", ""),
+        config::parse_configuration(accepted->document,
                                     "the accepted configuration");
     if (!parsed.ok())
     {
@@ -121,23 +117,29 @@
                     std::to_string(status.value("claims", std::uint64_t{0}))});
 }
 
-} // namespace
-
-exit_code run_get(command_line const& line)
+void print_audit(nlohmann::json const& body)
 {
-    // What is no number could otherwise add to the query.
-    constexpr std::uint64_t newest = std::numeric_limits<std::uint64_t>::max();
-    if (!line.subject.empty() &&
-        !config::parse_decimal(line.subject, newest).has_value())
+    std::vector<std::vector<std::string>> rows = {
+        {"AT", "OPERATOR", "CHANGE", "BASE", "RESULT", "REVISION"}};
+    for (nlohmann::json const& entry : body.at("entries"))
     {
-        return report(make_error(error_kind::bad_value,
-                                 "A revision is a number.",
-                                 "Leave it out for the newest."));
+        nlohmann::json const& result = entry.at("result");
+        rows.push_back(
+            {entry.value("at", ""), entry.value("operator", ""),
+             entry.value("change_id", ""),
+             std::to_string(entry.value("base_revision", std::uint64_t{0})),
+             result.value("outcome", ""),
+             std::to_string(result.value("revision", std::uint64_t{0}))});
     }
+    print_table(rows);
+}
+
+/// Asks for one answer and shows it: as it is, or as `show` prints it.
+template <class Show>
+exit_code ask_and_show(command_line const& line, std::string const& target,
+                       Show show)
+{
     operator_client client(line.client);
-    std::string const target =
-        line.subject.empty() ? std::string("/v1/configuration")
-                             : "/v1/configuration?revision=" + line.subject;
     absl::StatusOr<operator_answer> const answer = client.ask("GET", target);
     if (!answer.ok())
     {
@@ -158,13 +160,36 @@
     }
     else
     {
-        fmt::print("// Revision {}\n{}\n",
-                   body->value("revision", std::uint64_t{0}),
-                   body->value("document", ""));
+        show(*body);
     }
     return exit_code::done;
 }
 
+} // namespace
+
+exit_code run_get(command_line const& line)
+{
+    // What is no number could otherwise add to the query.
+    constexpr std::uint64_t newest = std::numeric_limits<std::uint64_t>::max();
+    if (!line.subject.empty() &&
+        !config::parse_decimal(line.subject, newest).has_value())
+    {
+        return report(make_error(error_kind::bad_value,
+                                 "A revision is a number.",
+                                 "Leave it out for the newest."));
+    }
+    std::string const target =
+        line.subject.empty() ? std::string("/v1/configuration")
+                             : "/v1/configuration?revision=" + line.subject;
+    return ask_and_show(line, target,
+                        [](nlohmann::json const& body)
+                        {
+                            fmt::print("// Revision {}\n{}\n",
+                                       body.value("revision", std::uint64_t{0}),
+                                       body.value("document", ""));
+                        });
+}
+
 exit_code run_status(command_line const& line)
 {
     operator_client client(line.client);
@@ -200,41 +225,8 @@
 
 exit_code run_audit(command_line const& line)
 {
-    operator_client client(line.client);
-    absl::StatusOr<operator_answer> const answer =
-        client.ask("GET", fmt::format("/v1/audit?most={}", line.most));
-    if (!answer.ok())
-    {
-        return report(answer.status());
-    }
-    if (answer->status != ok_status)
-    {
-        return report_refusal(*answer);
-    }
-    absl::StatusOr<nlohmann::json> const body = body_of(*answer);
-    if (!body.ok())
-    {
-        return report(body.status());
-    }
-    if (line.output == output_form::json)
-    {
-        print_json(*body);
-        return exit_code::done;
-    }
-    std::vector<std::vector<std::string>> rows = {
-        {"AT", "OPERATOR", "CHANGE", "BASE", "RESULT", "REVISION"}};
-    for (nlohmann::json const& entry : body->at("entries"))
-    {
-        nlohmann::json const& result = entry.at("result");
-        rows.push_back(
-            {entry.value("at", ""), entry.value("operator", ""),
-             entry.value("change_id", ""),
-             std::to_string(entry.value("base_revision", std::uint64_t{0})),
-             result.value("outcome", ""),
-             std::to_string(result.value("revision", std::uint64_t{0}))});
-    }
-    print_table(rows);
-    return exit_code::done;
+    return ask_and_show(line, fmt::format("/v1/audit?most={}", line.most),
+                        print_audit);
 }
 
 exit_code run_wait(command_line const& line)
--- a/bilberrylead/once_client/once_client.hpp
+++ b/bilberrylead/once_client/once_client.hpp
@@ -34,7 +34,9 @@
     /// True if a leader is linked and knows this incarnation.
     bool reachable() const;
 
-    /// The request's id in claims: this host's, this incarnation's.
+    /// The request's id in claims: this host's, this process's. It keeps the
+    /// number that the process started with when a larger incarnation is
+    /// taken, so that a claim under way keeps its id.
     request_id id_of(local_request request) const;
 
 private:
