--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -1,6 +1,7 @@
 #include "deployment.hpp"
 
 #include "free_port.hpp"
+#include "scenario_files.hpp"
 
 #include "bilberrylead/config/parse_configuration.hpp"
 
@@ -26,18 +27,6 @@
 constexpr char const* peer_key = "a-shared-peer-key-for-scenarios-only-0001";
 constexpr char const* operator_key = "an-operator-key-for-scenarios-only-00001";
 constexpr std::chrono::seconds ctl_patience{60};
-constexpr std::chrono::seconds load_patience{120};
-
-std::string read_all(std::filesystem::path const& path)
-{
-    std::ifstream file(path);
-    return {std::istreambuf_iterator<char>(file), {}};
-}
-
-std::string loopback(std::uint16_t port)
-{
-    return fmt::format("127.0.0.1:{}", port);
-}
 
 /// Ports of a stand-in follow each other, so they are looked for together.
 std::uint16_t free_port_range(std::uint32_t count)
@@ -290,65 +279,6 @@
     return this->configuration;
 }
 
-void deployment::start_load(std::string const& name, std::string const& service,
-                            std::uint32_t rate, std::uint32_t seconds)
-{
-    std::vector<config::service> const& services = this->configuration.services;
-    std::vector<config::service>::const_iterator const found =
-        std::find_if(services.begin(), services.end(),
-                     [&service](config::service const& row)
-                     {
-                         return row.id.text() == service;
-                     });
-    if (found == services.end())
-    {
-        throw std::runtime_error("no service " + service);
-    }
-    bool const is_long = found->length == config::work_length::extended;
-    json request = {{"name", service},
-                    {"service", service},
-                    {"callers", "all"},
-                    {"guarded", found->guarded},
-                    {"idempotent", found->idempotent},
-                    {"deadline_ms", is_long ? 60000 : 2000}};
-    if (found->guarded)
-    {
-        request["request_bytes"] = 200;
-        request["resend_percent"] = 20;
-    }
-    if (is_long)
-    {
-        request["path"] = "/download";
-        request["answer_bytes"] = 2000000;
-    }
-    json const profile = {
-        {"rate_per_s", rate},
-        {"length_ms", seconds * 1000},
-        {"requests", json::array({request})},
-        {"callers", json::array({{{"name", "all"}, {"callers", 40}}})}};
-    std::vector<std::string> arguments = {
-        "--profile", this->write_file(name + ".jsonc", profile.dump(2))};
-    for (std::string const& entry : this->entry_names())
-    {
-        arguments.push_back("--steering");
-        arguments.push_back(loopback(this->caller_port(entry)));
-    }
-    for (std::map<std::string, stand_in>::value_type const& row :
-         this->stand_ins)
-    {
-        arguments.push_back("--stand-ins");
-        arguments.push_back(loopback(row.second.admin_port));
-    }
-    this->loads[name] = this->run(name, "bilberry-load", arguments);
-}
-
-std::string deployment::finish_load(std::string const& name)
-{
-    this->loads.at(name)->wait(load_patience);
-    this->loads.erase(name);
-    return read_all(this->home / (name + ".out"));
-}
-
 std::uint16_t deployment::caller_port(std::string const& entry) const
 {
     return this->hosts.at(entry).second_port;
--- /dev/null
+++ b/tests/scenario_runner/scenario_fault_steps.cpp
@@ -0,0 +1,116 @@
+#include "scenario_steps.hpp"
+
+#include "http_call.hpp"
+#include "wait_until.hpp"
+
+#include <fmt/format.h>
+
+#include <signal.h>
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Steps in which something fails, or is stopped as planned.
+namespace bilberrylead::scenario
+{
+
+// kill NAME | kill leader
+void scenario_steps::kill(scenario_line const& line)
+{
+    this->world.kill(this->host_of(line.word(1)));
+}
+
+// stop NAME: asks for a planned stop
+void scenario_steps::stop(scenario_line const& line)
+{
+    this->world.process(this->host_of(line.word(1))).signal(SIGTERM);
+}
+
+// ended NAME: waits for the end of a planned stop, which must be clean
+void scenario_steps::ended(scenario_line const& line)
+{
+    std::string const name = this->host_of(line.word(1));
+    std::optional<int> const code = this->world.process(name).wait(patience);
+    this->need(code.has_value(), "it still runs");
+    this->need(*code == 0, fmt::format("it ended with {}", *code));
+    this->world.kill(name);
+}
+
+// freeze NAME | freeze leader
+void scenario_steps::freeze(scenario_line const& line)
+{
+    this->world.process(this->host_of(line.word(1))).signal(SIGSTOP);
+}
+
+// thaw NAME
+void scenario_steps::thaw(scenario_line const& line)
+{
+    this->world.process(this->host_of(line.word(1))).signal(SIGCONT);
+}
+
+// lose-disk NAME
+void scenario_steps::lose_disk(scenario_line const& line)
+{
+    this->world.lose_disk(this->host_of(line.word(1)));
+}
+
+// cut NAME from OTHER... [outgoing|incoming]
+void scenario_steps::cut(scenario_line const& line)
+{
+    std::string const name = this->host_of(line.word(1));
+    std::vector<std::string> others;
+    relay_mode outgoing = relay_mode::silent;
+    relay_mode incoming = relay_mode::silent;
+    for (std::size_t place = 3; place < line.words.size(); ++place)
+    {
+        std::string const& word = line.word(place);
+        if (word == "outgoing")
+        {
+            incoming = relay_mode::open;
+        }
+        else if (word == "incoming")
+        {
+            outgoing = relay_mode::open;
+        }
+        else if (word == "controls")
+        {
+            std::vector<std::string> const names = this->world.control_names();
+            std::copy_if(names.begin(), names.end(), std::back_inserter(others),
+                         [&name](std::string const& other)
+                         {
+                             return other != name;
+                         });
+        }
+        else
+        {
+            others.push_back(this->host_of(word));
+        }
+    }
+    this->world.cut(name, others, outgoing, incoming);
+}
+
+// cut-zone ZONE: from all other zones, both ways
+void scenario_steps::cut_zone(scenario_line const& line)
+{
+    this->world.cut_zone(line.word(1), relay_mode::silent);
+}
+
+// heal: every cut
+void scenario_steps::heal(scenario_line const&)
+{
+    this->world.heal();
+}
+
+// set STAND-IN JSON: changes how stand-in upstreams behave
+void scenario_steps::set(scenario_line const& line)
+{
+    call_result const answer = call(this->world.admin_port(line.word(1)), "PUT",
+                                    "/stand-in/behaviour", line.rest(2));
+    this->need(answer.status == 200,
+               fmt::format("status {}: {}", answer.status, answer.body));
+}
+
+} // namespace bilberrylead::scenario
