--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -215,16 +215,17 @@
     {
         return;
     }
-    if (auto const* verdict = std::get_if<once::claim_verdict>(&found->second))
+    if (once::claim_verdict const* verdict =
+            std::get_if<once::claim_verdict>(&found->second))
     {
         this->send(who.link, link::claim_reply{who.number, *verdict});
     }
-    else if (auto const* settled =
+    else if (once::settle_result const* settled =
                  std::get_if<once::settle_result>(&found->second))
     {
         this->send(who.link, link::settle_reply{who.number, *settled});
     }
-    else if (auto const* registered =
+    else if (once::registration const* registered =
                  std::get_if<once::registration>(&found->second))
     {
         this->send(who.link, link::registration_reply{*registered});
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -346,19 +346,19 @@
     for (once_client::once_client_effect const& effect :
          this->claims.reduce(what, now()))
     {
-        if (auto const* sent =
+        if (once_client::send_to_control const* sent =
                 std::get_if<once_client::send_to_control>(&effect))
         {
             this->send(sent->link, sent->content);
         }
-        else if (auto const* decided =
+        else if (once_client::claim_decided const* decided =
                      std::get_if<once_client::claim_decided>(&effect))
         {
             this->server->dispatch(entry::claim_answered{
                 static_cast<entry::request_number>(decided->request),
                 decided->verdict});
         }
-        else if (auto const* recorded =
+        else if (once_client::completion_recorded const* recorded =
                      std::get_if<once_client::completion_recorded>(&effect))
         {
             this->server->dispatch(entry::completion_stored{
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -136,11 +136,13 @@
 
 void server_core::carry_out(entry::effect const& decided)
 {
-    if (auto const* order = std::get_if<entry::start_upstream>(&decided))
+    if (entry::start_upstream const* order =
+            std::get_if<entry::start_upstream>(&decided))
     {
         this->start(*order);
     }
-    else if (auto const* passed = std::get_if<entry::pass_answer_on>(&decided))
+    else if (entry::pass_answer_on const* passed =
+                 std::get_if<entry::pass_answer_on>(&decided))
     {
         carried_request* request = this->find(passed->request);
         if (request != nullptr)
@@ -148,7 +150,8 @@
             this->answer(passed->request, stream_reply{request->exchange});
         }
     }
-    else if (auto const* taken = std::get_if<entry::collect_answer>(&decided))
+    else if (entry::collect_answer const* taken =
+                 std::get_if<entry::collect_answer>(&decided))
     {
         carried_request* request = this->find(taken->request);
         if (request != nullptr)
@@ -157,7 +160,8 @@
                                        this->chosen.largest_recorded);
         }
     }
-    else if (auto const* ready = std::get_if<entry::answer_collected>(&decided))
+    else if (entry::answer_collected const* ready =
+                 std::get_if<entry::answer_collected>(&decided))
     {
         carried_request* request = this->find(ready->request);
         if (request != nullptr)
@@ -166,23 +170,28 @@
                          recorded_reply{std::move(request->collected)});
         }
     }
-    else if (auto const* not_run = std::get_if<entry::answer_not_run>(&decided))
+    else if (entry::answer_not_run const* not_run =
+                 std::get_if<entry::answer_not_run>(&decided))
     {
         this->answer(not_run->request, *not_run);
     }
-    else if (auto const* unknown = std::get_if<entry::answer_unknown>(&decided))
+    else if (entry::answer_unknown const* unknown =
+                 std::get_if<entry::answer_unknown>(&decided))
     {
         this->answer(unknown->request, *unknown);
     }
-    else if (auto const* record = std::get_if<entry::answer_recorded>(&decided))
+    else if (entry::answer_recorded const* record =
+                 std::get_if<entry::answer_recorded>(&decided))
     {
         this->answer(record->request, recorded_reply{record->answer});
     }
-    else if (auto const* problem = std::get_if<entry::answer_problem>(&decided))
+    else if (entry::answer_problem const* problem =
+                 std::get_if<entry::answer_problem>(&decided))
     {
         this->answer(problem->request, *problem);
     }
-    else if (auto const* ended = std::get_if<entry::cancel_upstream>(&decided))
+    else if (entry::cancel_upstream const* ended =
+                 std::get_if<entry::cancel_upstream>(&decided))
     {
         carried_request* request = this->find(ended->request);
         if (request != nullptr && request->exchange != nullptr)
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -115,8 +115,9 @@
 void upstream_exchange::prepare_message()
 {
     request_message& message = this->request->message;
-    auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        this->order.deadline - clock_now());
+    std::chrono::milliseconds const left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->order.deadline - clock_now());
     message.set(deadline_header,
                 std::to_string(std::max<std::int64_t>(left.count(), 1)));
     message.body().data = this->request->kept.data();
--- a/performance/entry_bench/main.cpp
+++ b/performance/entry_bench/main.cpp
@@ -38,7 +38,7 @@
 constexpr int latency_rounds = 20;
 constexpr int requests_a_round = 1000;
 constexpr int load_connections = 64;
-constexpr auto load_time = 3s;
+constexpr std::chrono::seconds load_time{3};
 constexpr int downloads = 1000;
 constexpr std::size_t first_part = 1024;
 
@@ -153,7 +153,8 @@
     std::string got(8192, '\0');
     for (int each = 0; each < requests_a_round; ++each)
     {
-        auto const start = std::chrono::steady_clock::now();
+        std::chrono::steady_clock::time_point const start =
+            std::chrono::steady_clock::now();
         boost::asio::write(socket, boost::asio::buffer(brief_request));
         read_answer(socket, got);
         std::chrono::duration<double, std::micro> const took =
@@ -227,7 +228,8 @@
                 }
             });
     }
-    auto const start = std::chrono::steady_clock::now();
+    std::chrono::steady_clock::time_point const start =
+        std::chrono::steady_clock::now();
     std::this_thread::sleep_for(load_time);
     stop = true;
     for (std::thread& each : threads)
--- a/tests/scenario_runner/child_process.cpp
+++ b/tests/scenario_runner/child_process.cpp
@@ -75,7 +75,8 @@
 
 std::optional<int> child_process::wait(std::chrono::milliseconds patience)
 {
-    auto const deadline = std::chrono::steady_clock::now() + patience;
+    std::chrono::steady_clock::time_point const deadline =
+        std::chrono::steady_clock::now() + patience;
     while (this->running() && std::chrono::steady_clock::now() < deadline)
     {
         std::this_thread::sleep_for(poll_pause);
--- a/tests/unit/distribution/revision_exchange_test.cpp
+++ b/tests/unit/distribution/revision_exchange_test.cpp
@@ -105,16 +105,17 @@
 
     void deliver(letter const& next)
     {
-        if (auto const* held = std::get_if<link::subscription>(&next.content))
+        if (link::subscription const* held =
+                std::get_if<link::subscription>(&next.content))
         {
             this->give(next.to, subscription_received{next.wire, *held});
         }
-        else if (auto const* held =
+        else if (link::revision_announcement const* held =
                      std::get_if<link::revision_announcement>(&next.content))
         {
             this->give(next.to, announcement_received{next.wire, *held});
         }
-        else if (auto const* held =
+        else if (link::configuration_update const* held =
                      std::get_if<link::configuration_update>(&next.content))
         {
             ++this->updates_delivered;
--- a/tests/unit/entry/entry_load_test.cpp
+++ b/tests/unit/entry/entry_load_test.cpp
@@ -55,11 +55,12 @@
     {
         for (effect const& each : decided)
         {
-            if (auto const* sent = std::get_if<start_upstream>(&each))
+            if (start_upstream const* sent = std::get_if<start_upstream>(&each))
             {
                 this->running.push_back({sent->request, this->now});
             }
-            if (auto const* not_run = std::get_if<answer_not_run>(&each))
+            if (answer_not_run const* not_run =
+                    std::get_if<answer_not_run>(&each))
             {
                 ++this->refused[this->caller_of(not_run->request)];
                 this->shortest_retry =
--- a/tests/unit/http/caller_server_test.cpp
+++ b/tests/unit/http/caller_server_test.cpp
@@ -97,7 +97,8 @@
     std::optional<once::recorded_answer> record;
     entry.outside = [&entry, &record](entry::effect const& decided)
     {
-        if (auto const* claim = std::get_if<entry::request_claim>(&decided))
+        if (entry::request_claim const* claim =
+                std::get_if<entry::request_claim>(&decided))
         {
             once::claim_verdict verdict = once::claim_granted{};
             if (record.has_value())
@@ -107,7 +108,8 @@
             entry.server->dispatch(
                 entry::claim_answered{claim->request, verdict});
         }
-        if (auto const* done = std::get_if<entry::report_completion>(&decided))
+        if (entry::report_completion const* done =
+                std::get_if<entry::report_completion>(&decided))
         {
             record = done->answer;
             entry.server->dispatch(entry::completion_stored{done->request});
--- a/tests/unit/link/peer_node_test.cpp
+++ b/tests/unit/link/peer_node_test.cpp
@@ -80,7 +80,8 @@
     template <class Condition>
     bool run_until(Condition condition)
     {
-        auto const end = std::chrono::steady_clock::now() + patience;
+        std::chrono::steady_clock::time_point const end =
+            std::chrono::steady_clock::now() + patience;
         while (!condition() && std::chrono::steady_clock::now() < end)
         {
             this->io.run_one_for(std::chrono::milliseconds(50));
--- a/tests/unit/once_client/once_client_schedule_test.cpp
+++ b/tests/unit/once_client/once_client_schedule_test.cpp
@@ -179,22 +179,25 @@
         {
             this->answer(link, link::leader_notice{this->leader, said.number});
         }
-        else if (auto const* claim = std::get_if<once::claim>(&said.command))
+        else if (once::claim const* claim =
+                     std::get_if<once::claim>(&said.command))
         {
             this->answer(link, link::claim_reply{said.number,
                                                  this->records.apply(*claim)});
         }
-        else if (auto const* done = std::get_if<once::complete>(&said.command))
+        else if (once::complete const* done =
+                     std::get_if<once::complete>(&said.command))
         {
             this->answer(link, link::settle_reply{said.number,
                                                   this->records.apply(*done)});
         }
-        else if (auto const* back = std::get_if<once::release>(&said.command))
+        else if (once::release const* back =
+                     std::get_if<once::release>(&said.command))
         {
             this->answer(link, link::settle_reply{said.number,
                                                   this->records.apply(*back)});
         }
-        else if (auto const* lost =
+        else if (once::mark_unknown const* lost =
                      std::get_if<once::mark_unknown>(&said.command))
         {
             this->answer(link, link::settle_reply{said.number,
--- a/tests/unit/once_client/once_client_test.cpp
+++ b/tests/unit/once_client/once_client_test.cpp
@@ -75,7 +75,7 @@
         std::vector<link::once_request> result;
         for (send_to_control const& sent : this->all<send_to_control>())
         {
-            if (auto const* held =
+            if (link::once_request const* held =
                     std::get_if<link::once_request>(&sent.content))
             {
                 result.push_back(*held);
