--- a/tests/unit/once_client/once_client_test.cpp
+++ b/tests/unit/once_client/once_client_test.cpp
@@ -155,9 +155,10 @@
     f.give(claim_wanted{7, some_key(), 1});
     f.pass(std::chrono::milliseconds(1100));
     cr_assert_eq(f.all<claim_decided>().size(), 1U);
-    cr_assert_eq(f.requests().size(), 1U);
+    std::vector<link::once_request> const sent = f.requests();
+    cr_assert_eq(sent.size(), 1U);
     once::release const* const given_up =
-        std::get_if<once::release>(&f.requests()[0].command);
+        std::get_if<once::release>(&sent[0].command);
     cr_assert_not_null(given_up);
     cr_assert(given_up->request == f.client.id_of(7));
 
