--- a/tests/unit/entry/entry_reducer_test.cpp
+++ b/tests/unit/entry/entry_reducer_test.cpp
@@ -179,3 +179,24 @@
         entry.take(upstream_answer_finished{number(each), std::nullopt});
     }
 }
+
+Test(entry_reducer, upstream_labelled_as_leaving_gets_no_new_work)
+{
+    // An operator drains lookup-a. From the revision on that says so, every
+    // caller goes to lookup-b, also once both are free.
+    driven_entry entry;
+    std::shared_ptr<config::configuration> const drained = make_configuration();
+    upstream_id const leaving("lookup-a");
+    for (config::upstream& upstream : drained->upstreams)
+    {
+        upstream.leaving = upstream.id == leaving;
+    }
+    entry.take(configuration_received{2, drained});
+    for (std::uint64_t each = 1; each < 10; ++each)
+    {
+        entry.arrive(each, "lookup");
+        cr_assert(entry.find<start_upstream>()->upstream != leaving);
+        entry.take(head_of(each));
+        entry.take(upstream_answer_finished{number(each), std::nullopt});
+    }
+}
