Open every listening port by one piece of code

Cause: the callers' server and the stand-in opened their acceptors by copies of link::open_acceptor, which had a fault that the copies did not: a failed option was overwritten by the bind's result. Messages of an address that cannot be had are the same everywhere. Two functions that nobody called are gone (operator_client::used_settings, open_requests::size). Not rerun for this commit: the sanitizers.

--- a/bilberrylead/control/open_requests.cpp
+++ b/bilberrylead/control/open_requests.cpp
@@ -23,9 +23,4 @@
     return who;
 }
 
-std::size_t open_requests::size() const
-{
-    return this->waiters.size();
-}
-
 } // namespace bilberrylead::control
--- a/bilberrylead/control/open_requests.hpp
+++ b/bilberrylead/control/open_requests.hpp
@@ -45,9 +45,6 @@
     /// Ends a token and tells who waited; nobody for an unknown one.
     waiter take(std::uint64_t token);
 
-    /// Open tokens.
-    std::size_t size() const;
-
 private:
     std::uint64_t last_token = 0;
     std::map<std::uint64_t, waiter> waiters;
--- a/bilberrylead/ctl/operator_client.cpp
+++ b/bilberrylead/ctl/operator_client.cpp
@@ -178,9 +178,4 @@
     return this->settings.control_hosts.size();
 }
 
-operator_client_settings const& operator_client::used_settings() const
-{
-    return this->settings;
-}
-
 } // namespace bilberrylead::ctl
--- a/bilberrylead/ctl/operator_client.hpp
+++ b/bilberrylead/ctl/operator_client.hpp
@@ -68,9 +68,6 @@
     /// How many hosts it knows.
     std::size_t host_count() const;
 
-    /// What it was made from.
-    operator_client_settings const& used_settings() const;
-
 private:
     operator_client_settings settings;
     std::size_t first_host = 0;
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -1,12 +1,10 @@
 #include "bilberrylead/http/caller_server.hpp"
 
-#include "bilberrylead/core/error.hpp"
 #include "bilberrylead/http/caller_connection.hpp"
 #include "bilberrylead/http/server_core.hpp"
+#include "bilberrylead/link/open_acceptor.hpp"
 
 #include <boost/asio/basic_socket_acceptor.hpp>
-#include <boost/asio/ip/address.hpp>
-#include <fmt/format.h>
 
 #include <chrono>
 #include <string>
@@ -90,39 +88,11 @@
 
 absl::Status caller_server::listen()
 {
-    config::endpoint const& wanted = this->inner->core->settings().listen;
-    error_code error;
-    asio::ip::address const address =
-        asio::ip::make_address(wanted.address, error);
-    if (error)
-    {
-        return make_error(
-            error_kind::bad_value,
-            fmt::format("\"{}\" is no IP address.", wanted.address),
-            "Give the address callers connect to.");
-    }
-    tcp_acceptor& acceptor = this->inner->acceptor;
-    asio::ip::tcp::endpoint const place(address, wanted.port);
-    acceptor.open(place.protocol(), error);
-    if (!error)
-    {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error)
-    {
-        acceptor.bind(place, error);
-    }
-    if (!error)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
+    absl::Status opened = link::open_acceptor(
+        this->inner->acceptor, this->inner->core->settings().listen);
+    if (!opened.ok())
     {
-        return make_error(error_kind::connection,
-                          fmt::format("Cannot listen on {} port {}: {}.",
-                                      wanted.address, wanted.port,
-                                      error.message()),
-                          "Free the port or choose another.");
+        return opened;
     }
     this->inner->core->begin();
     this->inner->accept_next();
--- a/bilberrylead/link/open_acceptor.cpp
+++ b/bilberrylead/link/open_acceptor.cpp
@@ -26,36 +26,13 @@
     return tcp::endpoint(parsed, address.port);
 }
 
-absl::Status open_acceptor(tcp::acceptor& acceptor,
-                           config::endpoint const& address)
+absl::Status cannot_listen(config::endpoint const& address,
+                           error_code const& why)
 {
-    absl::StatusOr<tcp::endpoint> const where = to_tcp(address);
-    if (!where.ok())
-    {
-        return where.status();
-    }
-    error_code error;
-    acceptor.open(where->protocol(), error);
-    if (!error)
-    {
-        acceptor.set_option(boost::asio::socket_base::reuse_address(true),
-                            error);
-        acceptor.bind(*where, error);
-    }
-    if (!error)
-    {
-        acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                        error);
-    }
-    if (error)
-    {
-        return make_error(error_kind::connection,
-                          fmt::format("The address {}:{} cannot be had ({}).",
-                                      address.address, address.port,
-                                      error.message()),
-                          "Free the port or set another one.");
-    }
-    return absl::OkStatus();
+    return make_error(error_kind::connection,
+                      fmt::format("The address {}:{} cannot be had ({}).",
+                                  address.address, address.port, why.message()),
+                      "Free the port or set another one.");
 }
 
 } // namespace bilberrylead::link
--- a/bilberrylead/load/stand_in_server.cpp
+++ b/bilberrylead/load/stand_in_server.cpp
@@ -1,6 +1,6 @@
 #include "bilberrylead/load/stand_in_server.hpp"
 
-#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/load/stand_in_admin.hpp"
 #include "bilberrylead/load/stand_in_connection.hpp"
 #include "bilberrylead/load/stand_in_upstream.hpp"
@@ -14,7 +14,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -40,37 +39,6 @@
 
 constexpr std::uint64_t largest_admin_body = 1'048'576;
 
-absl::Status open_port(tcp::acceptor& acceptor, config::endpoint const& address)
-{
-    beast::error_code error;
-    tcp::endpoint const place(asio::ip::make_address(address.address, error),
-                              address.port);
-    if (!error)
-    {
-        acceptor.open(place.protocol(), error);
-    }
-    if (!error)
-    {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error)
-    {
-        acceptor.bind(place, error);
-    }
-    if (!error)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
-    {
-        return make_error(error_kind::connection,
-                          fmt::format("Cannot listen on {}: {}.",
-                                      to_string(address), error.message()),
-                          "Choose a free port, or 0.");
-    }
-    return absl::OkStatus();
-}
-
 /// Answers admin requests for all upstreams until the other side closes.
 asio::awaitable<void>
 serve_admin(tcp::socket socket,
@@ -209,7 +177,7 @@
     {
         tcp::acceptor& acceptor =
             this->parts->acceptors.emplace_back(this->parts->context);
-        absl::Status status = open_port(acceptor, each->address);
+        absl::Status status = link::open_acceptor(acceptor, each->address);
         if (!status.ok())
         {
             return status;
@@ -219,7 +187,7 @@
                        this->parts->accept_callers(acceptor, each->upstream),
                        asio::detached);
     }
-    absl::Status status = open_port(this->parts->admin, admin);
+    absl::Status status = link::open_acceptor(this->parts->admin, admin);
     if (status.ok())
     {
         asio::co_spawn(this->parts->context, this->parts->accept_admins(),
