--- a/bilberrylead/agreement/events/membership_change_requested.hpp
+++ b/bilberrylead/agreement/events/membership_change_requested.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/ids.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace bilberrylead::agreement
 {
@@ -19,6 +20,21 @@
     remove,
 };
 
+/// The action's name as logs show it.
+constexpr std::string_view to_string(membership_action action)
+{
+    switch (action)
+    {
+    case membership_action::add_learner:
+        return "add_learner";
+    case membership_action::add_voter:
+        return "add_voter";
+    case membership_action::remove:
+        return "remove";
+    }
+    return "";
+}
+
 /// Asks for one change of membership. Answered like a proposal; refused
 /// while another one is not settled.
 struct membership_change_requested
--- a/bilberrylead/agreement/leadership.cpp
+++ b/bilberrylead/agreement/leadership.cpp
@@ -21,7 +21,7 @@
     this->lease_given_up = false;
     this->peers.clear();
     this->peers.match(this->core.memberships.current(), this->core.self,
-                      this->first_index);
+                      this->first_index, this->core.now);
     this->start_round();
     this->append(entry_kind::no_op, bytes());
     this->beat_soon();
@@ -61,7 +61,7 @@
     {
         this->core.memberships.put(index, *decode_membership(next.payload));
         this->peers.match(this->core.memberships.current(), this->core.self,
-                          index);
+                          index, this->core.now);
     }
     this->core.log.append(std::move(next));
     return index;
--- a/bilberrylead/agreement/leadership.hpp
+++ b/bilberrylead/agreement/leadership.hpp
@@ -76,6 +76,12 @@
     /// Lowest index that a snapshot under way will need next.
     std::uint64_t needed_index() const;
 
+    /// When this replica was elected.
+    instant took_office_at() const
+    {
+        return this->began_at;
+    }
+
     /// Members other than self.
     peer_table& members();
 
--- a/bilberrylead/agreement/membership_changer.cpp
+++ b/bilberrylead/agreement/membership_changer.cpp
@@ -82,6 +82,33 @@
     this->start(*next, request.token);
 }
 
+std::vector<member_state> membership_changer::members(instant now) const
+{
+    std::vector<member_state> states;
+    if (this->core.role() != role::leader)
+    {
+        return states;
+    }
+    for (member const& one : this->core.memberships.current().members)
+    {
+        if (one.host == this->core.self)
+        {
+            states.push_back({one, duration::zero(), true});
+            continue;
+        }
+        peer_progress const* const peer = this->office.members().find(one.host);
+        if (peer == nullptr)
+        {
+            states.push_back({one, now - this->office.took_office_at(), false});
+            continue;
+        }
+        instant const heard = peer->answered_at.value_or(peer->listed_at);
+        states.push_back({one, std::max(now - heard, duration::zero()),
+                          this->has_caught_up(*peer)});
+    }
+    return states;
+}
+
 /// A change on top of one that is not committed, or that a leader makes
 /// before anything of its term is committed, could leave two quorums
 /// without a common voter: two leaders would commit different entries.
--- a/bilberrylead/agreement/membership_changer.hpp
+++ b/bilberrylead/agreement/membership_changer.hpp
@@ -3,10 +3,12 @@
 
 #include "bilberrylead/agreement/events/membership_change_requested.hpp"
 #include "bilberrylead/agreement/leadership.hpp"
+#include "bilberrylead/agreement/member_state.hpp"
 #include "bilberrylead/agreement/open_proposals.hpp"
 #include "bilberrylead/agreement/replica_core.hpp"
 
 #include <optional>
+#include <vector>
 
 namespace bilberrylead::agreement
 {
@@ -28,6 +30,9 @@
     /// learners that caught up voters.
     void on_tick();
 
+    /// How each member does, by host; empty unless this replica leads.
+    std::vector<member_state> members(instant now) const;
+
 private:
     bool is_settled() const;
     void start(membership const& next, std::optional<std::uint64_t> token);
--- a/bilberrylead/agreement/peer_progress.hpp
+++ b/bilberrylead/agreement/peer_progress.hpp
@@ -28,6 +28,8 @@
     std::uint64_t acked_round = 0;
     /// When that round was sent.
     std::optional<instant> acked_at;
+    /// When this leader first counted it among the members.
+    instant listed_at;
     /// When its last answer arrived.
     std::optional<instant> answered_at;
     /// The snapshot under way to it, if any.
--- a/bilberrylead/agreement/peer_table.cpp
+++ b/bilberrylead/agreement/peer_table.cpp
@@ -42,7 +42,7 @@
 }
 
 void peer_table::match(membership const& now_in_force, host_id const& self,
-                       std::uint64_t next_index)
+                       std::uint64_t next_index, instant now)
 {
     std::vector<peer_progress> next;
     for (member const& one : now_in_force.members)
@@ -59,6 +59,7 @@
         }
         else
         {
+            row.listed_at = now;
             row.next_index = next_index;
         }
         row.who = one;
--- a/bilberrylead/agreement/peer_table.hpp
+++ b/bilberrylead/agreement/peer_table.hpp
@@ -21,9 +21,9 @@
     void clear();
 
     /// Brings the rows in line with a membership; a new incarnation is a
-    /// new row, which starts at `next_index`.
+    /// new row, which starts at `next_index` and is listed since `now`.
     void match(membership const& now_in_force, host_id const& self,
-               std::uint64_t next_index);
+               std::uint64_t next_index, instant now);
 
     /// The row of a host, or nullptr.
     peer_progress* find(host_id const& host);
--- a/bilberrylead/agreement/replica.cpp
+++ b/bilberrylead/agreement/replica.cpp
@@ -60,6 +60,11 @@
     return this->parts->core.memberships.current();
 }
 
+std::vector<member_state> replica::members(instant now) const
+{
+    return this->parts->changes.members(now);
+}
+
 bool replica::holds_lease(instant now) const
 {
     return this->parts->office.holds_lease(now);
--- a/bilberrylead/agreement/replica.hpp
+++ b/bilberrylead/agreement/replica.hpp
@@ -3,6 +3,7 @@
 
 #include "bilberrylead/agreement/effect.hpp"
 #include "bilberrylead/agreement/event.hpp"
+#include "bilberrylead/agreement/member_state.hpp"
 #include "bilberrylead/agreement/replica_settings.hpp"
 #include "bilberrylead/agreement/safeguards.hpp"
 #include "bilberrylead/core/ids.hpp"
@@ -61,6 +62,9 @@
     /// The membership in force here: the latest in the log.
     agreement::membership const& membership() const;
 
+    /// How each member does, by host; empty unless this replica leads.
+    std::vector<member_state> members(instant now) const;
+
     /// True while this replica leads and no other can have been elected,
     /// so that what was committed here is the newest there is.
     bool holds_lease(instant now) const;
--- a/bilberrylead/catalog/replicated_command.cpp
+++ b/bilberrylead/catalog/replicated_command.cpp
@@ -30,6 +30,8 @@
     mark_unknown = 5,
     register_entry_host = 6,
     advance_time = 7,
+    put_configuration = 8,
+    close_zone = 9,
 };
 
 nlohmann::json with_tag(command_tag tag)
@@ -120,6 +122,22 @@
         record.push_back(command.elapsed.count());
         return record;
     }
+
+    nlohmann::json operator()(put_configuration const& command) const
+    {
+        nlohmann::json record = with_tag(command_tag::put_configuration);
+        record.push_back(command.version);
+        record.push_back(nlohmann::json::binary(command.document));
+        return record;
+    }
+
+    nlohmann::json operator()(close_zone const& command) const
+    {
+        nlohmann::json record = with_tag(command_tag::close_zone);
+        record.push_back(command.zone.text());
+        record.push_back(command.closed);
+        return record;
+    }
 };
 
 change_command take_change(cbor_fields& fields)
@@ -190,6 +208,20 @@
     }
     case command_tag::advance_time:
         return once::advance_time{duration(fields.take_signed())};
+    case command_tag::put_configuration:
+    {
+        put_configuration command;
+        command.version = fields.take_unsigned();
+        command.document = fields.take_bytes();
+        return command;
+    }
+    case command_tag::close_zone:
+    {
+        close_zone command;
+        command.zone = zone_id(fields.take_text(longest_text));
+        command.closed = fields.take_bool();
+        return command;
+    }
     }
     return make_error(error_kind::bad_value,
                       "The log holds a command that this version does not "
--- a/bilberrylead/catalog/replicated_command.hpp
+++ b/bilberrylead/catalog/replicated_command.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_CATALOG_REPLICATED_COMMAND_HPP
 
 #include "bilberrylead/catalog/change_command.hpp"
+#include "bilberrylead/catalog/order_command.hpp"
 #include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/once/once_command.hpp"
 
@@ -18,7 +19,7 @@
 using replicated_command =
     std::variant<change_command, once::claim, once::complete, once::release,
                  once::mark_unknown, once::register_entry_host,
-                 once::advance_time>;
+                 once::advance_time, put_configuration, close_zone>;
 
 /// The command as a record of the log, in CBOR.
 bytes encode_command(replicated_command const& command);
--- a/bilberrylead/catalog/replicated_outcome.hpp
+++ b/bilberrylead/catalog/replicated_outcome.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_CATALOG_REPLICATED_OUTCOME_HPP
 
 #include "bilberrylead/catalog/change_outcome.hpp"
+#include "bilberrylead/catalog/order_outcome.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/once/claim_verdict.hpp"
 #include "bilberrylead/once/registration.hpp"
@@ -18,7 +19,7 @@
 /// the log's time after an advance_time, or why it couldn't be read.
 using replicated_outcome =
     std::variant<change_outcome, once::claim_verdict, once::settle_result,
-                 once::registration, duration, absl::Status>;
+                 once::registration, duration, order_outcome, absl::Status>;
 
 } // namespace bilberrylead::catalog
 
--- a/bilberrylead/catalog/replicated_state.cpp
+++ b/bilberrylead/catalog/replicated_state.cpp
@@ -15,7 +15,9 @@
 namespace
 {
 
-constexpr std::uint64_t snapshot_version = 1;
+constexpr std::uint64_t snapshot_version = 2;
+/// The first version, which held no orders.
+constexpr std::uint64_t version_without_orders = 1;
 
 absl::Status damaged()
 {
@@ -27,6 +29,7 @@
 struct command_applier
 {
     catalog& accepted;
+    accepted_orders& ordered;
     once::once_records& records;
 
     replicated_outcome operator()(change_command const& command) const
@@ -34,6 +37,16 @@
         return this->accepted.apply(command);
     }
 
+    replicated_outcome operator()(put_configuration const& command) const
+    {
+        return this->ordered.apply(command);
+    }
+
+    replicated_outcome operator()(close_zone const& command) const
+    {
+        return this->ordered.apply(command);
+    }
+
     template <class Command>
     replicated_outcome operator()(Command const& command) const
     {
@@ -65,7 +78,9 @@
     {
         return command.status();
     }
-    return std::visit(command_applier{this->accepted, this->records}, *command);
+    return std::visit(
+        command_applier{this->accepted, this->ordered, this->records},
+        *command);
 }
 
 std::uint64_t replicated_state::applied_index() const
@@ -78,6 +93,11 @@
     return this->accepted;
 }
 
+accepted_orders const& replicated_state::orders() const
+{
+    return this->ordered;
+}
+
 once::once_records const& replicated_state::claims() const
 {
     return this->records;
@@ -87,10 +107,13 @@
 {
     bytes output;
     bytes const accepted_bytes = this->accepted.encode();
-    append_cbor(nlohmann::json::array(
-                    {snapshot_version, this->applied, accepted_bytes.size()}),
-                output);
+    bytes const order_bytes = this->ordered.encode();
+    append_cbor(
+        nlohmann::json::array({snapshot_version, this->applied,
+                               accepted_bytes.size(), order_bytes.size()}),
+        output);
     output.insert(output.end(), accepted_bytes.begin(), accepted_bytes.end());
+    output.insert(output.end(), order_bytes.begin(), order_bytes.end());
     bytes const record_bytes = this->records.encode();
     output.insert(output.end(), record_bytes.begin(), record_bytes.end());
     return output;
@@ -103,10 +126,14 @@
     {
         return damaged();
     }
-    bool const same_version = head->take_unsigned() == snapshot_version;
+    std::uint64_t const version = head->take_unsigned();
+    bool const has_orders = version == snapshot_version;
     std::uint64_t const index = head->take_unsigned();
     std::uint64_t const catalog_size = head->take_unsigned();
-    if (!head->complete() || !same_version || catalog_size > snapshot.size())
+    std::uint64_t const order_size = has_orders ? head->take_unsigned() : 0;
+    bool const known = has_orders || version == version_without_orders;
+    if (!head->complete() || !known || catalog_size > snapshot.size() ||
+        order_size > snapshot.size() - catalog_size)
     {
         return damaged();
     }
@@ -116,14 +143,29 @@
     {
         return new_accepted.status();
     }
+    absl::StatusOr<accepted_orders> new_orders;
+    if (has_orders)
+    {
+        new_orders =
+            accepted_orders::decode(snapshot.subspan(catalog_size, order_size));
+    }
+    else
+    {
+        new_orders = accepted_orders();
+    }
+    if (!new_orders.ok())
+    {
+        return new_orders.status();
+    }
     absl::StatusOr<once::once_records> new_records = once::once_records::decode(
-        this->once_bounds, snapshot.subspan(catalog_size));
+        this->once_bounds, snapshot.subspan(catalog_size + order_size));
     if (!new_records.ok())
     {
         return new_records.status();
     }
     this->applied = index;
     this->accepted = *std::move(new_accepted);
+    this->ordered = *std::move(new_orders);
     this->records = *std::move(new_records);
     return absl::OkStatus();
 }
--- a/bilberrylead/catalog/replicated_state.hpp
+++ b/bilberrylead/catalog/replicated_state.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_CATALOG_REPLICATED_STATE_HPP
 #define BILBERRYLEAD_CATALOG_REPLICATED_STATE_HPP
 
+#include "bilberrylead/catalog/accepted_orders.hpp"
 #include "bilberrylead/catalog/catalog.hpp"
 #include "bilberrylead/catalog/replicated_outcome.hpp"
 #include "bilberrylead/core/bytes.hpp"
@@ -14,7 +15,8 @@
 namespace bilberrylead::catalog
 {
 
-/// All that the log builds up: configurations and run-at-most-once records.
+/// All that the log builds up: configurations, operators' orders and
+/// run-at-most-once records.
 /// Two replicas that applied the same records are equal byte by byte. Used
 /// by one thread.
 class replicated_state
@@ -34,6 +36,8 @@
     std::uint64_t applied_index() const;
     /// The accepted configurations.
     catalog const& configurations() const;
+    /// The operators' orders that are in force.
+    accepted_orders const& orders() const;
     /// The run-at-most-once records.
     once::once_records const& claims() const;
 
@@ -48,6 +52,7 @@
     once::once_settings once_bounds;
     std::uint64_t applied = 0;
     catalog accepted;
+    accepted_orders ordered;
     once::once_records records;
 };
 
--- a/bilberrylead/config/check.cpp
+++ b/bilberrylead/config/check.cpp
@@ -11,6 +11,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -65,6 +67,10 @@
     std::set<std::string> names;
 };
 
+/// An aim that far above its route's timeout was written in another unit: no
+/// answer could ever be as late.
+constexpr std::chrono::seconds longest_aim_excess{60};
+
 /// How an error names one element of a list.
 std::string place_of(std::string_view list, std::string_view name)
 {
@@ -91,6 +97,7 @@
         this->check_hosts();
         this->check_selectors();
         this->check_callers();
+        this->check_routes();
     }
 
 private:
@@ -232,6 +239,54 @@
         }
     }
 
+    void check_routes()
+    {
+        std::set<std::pair<std::string, std::string>> seen;
+        for (request_route const& each : this->config->request_routes)
+        {
+            std::string const place =
+                place_of("request_routes", each.host + each.path_prefix);
+            if (!each.path_prefix.starts_with('/') ||
+                !each.path_prefix.ends_with('/'))
+            {
+                this->errors->add(error_kind::bad_value, place,
+                                  "The prefix does not stand between slashes.",
+                                  "Write / or /name/.");
+            }
+            if (!seen.insert({each.host, each.path_prefix}).second)
+            {
+                this->errors->add(error_kind::duplicate_name, place,
+                                  "The host has this prefix already.",
+                                  "Take one of the two routes away.");
+            }
+            this->check_targets(each, place);
+            if (each.aim >= each.timeout + longest_aim_excess)
+            {
+                this->errors->add(
+                    error_kind::bad_value, place,
+                    "The aim lies a minute or more above the timeout.",
+                    "Mend the unit of one of the two.");
+            }
+        }
+    }
+
+    /// A route whose targets get nothing would refuse all of its requests.
+    void check_targets(request_route const& route, std::string const& place)
+    {
+        std::uint64_t sum = 0;
+        for (route_target const& each : route.targets)
+        {
+            this->services.resolve(each.service.text(), place);
+            sum += each.weight;
+        }
+        if (sum == 0)
+        {
+            this->errors->add(error_kind::bad_value, place,
+                              "The weights of its targets add up to 0.",
+                              "Give at least one target a weight over 0.");
+        }
+    }
+
     configuration const* config;
     error_list* errors;
     name_table services;
--- a/bilberrylead/config/configuration.hpp
+++ b/bilberrylead/config/configuration.hpp
@@ -2,9 +2,11 @@
 #define BILBERRYLEAD_CONFIG_CONFIGURATION_HPP
 
 #include "bilberrylead/config/caller_block.hpp"
+#include "bilberrylead/config/caller_limits.hpp"
 #include "bilberrylead/config/entry_host.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/region_link.hpp"
+#include "bilberrylead/config/request_route.hpp"
 #include "bilberrylead/config/selector.hpp"
 #include "bilberrylead/config/service.hpp"
 #include "bilberrylead/config/upstream.hpp"
@@ -33,6 +35,11 @@
     std::vector<selector> selectors;
     /// Where callers are and how they are labelled.
     std::vector<caller_block> callers;
+    /// Which requests go where, by host and path prefix. Empty: the first
+    /// segment of a path names the service.
+    std::vector<request_route> request_routes;
+    /// What callers may send.
+    caller_limits limits;
     /// Largest share of a region's callers that may move in one interval,
     /// in thousandths, 1 to 1000.
     std::uint32_t shift_cap = 100;
--- a/bilberrylead/config/configuration_fields.hpp
+++ b/bilberrylead/config/configuration_fields.hpp
@@ -43,6 +43,51 @@
                  longest_time);
     visitor.number("largest_request_bytes", value.largest_request,
                    {0, std::uint64_t{1} << 40U});
+    visitor.time("cold_time_ms", value.cold_time, milliseconds(0),
+                 longest_time);
+    visitor.number("cold_requests_in_1000_s", value.cold_rate,
+                   {0, 1'000'000'000});
+}
+
+/// Fields of a route's target.
+template <class Visitor, maybe_const<route_target> Value>
+void visit_fields(Visitor& visitor, Value& value)
+{
+    visitor.required("service", value.service);
+    visitor.number("weight", value.weight, {0, 1'000'000});
+}
+
+/// Fields of a request route.
+template <class Visitor, maybe_const<request_route> Value>
+void visit_fields(Visitor& visitor, Value& value)
+{
+    using std::chrono::milliseconds;
+    visitor.required("host", value.host);
+    visitor.required("path_prefix", value.path_prefix);
+    visitor.optional("idempotent", value.idempotent);
+    visitor.optional("transfer", value.transfer);
+    visitor.list("targets", value.targets);
+    visitor.time("timeout_ms", value.timeout, milliseconds(1), longest_time);
+    visitor.time("aim_ms", value.aim, milliseconds(1), longest_time);
+    visitor.number("most_attempts", value.most_attempts, {1, 1000});
+    visitor.number("priority", value.priority, {0, 1000});
+    visitor.optional("object_affinity", value.object_affinity);
+    visitor.optional("regions", value.regions);
+}
+
+/// Fields of what callers may send.
+template <class Visitor, maybe_const<caller_limits> Value>
+void visit_fields(Visitor& visitor, Value& value)
+{
+    using std::chrono::milliseconds;
+    visitor.number("header_bytes", value.header_bytes,
+                   {256, std::uint64_t{1} << 24U});
+    visitor.number("body_bytes", value.body_bytes,
+                   {0, std::uint64_t{1} << 40U});
+    visitor.time("header_timeout_ms", value.header_timeout, milliseconds(1),
+                 longest_time);
+    visitor.time("idle_timeout_ms", value.idle_timeout, milliseconds(1),
+                 longest_time);
 }
 
 /// Fields of a place.
@@ -124,6 +169,8 @@
     visitor.list("upstreams", value.upstreams);
     visitor.list("selectors", value.selectors);
     visitor.list("callers", value.callers);
+    visitor.list("request_routes", value.request_routes);
+    visitor.section("limits", value.limits);
 }
 
 } // namespace bilberrylead::config
--- a/bilberrylead/config/configuration_lists.hpp
+++ b/bilberrylead/config/configuration_lists.hpp
@@ -52,6 +52,12 @@
     return {value.block, {}};
 }
 
+/// @copydoc key_of
+inline element_key key_of(request_route const& value)
+{
+    return {value.host, value.path_prefix};
+}
+
 /// Calls visit(name, member) for every list; `member` is a pointer to a
 /// configuration's member.
 template <class Visit>
@@ -64,6 +70,7 @@
     visit("upstreams", &configuration::upstreams);
     visit("selectors", &configuration::selectors);
     visit("callers", &configuration::callers);
+    visit("request_routes", &configuration::request_routes);
 }
 
 /// Walks two sorted lists side by side and calls see(before, after) for
--- a/bilberrylead/config/control_settings.hpp
+++ b/bilberrylead/config/control_settings.hpp
@@ -2,13 +2,18 @@
 #define BILBERRYLEAD_CONFIG_CONTROL_SETTINGS_HPP
 
 #include "bilberrylead/config/endpoint.hpp"
+#include "bilberrylead/config/group_losses.hpp"
 #include "bilberrylead/config/host_address.hpp"
 #include "bilberrylead/config/operator_key.hpp"
+#include "bilberrylead/config/operator_trust.hpp"
+#include "bilberrylead/config/place.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/time.hpp"
 
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,8 +39,33 @@
     endpoint operator_listen;
     /// Where it serves /metrics.
     endpoint metrics_listen;
-    /// All control hosts, itself among them; 1, 3, 5 or 7.
+    /// All control hosts, itself among them; 1, 3, 5 or 7. Empty where the
+    /// group forms itself (`seeds`).
     std::vector<host_address> control_hosts;
+    /// Control hosts that are asked first, by any of their ports. With
+    /// seeds the group founds itself, takes hosts in and replaces lost ones
+    /// without an operator; each control host is named by its IP address,
+    /// and all have the same ports.
+    std::vector<endpoint> seeds;
+    /// True only while the whole system starts for the first time, with
+    /// blank data folders: the seeds found the group then.
+    bool first_start = false;
+    /// What the group must bear at once without losing anything.
+    group_losses losses;
+    /// Where it answers callers that ask which entry host to use; port 0 is
+    /// nowhere.
+    endpoint steering_listen;
+    /// How long callers may use a steering answer.
+    duration steering_ttl = std::chrono::seconds(5);
+    /// The availability zones and their regions.
+    std::vector<place> places;
+    /// Where the list of upstreams is read; port 0: the configuration names
+    /// them.
+    endpoint upstream_list;
+    /// Calls a second that the list takes from all hosts together; over 0.
+    double upstream_list_calls = 1;
+    /// Whom the operators' port trusts.
+    operator_trust trust = operator_trust::by_key;
     /// What hosts of the system prove themselves with to each other; 32 to
     /// 256 letters, the same on every host. Never logged.
     std::string peer_key;
--- a/bilberrylead/config/delta.cpp
+++ b/bilberrylead/config/delta.cpp
@@ -29,6 +29,7 @@
 constexpr char const* from_field = "from";
 constexpr char const* to_field = "to";
 constexpr char const* cap_field = "shift_cap";
+constexpr char const* limits_field = "limits";
 constexpr char const* put_field = "put";
 constexpr char const* remove_field = "remove";
 
@@ -140,6 +141,12 @@
     configuration result = before;
     sort_by_name(result);
     result.shift_cap = delta.value(cap_field, result.shift_cap);
+    if (delta.contains(limits_field))
+    {
+        field_reader reader(delta.at(limits_field), limits_field, errors);
+        visit_fields(reader, result.limits);
+        reader.finish();
+    }
     for_each_list(
         [&](char const* list, auto member)
         {
@@ -179,6 +186,10 @@
     {
         delta[cap_field] = right.shift_cap;
     }
+    if (left.limits != right.limits)
+    {
+        delta[limits_field] = to_json(right.limits);
+    }
     for_each_list(
         [&](char const* list, auto member)
         {
--- a/bilberrylead/config/diff.cpp
+++ b/bilberrylead/config/diff.cpp
@@ -119,6 +119,12 @@
                            {{"shift_cap", fmt::to_string(left.shift_cap),
                              fmt::to_string(right.shift_cap)}}});
     }
+    if (left.limits != right.limits)
+    {
+        changes.push_back(
+            {change_kind::changed, "limits", "",
+             differing_fields(to_json(left.limits), to_json(right.limits))});
+    }
     for_each_list(
         [&](std::string_view list, auto member)
         {
--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -1,14 +1,20 @@
 #ifndef BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 #define BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 
+#include "bilberrylead/config/cold_bounds.hpp"
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/entry_limits.hpp"
 #include "bilberrylead/config/host_address.hpp"
+#include "bilberrylead/config/place.hpp"
+#include "bilberrylead/config/retry_bounds.hpp"
+#include "bilberrylead/config/waiting_place.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/time.hpp"
 
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +47,29 @@
     std::string peer_key;
     /// What it spends on callers at most.
     entry_limits limits;
+    /// Where it tells whether it is ready, besides the callers' port; port 0
+    /// is nowhere.
+    endpoint readiness_listen;
+    /// Control hosts it asks first, by any of their ports, instead of
+    /// `control_hosts`: the others become known from them. Their peer port
+    /// is this host's own.
+    std::vector<endpoint> seeds;
+    /// The availability zones and their regions, where the configuration
+    /// names none.
+    std::vector<place> places;
+    /// One-way latency between regions that have no link configured.
+    duration region_latency = std::chrono::milliseconds(35);
+    /// Longest time from the order to stop until the process has ended;
+    /// zero: until nothing is under way.
+    duration stop_time{};
+    /// How long callers may use a steering answer.
+    duration steering_ttl = std::chrono::seconds(5);
+    /// What all entry hosts together may send beyond first tries.
+    retry_bounds retries;
+    /// What all entry hosts together may send to a cold upstream.
+    cold_bounds cold;
+    /// Where requests wait while all slots are taken.
+    waiting_place waiting = waiting_place::entry_host;
     /// The lowest level that is logged.
     log_level lowest_log_level = log_level::info;
 
--- a/bilberrylead/config/field_reader.cpp
+++ b/bilberrylead/config/field_reader.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 
 namespace bilberrylead::config
@@ -191,6 +192,70 @@
     value = *parsed;
 }
 
+void field_reader::optional(std::string_view name, endpoint& value)
+{
+    if (this->find(name) != nullptr)
+    {
+        this->required(name, value);
+    }
+}
+
+void field_reader::optional(std::string_view name,
+                            std::vector<endpoint>& values)
+{
+    nlohmann::json const* const found = this->find(name);
+    if (found == nullptr)
+    {
+        return;
+    }
+    if (!found->is_array())
+    {
+        this->fail_type(name, "a list, [...]");
+        return;
+    }
+    values.clear();
+    for (nlohmann::json const& item : *found)
+    {
+        std::optional<endpoint> const parsed =
+            item.is_string() ? parse_endpoint(item.get<std::string>())
+                             : std::nullopt;
+        if (!parsed.has_value())
+        {
+            this->fail(name, endpoint_text_fault(item.dump()));
+            return;
+        }
+        values.push_back(*parsed);
+    }
+}
+
+void field_reader::fraction(std::string_view name, double& value, double least,
+                            double most)
+{
+    nlohmann::json const* const found = this->find(name);
+    if (found == nullptr)
+    {
+        return;
+    }
+    double const number = found->is_number() ? found->get<double>() : 0;
+    // Written so that a number that is none is refused as well.
+    if (!found->is_number() || !(number >= least && number <= most))
+    {
+        this->fail_type(name,
+                        fmt::format("a number from {} to {}", least, most));
+        return;
+    }
+    value = number;
+}
+
+void field_reader::seconds(std::string_view name, duration& value,
+                           duration most)
+{
+    using real_seconds = std::chrono::duration<double>;
+    double count = real_seconds(value).count();
+    this->fraction(name, count, 0, real_seconds(most).count());
+    value = std::chrono::round<std::chrono::microseconds>(real_seconds(count));
+}
+
 void field_reader::optional(std::string_view name, std::string& value)
 {
     nlohmann::json const* const found = this->find(name);
--- a/bilberrylead/config/field_reader.hpp
+++ b/bilberrylead/config/field_reader.hpp
@@ -58,6 +58,17 @@
     /// Reads an endpoint that must be there.
     void required(std::string_view name, endpoint& value);
 
+    /// Reads an endpoint; a missing one stays as it is.
+    void optional(std::string_view name, endpoint& value);
+    /// Reads a list of endpoints; a missing one stays as it is.
+    void optional(std::string_view name, std::vector<endpoint>& values);
+    /// Reads a number with a fraction; a missing one stays as it is.
+    void fraction(std::string_view name, double& value, double least,
+                  double most);
+    /// Reads a length of time given in seconds, with a fraction; a missing
+    /// one stays as it is.
+    void seconds(std::string_view name, duration& value, duration most);
+
     /// Reads a text that may be empty; a missing one stays as it is.
     void optional(std::string_view name, std::string& value);
     /// Reads a truth value; a missing one stays as it is.
--- a/bilberrylead/config/parse_configuration.cpp
+++ b/bilberrylead/config/parse_configuration.cpp
@@ -47,6 +47,11 @@
     sort_list(value.upstreams, &upstream::id);
     sort_list(value.selectors, &selector::name);
     sort_list(value.callers, &caller_block::block);
+    sort_list(value.request_routes,
+              [](request_route const& route)
+              {
+                  return std::tie(route.host, route.path_prefix);
+              });
 }
 
 absl::StatusOr<configuration> parse_configuration(std::string_view text,
--- a/bilberrylead/config/parse_settings.cpp
+++ b/bilberrylead/config/parse_settings.cpp
@@ -69,9 +69,10 @@
 }
 
 void check_operators(std::vector<operator_key> const& operators,
-                     std::string const& peer_key, error_list& errors)
+                     operator_trust trust, std::string const& peer_key,
+                     error_list& errors)
 {
-    if (operators.empty())
+    if (operators.empty() && trust == operator_trust::by_key)
     {
         errors.add(error_kind::missing_field, "operators",
                    "Nobody may change the configuration.",
@@ -97,13 +98,35 @@
     }
 }
 
+/// With seeds, hosts know each other by address.
+void check_self_forming(control_settings const& value, error_list& errors)
+{
+    if (!value.control_hosts.empty())
+    {
+        errors.add(error_kind::bad_value, "control_hosts",
+                   "A group that forms itself has no fixed hosts.",
+                   "Leave out either control_hosts or seeds.");
+    }
+    if (value.id.text() != value.peer_listen.address)
+    {
+        errors.add(error_kind::bad_value, "name",
+                   "The name is not the peer address.",
+                   "With seeds, a control host is named by its IP address.");
+    }
+}
+
 void check_settings(control_settings const& value, error_list& errors)
 {
     check_unique("control_hosts", value.control_hosts, errors);
     check_listeners(
         {value.peer_listen, value.operator_listen, value.metrics_listen},
         errors);
-    check_operators(value.operators, value.peer_key, errors);
+    check_operators(value.operators, value.trust, value.peer_key, errors);
+    if (!value.seeds.empty())
+    {
+        check_self_forming(value, errors);
+        return;
+    }
     std::size_t const hosts = value.control_hosts.size();
     if (hosts % 2 == 0 || hosts > most_control_hosts)
     {
@@ -127,8 +150,8 @@
     check_unique("neighbours", value.neighbours, errors);
     check_listeners(
         {value.caller_listen, value.peer_listen, value.metrics_listen}, errors);
-    if (value.control_hosts.empty() ||
-        value.control_hosts.size() > most_control_hosts)
+    bool const has_none = value.control_hosts.empty() && value.seeds.empty();
+    if (has_none || value.control_hosts.size() > most_control_hosts)
     {
         errors.add(
             error_kind::bad_value, "control_hosts",
--- a/bilberrylead/config/service.hpp
+++ b/bilberrylead/config/service.hpp
@@ -43,6 +43,12 @@
     duration progress_timeout = std::chrono::seconds(10);
     /// Largest request body that is taken, bytes.
     std::size_t largest_request = std::size_t{1} << 20U;
+    /// How long an upstream that was started, or lost its caches, is cold;
+    /// zero if it never is.
+    duration cold_time{};
+    /// Requests a second that a cold upstream bears, from all entry hosts
+    /// together, in thousandths; 0 is no limit.
+    std::uint32_t cold_rate = 0;
 
     friend bool operator==(service const&, service const&) = default;
 };
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_CONFIG_SETTINGS_FIELDS_HPP
 #define BILBERRYLEAD_CONFIG_SETTINGS_FIELDS_HPP
 
+#include "bilberrylead/config/configuration_fields.hpp"
 #include "bilberrylead/config/control_settings.hpp"
 #include "bilberrylead/config/entry_settings.hpp"
 
@@ -12,6 +13,9 @@
 namespace bilberrylead::config
 {
 
+/// An hour; longer times in settings are slips of the unit.
+inline constexpr std::chrono::hours longest_setting{1};
+
 /// Names of the log levels, in the order of log_level.
 inline constexpr std::array<std::string_view, 4> log_level_names = {
     "debug", "info", "warning", "error"};
@@ -50,6 +54,39 @@
                  milliseconds(hours(1)));
 }
 
+/// Names of where requests wait, in the order of waiting_place.
+inline constexpr std::array<std::string_view, 2> waiting_place_names = {
+    "entry_host", "upstream"};
+
+/// Names of whom the operators' port trusts, in the order of operator_trust.
+inline constexpr std::array<std::string_view, 2> operator_trust_names = {
+    "by_key", "by_network"};
+
+/// Fields of what may be sent beyond first tries.
+template <class Visitor>
+void visit_fields(Visitor& visitor, retry_bounds& value)
+{
+    visitor.fraction("ratio", value.ratio, 0, 1);
+    visitor.number("slack", value.slack, {0, 1'000'000});
+}
+
+/// Fields of what may be sent to a cold upstream.
+template <class Visitor>
+void visit_fields(Visitor& visitor, cold_bounds& value)
+{
+    visitor.fraction("factor", value.factor, 1, 1000);
+    visitor.number("slack", value.slack, {0, 1'000'000});
+}
+
+/// Fields of what the group of control hosts must bear.
+template <class Visitor>
+void visit_fields(Visitor& visitor, group_losses& value)
+{
+    visitor.number("hosts", value.hosts, {0, 100});
+    visitor.number("zones", value.zones, {0, 100});
+    visitor.number("regions", value.regions, {0, 100});
+}
+
 /// Fields of a control host's settings.
 template <class Visitor>
 void visit_fields(Visitor& visitor, control_settings& value)
@@ -65,6 +102,16 @@
     visitor.secret("peer_key", value.peer_key);
     visitor.list("operators", value.operators);
     visitor.choice("log_level", value.lowest_log_level, log_level_names);
+    visitor.optional("seeds", value.seeds);
+    visitor.optional("first_start", value.first_start);
+    visitor.section("losses", value.losses);
+    visitor.optional("steering_listen", value.steering_listen);
+    visitor.seconds("steering_ttl_s", value.steering_ttl, longest_setting);
+    visitor.list("places", value.places);
+    visitor.optional("upstream_list", value.upstream_list);
+    visitor.fraction("upstream_list_calls_per_s", value.upstream_list_calls,
+                     0.001, 1'000'000);
+    visitor.choice("trust", value.trust, operator_trust_names);
 }
 
 /// Fields of an entry host's settings.
@@ -82,6 +129,15 @@
     visitor.secret("peer_key", value.peer_key);
     visitor.section("limits", value.limits);
     visitor.choice("log_level", value.lowest_log_level, log_level_names);
+    visitor.optional("readiness_listen", value.readiness_listen);
+    visitor.optional("seeds", value.seeds);
+    visitor.list("places", value.places);
+    visitor.seconds("region_latency_s", value.region_latency, longest_setting);
+    visitor.seconds("stop_time_s", value.stop_time, longest_setting);
+    visitor.seconds("steering_ttl_s", value.steering_ttl, longest_setting);
+    visitor.section("retries", value.retries);
+    visitor.section("cold", value.cold);
+    visitor.choice("waiting", value.waiting, waiting_place_names);
 }
 
 } // namespace bilberrylead::config
--- a/bilberrylead/control/control_event.hpp
+++ b/bilberrylead/control/control_event.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/agreement/events/started.hpp"
 #include "bilberrylead/control/operator_request.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_page.hpp"
 #include "bilberrylead/link/message.hpp"
 #include "bilberrylead/link/peer_callbacks.hpp"
 #include "bilberrylead/link/peer_identity.hpp"
@@ -74,11 +75,27 @@
 {
 };
 
+/// A page of the list of upstreams came.
+struct list_page_came
+{
+    /// Number of the call.
+    std::uint64_t number = 0;
+    /// What it holds.
+    discovery::list_page page;
+};
+
+/// A call to the list of upstreams failed.
+struct list_call_failed
+{
+    /// Number of the call.
+    std::uint64_t number = 0;
+};
+
 /// Everything that can happen to a control host.
 using control_event =
     std::variant<control_started, peer_connected, peer_disconnected,
                  peer_message, operator_asked, operator_gone, control_tick,
-                 control_disk_failed>;
+                 control_disk_failed, list_page_came, list_call_failed>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -24,8 +24,13 @@
 control_reducer::control_reducer(control_reducer_settings const& settings)
     : settings(settings), replica(settings.self, settings.incarnation,
                                   settings.replica, settings.seed),
-      replicated(settings.catalog, settings.once), exchange(source_settings())
+      replicated(settings.catalog, settings.once), exchange(source_settings()),
+      entry_hosts(settings.entries)
 {
+    if (settings.list.has_value())
+    {
+        this->reader.emplace(*settings.list);
+    }
 }
 
 std::vector<control_effect>
@@ -71,10 +76,15 @@
     if (what.peer.role == link::peer_role::control)
     {
         this->control_links[what.peer.id] = what.link;
+        this->send(what.link, link::host_place{this->settings.zone,
+                                               this->settings.region});
+        this->send(what.link, link::upstream_request{this->listing.position()});
+        this->tell_group(what.link);
         return;
     }
     this->exchange_event(distribution::link_opened{what.link, what.peer});
     this->send(what.link, link::leader_notice{this->replica.leader(), 0});
+    this->tell_group(what.link);
 }
 
 void control_reducer::on(peer_disconnected const& what)
@@ -88,6 +98,7 @@
     host_id const peer = found->second.id;
     this->links.erase(found);
     this->exchange_event(distribution::link_closed{what.link});
+    this->entry_hosts.lost(what.link);
 
     // Another link to the same control host may still be open.
     if (this->control_links[peer] == what.link)
@@ -132,12 +143,17 @@
 {
     this->open_reads.erase(what.number);
     this->open_audits.erase(what.number);
+    this->open_order_reads.erase(what.number);
 }
 
 void control_reducer::on(control_tick const&)
 {
     this->replica_events.emplace_back(agreement::tick{});
     this->exchange_event(distribution::exchange_tick{});
+    this->tell_group();
+    this->plan_membership();
+    this->read_list();
+    this->ask_for_listing();
 
     // The log's time is measured by whoever leads; time without a leader
     // does not count, so that records live longer, never shorter.
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -9,11 +9,16 @@
 #include "bilberrylead/control/control_event.hpp"
 #include "bilberrylead/control/control_reducer_settings.hpp"
 #include "bilberrylead/control/open_requests.hpp"
+#include "bilberrylead/discovery/list_reader.hpp"
+#include "bilberrylead/discovery/upstream_listing.hpp"
 #include "bilberrylead/distribution/revision_exchange.hpp"
+#include "bilberrylead/membership/planned_host.hpp"
+#include "bilberrylead/presence/entry_table.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -40,6 +45,19 @@
     /// What the log built up, for status and metrics.
     catalog::replicated_state const& state() const;
 
+    /// Which entry hosts a caller should use.
+    presence::steering_reply steer(presence::steering_question const& question,
+                                   instant now) const
+    {
+        return this->entry_hosts.answer(question, now);
+    }
+
+    /// The upstreams as this host knows them, for metrics.
+    discovery::upstream_listing const& upstreams() const
+    {
+        return this->listing;
+    }
+
 private:
     void on(control_started const& what);
     void on(peer_connected const& what);
@@ -49,12 +67,19 @@
     void on(operator_gone const& what);
     void on(control_tick const& what);
     void on(control_disk_failed const& what);
+    void on(list_page_came const& what);
+    void on(list_call_failed const& what);
 
     void on_peer(link::link_number from, link::replica_message const& said);
     void on_peer(link::link_number from, link::subscription const& said);
     void on_peer(link::link_number from,
                  link::registration_request const& said);
     void on_peer(link::link_number from, link::once_request const& said);
+    void on_peer(link::link_number from, link::entry_presence const& said);
+    void on_peer(link::link_number from, link::host_place const& said);
+    void on_peer(link::link_number from, link::group_news const& said);
+    void on_peer(link::link_number from, link::upstream_update const& said);
+    void on_peer(link::link_number from, link::upstream_request const& said);
     template <class Other>
     void on_peer(link::link_number from, Other const& said);
 
@@ -64,6 +89,9 @@
     void ask(operator_asked const& asked, read_status const& request);
     void ask(operator_asked const& asked, change_membership const& request);
     void ask(operator_asked const& asked, hand_over const& request);
+    void ask(operator_asked const& asked, submit_orders const& request);
+    void ask(operator_asked const& asked, submit_zone_order const& request);
+    void ask(operator_asked const& asked, read_orders const& request);
 
     void run_replica();
     void carry_out(agreement::persist_hard_state const& effect);
@@ -82,6 +110,14 @@
     void carry_out(agreement::role_changed const& effect);
     void carry_out(agreement::take_snapshot const& effect);
 
+    void plan_membership();
+    std::vector<membership::planned_host> planned_hosts() const;
+    void tell_group();
+    void tell_group(link::link_number to);
+    void read_list();
+    void ask_for_listing();
+    void note_listing(discovery::list_changes const& changes);
+
     void propose(waiter who, catalog::replicated_command const& command);
     void publish();
     void exchange_event(distribution::exchange_event const& what);
@@ -106,11 +142,19 @@
     open_requests open;
     std::map<std::uint64_t, read_configuration> open_reads;
     std::map<std::uint64_t, std::size_t> open_audits;
+    std::set<std::uint64_t> open_order_reads;
     std::map<std::uint64_t, catalog::replicated_outcome> outcomes;
     std::vector<agreement::event> replica_events;
     std::vector<control_effect> effects;
     instant time_advanced_at;
     host_id known_leader;
+    presence::entry_table entry_hosts;
+    std::map<host_id, link::host_place> places;
+    link::group_news told_group;
+    instant planned_at;
+    discovery::upstream_listing listing;
+    std::optional<discovery::list_reader> reader;
+    instant listing_asked_at;
 };
 
 } // namespace bilberrylead::control
--- /dev/null
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -0,0 +1,226 @@
+#include "bilberrylead/control/control_reducer.hpp"
+
+#include "bilberrylead/membership/member_planner.hpp"
+
+#include <utility>
+
+/// Who belongs to the system, and what upstreams there are.
+namespace bilberrylead::control
+{
+
+void control_reducer::on_peer(link::link_number from,
+                              link::entry_presence const& said)
+{
+    this->entry_hosts.heard(from, this->peer_of(from), said, this->time);
+}
+
+void control_reducer::on_peer(link::link_number from,
+                              link::host_place const& said)
+{
+    this->places[this->peer_of(from)] = said;
+}
+
+void control_reducer::on_peer(link::link_number, link::group_news const& said)
+{
+    // Only a host that is in no group yet learns the others so; a member
+    // knows them from the log.
+    if (this->replica.membership().members.empty())
+    {
+        this->effects.emplace_back(link_members{said.control_hosts});
+    }
+}
+
+void control_reducer::tell_group()
+{
+    link::group_news news;
+    for (agreement::member const& one : this->replica.membership().members)
+    {
+        news.control_hosts.push_back(one.host);
+    }
+    news.entry_hosts = this->entry_hosts.ready_hosts(this->time);
+    bool const same = news.control_hosts == this->told_group.control_hosts &&
+                      news.entry_hosts == this->told_group.entry_hosts;
+    if (same || news.control_hosts.empty())
+    {
+        return;
+    }
+    this->told_group = news;
+    this->effects.emplace_back(link_members{news.control_hosts});
+    for (auto const& [number, peer] : this->links)
+    {
+        this->send(number, news);
+    }
+}
+
+void control_reducer::tell_group(link::link_number to)
+{
+    if (!this->told_group.control_hosts.empty())
+    {
+        this->send(to, this->told_group);
+    }
+}
+
+std::vector<membership::planned_host> control_reducer::planned_hosts() const
+{
+    std::vector<membership::planned_host> hosts;
+    auto const placed = [this](membership::planned_host host)
+    {
+        auto const known = this->places.find(host.host);
+        if (known != this->places.end())
+        {
+            host.zone = known->second.zone;
+            host.region = known->second.region;
+        }
+        return host;
+    };
+    std::set<host_id> listed;
+    for (agreement::member_state const& state :
+         this->replica.members(this->time))
+    {
+        membership::planned_host host;
+        host.host = state.who.host;
+        host.incarnation = state.who.incarnation;
+        host.member = true;
+        host.voter = state.who.voter;
+        host.becomes_voter = state.who.voter_when_caught_up;
+        host.caught_up = state.caught_up;
+        host.silent_for = state.silent_for;
+        host.leader = host.host == this->settings.self;
+        host.linked = this->control_links.contains(host.host);
+        listed.insert(host.host);
+        hosts.push_back(placed(std::move(host)));
+    }
+    for (auto const& [name, number] : this->control_links)
+    {
+        if (!listed.contains(name) && name != this->settings.self)
+        {
+            membership::planned_host host;
+            host.host = name;
+            host.incarnation = this->links.at(number).incarnation;
+            host.linked = true;
+            hosts.push_back(placed(std::move(host)));
+        }
+    }
+    return hosts;
+}
+
+void control_reducer::plan_membership()
+{
+    bool const is_due =
+        this->settings.planner.has_value() &&
+        this->replica.role() == agreement::role::leader &&
+        this->time - this->planned_at >= this->settings.plan_interval;
+    if (!is_due)
+    {
+        return;
+    }
+    this->planned_at = this->time;
+    std::optional<agreement::membership_change_requested> change =
+        membership::next_change(this->planned_hosts(), *this->settings.planner);
+    if (change.has_value())
+    {
+        this->effects.emplace_back(membership_planned{*change});
+        change->token = this->open.add(nobody_waits{});
+        this->replica_events.emplace_back(std::move(*change));
+    }
+}
+
+void control_reducer::read_list()
+{
+    if (!this->reader.has_value())
+    {
+        return;
+    }
+    this->reader->set_active(this->replica.role() == agreement::role::leader,
+                             this->time);
+    std::optional<discovery::page_call> const call =
+        this->reader->next_call(this->time);
+    if (call.has_value())
+    {
+        this->effects.emplace_back(call_upstream_list{*call});
+    }
+}
+
+void control_reducer::on(list_page_came const& what)
+{
+    if (!this->reader.has_value())
+    {
+        return;
+    }
+    std::optional<std::vector<discovery::listed_upstream>> const found =
+        this->reader->page_read(what.number, what.page, this->time);
+    if (!found.has_value())
+    {
+        return;
+    }
+    std::optional<discovery::list_changes> changes =
+        this->listing.read(*found, this->replica.term(), this->time);
+    if (!changes.has_value())
+    {
+        return;
+    }
+    this->note_listing(*changes);
+    link::upstream_update const update{std::move(*changes)};
+    for (auto const& [number, peer] : this->links)
+    {
+        this->send(number, update);
+    }
+}
+
+void control_reducer::on(list_call_failed const& what)
+{
+    if (this->reader.has_value())
+    {
+        this->reader->call_failed(what.number, this->time);
+    }
+}
+
+void control_reducer::note_listing(discovery::list_changes const& changes)
+{
+    this->effects.emplace_back(listing_changed{
+        changes.target, changes.put.size(), changes.removed.size(),
+        this->listing.upstreams().size()});
+}
+
+void control_reducer::on_peer(link::link_number from,
+                              link::upstream_update const& said)
+{
+    switch (this->listing.take(said.changes, this->time))
+    {
+    case discovery::take_result::taken:
+        this->note_listing(said.changes);
+        return;
+    case discovery::take_result::other_base:
+        this->send(from, link::upstream_request{this->listing.position()});
+        return;
+    case discovery::take_result::not_newer:
+        return;
+    }
+}
+
+void control_reducer::on_peer(link::link_number from,
+                              link::upstream_request const& said)
+{
+    if (said.held < this->listing.position())
+    {
+        this->send(from,
+                   link::upstream_update{this->listing.whole(this->time)});
+    }
+}
+
+void control_reducer::ask_for_listing()
+{
+    bool const is_due =
+        this->reader.has_value() &&
+        this->time - this->listing_asked_at >= this->settings.listing_refresh;
+    std::map<host_id, link::link_number>::const_iterator const leader =
+        this->control_links.find(this->replica.leader());
+    if (is_due && leader != this->control_links.end())
+    {
+        this->listing_asked_at = this->time;
+        this->send(leader->second,
+                   link::upstream_request{this->listing.position()});
+    }
+}
+
+} // namespace bilberrylead::control
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -79,9 +79,11 @@
     }
     revision const before =
         this->replicated.configurations().current_revision();
+    revision const orders_before = this->replicated.orders().current_revision();
     this->outcomes[effect.entry.index] =
         this->replicated.apply(effect.entry.index, effect.entry.payload);
-    if (this->replicated.configurations().current_revision() != before)
+    if (this->replicated.configurations().current_revision() != before ||
+        this->replicated.orders().current_revision() != orders_before)
     {
         this->publish();
     }
@@ -146,6 +148,12 @@
         this->open_reads.erase(held->number);
         this->answer(held->number, this->configuration_of(wanted));
     }
+    else if (this->open_order_reads.erase(held->number) > 0)
+    {
+        catalog::accepted_orders const& orders = this->replicated.orders();
+        this->answer(held->number,
+                     orders_reply{orders.version(), orders.document()});
+    }
     else if (this->open_audits.contains(held->number))
     {
         std::size_t const most = this->open_audits.at(held->number);
@@ -161,6 +169,7 @@
     {
         this->open_reads.erase(held->number);
         this->open_audits.erase(held->number);
+        this->open_order_reads.erase(held->number);
     }
     this->refuse(who, not_leader(effect.leader), effect.leader);
 }
@@ -198,6 +207,18 @@
 
 void control_reducer::publish()
 {
+    // A deployment has orders or a catalog of its own, never both.
+    catalog::accepted_orders const& orders = this->replicated.orders();
+    if (orders.current_revision() > 0)
+    {
+        this->effects.emplace_back(
+            orders_changed{orders.current_revision(), orders.version(),
+                           orders.closed_zones().size()});
+        this->exchange_event(distribution::published{
+            orders.current_revision(),
+            std::make_shared<bytes const>(orders.encode())});
+        return;
+    }
     catalog::stored_revision const* const current =
         this->replicated.configurations().current();
     if (current != nullptr)
--- a/bilberrylead/control/control_reducer_operators.cpp
+++ b/bilberrylead/control/control_reducer_operators.cpp
@@ -63,9 +63,29 @@
     this->answer(asked.number, done_reply{});
 }
 
+void control_reducer::ask(operator_asked const& asked,
+                          submit_orders const& request)
+{
+    this->propose(operator_waits{asked.number}, request.order);
+}
+
+void control_reducer::ask(operator_asked const& asked,
+                          submit_zone_order const& request)
+{
+    this->propose(operator_waits{asked.number}, request.order);
+}
+
+void control_reducer::ask(operator_asked const& asked, read_orders const&)
+{
+    this->open_order_reads.insert(asked.number);
+    this->replica_events.emplace_back(agreement::read_requested{
+        this->open.add(operator_waits{asked.number})});
+}
+
 void control_reducer::answer(std::uint64_t number, operator_reply reply)
 {
-    this->effects.emplace_back(answer_operator{number, std::move(reply)});
+    this->effects.emplace_back(
+        answer_operator{number, std::move(reply), this->replica.leader()});
 }
 
 void control_reducer::answer_accepted(operator_waits const& who,
@@ -83,6 +103,11 @@
     {
         this->answer(who.number, *held);
     }
+    else if (catalog::order_outcome const* const taken =
+                 std::get_if<catalog::order_outcome>(&found->second))
+    {
+        this->answer(who.number, *taken);
+    }
     else if (absl::Status const* const failed =
                  std::get_if<absl::Status>(&found->second))
     {
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -5,10 +5,14 @@
 #include "bilberrylead/catalog/catalog_settings.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_reader_settings.hpp"
+#include "bilberrylead/membership/member_planner_settings.hpp"
 #include "bilberrylead/once/once_settings.hpp"
+#include "bilberrylead/presence/entry_table_settings.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace bilberrylead::control
 {
@@ -31,6 +35,24 @@
     /// How often the leader moves the log's time on: half of the largest
     /// step that counts, so that a late one loses nothing.
     duration time_step = std::chrono::seconds(5);
+    /// Where this host stands.
+    zone_id zone;
+    /// The zone's region.
+    region_id region;
+    /// How the group keeps its size; nothing if operators see to that.
+    std::optional<membership::member_planner_settings> planner;
+    /// How often the leader looks at the membership. A change takes a quorum
+    /// round trip between regions (70 ms) and syncs, so that every second
+    /// look finds the last one settled.
+    duration plan_interval = std::chrono::milliseconds(150);
+    /// How the list of upstreams is read; nothing if the configuration
+    /// names them.
+    std::optional<discovery::list_reader_settings> list;
+    /// How often a follower asks the leader for a newer listing, in case
+    /// that it missed one.
+    duration listing_refresh = std::chrono::seconds(1);
+    /// How entry hosts are heard and named.
+    presence::entry_table_settings entries;
 };
 
 } // namespace bilberrylead::control
--- a/bilberrylead/control/operator_reply.hpp
+++ b/bilberrylead/control/operator_reply.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/agreement/role.hpp"
 #include "bilberrylead/catalog/audit_entry.hpp"
 #include "bilberrylead/catalog/change_outcome.hpp"
+#include "bilberrylead/catalog/order_outcome.hpp"
 #include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/core/ids.hpp"
 
@@ -67,10 +68,20 @@
 {
 };
 
+/// The configuration with the highest accepted version.
+struct orders_reply
+{
+    /// Its version, 0 if there is none yet.
+    std::uint64_t version = 0;
+    /// Its document as its author wrote it.
+    bytes document;
+};
+
 /// What a control host answers an operator; a Status says why it could not.
 using operator_reply =
     std::variant<catalog::change_outcome, configuration_reply, audit_reply,
-                 status_reply, done_reply, absl::Status>;
+                 status_reply, done_reply, catalog::order_outcome, orders_reply,
+                 absl::Status>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/operator_request.hpp
+++ b/bilberrylead/control/operator_request.hpp
@@ -3,6 +3,7 @@
 
 #include "bilberrylead/agreement/events/membership_change_requested.hpp"
 #include "bilberrylead/catalog/change_command.hpp"
+#include "bilberrylead/catalog/order_command.hpp"
 
 #include <variant>
 
@@ -49,10 +50,30 @@
 {
 };
 
+/// Propose a configuration under the operator's own version.
+struct submit_orders
+{
+    /// The configuration; its document was checked.
+    catalog::put_configuration order;
+};
+
+/// Close or open an availability zone.
+struct submit_zone_order
+{
+    /// What to do, and to which zone.
+    catalog::close_zone order;
+};
+
+/// Read the configuration with the highest accepted version.
+struct read_orders
+{
+};
+
 /// What operators ask of a control host.
 using operator_request =
     std::variant<submit_change, read_configuration, read_audit, read_status,
-                 change_membership, hand_over>;
+                 change_membership, hand_over, submit_orders, submit_zone_order,
+                 read_orders>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/core/cbor_fields.cpp
+++ b/bilberrylead/core/cbor_fields.cpp
@@ -82,6 +82,17 @@
     return static_cast<std::uint16_t>(number);
 }
 
+std::uint32_t cbor_fields::take_unsigned_32()
+{
+    std::uint64_t const number = this->take_unsigned();
+    if (number > std::numeric_limits<std::uint32_t>::max())
+    {
+        this->spoiled = true;
+        return 0;
+    }
+    return static_cast<std::uint32_t>(number);
+}
+
 std::int64_t cbor_fields::take_signed()
 {
     nlohmann::json* const field = this->next();
--- a/bilberrylead/core/cbor_fields.hpp
+++ b/bilberrylead/core/cbor_fields.hpp
@@ -39,6 +39,8 @@
     std::uint64_t take_unsigned();
     /// The next field, a number from 0 to 65535.
     std::uint16_t take_unsigned_16();
+    /// The next field, a number from 0 to 4294967295.
+    std::uint32_t take_unsigned_32();
     /// The next field, a number.
     std::int64_t take_signed();
     /// The next field, true or false.
@@ -48,6 +50,13 @@
     /// The next field, a byte string.
     bytes take_bytes();
 
+    /// False once a field was missing or of the wrong type. For lists whose
+    /// length stands in the record itself.
+    bool intact() const
+    {
+        return !this->spoiled;
+    }
+
     /// True if every field was taken and each had its type.
     bool complete() const;
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -6,6 +6,8 @@
 #include "bilberrylead/daemon/control_metrics.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
 #include "bilberrylead/daemon/operator_api.hpp"
+#include "bilberrylead/daemon/peer_book.hpp"
+#include "bilberrylead/link/http_caller.hpp"
 #include "bilberrylead/link/http_endpoint.hpp"
 #include "bilberrylead/link/peer_node.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
@@ -14,7 +16,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <map>
@@ -38,6 +42,23 @@
 /// elections' time, after which the others elect one by themselves.
 constexpr std::chrono::milliseconds handover_patience{1500};
 
+/// How often the settings file is looked at: it may change without a
+/// signal, and stale seeds do no harm for a few seconds.
+constexpr std::chrono::seconds settings_interval{2};
+
+/// The name in the audit trail where the network says who may call.
+constexpr std::string_view network_operator = "network";
+
+/// The source in the peer book that stands for the own log.
+constexpr std::uint64_t own_log = 0;
+
+/// Callers that look up entry hosts at a time, and how long each may take;
+/// a descriptor each.
+constexpr std::size_t most_steering_connections = 1500;
+constexpr std::chrono::seconds steering_idle_limit{15};
+
+constexpr unsigned http_ok = 200;
+
 instant now()
 {
     return std::chrono::steady_clock::now();
@@ -56,17 +77,30 @@
 
 } // namespace
 
+/// An operator's call until it is answered.
+struct open_operator_call
+{
+    link::http_request request;
+    link::http_endpoint::answer_function answer;
+};
+
 /// What the process holds while it runs.
 struct control_program::implementation
 {
-    explicit implementation(config::control_settings given)
-        : settings(std::move(given)), signals(io), ticker(io), stopper(io)
+    implementation(config::control_settings given,
+                   settings_source<config::control_settings> file,
+                   control_bindings outside)
+        : settings(std::move(given)), source(std::move(file)), adapter(outside),
+          signals(io), reloads(io), ticker(io), stopper(io), watcher(io)
     {
     }
 
     absl::Status open();
     void make_reducer();
     absl::Status listen();
+    absl::Status listen_outside();
+    bool forms_itself() const;
+    bool founds_group() const;
     void take(control::control_event event);
     void flush();
     void carry_out(control::control_effect const& effect);
@@ -74,29 +108,46 @@
     void answer(control::answer_operator const& effect);
     void serve_operator(link::http_request const& request,
                         link::http_endpoint::answer_function answer);
+    void serve_caller(link::http_request const& request,
+                      link::http_endpoint::answer_function const& answer);
+    std::optional<config::endpoint> leader_port(host_id const& leader) const;
+    void call_list(discovery::page_call const& call);
+    absl::StatusOr<discovery::list_page>
+    page_of(absl::StatusOr<link::http_result> const& result) const;
     void found(link::http_endpoint::answer_function const& answer);
+    agreement::started founding();
     void start_ticking();
+    void watch_settings();
+    void reload();
+    void wait_for_reload();
     void wait_for_stop();
     void stop_when_handed_over(instant deadline);
     link::peer_node_settings peer_settings() const;
     link::peer_callbacks peer_callbacks();
 
     config::control_settings settings;
+    settings_source<config::control_settings> source;
+    control_bindings adapter;
     asio::io_context io{1};
     asio::signal_set signals;
+    asio::signal_set reloads;
     asio::steady_timer ticker;
     asio::steady_timer stopper;
+    asio::steady_timer watcher;
     std::optional<control_store> store;
     std::optional<control::control_reducer> reducer;
     std::optional<link::peer_node> peers;
+    std::optional<peer_book> book;
     std::optional<link::http_endpoint> operators;
+    std::optional<link::http_endpoint> steering;
+    std::optional<link::http_caller> list;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
     std::vector<control::control_event> pending;
     bool flush_is_due = false;
     bool disk_failed = false;
     std::uint64_t last_request = 0;
-    std::map<std::uint64_t, link::http_endpoint::answer_function> waiting;
+    std::map<std::uint64_t, open_operator_call> waiting;
     std::map<link::link_number, link::peer_identity> links;
     absl::Status ended_by;
 };
@@ -111,16 +162,79 @@
     }
     this->store.emplace(std::move(*opened));
     this->make_reducer();
-    this->take(control::control_started{std::move(this->store->recovered())});
+    if (this->founds_group())
+    {
+        this->write(this->store->become_founder());
+        if (this->disk_failed)
+        {
+            return this->ended_by;
+        }
+        this->make_reducer();
+        this->take(control::control_started{this->founding()});
+        log.info("A new group of {} control hosts is founded.",
+                 this->settings.seeds.size());
+    }
+    else
+    {
+        this->take(
+            control::control_started{std::move(this->store->recovered())});
+    }
     return this->listen();
 }
 
+bool control_program::implementation::forms_itself() const
+{
+    return !this->settings.seeds.empty();
+}
+
+/// The seeds are the same on all hosts at the very first start, and only
+/// then does anybody found a group: a host that came back blank later would
+/// vote a second time as its former self.
+bool control_program::implementation::founds_group() const
+{
+    agreement::started const& held = this->store->recovered();
+    bool const blank = !held.snapshot.has_value() && held.entries.empty() &&
+                       held.hard_state.term == 0;
+    bool const is_seed = std::any_of(
+        this->settings.seeds.begin(), this->settings.seeds.end(),
+        [this](config::endpoint const& seed)
+        {
+            return seed.address == this->settings.peer_listen.address;
+        });
+    return this->settings.first_start && blank && is_seed;
+}
+
+agreement::started control_program::implementation::founding()
+{
+    agreement::started first;
+    first.founding.emplace();
+    for (config::endpoint const& seed : this->settings.seeds)
+    {
+        first.founding->put(
+            {host_id(seed.address), this->store->incarnation(), true, false});
+    }
+    return first;
+}
+
 void control_program::implementation::make_reducer()
 {
     control::control_reducer_settings wanted;
     wanted.self = this->settings.id;
     wanted.incarnation = this->store->incarnation();
     wanted.seed = seed_of(this->settings.id) ^ wanted.incarnation;
+    wanted.zone = this->settings.zone;
+    wanted.region = this->settings.region;
+    wanted.entries.longest_ttl = this->settings.steering_ttl;
+    if (this->forms_itself())
+    {
+        wanted.planner.emplace();
+        wanted.planner->losses = this->settings.losses;
+    }
+    if (this->settings.upstream_list.port != 0)
+    {
+        wanted.list.emplace();
+        wanted.list->calls_per_second = this->settings.upstream_list_calls;
+    }
     this->reducer.emplace(wanted);
 }
 
@@ -140,7 +254,16 @@
             this->peers->dial(other.address);
         }
     }
+    if (this->forms_itself())
+    {
+        this->book.emplace(*this->peers, this->settings.peer_listen);
+        this->book->set_seeds(this->settings.seeds);
+    }
+    return this->listen_outside();
+}
 
+absl::Status control_program::implementation::listen_outside()
+{
     this->operators.emplace(this->io,
                             [this](link::http_request const& request,
                                    link::http_endpoint::answer_function answer)
@@ -148,11 +271,36 @@
                                 this->serve_operator(request,
                                                      std::move(answer));
                             });
-    listening = this->operators->listen(this->settings.operator_listen);
+    absl::Status listening =
+        this->operators->listen(this->settings.operator_listen);
     if (!listening.ok())
     {
         return listening;
     }
+    if (this->settings.steering_listen.port != 0)
+    {
+        link::http_endpoint_settings bounds;
+        bounds.most_connections = most_steering_connections;
+        bounds.exchange_timeout = steering_idle_limit;
+        this->steering.emplace(
+            this->io,
+            [this](link::http_request const& request,
+                   link::http_endpoint::answer_function const& answer)
+            {
+                this->serve_caller(request, answer);
+            },
+            bounds);
+        listening = this->steering->listen(this->settings.steering_listen);
+        if (!listening.ok())
+        {
+            return listening;
+        }
+    }
+    if (this->settings.upstream_list.port != 0)
+    {
+        this->list.emplace(this->io, this->settings.upstream_list,
+                           discovery::list_reader_settings{}.call_timeout);
+    }
 
     this->metrics_port.emplace(
         this->io,
@@ -171,6 +319,10 @@
     wanted.self = {this->settings.id, link::peer_role::control,
                    this->store->incarnation()};
     wanted.key = this->settings.peer_key;
+    if (this->forms_itself())
+    {
+        wanted.pace_for_small_group();
+    }
     return wanted;
 }
 
@@ -197,6 +349,10 @@
     callbacks.disconnected = [this](link::link_number number)
     {
         this->links.erase(number);
+        if (this->book.has_value())
+        {
+            this->book->forget_source(number);
+        }
         this->take(control::peer_disconnected{number});
     };
     return callbacks;
@@ -281,6 +437,40 @@
             this->owner.answer(wanted);
         }
 
+        void operator()(control::link_members const& wanted) const
+        {
+            if (this->owner.book.has_value())
+            {
+                this->owner.book->set_named(own_log, wanted.hosts);
+            }
+        }
+
+        void operator()(control::call_upstream_list const& wanted) const
+        {
+            this->owner.call_list(wanted.call);
+        }
+
+        void operator()(control::listing_changed const& wanted) const
+        {
+            log.info("Listing {}.{} of upstreams is held: {} new or changed, "
+                     "{} gone, {} in all.",
+                     wanted.position.term, wanted.position.number, wanted.put,
+                     wanted.removed, wanted.upstreams);
+        }
+
+        void operator()(control::orders_changed const& wanted) const
+        {
+            log.info("Orders {} are accepted: version {}, {} zones closed.",
+                     wanted.number, wanted.version, wanted.closed_zones);
+        }
+
+        void operator()(control::membership_planned const& wanted) const
+        {
+            log.info("Membership: {} {} of incarnation {} is asked for.",
+                     agreement::to_string(wanted.change.action),
+                     wanted.change.host.text(), wanted.change.incarnation);
+        }
+
         implementation& owner;
     };
     std::visit(carrier{*this}, effect);
@@ -310,9 +500,77 @@
     {
         return;
     }
-    link::http_endpoint::answer_function const give = found->second;
+    open_operator_call const call = std::move(found->second);
     this->waiting.erase(found);
-    give(write_operator_reply(effect.reply));
+    call.answer(this->adapter.write_operator_reply(
+        call.request, effect.reply, this->leader_port(effect.leader)));
+}
+
+std::optional<config::endpoint>
+control_program::implementation::leader_port(host_id const& leader) const
+{
+    if (!this->forms_itself() || leader.empty() || leader == this->settings.id)
+    {
+        return std::nullopt;
+    }
+    return config::endpoint{leader.text(), this->settings.operator_listen.port};
+}
+
+void control_program::implementation::serve_caller(
+    link::http_request const& request,
+    link::http_endpoint::answer_function const& answer)
+{
+    absl::StatusOr<presence::steering_question> const asked =
+        this->adapter.read_steering_question(request);
+    if (!asked.ok())
+    {
+        answer(write_operator_reply(asked.status()));
+        return;
+    }
+    answer(this->adapter.write_steering_reply(
+        this->reducer->steer(*asked, now())));
+}
+
+absl::StatusOr<discovery::list_page> control_program::implementation::page_of(
+    absl::StatusOr<link::http_result> const& result) const
+{
+    if (!result.ok())
+    {
+        return result.status();
+    }
+    if (result->status != http_ok)
+    {
+        return make_error(
+            error_kind::no_room,
+            fmt::format("The list of upstreams answered {}.", result->status),
+            "It is asked again.");
+    }
+    return this->adapter.read_list_page(result->body);
+}
+
+void control_program::implementation::call_list(
+    discovery::page_call const& call)
+{
+    this->list->get(
+        this->adapter.list_target(call.page),
+        [this, number = call.number](absl::StatusOr<link::http_result> result)
+        {
+            absl::StatusOr<discovery::list_page> page = this->page_of(result);
+            if (!page.ok())
+            {
+                log.warning("The list of upstreams could not be read: {}",
+                            std::string(page.status().message()));
+                this->take(control::list_call_failed{number});
+                return;
+            }
+            if (page->unreadable > 0)
+            {
+                log.warning("{} entries of the list of upstreams cannot be "
+                            "read and are passed over.",
+                            page->unreadable);
+            }
+            this->take(control::list_page_came{number, *std::move(page)});
+        });
 }
 
 void control_program::implementation::serve_operator(
@@ -320,7 +578,9 @@
     link::http_endpoint::answer_function answer)
 {
     absl::StatusOr<std::string> const who =
-        authenticate(request, this->settings.operators);
+        this->settings.trust == config::operator_trust::by_network
+            ? std::string(network_operator)
+            : authenticate(request, this->settings.operators);
     if (!who.ok())
     {
         answer(write_operator_reply(who.status()));
@@ -332,14 +592,18 @@
         return;
     }
     absl::StatusOr<control::operator_request> asked =
-        read_operator_request(request, *who);
+        this->adapter.read_operator_request(request, *who);
     if (!asked.ok())
     {
-        answer(write_operator_reply(asked.status()));
+        log.warning("An operator's call {} {} was refused: {}", request.method,
+                    request.target, std::string(asked.status().message()));
+        answer(this->adapter.write_operator_reply(request, asked.status(),
+                                                  std::nullopt));
         return;
     }
     ++this->last_request;
-    this->waiting.emplace(this->last_request, std::move(answer));
+    this->waiting.emplace(this->last_request,
+                          open_operator_call{request, std::move(answer)});
     this->take(control::operator_asked{this->last_request, std::move(*asked),
                                        wall_now()});
 }
@@ -386,6 +650,33 @@
     answer(write_operator_reply(control::done_reply{}));
 }
 
+void control_program::implementation::watch_settings()
+{
+    this->watcher.expires_after(settings_interval);
+    this->watcher.async_wait(
+        [this](error_code const& error)
+        {
+            if (!error)
+            {
+                this->reload();
+                this->watch_settings();
+            }
+        });
+}
+
+void control_program::implementation::reload()
+{
+    std::optional<config::control_settings> const changed =
+        this->source.changed();
+    if (changed.has_value() && this->book.has_value())
+    {
+        this->settings.seeds = changed->seeds;
+        this->book->set_seeds(changed->seeds);
+        log.info("The settings were read again; {} seeds.",
+                 changed->seeds.size());
+    }
+}
+
 void control_program::implementation::start_ticking()
 {
     this->ticker.expires_after(agreement::replica_settings{}.tick_interval);
@@ -400,8 +691,23 @@
         });
 }
 
+void control_program::implementation::wait_for_reload()
+{
+    this->reloads.async_wait(
+        [this](error_code const& error, int)
+        {
+            if (!error)
+            {
+                this->reload();
+                this->wait_for_reload();
+            }
+        });
+}
+
 void control_program::implementation::wait_for_stop()
 {
+    this->reloads.add(SIGHUP);
+    this->wait_for_reload();
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.async_wait(
@@ -440,8 +746,11 @@
         });
 }
 
-control_program::control_program(config::control_settings settings)
-    : impl(std::make_unique<implementation>(std::move(settings)))
+control_program::control_program(
+    config::control_settings settings,
+    settings_source<config::control_settings> source, control_bindings bindings)
+    : impl(std::make_unique<implementation>(std::move(settings),
+                                            std::move(source), bindings))
 {
 }
 
@@ -457,6 +766,7 @@
     log.info("Control host {} runs, incarnation {}.",
              this->impl->settings.id.text(), this->impl->store->incarnation());
     this->impl->start_ticking();
+    this->impl->watch_settings();
     this->impl->wait_for_stop();
     this->impl->io.run();
     return this->impl->ended_by;
--- a/bilberrylead/daemon/control_program.hpp
+++ b/bilberrylead/daemon/control_program.hpp
@@ -2,6 +2,8 @@
 #define BILBERRYLEAD_DAEMON_CONTROL_PROGRAM_HPP
 
 #include "bilberrylead/config/control_settings.hpp"
+#include "bilberrylead/daemon/control_adapter.hpp"
+#include "bilberrylead/daemon/settings_source.hpp"
 
 #include <absl/status/status.h>
 
@@ -16,7 +18,9 @@
 {
 public:
     /// Makes the process; nothing is opened yet.
-    explicit control_program(config::control_settings settings);
+    control_program(config::control_settings settings,
+                    settings_source<config::control_settings> source,
+                    control_bindings bindings);
     ~control_program();
     control_program(control_program const&) = delete;
     control_program& operator=(control_program const&) = delete;
--- a/bilberrylead/daemon/control_store.cpp
+++ b/bilberrylead/daemon/control_store.cpp
@@ -124,6 +124,11 @@
     return this->found;
 }
 
+agreement::started const& control_store::recovered() const
+{
+    return this->found;
+}
+
 std::uint64_t control_store::incarnation() const
 {
     return this->incarnation_number;
--- a/bilberrylead/daemon/control_store.hpp
+++ b/bilberrylead/daemon/control_store.hpp
@@ -31,6 +31,8 @@
 
     /// What the folder held; may be moved out.
     agreement::started& recovered();
+    /// What the folder held.
+    agreement::started const& recovered() const;
 
     /// The incarnation in use: 1 for a founder.
     std::uint64_t incarnation() const;
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -1,9 +1,9 @@
 #include "bilberrylead/daemon/entry_program.hpp"
 
-#include "bilberrylead/config/configuration.hpp"
-#include "bilberrylead/config/parse_configuration.hpp"
 #include "bilberrylead/core/log.hpp"
 #include "bilberrylead/daemon/entry_metrics.hpp"
+#include "bilberrylead/daemon/peer_book.hpp"
+#include "bilberrylead/discovery/upstream_listing.hpp"
 #include "bilberrylead/distribution/revision_exchange.hpp"
 #include "bilberrylead/http/caller_server.hpp"
 #include "bilberrylead/http/server_settings.hpp"
@@ -18,12 +18,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace bilberrylead::daemon
 {
@@ -39,6 +41,31 @@
 /// Grain of the timers of exchange and claims; a hundredth of the claim
 /// time-out.
 constexpr std::chrono::milliseconds tick_interval{10};
+/// The same on hosts that have a tenth of a core, where each wake-up counts
+/// and claims are rare.
+constexpr std::chrono::milliseconds listed_tick_interval{50};
+/// Grain of requests' deadlines there: a twentieth of the shortest ones.
+constexpr std::chrono::milliseconds coarse_tick{20};
+/// Pause between two heartbeats to a control host; three may be missed
+/// before callers are sent elsewhere.
+constexpr std::chrono::milliseconds heartbeat_interval{500};
+/// How often a control host is asked for a newer listing of upstreams.
+constexpr std::chrono::seconds listing_refresh{1};
+/// How often the settings file is looked at: it may change without a
+/// signal, and stale seeds do no harm for a few seconds.
+constexpr std::chrono::seconds settings_interval{2};
+/// Part of the allowed share of further tries that is used: successes are
+/// counted later than requests.
+constexpr double used_retry_ratio = 0.75;
+/// A try gets all of the time that is left, in thousandths.
+constexpr std::uint32_t whole_share = 1000;
+/// Upstreams that others manage close idle connections after some ten
+/// seconds; a request must not cross that.
+constexpr std::chrono::seconds listed_idle_limit{8};
+
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_not_found = 404;
+constexpr unsigned http_unavailable = 503;
 
 instant now()
 {
@@ -60,9 +87,13 @@
 /// What the process holds while it runs.
 struct entry_program::implementation
 {
-    explicit implementation(config::entry_settings given)
-        : settings(std::move(given)), incarnation(incarnation_from_clock()),
-          signals(io), ticker(io), exchange({}), claims(claim_settings())
+    implementation(config::entry_settings given,
+                   settings_source<config::entry_settings> file,
+                   entry_bindings outside)
+        : settings(std::move(given)), source(std::move(file)), adapter(outside),
+          incarnation(incarnation_from_clock()), signals(io), reloads(io),
+          ticker(io), heartbeat(io), watcher(io), exchange({}),
+          claims(claim_settings())
     {
     }
 
@@ -71,6 +102,17 @@
     link::peer_node_settings peer_settings() const;
     link::peer_callbacks peer_callbacks();
     absl::Status listen();
+    absl::Status listen_for_checks();
+    void dial_peers();
+    void on_group(link::link_number number, link::group_news const& said);
+    void on_listing(link::link_number number,
+                    link::upstream_update const& said);
+    void send_heartbeats();
+    void tell_presence(link::link_number to);
+    void ask_for_listing();
+    void watch_settings();
+    void reload();
+    void wait_for_reload();
     void on_connected(link::link_number number,
                       link::peer_identity const& peer);
     void on_message(link::link_number number, bytes const& said);
@@ -81,18 +123,32 @@
     void install(distribution::install_revision const& wanted);
     void send(link::link_number to, link::message const& content);
     void start_ticking();
+    void tell_changed_readiness();
     void wait_for_stop();
 
     config::entry_settings settings;
+    settings_source<config::entry_settings> source;
+    entry_bindings adapter;
     std::uint64_t incarnation;
     asio::io_context io{1};
     asio::signal_set signals;
+    asio::signal_set reloads;
     asio::steady_timer ticker;
+    asio::steady_timer heartbeat;
+    asio::steady_timer watcher;
     distribution::revision_exchange exchange;
     once_client::once_client claims;
     std::optional<http::caller_server> server;
     std::optional<link::peer_node> peers;
+    std::optional<peer_book> book;
     std::optional<link::http_endpoint> metrics_port;
+    std::optional<link::http_endpoint> readiness_port;
+    discovery::upstream_listing listing;
+    std::map<link::link_number, std::uint64_t> heard_entry_hosts;
+    instant listing_asked_at{};
+    link::link_number last_asked = 0;
+    bool told_ready = false;
+    bool stopping = false;
     entry_metrics metrics;
     std::map<link::link_number, link::peer_identity> links;
 };
@@ -111,6 +167,25 @@
     config::entry_limits const& limits = this->settings.limits;
     http::server_settings wanted;
     wanted.listen = this->settings.caller_listen;
+    wanted.names = this->adapter.names();
+    wanted.own_pages = this->settings.readiness_listen.port == 0;
+    wanted.entry.region = this->settings.region;
+    wanted.entry.places = this->settings.places;
+    wanted.entry.region_latency = this->settings.region_latency;
+    wanted.entry.upstreams_are_listed = !this->settings.seeds.empty();
+    wanted.entry.waiting = this->settings.waiting;
+    wanted.entry.retries = this->settings.retries;
+    wanted.entry.cold = this->settings.cold;
+    wanted.entry.stop_time = this->settings.stop_time;
+    wanted.entry.steering_ttl = this->settings.steering_ttl;
+    if (this->settings.waiting == config::waiting_place::upstream)
+    {
+        wanted.entry.retry.earned_by_success =
+            this->settings.retries.ratio * used_retry_ratio;
+        wanted.entry.attempt_share = whole_share;
+        wanted.entry.tick = coarse_tick;
+        wanted.pool.idle_limit = listed_idle_limit;
+    }
     wanted.request_id_prefix =
         fmt::format("{}.{}.", this->settings.id.text(), this->incarnation);
     wanted.entry.self = this->settings.id;
@@ -131,6 +206,10 @@
     wanted.self = {this->settings.id, link::peer_role::entry,
                    this->incarnation};
     wanted.key = this->settings.peer_key;
+    if (!this->settings.seeds.empty())
+    {
+        wanted.pace_for_small_group();
+    }
     return wanted;
 }
 
@@ -173,6 +252,12 @@
     {
         return listening;
     }
+    this->dial_peers();
+    return this->listen_for_checks();
+}
+
+void entry_program::implementation::dial_peers()
+{
     for (config::host_address const& host : this->settings.control_hosts)
     {
         this->peers->dial(host.address);
@@ -181,7 +266,35 @@
     {
         this->peers->dial(host.address);
     }
+    if (!this->settings.seeds.empty())
+    {
+        this->book.emplace(*this->peers, this->settings.peer_listen);
+        this->book->set_seeds(this->settings.seeds);
+    }
+}
 
+absl::Status entry_program::implementation::listen_for_checks()
+{
+    if (this->settings.readiness_listen.port != 0)
+    {
+        this->readiness_port.emplace(
+            this->io,
+            [this](link::http_request const& request,
+                   link::http_endpoint::answer_function const& answer)
+            {
+                bool const known = this->adapter.asks_whether_ready(request);
+                answer({!known                  ? http_not_found
+                        : this->server->ready() ? http_ok
+                                                : http_unavailable,
+                        "text/plain", ""});
+            });
+        absl::Status const listening =
+            this->readiness_port->listen(this->settings.readiness_listen);
+        if (!listening.ok())
+        {
+            return listening;
+        }
+    }
     this->metrics_port.emplace(
         this->io,
         [this](link::http_request const&,
@@ -202,12 +315,19 @@
     if (peer.role == link::peer_role::control)
     {
         this->on_claims(once_client::control_link_opened{number, peer.id});
+        this->tell_presence(number);
+        this->send(number, link::upstream_request{this->listing.position()});
     }
 }
 
 void entry_program::implementation::on_disconnected(link::link_number number)
 {
     this->on_exchange(distribution::link_closed{number});
+    this->heard_entry_hosts.erase(number);
+    if (this->book.has_value())
+    {
+        this->book->forget_source(number);
+    }
     if (this->links.at(number).role == link::peer_role::control)
     {
         this->on_claims(once_client::control_link_closed{number});
@@ -259,6 +379,28 @@
             this->owner.on_claims(once_client::settlement_received{held});
         }
 
+        void operator()(link::group_news const& held) const
+        {
+            this->owner.on_group(this->number, held);
+        }
+
+        void operator()(link::upstream_update const& held) const
+        {
+            this->owner.on_listing(this->number, held);
+        }
+
+        void operator()(link::entry_presence const&) const
+        {
+        }
+
+        void operator()(link::host_place const&) const
+        {
+        }
+
+        void operator()(link::upstream_request const&) const
+        {
+        }
+
         void operator()(link::replica_message const&) const
         {
         }
@@ -379,11 +521,8 @@
 void entry_program::implementation::install(
     distribution::install_revision const& wanted)
 {
-    std::string_view const text(
-        reinterpret_cast<char const*>(wanted.document->data()),
-        wanted.document->size());
-    absl::StatusOr<config::configuration> parsed = config::parse_configuration(
-        text, fmt::format("revision {}", wanted.number));
+    absl::StatusOr<accepted_revision> parsed =
+        this->adapter.read_revision(*wanted.document);
     if (!parsed.ok())
     {
         // A newer version accepted what this one cannot read: the last
@@ -392,10 +531,150 @@
                   std::string(parsed.status().message()));
         return;
     }
-    this->server->dispatch(entry::configuration_received{
-        wanted.number,
-        std::make_shared<config::configuration const>(std::move(*parsed))});
-    log.info("Revision {} is in force.", wanted.number);
+    log.info("Revision {} is in force; {} zones are closed.", wanted.number,
+             parsed->closed_zones.size());
+    this->server->dispatch(
+        entry::configuration_received{wanted.number, std::move(parsed->content),
+                                      std::move(parsed->closed_zones)});
+}
+
+void entry_program::implementation::on_group(link::link_number number,
+                                             link::group_news const& said)
+{
+    if (this->book.has_value())
+    {
+        this->book->set_named(number, said.control_hosts);
+    }
+
+    // The largest number that any control host hears: too small a share is
+    // safe, too large a one is not.
+    this->heard_entry_hosts[number] = said.entry_hosts;
+    std::uint64_t most = 1;
+    for (auto const& [link, hosts] : this->heard_entry_hosts)
+    {
+        most = std::max(most, hosts);
+    }
+    this->server->dispatch(entry::entry_hosts_counted{most});
+}
+
+void entry_program::implementation::on_listing(
+    link::link_number number, link::upstream_update const& said)
+{
+    discovery::take_result const result =
+        this->listing.take(said.changes, now());
+    if (result == discovery::take_result::other_base)
+    {
+        this->send(number, link::upstream_request{this->listing.position()});
+    }
+    if (result != discovery::take_result::taken)
+    {
+        return;
+    }
+    std::shared_ptr<std::vector<discovery::listed_upstream>> const all =
+        std::make_shared<std::vector<discovery::listed_upstream>>();
+    all->reserve(this->listing.upstreams().size());
+    for (auto const& [id, entry] : this->listing.upstreams())
+    {
+        all->push_back(entry);
+    }
+    log.info("Listing {}.{} of upstreams is in use: {} new or changed, {} "
+             "gone, {} in all.",
+             said.changes.target.term, said.changes.target.number,
+             said.changes.put.size(), said.changes.removed.size(), all->size());
+    this->server->dispatch(entry::upstreams_listed{all});
+}
+
+void entry_program::implementation::tell_presence(link::link_number to)
+{
+    link::entry_presence presence;
+    presence.address = this->settings.caller_listen;
+    presence.zone = this->settings.zone;
+    presence.region = this->settings.region;
+    presence.ready = this->server->ready();
+    presence.stopping = this->stopping;
+    presence.in_force = this->server->revision_in_force();
+    presence.listing = this->listing.position();
+    this->send(to, presence);
+}
+
+void entry_program::implementation::send_heartbeats()
+{
+    this->heartbeat.expires_after(heartbeat_interval);
+    this->heartbeat.async_wait(
+        [this](error_code const& error)
+        {
+            if (error)
+            {
+                return;
+            }
+            for (auto const& [number, peer] : this->links)
+            {
+                if (peer.role == link::peer_role::control)
+                {
+                    this->tell_presence(number);
+                }
+            }
+            this->ask_for_listing();
+            this->send_heartbeats();
+        });
+}
+
+/// A listing that was lost on its way would be missed until the next one: a
+/// control host is asked now and then, each in its turn.
+void entry_program::implementation::ask_for_listing()
+{
+    if (this->links.empty() || now() - this->listing_asked_at < listing_refresh)
+    {
+        return;
+    }
+    this->listing_asked_at = now();
+    auto const next = this->links.upper_bound(this->last_asked);
+    auto const chosen = next == this->links.end() ? this->links.begin() : next;
+    this->last_asked = chosen->first;
+    if (chosen->second.role == link::peer_role::control)
+    {
+        this->send(chosen->first,
+                   link::upstream_request{this->listing.position()});
+    }
+}
+
+void entry_program::implementation::watch_settings()
+{
+    this->watcher.expires_after(settings_interval);
+    this->watcher.async_wait(
+        [this](error_code const& error)
+        {
+            if (!error)
+            {
+                this->reload();
+                this->watch_settings();
+            }
+        });
+}
+
+void entry_program::implementation::reload()
+{
+    std::optional<config::entry_settings> const changed =
+        this->source.changed();
+    if (changed.has_value() && this->book.has_value())
+    {
+        this->book->set_seeds(changed->seeds);
+        log.info("The settings were read again; {} seeds.",
+                 changed->seeds.size());
+    }
+}
+
+void entry_program::implementation::wait_for_reload()
+{
+    this->reloads.async_wait(
+        [this](error_code const& error, int)
+        {
+            if (!error)
+            {
+                this->reload();
+                this->wait_for_reload();
+            }
+        });
 }
 
 void entry_program::implementation::send(link::link_number to,
@@ -406,7 +685,8 @@
 
 void entry_program::implementation::start_ticking()
 {
-    this->ticker.expires_after(tick_interval);
+    bool const listed = !this->settings.seeds.empty();
+    this->ticker.expires_after(listed ? listed_tick_interval : tick_interval);
     this->ticker.async_wait(
         [this](error_code const& error)
         {
@@ -416,12 +696,34 @@
             }
             this->on_exchange(distribution::exchange_tick{});
             this->on_claims(once_client::client_tick{});
+            this->tell_changed_readiness();
             this->start_ticking();
         });
 }
 
+/// Callers are sent here, or not any more, without waiting for a heartbeat.
+void entry_program::implementation::tell_changed_readiness()
+{
+    bool const ready = this->server->ready();
+    if (ready == this->told_ready)
+    {
+        return;
+    }
+    this->told_ready = ready;
+    log.info("This host is {}.", ready ? "ready" : "not ready");
+    for (auto const& [number, peer] : this->links)
+    {
+        if (peer.role == link::peer_role::control)
+        {
+            this->tell_presence(number);
+        }
+    }
+}
+
 void entry_program::implementation::wait_for_stop()
 {
+    this->reloads.add(SIGHUP);
+    this->wait_for_reload();
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.async_wait(
@@ -430,13 +732,18 @@
             if (!error)
             {
                 log.info("A stop was asked for; what is under way goes on.");
+                this->stopping = true;
                 this->server->dispatch(entry::drain_requested{});
+                this->tell_changed_readiness();
             }
         });
 }
 
-entry_program::entry_program(config::entry_settings settings)
-    : impl(std::make_unique<implementation>(std::move(settings)))
+entry_program::entry_program(config::entry_settings settings,
+                             settings_source<config::entry_settings> source,
+                             entry_bindings bindings)
+    : impl(std::make_unique<implementation>(std::move(settings),
+                                            std::move(source), bindings))
 {
 }
 
@@ -452,6 +759,8 @@
     log.info("Entry host {} runs, incarnation {}.",
              this->impl->settings.id.text(), this->impl->incarnation);
     this->impl->start_ticking();
+    this->impl->send_heartbeats();
+    this->impl->watch_settings();
     this->impl->wait_for_stop();
     this->impl->io.run();
     return absl::OkStatus();
--- a/bilberrylead/daemon/entry_program.hpp
+++ b/bilberrylead/daemon/entry_program.hpp
@@ -2,6 +2,8 @@
 #define BILBERRYLEAD_DAEMON_ENTRY_PROGRAM_HPP
 
 #include "bilberrylead/config/entry_settings.hpp"
+#include "bilberrylead/daemon/entry_adapter.hpp"
+#include "bilberrylead/daemon/settings_source.hpp"
 
 #include <absl/status/status.h>
 
@@ -17,7 +19,9 @@
 {
 public:
     /// Makes the process; nothing is opened yet.
-    explicit entry_program(config::entry_settings settings);
+    entry_program(config::entry_settings settings,
+                  settings_source<config::entry_settings> source,
+                  entry_bindings bindings);
     ~entry_program();
     entry_program(entry_program const&) = delete;
     entry_program& operator=(entry_program const&) = delete;
--- a/bilberrylead/daemon/operator_api.cpp
+++ b/bilberrylead/daemon/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/config/parse_configuration.hpp"
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/link/query.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -26,55 +27,27 @@
 constexpr std::size_t longest_change_id = 128;
 constexpr std::size_t most_audit_entries = 1000;
 
-/// A target cut into its path and the values of its query.
-struct split_target
+/// The number that a query gives a name, or another one if it gives none.
+absl::StatusOr<std::uint64_t> number_of(link::query const& asked,
+                                        std::string_view name,
+                                        std::uint64_t otherwise)
 {
-    explicit split_target(std::string_view target)
+    if (!asked.has(name))
     {
-        std::size_t const mark = target.find('?');
-        this->path = target.substr(0, mark);
-        if (mark == std::string_view::npos)
-        {
-            return;
-        }
-        std::string_view rest = target.substr(mark + 1);
-        while (!rest.empty())
-        {
-            std::string_view const part = rest.substr(0, rest.find('&'));
-            std::size_t const equals = part.find('=');
-            std::string_view const value = equals == std::string_view::npos
-                                               ? std::string_view{}
-                                               : part.substr(equals + 1);
-            this->query.emplace(part.substr(0, equals), value);
-            rest.remove_prefix(std::min(rest.size(), part.size() + 1));
-        }
+        return otherwise;
     }
-
-    absl::StatusOr<std::uint64_t> number(std::string_view name,
-                                         std::uint64_t otherwise) const
+    std::string_view const text = asked.raw(name);
+    std::uint64_t value = 0;
+    std::from_chars_result const read =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
     {
-        std::map<std::string_view, std::string_view>::const_iterator const
-            found = this->query.find(name);
-        if (found == this->query.end())
-        {
-            return otherwise;
-        }
-        std::string_view const text = found->second;
-        std::uint64_t value = 0;
-        std::from_chars_result const read =
-            std::from_chars(text.data(), text.data() + text.size(), value);
-        if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
-        {
-            return make_error(error_kind::bad_value,
-                              fmt::format("'{}' must be a number.", name),
-                              "Leave it out or give a number from 0.");
-        }
-        return value;
+        return make_error(error_kind::bad_value,
+                          fmt::format("'{}' must be a number.", name),
+                          "Leave it out or give a number from 0.");
     }
-
-    std::string_view path;
-    std::map<std::string_view, std::string_view> query;
-};
+    return value;
+}
 
 absl::Status bad_body(std::string_view what)
 {
@@ -204,25 +177,25 @@
 read_operator_request(link::http_request const& request,
                       std::string const& operator_name)
 {
-    split_target const target(request.target);
-    if (request.method == "GET" && target.path == "/v1/status")
+    link::query const target(request.target);
+    if (request.method == "GET" && target.path() == "/v1/status")
     {
         return control::read_status{};
     }
-    if (request.method == "GET" && target.path == "/v1/configuration")
+    if (request.method == "GET" && target.path() == "/v1/configuration")
     {
         absl::StatusOr<std::uint64_t> const wanted =
-            target.number("revision", 0);
+            number_of(target, "revision", 0);
         if (!wanted.ok())
         {
             return wanted.status();
         }
-        return control::read_configuration{*wanted,
-                                           target.query.contains("stale")};
+        return control::read_configuration{*wanted, target.has("stale")};
     }
-    if (request.method == "GET" && target.path == "/v1/audit")
+    if (request.method == "GET" && target.path() == "/v1/audit")
     {
-        absl::StatusOr<std::uint64_t> const most = target.number("most", 100);
+        absl::StatusOr<std::uint64_t> const most =
+            number_of(target, "most", 100);
         if (!most.ok())
         {
             return most.status();
@@ -235,13 +208,14 @@
         return control::read_audit{
             std::min<std::size_t>(*most, most_audit_entries)};
     }
-    if (request.method == "POST" && target.path == "/v1/handover")
+    if (request.method == "POST" && target.path() == "/v1/handover")
     {
         return control::hand_over{};
     }
 
-    bool const is_change = target.path == "/v1/changes";
-    if (request.method == "POST" && (is_change || target.path == "/v1/members"))
+    bool const is_change = target.path() == "/v1/changes";
+    if (request.method == "POST" &&
+        (is_change || target.path() == "/v1/members"))
     {
         absl::StatusOr<json> const body = read_body(request.body);
         if (!body.ok())
@@ -253,7 +227,7 @@
     }
     return make_error(
         error_kind::unknown_name,
-        fmt::format("There is no {} {}.", request.method, target.path),
+        fmt::format("There is no {} {}.", request.method, target.path()),
         "See the operators' page for what can be asked.");
 }
 
--- a/bilberrylead/daemon/operator_replies.cpp
+++ b/bilberrylead/daemon/operator_replies.cpp
@@ -158,6 +158,19 @@
         return as_answer(200, {{"outcome", "done"}});
     }
 
+    link::http_answer operator()(catalog::order_outcome held) const
+    {
+        bool const taken = held == catalog::order_outcome::taken;
+        return as_answer(200, {{"outcome", taken ? "taken" : "nothing_to_do"}});
+    }
+
+    link::http_answer operator()(control::orders_reply const& held) const
+    {
+        return as_answer(200, {{"version", held.version},
+                               {"document", std::string(held.document.begin(),
+                                                        held.document.end())}});
+    }
+
     link::http_answer operator()(absl::Status const& status) const
     {
         std::string const kind(
--- a/bilberrylead/daemon/run_daemon.cpp
+++ b/bilberrylead/daemon/run_daemon.cpp
@@ -1,14 +1,9 @@
 #include "bilberrylead/daemon/run_daemon.hpp"
 
-#include "bilberrylead/core/error.hpp"
-
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
 
-#include <fstream>
-#include <iterator>
-
 namespace bilberrylead::daemon
 {
 
@@ -40,16 +35,4 @@
     }
 }
 
-absl::StatusOr<std::string> read_file(std::string const& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-    {
-        return make_error(error_kind::storage,
-                          fmt::format("'{}' cannot be read.", path),
-                          "Check the path and who may read it.");
-    }
-    return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 } // namespace bilberrylead::daemon
--- a/bilberrylead/daemon/run_daemon.hpp
+++ b/bilberrylead/daemon/run_daemon.hpp
@@ -2,6 +2,8 @@
 #define BILBERRYLEAD_DAEMON_RUN_DAEMON_HPP
 
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/daemon/read_file.hpp"
+#include "bilberrylead/daemon/settings_source.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -40,14 +42,13 @@
 std::optional<daemon_arguments> read_arguments(int count, char const** values,
                                                char const* description);
 
-/// Reads a whole file. Kind `storage` if it can't be read.
-absl::StatusOr<std::string> read_file(std::string const& path);
-
 /// The main function of a daemon: reads its settings, then checks or runs
 /// it. `Program` is made from the settings and has run().
-template <class Program, class Parse>
+template <class Program, class Settings, class... Bindings>
 int run_daemon(int count, char const** values, char const* description,
-               Parse parse)
+               absl::StatusOr<Settings> (*parse)(std::string_view,
+                                                 std::string_view),
+               Bindings const&... bindings)
 {
     std::optional<daemon_arguments> const arguments =
         read_arguments(count, values, description);
@@ -62,7 +63,7 @@
         fmt::print(stderr, "{}\n", std::string(text.status().message()));
         return static_cast<int>(exit_code::bad_settings);
     }
-    auto settings = parse(*text, arguments->settings_file);
+    absl::StatusOr<Settings> settings = parse(*text, arguments->settings_file);
     if (!settings.ok())
     {
         fmt::print(stderr, "{}\n", std::string(settings.status().message()));
@@ -74,7 +75,10 @@
         return static_cast<int>(exit_code::good);
     }
     set_log_level(settings->lowest_log_level);
-    Program program(std::move(*settings));
+    Program program(
+        *std::move(settings),
+        settings_source<Settings>(arguments->settings_file, *text, parse),
+        bindings...);
     absl::Status const ended = program.run();
     if (!ended.ok())
     {
--- /dev/null
+++ b/bilberrylead/discovery/list_reader_settings.hpp
@@ -0,0 +1,35 @@
+#ifndef BILBERRYLEAD_DISCOVERY_LIST_READER_SETTINGS_HPP
+#define BILBERRYLEAD_DISCOVERY_LIST_READER_SETTINGS_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+
+namespace bilberrylead::discovery
+{
+
+/// How the list of upstreams is read.
+struct list_reader_settings
+{
+    /// From one reading to the next. An upstream that leaves must be out of
+    /// use within seconds of being listed so; a reading, its way to the
+    /// entry hosts and one failed reading fit three times into three
+    /// seconds.
+    duration period = std::chrono::milliseconds(800);
+    /// Calls a second that the list takes from all hosts together; over 0.
+    double calls_per_second = 10;
+    /// Share of those that this reader uses at most: during a change of
+    /// leader two hosts may read at the same time.
+    double share = 0.4;
+    /// A call without an answer has failed after this time.
+    duration call_timeout = std::chrono::milliseconds(1000);
+    /// Pause after a failed call.
+    duration failure_pause = std::chrono::milliseconds(250);
+    /// Pages of one reading at most, against a list without end.
+    std::size_t most_pages = 10000;
+};
+
+} // namespace bilberrylead::discovery
+
+#endif
--- /dev/null
+++ b/bilberrylead/discovery/upstream_listing.hpp
@@ -0,0 +1,63 @@
+#ifndef BILBERRYLEAD_DISCOVERY_UPSTREAM_LISTING_HPP
+#define BILBERRYLEAD_DISCOVERY_UPSTREAM_LISTING_HPP
+
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_changes.hpp"
+#include "bilberrylead/discovery/list_position.hpp"
+#include "bilberrylead/discovery/listed_upstream.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::discovery
+{
+
+/// What became of changes that were handed to a listing.
+enum class take_result
+{
+    /// The listing is the one that they lead to.
+    taken,
+    /// They lead to a listing that is not newer.
+    not_newer,
+    /// They start from another listing than the one held: ask for all of it.
+    other_base,
+};
+
+/// The upstreams as one process knows them: read from the list itself, or
+/// told by others. Never goes back to an older position. One thread.
+class upstream_listing
+{
+public:
+    /// Takes what was read from the list itself; the position grows if
+    /// anything changed, or if `term` is newer. Returns what to tell others,
+    /// nothing if nothing is new.
+    std::optional<list_changes> read(std::vector<listed_upstream> const& found,
+                                     std::uint64_t term, instant now);
+
+    /// Takes what another process told.
+    take_result take(list_changes const& told, instant now);
+
+    /// All of it, for a process that has another base.
+    list_changes whole(instant now) const;
+
+    /// Which listing this is.
+    list_position position() const
+    {
+        return this->held;
+    }
+
+    /// All upstreams, by id.
+    std::map<upstream_id, listed_upstream> const& upstreams() const
+    {
+        return this->entries;
+    }
+
+private:
+    list_position held;
+    std::map<upstream_id, listed_upstream> entries;
+};
+
+} // namespace bilberrylead::discovery
+
+#endif
--- a/bilberrylead/entry/drain_life_cycle.cpp
+++ b/bilberrylead/entry/drain_life_cycle.cpp
@@ -87,9 +87,10 @@
            boost::msm::back::HANDLED_TRUE;
 }
 
-void drain_life_cycle::expire_answers()
+bool drain_life_cycle::expire_answers()
 {
-    this->cycle->process_event(expire_step{});
+    return this->cycle->process_event(expire_step{}) ==
+           boost::msm::back::HANDLED_TRUE;
 }
 
 bool drain_life_cycle::end()
--- a/bilberrylead/entry/drain_life_cycle.hpp
+++ b/bilberrylead/entry/drain_life_cycle.hpp
@@ -24,8 +24,9 @@
 
     /// The stop was asked for; true if it was not before.
     bool begin();
-    /// The last steering answer that may name this host has expired.
-    void expire_answers();
+    /// The last steering answer that may name this host has expired; true if
+    /// that is news.
+    bool expire_answers();
     /// Nothing is under way; true if that ends the drain now.
     bool end();
 
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -157,6 +157,12 @@
 {
 };
 
+/// Take no new connections of callers from now on, and close those that
+/// are idle.
+struct stop_taking_callers
+{
+};
+
 /// Nothing is under way any more and no caller is sent here: the process
 /// may end.
 struct drained
@@ -164,12 +170,11 @@
 };
 
 /// Everything an entry host can be told to do.
-using effect =
-    std::variant<start_upstream, pass_answer_on, collect_answer,
-                 answer_collected, answer_not_run, answer_unknown,
-                 answer_recorded, answer_problem, request_claim,
-                 report_completion, report_release, report_unknown,
-                 cancel_upstream, close_callers_after_answer, drained>;
+using effect = std::variant<
+    start_upstream, pass_answer_on, collect_answer, answer_collected,
+    answer_not_run, answer_unknown, answer_recorded, answer_problem,
+    request_claim, report_completion, report_release, report_unknown,
+    cancel_upstream, close_callers_after_answer, stop_taking_callers, drained>;
 
 /// Effects in the order in which they are to be carried out.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
 #define BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
 
+#include "bilberrylead/entry/body_rules.hpp"
 #include "bilberrylead/entry/drain_life_cycle.hpp"
 #include "bilberrylead/entry/effect.hpp"
 #include "bilberrylead/entry/entry_counters.hpp"
@@ -52,6 +53,22 @@
     /// The service of that name in force, or null.
     config::service const* find_service(service_id const& id) const;
 
+    /// What is done with the body of a request; `service` is the first
+    /// segment of its path, for configurations without routes.
+    body_rules rules_for_body(service_id const& service,
+                              std::string const& host,
+                              std::string_view path) const;
+
+    /// What callers may send, if the configuration in force says so; null if
+    /// it leaves that to the settings.
+    config::caller_limits const* limits() const;
+
+    /// The zones that are closed now.
+    std::set<zone_id> const& closed_zones() const
+    {
+        return this->closed;
+    }
+
     /// True once a drain was asked for.
     bool draining() const
     {
@@ -81,6 +98,7 @@
 
 private:
     using wake_entry = std::pair<instant, request_number>;
+    static constexpr std::uint64_t draw_seed = 0x5157;
 
     void on(configuration_received const& happened);
     void on(request_arrived const& happened);
@@ -95,13 +113,30 @@
     void on(drain_requested const& happened);
     void on(control_reachable const& happened);
     void on(control_unreachable const& happened);
+    void on(upstreams_listed const& happened);
+    void on(entry_hosts_counted const& happened);
 
     live_request* find(request_number number);
     void admit(live_request request);
+    void rebuild();
+    void note_opened(zone_id const& zone);
+    region_id own_region() const;
+    void set_shares();
+    std::uint32_t number_of(region_id const& region);
+    bool fill_from_route(live_request& request,
+                         config::request_route const& route);
+    bool fill_from_service(live_request& request,
+                           request_arrived const& happened);
     void place(live_request& request);
+    void place_at_upstream(live_request& request);
     void start(live_request& request);
+    void start_at(live_request& request, config::upstream const& upstream);
+    bool is_last_try(live_request const& request) const;
+    bool retry_failed_answer(live_request& request);
     void try_again(live_request& request, refusal_reason reason,
                    bool body_usable);
+    std::optional<duration> ask_for_try(live_request& request,
+                                        bool body_usable);
     void answer_verdict(live_request& request,
                         once::claim_verdict const& verdict);
     void serve_waiting(service_state& state);
@@ -113,6 +148,7 @@
     service_state& state_of(service_id const& service);
     policy::waiting_request waiting_form(live_request const& request) const;
     void note_failure(live_request const& request);
+    void note_run(live_request const& request);
     void set_wake(live_request& request, instant when);
     void expire(live_request& request);
     void expire_run(live_request& request);
@@ -138,6 +174,12 @@
     instant now{};
     effects out;
     bilberrylead::revision revision = 0;
+    std::shared_ptr<config::configuration const> content;
+    std::shared_ptr<std::vector<discovery::listed_upstream> const> listed;
+    std::set<zone_id> closed;
+    std::uint64_t entry_hosts = 1;
+    policy::generator draws{draw_seed};
+    std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
     std::map<service_id, service_state> states;
     std::unordered_map<request_number, live_request> live;
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -10,6 +10,12 @@
 namespace
 {
 
+/// Statuses from here on say that the upstream failed.
+constexpr std::uint16_t first_failure_status = 500;
+/// A run takes at least this part of the time to the answer, whatever wait
+/// was expected.
+constexpr int least_run_share = 3;
+
 refusal_reason reason_of(exchange_fault fault)
 {
     switch (fault)
@@ -42,20 +48,39 @@
     }
     upstream_id const upstream = request->tried.back();
     service_state& state = this->state_of(request->service);
-    if (happened.leaving)
+    if (happened.leaving || happened.misdirected)
     {
         state.note_leaving(upstream, this->now + this->chosen.leaving_memory);
     }
     if (happened.not_run)
     {
         this->out.push_back(cancel_upstream{request->number});
-        state.note_refusal(upstream, this->now);
+        if (!happened.misdirected)
+        {
+            state.note_refusal(upstream, this->now);
+        }
         this->free_slot(*request);
         this->try_again(*request, refusal_reason::upstream_refused,
                         request->body_kept);
         return;
     }
-    state.note_answer(upstream, this->now - request->sent, this->now);
+    if (happened.load.has_value())
+    {
+        state.note_load(upstream, *happened.load, this->now);
+    }
+    if (happened.status >= first_failure_status)
+    {
+        this->note_failure(*request);
+        if (this->retry_failed_answer(*request))
+        {
+            return;
+        }
+    }
+    else
+    {
+        state.note_answer(upstream, this->now - request->sent, this->now);
+        this->note_run(*request);
+    }
     if (request->guarded)
     {
         request->life.collect();
@@ -132,21 +157,8 @@
 void entry_reducer::try_again(live_request& request, refusal_reason reason,
                               bool body_usable)
 {
-    // A request that may not be repeated is never sent again once a byte
-    // may have reached an upstream; not even to "make sure".
-    service_state& state = this->state_of(request.service);
-    policy::retry_question question;
-    question.idempotent = request.repeatable;
-    question.surely_not_run = !request.maybe_ran;
-    question.attempts = static_cast<unsigned>(request.tried.size());
-    question.deadline = request.deadline;
-    question.needed = state.usual_answer();
-    std::optional<duration> pause;
-    if (body_usable && !request.answered &&
-        state.takes_work(request.reached, this->now))
-    {
-        pause = state.budget.ask(question, this->now, state.random);
-    }
+    std::optional<duration> const pause =
+        this->ask_for_try(request, body_usable);
     if (pause.has_value())
     {
         ++this->counted.services[request.service].retries;
@@ -162,6 +174,63 @@
     this->refuse(request, reason);
 }
 
+/// An upstream that fails its answers looks idle and draws work to itself.
+/// What may be repeated is tried elsewhere, if the budget allows; else its
+/// caller gets the failure as it is.
+bool entry_reducer::retry_failed_answer(live_request& request)
+{
+    if (!request.repeatable || this->is_last_try(request))
+    {
+        return false;
+    }
+    request.maybe_ran = true;
+    std::optional<duration> const pause =
+        this->ask_for_try(request, request.body_kept);
+    if (!pause.has_value())
+    {
+        return false;
+    }
+    ++this->counted.services[request.service].retries;
+    this->out.push_back(cancel_upstream{request.number});
+    this->free_slot(request);
+    request.life.pause();
+    this->set_wake(request, this->now + *pause);
+    return true;
+}
+
+void entry_reducer::note_run(live_request const& request)
+{
+    service_state& state = this->state_of(request.service);
+    duration const took = this->now - request.sent;
+    duration const run =
+        std::max(took - request.expected_wait, took / least_run_share);
+    state.note_run(request.tried.back(), run, this->now);
+}
+
+std::optional<duration> entry_reducer::ask_for_try(live_request& request,
+                                                   bool body_usable)
+{
+    // A request that may not be repeated is never sent again once a byte
+    // may have reached an upstream; not even to "make sure".
+    service_state& state = this->state_of(request.service);
+    policy::retry_question question;
+    question.idempotent = request.repeatable;
+    question.surely_not_run = !request.maybe_ran;
+    question.attempts = static_cast<unsigned>(request.tried.size());
+    question.deadline = request.deadline;
+    question.needed = this->chosen.waiting == config::waiting_place::upstream
+                          ? state.usual_run()
+                          : state.usual_answer();
+    bool const tries_left = request.most_attempts == 0 ||
+                            request.tried.size() < request.most_attempts;
+    if (!tries_left || !body_usable || request.answered ||
+        !state.takes_work(request.reached, this->now))
+    {
+        return std::nullopt;
+    }
+    return state.budget.ask(question, this->now, state.random);
+}
+
 void entry_reducer::expire_run(live_request& request)
 {
     if (request.answered)
--- a/bilberrylead/entry/entry_settings.hpp
+++ b/bilberrylead/entry/entry_settings.hpp
@@ -1,12 +1,18 @@
 #ifndef BILBERRYLEAD_ENTRY_ENTRY_SETTINGS_HPP
 #define BILBERRYLEAD_ENTRY_ENTRY_SETTINGS_HPP
 
+#include "bilberrylead/config/cold_bounds.hpp"
+#include "bilberrylead/config/place.hpp"
+#include "bilberrylead/config/retry_bounds.hpp"
+#include "bilberrylead/config/waiting_place.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/placement_settings.hpp"
 #include "bilberrylead/policy/retry_budget_settings.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <vector>
 
 namespace bilberrylead::entry
 {
@@ -18,6 +24,24 @@
     host_id self;
     /// The availability zone it stands in.
     zone_id zone;
+    /// The zone's region; empty if only the configuration knows it.
+    region_id region;
+    /// Zones and regions, where the configuration names none.
+    std::vector<config::place> places;
+    /// One-way latency between regions that have no link configured, where
+    /// `places` are used.
+    duration region_latency{};
+    /// True if upstreams come from a list: without it there are none, and
+    /// this host is not ready.
+    bool upstreams_are_listed = false;
+    /// Where requests wait while all slots are taken.
+    config::waiting_place waiting = config::waiting_place::entry_host;
+    /// How requests are placed if they wait at upstreams.
+    policy::placement_settings placement;
+    /// What may be sent beyond first tries, by all entry hosts.
+    config::retry_bounds retries;
+    /// What a cold upstream may get, from all entry hosts.
+    config::cold_bounds cold;
     /// Longest time between two ticks: deadlines are kept to this grain.
     duration tick = std::chrono::milliseconds(10);
     /// Share of the time left, in thousandths, that a try of an idempotent
@@ -42,6 +66,9 @@
     /// How long a drain goes on taking requests after the last steering
     /// answer that may name this host has expired.
     duration drain_quiet = std::chrono::seconds(1);
+    /// Longest time from the order to stop until the process has ended;
+    /// zero: until nothing is under way.
+    duration stop_time{};
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -4,15 +4,19 @@
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/listed_upstream.hpp"
 #include "bilberrylead/entry/request_number.hpp"
+#include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/once/claim_verdict.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace bilberrylead::entry
 {
@@ -23,8 +27,26 @@
 {
     /// Its revision, from 1.
     std::uint64_t revision = 0;
-    /// Its content, already checked; never null.
+    /// Its content, already checked; null if nothing but zones was ordered
+    /// yet.
     std::shared_ptr<config::configuration const> content;
+    /// Availability zones whose upstreams get no work.
+    std::set<zone_id> closed_zones = {};
+};
+
+/// The upstreams that there are, from the list of upstreams.
+struct upstreams_listed
+{
+    /// All of them; never null.
+    std::shared_ptr<std::vector<discovery::listed_upstream> const> upstreams;
+};
+
+/// How many entry hosts are ready, this one among them: what is counted
+/// over all of them is shared among so many.
+struct entry_hosts_counted
+{
+    /// Their number.
+    std::uint64_t hosts = 1;
 };
 
 /// A caller's request is here: its head, and of its body as much as the
@@ -35,6 +57,12 @@
     request_number request{};
     /// First segment of its path.
     service_id service;
+    /// Its Host header without port.
+    std::string host;
+    /// Its path, without query.
+    std::string path;
+    /// Hash of the object it is about; 0 if it names none.
+    std::uint64_t object = 0;
     /// The caller's account, or its address where it names none.
     caller_id caller;
     /// The address it came from.
@@ -79,6 +107,10 @@
     bool leaving = false;
     /// HTTP status.
     std::uint16_t status = 0;
+    /// True if another upstream has this address by now.
+    bool misdirected = false;
+    /// Its load, if it tells that.
+    std::optional<upstream_load> load;
 };
 
 /// The upstream's answer has been read to its end.
@@ -169,7 +201,7 @@
                  completion_stored, upstream_head_received,
                  upstream_answer_finished, upstream_failed, caller_gone,
                  load_reported, tick, drain_requested, control_reachable,
-                 control_unreachable>;
+                 control_unreachable, upstreams_listed, entry_hosts_counted>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -25,6 +25,16 @@
     request_life_cycle life;
     /// The service, as it was configured when the request came.
     service_id service;
+    /// Upstreams it may be sent to; 0 goes by the retry budget's settings.
+    std::uint32_t most_attempts = 0;
+    /// Regions it may be served in; empty is everywhere.
+    std::vector<region_id> regions;
+    /// Hash of the object it is about; 0 if none.
+    std::uint64_t object = 0;
+    /// When its answer is worth less to its caller.
+    instant aim = instant::max();
+    /// Wait for a slot that was expected when it was sent.
+    duration expected_wait{};
     /// May be sent again.
     bool repeatable = false;
     /// Holds a claim, or asks for one.
--- a/bilberrylead/entry/routing_table.cpp
+++ b/bilberrylead/entry/routing_table.cpp
@@ -37,10 +37,24 @@
 } // namespace
 
 routing_table::routing_table(
-    std::shared_ptr<config::configuration const> accepted)
-    : content(std::move(accepted))
+    std::shared_ptr<config::configuration const> accepted,
+    entry_settings const& settings,
+    std::shared_ptr<std::vector<discovery::listed_upstream> const> from_list)
+    : content(std::move(accepted)), listed(std::move(from_list))
 {
     assert(this->content != nullptr);
+    bool const has_places = !this->content->places.empty();
+    for (config::place const& place :
+         has_places ? this->content->places : settings.places)
+    {
+        this->regions[place.zone] = place.region;
+    }
+    if (!has_places && !settings.places.empty())
+    {
+        this->assumed_latency = settings.region_latency;
+    }
+    this->arrange_routes();
+    this->arrange_listed();
     for (config::service const& service : this->content->services)
     {
         this->services[service.id] = &service;
@@ -56,6 +70,62 @@
     this->arrange_blocks();
 }
 
+void routing_table::arrange_routes()
+{
+    for (config::request_route const& route : this->content->request_routes)
+    {
+        this->routes[route.host].push_back(&route);
+    }
+    for (auto& [host, of_host] : this->routes)
+    {
+        std::sort(of_host.begin(), of_host.end(),
+                  [](config::request_route const* one,
+                     config::request_route const* other)
+                  {
+                      return one->path_prefix.size() >
+                             other->path_prefix.size();
+                  });
+    }
+}
+
+void routing_table::arrange_listed()
+{
+    if (this->listed == nullptr)
+    {
+        return;
+    }
+    for (discovery::listed_upstream const& each : *this->listed)
+    {
+        this->upstreams[each.upstream.service].push_back(&each.upstream);
+        this->listed_by_id[each.upstream.id] = &each;
+    }
+}
+
+config::request_route const*
+routing_table::find_route(std::string const& host, std::string_view path) const
+{
+    auto const of_host = this->routes.find(host);
+    if (of_host == this->routes.end())
+    {
+        return nullptr;
+    }
+    for (config::request_route const* route : of_host->second)
+    {
+        if (path.starts_with(route->path_prefix))
+        {
+            return route;
+        }
+    }
+    return nullptr;
+}
+
+discovery::listed_upstream const*
+routing_table::find_listed(upstream_id const& id) const
+{
+    auto const found = this->listed_by_id.find(id);
+    return found == this->listed_by_id.end() ? nullptr : found->second;
+}
+
 void routing_table::arrange_blocks()
 {
     std::vector<steering::valued_block> valued;
@@ -134,14 +204,8 @@
 
 region_id routing_table::region_of(zone_id const& zone) const
 {
-    for (config::place const& place : this->content->places)
-    {
-        if (place.zone == zone)
-        {
-            return place.region;
-        }
-    }
-    return {};
+    auto const found = this->regions.find(zone);
+    return found == this->regions.end() ? region_id() : found->second;
 }
 
 duration routing_table::latency_between(region_id const& one,
@@ -155,7 +219,7 @@
             return link.latency;
         }
     }
-    return duration::max();
+    return one == other ? duration::zero() : this->assumed_latency;
 }
 
 duration routing_table::distance(zone_id const& from, zone_id const& to) const
--- a/bilberrylead/entry/routing_table.hpp
+++ b/bilberrylead/entry/routing_table.hpp
@@ -3,10 +3,13 @@
 
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/discovery/listed_upstream.hpp"
+#include "bilberrylead/entry/entry_settings.hpp"
 #include "bilberrylead/steering/block_table.hpp"
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -27,9 +30,33 @@
 class routing_table
 {
 public:
-    /// Arranges a configuration; `content` is not null.
+    /// Arranges a configuration; `content` is not null. Of `settings` the
+    /// places are used, if the configuration has none. `listed` are
+    /// upstreams besides the configuration's; may be null.
     explicit routing_table(
-        std::shared_ptr<config::configuration const> content);
+        std::shared_ptr<config::configuration const> content,
+        entry_settings const& settings = {},
+        std::shared_ptr<std::vector<discovery::listed_upstream> const> listed =
+            nullptr);
+
+    /// True if requests go by routes; false if the first segment of a path
+    /// names the service.
+    bool has_routes() const
+    {
+        return !this->content->request_routes.empty();
+    }
+
+    /// The route of a request: of its host's routes the one with the longest
+    /// prefix that begins the path; null if there is none.
+    config::request_route const* find_route(std::string const& host,
+                                            std::string_view path) const;
+
+    /// What the list says of an upstream besides its configuration; null if
+    /// it does not come from the list.
+    discovery::listed_upstream const* find_listed(upstream_id const& id) const;
+
+    /// The region of a zone; empty if nobody names it.
+    region_id region_of(zone_id const& zone) const;
 
     /// The service of that name, or null.
     config::service const* find_service(service_id const& id) const;
@@ -67,12 +94,21 @@
     }
 
 private:
+    void arrange_routes();
+    void arrange_listed();
     void arrange_blocks();
-    region_id region_of(zone_id const& zone) const;
     duration latency_between(region_id const& one,
                              region_id const& other) const;
 
     std::shared_ptr<config::configuration const> content;
+    std::shared_ptr<std::vector<discovery::listed_upstream> const> listed;
+    std::unordered_map<zone_id, region_id> regions;
+    duration assumed_latency = duration::max();
+    // Each host's routes with the longest prefix first.
+    std::unordered_map<std::string, std::vector<config::request_route const*>>
+        routes;
+    std::unordered_map<upstream_id, discovery::listed_upstream const*>
+        listed_by_id;
     std::unordered_map<service_id, config::service const*> services;
     std::unordered_map<service_id, std::vector<config::upstream const*>>
         upstreams;
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -14,6 +14,8 @@
 
 constexpr duration brief_guess = std::chrono::milliseconds(20);
 constexpr duration extended_guess = std::chrono::seconds(2);
+/// Runs before the first one was seen.
+constexpr duration run_guess = std::chrono::milliseconds(100);
 /// Share of requests whose answer begins within the reserve. With the mean
 /// every second request that is let in at the limit would be late.
 constexpr double reserve_share = 0.99;
@@ -35,8 +37,9 @@
 
 } // namespace
 
-service_state::service_state(config::work_length usual, std::uint64_t seed)
-    : random(seed), length(usual),
+service_state::service_state(config::work_length usual, std::uint64_t seed,
+                             policy::placement_settings const& placing)
+    : random(seed), length(usual), placement(placing), run_time(run_guess),
       held(usual == config::work_length::brief ? brief_guess : extended_guess),
       answered(brief_guess)
 {
@@ -61,7 +64,10 @@
                   });
     for (configured_upstream const& each : this->configured)
     {
-        this->records.try_emplace(each.upstream->id, each.upstream->slots);
+        upstream_record& known =
+            this->records.try_emplace(each.upstream->id, each.upstream->slots)
+                .first->second;
+        known.cold_until = std::max(known.cold_until, each.cold_until);
     }
 }
 
@@ -97,8 +103,8 @@
 {
     config::upstream const& upstream = *this->configured[place].upstream;
     upstream_record const& known = this->records.at(upstream.id);
-    return !upstream.leaving && known.leaving_until <= now &&
-           known.health.usable_slots() > 0;
+    return !upstream.leaving && !this->configured[place].closed &&
+           known.leaving_until <= now && known.health.usable_slots() > 0;
 }
 
 bool service_state::takes_work(reach const& reached, instant now) const
@@ -251,9 +257,14 @@
     return found.has_value() ? this->configured[*found].upstream : nullptr;
 }
 
-void service_state::take_slot(upstream_id const& id)
+void service_state::take_slot(upstream_id const& id, instant now)
 {
-    ++this->record(id).in_flight;
+    upstream_record& known = this->record(id);
+    if (now < known.cold_until)
+    {
+        known.cold_share.take(this->cold_requests_per_second, now);
+    }
+    ++known.in_flight;
     ++this->taken;
 }
 
@@ -302,6 +313,7 @@
     known.in_use_by_others = slots - std::min(slots, known.in_flight);
     known.reported_at = now;
     known.is_reported = true;
+    known.estimate.turned_away(slots, known.in_flight, now);
 }
 
 void service_state::note_report(upstream_id const& id,
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -5,13 +5,18 @@
 #include "bilberrylead/config/upstream.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/entry/upstream_record.hpp"
 #include "bilberrylead/policy/admission_queue.hpp"
 #include "bilberrylead/policy/completion_choice.hpp"
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/placement_candidate.hpp"
+#include "bilberrylead/policy/placement_question.hpp"
+#include "bilberrylead/policy/placement_verdict.hpp"
 #include "bilberrylead/policy/retry_budget.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
 #include "bilberrylead/policy/slot_pool.hpp"
+#include "bilberrylead/policy/upstream_placement.hpp"
 #include "bilberrylead/policy/upstream_set.hpp"
 
 #include <cstddef>
@@ -36,6 +41,12 @@
     config::upstream const* upstream = nullptr;
     /// One-way latency to it.
     duration distance{};
+    /// Number of its region, for placements.
+    std::uint32_t region = 0;
+    /// True if its zone is closed: no new work.
+    bool closed = false;
+    /// It is cold until then, by the list of upstreams.
+    instant cold_until{};
 };
 
 /// The decisions under load of one service at this entry host: who waits,
@@ -45,7 +56,8 @@
 {
 public:
     /// Makes the state of a service without upstreams.
-    service_state(config::work_length length, std::uint64_t seed);
+    service_state(config::work_length length, std::uint64_t seed,
+                  policy::placement_settings const& placing = {});
 
     /// Takes over the upstreams of a new configuration. What is known of
     /// them by name stays; every queue must be empty (see take_waiting).
@@ -87,8 +99,46 @@
         return this->records.contains(id);
     }
 
+    /// Decides where a request goes that waits at an upstream if it has to.
+    policy::placement_verdict place(policy::placement_question const& question,
+                                    reach const& reached,
+                                    std::vector<upstream_id> const& tried,
+                                    instant now);
+
+    /// The upstream at an index that `place` gave.
+    config::upstream const& upstream_at(std::size_t index) const
+    {
+        return *this->configured[index].upstream;
+    }
+
+    /// Requests a second that this host may send to a cold upstream, and
+    /// further tries it may save up: its share of what all hosts may.
+    void set_shares(double cold_requests, double saved_retries);
+
+    /// The upstream's load, as it told beside an answer.
+    void note_load(upstream_id const& id, upstream_load const& load,
+                   instant now);
+
+    /// The upstream worked so long on a request of this host's.
+    void note_run(upstream_id const& id, duration time, instant now);
+
+    /// The upstreams of the zone are cold until then.
+    void note_cold(zone_id const& zone, instant until);
+
+    /// The upstreams, in the order of every reach.
+    std::vector<configured_upstream> const& upstreams() const
+    {
+        return this->configured;
+    }
+
+    /// Time that requests usually run, for callers that come back.
+    duration usual_run() const
+    {
+        return this->run_time;
+    }
+
     /// Work was started there.
-    void take_slot(upstream_id const& id);
+    void take_slot(upstream_id const& id, instant now);
 
     /// Work has ended there, in whatever way.
     void free_slot(upstream_id const& id);
@@ -145,7 +195,17 @@
                     std::vector<upstream_id> const& left_out, instant now);
 
     config::work_length length;
+    void fill_candidates(reach const& reached,
+                         std::vector<upstream_id> const& tried, instant now);
+
     std::vector<configured_upstream> configured;
+    std::vector<policy::placement_candidate> candidates;
+    policy::upstream_placement placement;
+    // Mean run on an upstream of usual speed, and what others usually hold
+    // of one.
+    duration run_time;
+    double others_held = 0;
+    double cold_requests_per_second = 0;
     std::unordered_map<upstream_id, upstream_record> records;
     std::map<reach, policy::admission_queue> queues;
     policy::completion_choice choice;
--- /dev/null
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -0,0 +1,114 @@
+#include "bilberrylead/entry/service_state.hpp"
+
+#include <algorithm>
+#include <functional>
+
+/// Placing requests that wait at upstreams.
+namespace bilberrylead::entry
+{
+
+namespace
+{
+
+/// Weights of the newest run in the mean run, and of the newest report in
+/// what others usually hold: about the last twenty.
+constexpr double mean_weight = 0.05;
+/// Handicap of an upstream that failed a moment ago, in runs: after every
+/// sound one, before a refusal.
+constexpr double suspicion_runs = 3;
+/// A cold upstream is that much slower, and every request it gets makes its
+/// callers wait; sound ones go first.
+constexpr double cold_runs = 1;
+
+duration scaled(duration time, double factor)
+{
+    return duration(
+        static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+} // namespace
+
+void service_state::set_shares(double cold_requests, double saved_retries)
+{
+    this->cold_requests_per_second = cold_requests;
+    this->budget.set_most_saved(saved_retries);
+}
+
+void service_state::note_cold(zone_id const& zone, instant until)
+{
+    for (configured_upstream const& each : this->configured)
+    {
+        if (each.upstream->zone == zone)
+        {
+            upstream_record& known = this->records.at(each.upstream->id);
+            known.cold_until = std::max(known.cold_until, until);
+        }
+    }
+}
+
+void service_state::note_load(upstream_id const& id, upstream_load const& load,
+                              instant now)
+{
+    upstream_record& known = this->record(id);
+    std::uint32_t const held = load.running + load.waiting;
+    known.estimate.reported(held, known.in_flight, now);
+    double const others = held > known.in_flight ? held - known.in_flight : 0;
+    this->others_held += mean_weight * (others - this->others_held);
+}
+
+void service_state::note_run(upstream_id const& id, duration time, instant now)
+{
+    // The mean follows what upstreams of usual speed do; one that is slow
+    // must not make its slowness the usual.
+    upstream_record& known = this->record(id);
+    known.estimate.ran(time, this->run_time, now);
+    duration const normal =
+        scaled(time, 1.0 / std::max(1.0, known.estimate.slowness(now)));
+    this->run_time += scaled(normal - this->run_time, mean_weight);
+    this->run_time =
+        std::max<duration>(this->run_time, std::chrono::milliseconds(1));
+}
+
+void service_state::fill_candidates(reach const& reached,
+                                    std::vector<upstream_id> const& tried,
+                                    instant now)
+{
+    this->candidates.resize(this->configured.size());
+    for (std::size_t place = 0; place < this->configured.size(); ++place)
+    {
+        config::upstream const& upstream = *this->configured[place].upstream;
+        upstream_record const& known = this->records.at(upstream.id);
+        policy::placement_candidate& candidate = this->candidates[place];
+        candidate.hash = std::hash<upstream_id>{}(upstream.id);
+        candidate.slots = std::max(1U, known.health.usable_slots());
+        candidate.in_flight = known.in_flight;
+        candidate.others = known.estimate.others(this->others_held, now);
+        candidate.service_time =
+            scaled(this->run_time, known.estimate.slowness(now));
+        candidate.distance = this->configured[place].distance;
+        candidate.region = this->configured[place].region;
+        bool const is_cold = now < known.cold_until;
+        bool const suspected =
+            known.health.condition() != policy::upstream_condition::healthy;
+        candidate.penalty =
+            scaled(this->run_time, (suspected ? suspicion_runs : 0) +
+                                       (is_cold ? cold_runs : 0));
+        candidate.tried =
+            std::find(tried.begin(), tried.end(), upstream.id) != tried.end();
+        candidate.allowed =
+            this->reaches(reached, place) && this->open(place, now) &&
+            (!is_cold ||
+             known.cold_share.has_token(this->cold_requests_per_second, now));
+    }
+}
+
+policy::placement_verdict
+service_state::place(policy::placement_question const& question,
+                     reach const& reached,
+                     std::vector<upstream_id> const& tried, instant now)
+{
+    this->fill_candidates(reached, tried, now);
+    return this->placement.place(this->candidates, question, this->random);
+}
+
+} // namespace bilberrylead::entry
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -2,7 +2,9 @@
 #define BILBERRYLEAD_ENTRY_UPSTREAM_RECORD_HPP
 
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/rate_limit.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
+#include "bilberrylead/policy/upstream_estimate.hpp"
 #include "bilberrylead/policy/upstream_health.hpp"
 
 #include <cstdint>
@@ -33,6 +35,13 @@
     policy::upstream_health health;
     /// How long requests held its slots of late.
     policy::service_time_estimate held;
+    /// What others hold of it and how slow it is, where requests wait at
+    /// upstreams.
+    policy::upstream_estimate estimate;
+    /// What this host may send it while it is cold.
+    policy::rate_limit cold_share;
+    /// It is cold until then, by what it or its zone's return showed.
+    instant cold_until{};
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/caller_connection.hpp"
 
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
 #include "bilberrylead/http/server_core.hpp"
@@ -121,7 +122,10 @@
         co_return false;
     }
     std::string const target(this->parser->get().target());
-    if (target == "/ready" || target.starts_with("/steering?"))
+    bool const is_page =
+        this->core->settings().own_pages &&
+        (target == "/ready" || target.starts_with("/steering?"));
+    if (is_page)
     {
         co_return co_await this->serve_page(target);
     }
@@ -137,7 +141,7 @@
 
 task<bool> caller_connection::wait_for_byte()
 {
-    this->set_limit(this->core->settings().idle_timeout);
+    this->set_limit(this->core->caller_limits().idle_timeout);
     while (this->buffer.size() == 0 && !this->gone && !this->timed_out)
     {
         this->start_watch();
@@ -166,12 +170,12 @@
 {
     this->parser.emplace();
     this->parser->header_limit(
-        static_cast<std::uint32_t>(this->core->settings().largest_head));
+        static_cast<std::uint32_t>(this->core->caller_limits().header_bytes));
     this->parser->body_limit(boost::none);
     this->version = 11;
     this->head_only = false;
     this->caller_keeps_alive = false;
-    this->set_limit(this->core->settings().head_timeout);
+    this->set_limit(this->core->caller_limits().header_timeout);
     error_code error;
     co_await beast::http::async_read_header(this->socket, this->buffer,
                                             *this->parser, to_task(error));
@@ -243,7 +247,8 @@
     }
     std::string_view const query = target.substr(target.find('?') + 1);
     whole_answer page =
-        make_steering_page(this->core->decisions(), query, this->address);
+        make_steering_page(this->core->decisions(), query, this->address,
+                           this->core->settings().names);
     co_return co_await this->write_whole(std::move(page), no_id);
 }
 
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -1,7 +1,7 @@
 #ifndef BILBERRYLEAD_HTTP_CALLER_CONNECTION_HPP
 #define BILBERRYLEAD_HTTP_CALLER_CONNECTION_HPP
 
-#include "bilberrylead/config/service.hpp"
+#include "bilberrylead/entry/body_rules.hpp"
 #include "bilberrylead/entry/event.hpp"
 #include "bilberrylead/http/carried_request.hpp"
 #include "bilberrylead/http/net.hpp"
@@ -57,9 +57,9 @@
     task<bool> serve_page(std::string_view target);
     task<bool> carry();
     bool fill_request(carried_request& carried, entry::request_arrived& arrival,
-                      config::service const* service);
+                      entry::body_rules const& rules);
     task<bool> read_body(carried_request& carried,
-                         config::service const* service);
+                         entry::body_rules const& rules);
     task<bool> read_piece(std::span<char> piece, std::size_t& count);
     task<std::size_t> read_rest(std::span<char> piece, error_code& error);
     void frame_request(carried_request& carried);
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/caller_connection.hpp"
 
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
 #include "bilberrylead/http/server_core.hpp"
@@ -65,7 +66,7 @@
     }
     whole_answer answer;
     std::visit(
-        [&answer](auto const& each)
+        [this, &answer](auto const& each)
         {
             using kind = std::decay_t<decltype(each)>;
             if constexpr (std::is_same_v<kind, recorded_reply>)
@@ -75,7 +76,7 @@
             else if constexpr (!std::is_same_v<kind, stream_reply> &&
                                !std::is_same_v<kind, std::monostate>)
             {
-                answer = make_answer(each);
+                answer = make_answer(each, this->core->settings().names);
             }
         },
         decided);
@@ -89,9 +90,13 @@
     answer_message answer;
     answer.base() = std::move(exchange->answer().get().base());
     strip_connection_headers(answer);
-    strip_upstream_headers(answer);
+    header_names const& names = this->core->settings().names;
+    strip_upstream_headers(answer, names);
     answer.set(outcome_header, "done");
-    answer.set(request_id_header, carried.id);
+    if (!carried.id.empty())
+    {
+        answer.set(names.request_id, carried.id);
+    }
     bool const bodyless = has_no_body(this->head_only, answer.result());
     bool const measured = exchange->answer().content_length().has_value();
     // An HTTP/1.0 caller knows no chunks: the end of the connection is the
@@ -155,7 +160,7 @@
     bool const keep = this->keeps_alive();
     if (!id.empty())
     {
-        answer.set(request_id_header, id);
+        answer.set(this->core->settings().names.request_id, id);
     }
     answer.version(this->version);
     answer.keep_alive(keep);
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/caller_connection.hpp"
 
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
 #include "bilberrylead/http/server_core.hpp"
@@ -30,6 +31,26 @@
 /// No caller waits longer; a larger number would overflow the clock.
 constexpr std::int64_t longest_deadline_ms = 24LL * 3600 * 1000;
 
+std::string path_of(std::string_view target)
+{
+    return std::string(target.substr(0, target.find('?')));
+}
+
+std::string host_without_port(std::string_view host)
+{
+    // An IPv6 address has colons of its own, within brackets.
+    std::size_t const port = host.rfind(':');
+    bool const has_port = port != std::string_view::npos &&
+                          host.find(']', port) == std::string_view::npos;
+    return std::string(has_port ? host.substr(0, port) : host);
+}
+
+beast::string_view header_of(request_message const& head,
+                             std::string const& name)
+{
+    return name.empty() ? beast::string_view() : head[name];
+}
+
 service_id first_segment(std::string_view target)
 {
     std::string_view const path = target.substr(1, target.find('?') - 1);
@@ -68,25 +89,26 @@
     entry::request_arrived arrival;
     arrival.request = carried->number;
     arrival.service = first_segment(this->parser->get().target());
-    config::service const* service =
-        this->core->decisions().find_service(arrival.service);
-    if (!this->fill_request(*carried, arrival, service))
+    arrival.host = host_without_port(this->parser->get()[field::host]);
+    arrival.path = path_of(this->parser->get().target());
+    entry::body_rules const rules = this->core->decisions().rules_for_body(
+        arrival.service, arrival.host, arrival.path);
+    if (!this->fill_request(*carried, arrival, rules))
     {
         co_return co_await this->refuse(status::bad_request,
-                                        "Bilberry-Deadline-Ms is no number.",
+                                        "The deadline is no number.",
                                         "Send whole milliseconds, 0 or more.");
     }
-    bool const guarded = service != nullptr && service->guarded;
     std::size_t const needed =
         this->core->settings().piece +
-        (guarded ? this->core->settings().largest_collected : 0);
+        (rules.keep_whole ? this->core->settings().largest_collected : 0);
     if (!this->take_memory(needed))
     {
         co_return co_await this->refuse_for_memory(*carried);
     }
-    if (service != nullptr && !this->parser->is_done())
+    if (rules.known && !this->parser->is_done())
     {
-        bool const whole = co_await this->read_body(*carried, service);
+        bool const whole = co_await this->read_body(*carried, rules);
         if (!whole)
         {
             co_return false;
@@ -94,7 +116,7 @@
     }
     this->frame_request(*carried);
     arrival.body_kept = carried->complete;
-    arrival.body_digest = guarded ? digest_of(*carried) : 0;
+    arrival.body_digest = rules.keep_whole ? digest_of(*carried) : 0;
     carried->replied = [self = std::weak_ptr(this->shared_from_this())]
     {
         if (std::shared_ptr<caller_connection> const connection = self.lock())
@@ -115,22 +137,27 @@
 {
     whole_answer answer = make_answer(
         entry::answer_not_run{carried.number, entry::refusal_reason::no_memory,
-                              this->core->settings().entry.retry_after});
+                              this->core->settings().entry.retry_after},
+        this->core->settings().names);
     co_return co_await this->write_whole(std::move(answer), carried.id);
 }
 
 bool caller_connection::fill_request(carried_request& carried,
                                      entry::request_arrived& arrival,
-                                     config::service const* service)
+                                     entry::body_rules const& rules)
 {
     request_message& head = this->parser->get();
+    header_names const& names = this->core->settings().names;
     arrival.caller_address = this->address;
-    beast::string_view const caller = head[caller_header];
+    beast::string_view const caller = header_of(head, names.caller);
     arrival.caller =
         caller_id(caller.empty() ? this->address : std::string(caller));
-    arrival.idempotency_key = std::string(head[key_header]);
-    arrival.repeated = head[repeat_header] == "1";
-    beast::string_view const deadline = head[deadline_header];
+    arrival.idempotency_key = std::string(header_of(head, names.key));
+    arrival.repeated = header_of(head, names.repeat) == "1";
+    beast::string_view const object = header_of(head, names.object);
+    arrival.object =
+        object.empty() ? 0 : XXH3_64bits(object.data(), object.size()) | 1U;
+    beast::string_view const deadline = header_of(head, names.deadline);
     if (!deadline.empty())
     {
         arrival.time_left = parse_deadline({deadline.data(), deadline.size()});
@@ -139,16 +166,20 @@
             return false;
         }
     }
-    if (service != nullptr)
-    {
-        this->parser->body_limit(service->largest_request);
-    }
+    this->parser->body_limit(rules.largest);
     carried.message.base() = head.base();
     strip_connection_headers(carried.message);
-    strip_upstream_headers(carried.message);
+    strip_upstream_headers(carried.message, names);
     carried.message.erase(field::expect);
     carried.message.version(11);
-    carried.message.set(request_id_header, carried.id);
+    if (names.caller_names_request)
+    {
+        carried.id = std::string(header_of(head, names.request_id));
+    }
+    else
+    {
+        carried.message.set(names.request_id, carried.id);
+    }
     return true;
 }
 
@@ -171,12 +202,11 @@
 }
 
 task<bool> caller_connection::read_body(carried_request& carried,
-                                        config::service const* service)
+                                        entry::body_rules const& rules)
 {
-    // The service may change with the configuration while the body comes.
-    std::size_t const largest = service->largest_request;
+    std::size_t const largest = rules.largest;
     std::size_t const keep =
-        service->guarded ? largest
+        rules.keep_whole ? largest
                          : std::min(largest, this->core->settings().kept_body);
     if (this->parser->content_length().value_or(0) > largest)
     {
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -94,6 +94,15 @@
     {
         return opened;
     }
+    this->inner->core->set_stop_accepting(
+        [inner = std::weak_ptr(this->inner)]
+        {
+            if (std::shared_ptr<implementation> const self = inner.lock())
+            {
+                error_code ignored;
+                self->acceptor.close(ignored);
+            }
+        });
     this->inner->core->begin();
     this->inner->accept_next();
     return absl::OkStatus();
--- /dev/null
+++ b/bilberrylead/http/header_names.hpp
@@ -0,0 +1,49 @@
+#ifndef BILBERRYLEAD_HTTP_HEADER_NAMES_HPP
+#define BILBERRYLEAD_HTTP_HEADER_NAMES_HPP
+
+#include <string>
+
+namespace bilberrylead::http
+{
+
+/// How callers and upstreams name what this system reads and writes in
+/// headers. The defaults are the product's own; an adapter has others. An
+/// empty name stands for what the other side does not know.
+struct header_names
+{
+    /// Milliseconds the sender still waits.
+    std::string deadline = "Bilberry-Deadline-Ms";
+    /// The caller's account.
+    std::string caller = "Bilberry-Caller";
+    /// The request's id, to the upstream and back.
+    std::string request_id = "Bilberry-Request-Id";
+    /// In an upstream's answer: nothing was run.
+    std::string not_run = "Bilberry-Not-Run";
+    /// Set to 1 by an upstream that is leaving.
+    std::string leaving = "Bilberry-Leaving";
+    /// Names a piece of work that may run at most once.
+    std::string key = "Idempotency-Key";
+    /// "1": the caller sent this before and had no answer.
+    std::string repeat = "Bilberry-Repeat";
+    /// Names the object that a request is about.
+    std::string object;
+    /// Names the upstream that a request is for: any other one at its
+    /// address turns it away with 421 and does not run it.
+    std::string expected_upstream;
+    /// An upstream's load: running, waiting, slots.
+    std::string load;
+    /// Stands in every successful answer of an upstream that is its own.
+    std::string answer_mark;
+    /// True if callers give each request its id; false if this system does.
+    bool caller_names_request = false;
+    /// True if "not run" needs status 503 and the value 1; false if the
+    /// header says so by itself.
+    bool not_run_needs_503 = true;
+    /// True if Retry-After may have a fraction; false if it counts whole
+    /// seconds.
+    bool fractional_retry_after = false;
+};
+
+} // namespace bilberrylead::http
+
+#endif
--- a/bilberrylead/http/header_rules.cpp
+++ b/bilberrylead/http/header_rules.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/http/header_rules.hpp"
 
+#include "bilberrylead/http/header_names.hpp"
+
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -48,12 +50,19 @@
     }
 }
 
-void strip_upstream_headers(beast::http::fields& fields)
+void strip_upstream_headers(beast::http::fields& fields,
+                            header_names const& names)
 {
-    fields.erase(not_run_header);
-    fields.erase(leaving_header);
+    for (std::string const* const name :
+         {&names.not_run, &names.leaving, &names.deadline,
+          &names.expected_upstream, &names.load})
+    {
+        if (!name->empty())
+        {
+            fields.erase(*name);
+        }
+    }
     fields.erase(outcome_header);
-    fields.erase(deadline_header);
 }
 
 } // namespace bilberrylead::http
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/http/local_answer.hpp"
 
 #include "bilberrylead/entry/refusal_reason.hpp"
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 
 #include <fmt/format.h>
@@ -89,9 +90,17 @@
     return answer;
 }
 
-void set_retry_after(whole_answer& answer, duration retry_after)
+void set_retry_after(whole_answer& answer, duration retry_after,
+                     header_names const& names)
 {
-    if (retry_after > duration::zero())
+    if (retry_after > duration::zero() && names.fractional_retry_after)
+    {
+        answer.set(
+            field::retry_after,
+            fmt::format("{:.3f}",
+                        std::chrono::duration<double>(retry_after).count()));
+    }
+    else if (retry_after > duration::zero())
     {
         // The header counts whole seconds; too early would be a lie.
         std::int64_t const seconds =
@@ -102,17 +111,19 @@
 
 } // namespace
 
-whole_answer make_answer(entry::answer_not_run const& decision)
+whole_answer make_answer(entry::answer_not_run const& decision,
+                         header_names const& names)
 {
     whole_answer answer = make_problem(
         status::service_unavailable, to_string(decision.reason),
         title_of(decision.reason),
         "It was not run. Send it again after Retry-After.", "not-run");
-    set_retry_after(answer, decision.retry_after);
+    set_retry_after(answer, decision.retry_after, names);
     return answer;
 }
 
-whole_answer make_answer(entry::answer_unknown const& decision)
+whole_answer make_answer(entry::answer_unknown const& decision,
+                         header_names const& names)
 {
     bool const late = decision.reason == refusal_reason::deadline ||
                       decision.reason == refusal_reason::upstream_silent;
@@ -124,18 +135,19 @@
         "unknown");
     if (decision.retry_after > duration::zero())
     {
-        set_retry_after(answer, decision.retry_after);
+        set_retry_after(answer, decision.retry_after, names);
     }
     return answer;
 }
 
-whole_answer make_answer(entry::answer_problem const& decision)
+whole_answer make_answer(entry::answer_problem const& decision,
+                         header_names const& names)
 {
     whole_answer answer = make_problem(
         static_cast<status>(decision.status), to_string(decision.reason),
         title_of(decision.reason), remedy_of(decision.reason),
         decision.reason == refusal_reason::in_progress ? "unknown" : "not-run");
-    set_retry_after(answer, decision.retry_after);
+    set_retry_after(answer, decision.retry_after, names);
     return answer;
 }
 
--- a/bilberrylead/http/local_answer.hpp
+++ b/bilberrylead/http/local_answer.hpp
@@ -11,14 +11,19 @@
 namespace bilberrylead::http
 {
 
+struct header_names;
+
 /// A final answer that says the request was not run, with when to return.
-whole_answer make_answer(entry::answer_not_run const& decision);
+whole_answer make_answer(entry::answer_not_run const& decision,
+                         header_names const& names);
 
 /// A final answer that says nobody can tell whether it ran.
-whole_answer make_answer(entry::answer_unknown const& decision);
+whole_answer make_answer(entry::answer_unknown const& decision,
+                         header_names const& names);
 
 /// A final answer that refuses the request for what it is.
-whole_answer make_answer(entry::answer_problem const& decision);
+whole_answer make_answer(entry::answer_problem const& decision,
+                         header_names const& names);
 
 /// A final answer from a record, or from a collected answer.
 whole_answer make_answer(once::recorded_answer const& record);
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -83,9 +83,24 @@
         connection->expire(now);
     }
     this->pool.sweep(now);
+    if (!this->taking_callers)
+    {
+        this->close_idle_callers();
+    }
     this->end_drain();
 }
 
+void server_core::close_idle_callers()
+{
+    for (caller_connection* connection : this->connections)
+    {
+        if (!connection->busy())
+        {
+            connection->cut();
+        }
+    }
+}
+
 void server_core::stop()
 {
     this->stopped = true;
@@ -204,6 +219,15 @@
         logger.info("The drain has begun; answers end their connections.");
         this->close_after_answer = true;
     }
+    else if (std::holds_alternative<entry::stop_taking_callers>(decided))
+    {
+        logger.info("No new connections are taken from now on.");
+        this->taking_callers = false;
+        if (this->stop_accepting)
+        {
+            this->stop_accepting();
+        }
+    }
     else if (std::holds_alternative<entry::drained>(decided))
     {
         this->drain_ended = true;
@@ -223,7 +247,8 @@
         return;
     }
     found->second->exchange = std::make_shared<upstream_exchange>(
-        this->where, this->pool, this->report, found->second, order);
+        this->where, this->pool, this->report, this->chosen.names,
+        found->second, order);
     found->second->exchange->begin();
 }
 
@@ -302,6 +327,20 @@
     }
 }
 
+config::caller_limits server_core::caller_limits() const
+{
+    config::caller_limits const* const configured = this->reducer.limits();
+    if (configured != nullptr)
+    {
+        return *configured;
+    }
+    config::caller_limits limits;
+    limits.header_bytes = this->chosen.largest_head;
+    limits.header_timeout = this->chosen.head_timeout;
+    limits.idle_timeout = this->chosen.idle_timeout;
+    return limits;
+}
+
 bool server_core::reserve(std::size_t count)
 {
     if (this->counted.memory_in_use + count > this->chosen.memory)
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -35,6 +35,12 @@
     server_core(executor const& place, server_settings chosen,
                 outside_sink sink);
 
+    /// What ends the taking of new connections, for a planned stop.
+    void set_stop_accepting(std::function<void()> stop)
+    {
+        this->stop_accepting = std::move(stop);
+    }
+
     /// Starts the clock. Call once.
     void begin();
 
@@ -75,6 +81,10 @@
         return this->reducer;
     }
 
+    /// What callers may send: by the configuration in force, if that says
+    /// so, else by the settings.
+    config::caller_limits caller_limits() const;
+
     /// What it was made with.
     server_settings const& settings() const
     {
@@ -101,11 +111,14 @@
     void start(entry::start_upstream const& order);
     void release_if_over(entry::request_number number);
     void end_drain();
+    void close_idle_callers();
     carried_request* find(entry::request_number number);
 
     executor where;
     server_settings chosen;
     outside_sink outside;
+    std::function<void()> stop_accepting;
+    bool taking_callers = true;
     http_counters counted;
     entry::entry_reducer reducer;
     upstream_pool pool;
--- a/bilberrylead/http/server_settings.hpp
+++ b/bilberrylead/http/server_settings.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/entry/entry_settings.hpp"
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/pool_settings.hpp"
 
 #include <chrono>
@@ -26,6 +27,11 @@
     entry::entry_settings entry;
     /// How connections to upstreams are kept.
     pool_settings pool;
+    /// How callers and upstreams name headers.
+    header_names names;
+    /// True if this port also serves readiness and steering pages, in the
+    /// product's own form; false if all paths belong to callers' requests.
+    bool own_pages = true;
     /// A caller's connection without a request is closed after this. Longer
     /// than the idle limits of usual clients, so that they close first.
     duration idle_timeout = std::chrono::seconds(75);
--- a/bilberrylead/http/steering_page.cpp
+++ b/bilberrylead/http/steering_page.cpp
@@ -36,7 +36,8 @@
 
 whole_answer make_steering_page(entry::entry_reducer const& decisions,
                                 std::string_view query,
-                                std::string const& caller_address)
+                                std::string const& caller_address,
+                                header_names const& names)
 {
     entry::routing_table const* routes = decisions.routes();
     if (routes == nullptr)
@@ -44,7 +45,8 @@
         return make_answer(
             entry::answer_not_run{{},
                                   entry::refusal_reason::not_ready,
-                                  decisions.settings().retry_after});
+                                  decisions.settings().retry_after},
+            names);
     }
     service_id const service(service_named(query));
     if (routes->find_service(service) == nullptr)
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/upstream_exchange.hpp"
 
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
@@ -27,15 +28,20 @@
 
 constexpr std::uint32_t largest_answer_head = std::uint32_t{64} << 10U;
 constexpr std::size_t piece_size = std::size_t{16} << 10U;
+/// Answers to earlier requests that are skipped in front of the own one.
+constexpr unsigned most_skipped_answers = 2;
+/// Bytes of such an answer; a longer one costs more than a new connection.
+constexpr std::size_t largest_skipped_answer = std::size_t{256} << 10U;
 
 } // namespace
 
 upstream_exchange::upstream_exchange(executor const& place, upstream_pool& kept,
                                      event_sink const& sink,
+                                     header_names const& known_names,
                                      std::shared_ptr<carried_request> carried,
                                      entry::start_upstream started)
-    : where(place), pool(kept), report(sink), request(std::move(carried)),
-      order(std::move(started))
+    : where(place), pool(kept), report(sink), names(known_names),
+      request(std::move(carried)), order(std::move(started))
 {
 }
 
@@ -118,8 +124,12 @@
     std::chrono::milliseconds const left =
         std::chrono::duration_cast<std::chrono::milliseconds>(
             this->order.deadline - clock_now());
-    message.set(deadline_header,
+    message.set(this->names.deadline,
                 std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    if (!this->names.expected_upstream.empty())
+    {
+        message.set(this->names.expected_upstream, this->order.upstream.text());
+    }
     message.body().data = this->request->kept.data();
     message.body().size = this->request->kept.size();
     message.body().more = !this->request->complete;
@@ -184,6 +194,39 @@
         this->give_up_at = std::min(this->give_up_at,
                                     clock_now() + this->order.progress_timeout);
     }
+    for (unsigned skipped = 0; skipped <= most_skipped_answers; ++skipped)
+    {
+        bool const read = co_await this->read_one_head();
+        if (!read)
+        {
+            co_return false;
+        }
+        if (!this->answers_another())
+        {
+            if (!this->is_genuine())
+            {
+                this->fail(entry::exchange_fault::bad_answer);
+                co_return false;
+            }
+            co_return true;
+        }
+
+        // An answer that names another request is not this one's, whatever
+        // the order of bytes says: a late second answer to an earlier one.
+        // The own answer comes behind it.
+        ++this->pool.counters().answers_of_others;
+        bool const whole = co_await this->skip_answer();
+        if (!whole)
+        {
+            co_return false;
+        }
+    }
+    this->fail(entry::exchange_fault::bad_answer);
+    co_return false;
+}
+
+task<bool> upstream_exchange::read_one_head()
+{
     error_code error;
     do
     {
@@ -209,16 +252,57 @@
         this->connection->last_heard = clock_now();
     } while (beast::http::to_status_class(this->parser->get().result()) ==
              beast::http::status_class::informational);
-    // An answer that names another request is not this one's, whatever the
-    // order of bytes says.
-    beast::string_view const named = this->parser->get()[request_id_header];
-    if (!named.empty() && named != this->request->id)
+    co_return true;
+}
+
+task<bool> upstream_exchange::skip_answer()
+{
+    std::vector<char> waste(piece_size);
+    error_code error;
+    std::size_t total = 0;
+    while (!this->over && !this->parser->is_done())
     {
-        ++this->pool.counters().answers_of_others;
-        this->fail(entry::exchange_fault::bad_answer);
-        co_return false;
+        this->parser->get().body().data = waste.data();
+        this->parser->get().body().size = waste.size();
+        co_await beast::http::async_read_some(this->connection->socket,
+                                              this->connection->buffer,
+                                              *this->parser, to_task(error));
+        if (error == beast::http::error::need_buffer)
+        {
+            error = {};
+        }
+        total += waste.size() - this->parser->get().body().size;
+        bool const endless =
+            this->parser->need_eof() || total > largest_skipped_answer;
+        if (!this->over && (error || endless))
+        {
+            this->fail(this->timed_out ? entry::exchange_fault::silent
+                                       : entry::exchange_fault::bad_answer);
+        }
     }
-    co_return true;
+    co_return !this->over;
+}
+
+bool upstream_exchange::answers_another() const
+{
+    beast::string_view const named =
+        this->parser->get()[this->names.request_id];
+    return !named.empty() && named != this->request->id;
+}
+
+/// Where upstreams mark their answers, a success without the mark, or in a
+/// coding that nobody asked for, is not what the upstream meant to say.
+bool upstream_exchange::is_genuine() const
+{
+    bool const success =
+        beast::http::to_status_class(this->parser->get().result()) ==
+        beast::http::status_class::successful;
+    if (this->names.answer_mark.empty() || !success)
+    {
+        return true;
+    }
+    return !this->parser->get()[this->names.answer_mark].empty() &&
+           this->parser->get()[beast::http::field::content_encoding].empty();
 }
 
 void upstream_exchange::cancel()
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -16,6 +16,7 @@
 {
 
 class upstream_pool;
+struct header_names;
 struct upstream_connection;
 
 /// Takes the events that an exchange reports.
@@ -28,9 +29,9 @@
 class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
 {
 public:
-    /// Prepares an exchange; `pool` and `report` must outlive it.
+    /// Prepares an exchange; `pool`, `report` and `names` must outlive it.
     upstream_exchange(executor const& place, upstream_pool& pool,
-                      event_sink const& report,
+                      event_sink const& report, header_names const& names,
                       std::shared_ptr<carried_request> request,
                       entry::start_upstream order);
     ~upstream_exchange();
@@ -73,6 +74,11 @@
     task<bool> send();
     task<void> send_message(error_code& error);
     task<bool> read_head();
+    task<bool> read_one_head();
+    task<bool> skip_answer();
+    bool answers_another() const;
+    bool is_genuine() const;
+    bool says_not_run() const;
     task<void> report_head();
     task<void> collect_body(std::size_t largest_answer,
                             std::size_t largest_record);
@@ -85,6 +91,7 @@
     executor where;
     upstream_pool& pool;
     event_sink const& report;
+    header_names const& names;
     std::shared_ptr<carried_request> request;
     entry::start_upstream order;
     std::unique_ptr<upstream_connection> connection;
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/upstream_exchange.hpp"
 
+#include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
@@ -12,8 +13,12 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cassert>
+#include <charconv>
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -29,9 +34,32 @@
 constexpr std::uint64_t largest_refusal = 4096;
 constexpr std::size_t piece_size = std::size_t{16} << 10U;
 
-bool carries_word(answer_parser const& parser, std::string_view name)
+bool carries_word(answer_parser const& parser, std::string const& name)
 {
-    return parser.get()[name] == "1";
+    return !name.empty() && parser.get()[name] == "1";
+}
+
+/// Running, waiting and slots, with commas between; nothing if it is not
+/// that.
+std::optional<entry::upstream_load> read_load(std::string_view text)
+{
+    std::array<std::uint32_t, 3> numbers{};
+    char const* place = text.data();
+    char const* const end = text.data() + text.size();
+    for (std::size_t index = 0; index < numbers.size(); ++index)
+    {
+        std::from_chars_result const read =
+            std::from_chars(place, end, numbers.at(index));
+        bool const last = index + 1 == numbers.size();
+        bool const separated =
+            last ? read.ptr == end : read.ptr != end && *read.ptr == ',';
+        if (read.ec != std::errc{} || !separated)
+        {
+            return std::nullopt;
+        }
+        place = read.ptr + 1;
+    }
+    return entry::upstream_load{numbers[0], numbers[1]};
 }
 
 } // namespace
@@ -41,10 +69,16 @@
     entry::upstream_head_received head;
     head.request = this->request->number;
     head.status = this->parser->get().result_int();
-    head.not_run = this->parser->get().result() ==
-                       beast::http::status::service_unavailable &&
-                   carries_word(*this->parser, not_run_header);
-    head.leaving = carries_word(*this->parser, leaving_header);
+    bool const turned_away = this->parser->get().result() ==
+                             beast::http::status::misdirected_request;
+    head.misdirected = turned_away && !this->names.expected_upstream.empty();
+    head.not_run = head.misdirected || this->says_not_run();
+    head.leaving = carries_word(*this->parser, this->names.leaving);
+    if (!this->names.load.empty())
+    {
+        beast::string_view const load = this->parser->get()[this->names.load];
+        head.load = read_load({load.data(), load.size()});
+    }
     if (head.not_run && this->parser->content_length().value_or(
                             largest_refusal + 1) <= largest_refusal)
     {
@@ -72,6 +106,17 @@
     this->report(head);
 }
 
+bool upstream_exchange::says_not_run() const
+{
+    if (this->names.not_run_needs_503)
+    {
+        return this->parser->get().result() ==
+                   beast::http::status::service_unavailable &&
+               carries_word(*this->parser, this->names.not_run);
+    }
+    return !this->parser->get()[this->names.not_run].empty();
+}
+
 task<std::size_t> upstream_exchange::read_some(std::span<char> piece,
                                                error_code& error)
 {
--- a/bilberrylead/link/http_endpoint.cpp
+++ b/bilberrylead/link/http_endpoint.cpp
@@ -85,6 +85,10 @@
         this->answer.version(11);
         this->answer.result(content.status);
         this->answer.set(http::field::content_type, content.content_type);
+        if (!content.location.empty())
+        {
+            this->answer.set(http::field::location, content.location);
+        }
         this->answer.keep_alive(this->keep_alive);
         this->answer.body() = std::move(content.body);
         this->answer.prepare_payload();
--- a/bilberrylead/link/http_endpoint.hpp
+++ b/bilberrylead/link/http_endpoint.hpp
@@ -43,6 +43,8 @@
     std::string content_type = "application/json";
     /// The body.
     std::string body;
+    /// Location header; empty if there is none.
+    std::string location = {};
 };
 
 /// Bounds of an http_endpoint. Its users are few and known; the bounds keep
--- a/bilberrylead/link/message.cpp
+++ b/bilberrylead/link/message.cpp
@@ -34,6 +34,11 @@
     claim_reply = 8,
     settle_reply = 9,
     leader_notice = 10,
+    entry_presence = 11,
+    host_place = 12,
+    group_news = 13,
+    upstream_update = 14,
+    upstream_request = 15,
 };
 
 /// First field of a claim_reply's verdict.
@@ -186,8 +191,176 @@
         record.push_back(content.refused_number);
         return record;
     }
+
+    json operator()(entry_presence const& content) const
+    {
+        json record = with_tag(tag::entry_presence);
+        record.push_back(content.address.address);
+        record.push_back(content.address.port);
+        record.push_back(content.zone.text());
+        record.push_back(content.region.text());
+        record.push_back(content.ready);
+        record.push_back(content.stopping);
+        record.push_back(content.in_force);
+        put_position(content.listing, record);
+        record.push_back(content.demands.size());
+        for (service_demand const& each : content.demands)
+        {
+            record.push_back(each.service.text());
+            record.push_back(each.slots);
+        }
+        return record;
+    }
+
+    json operator()(host_place const& content) const
+    {
+        json record = with_tag(tag::host_place);
+        record.push_back(content.zone.text());
+        record.push_back(content.region.text());
+        return record;
+    }
+
+    json operator()(group_news const& content) const
+    {
+        json record = with_tag(tag::group_news);
+        record.push_back(content.entry_hosts);
+        record.push_back(content.control_hosts.size());
+        for (host_id const& host : content.control_hosts)
+        {
+            record.push_back(host.text());
+        }
+        return record;
+    }
+
+    json operator()(upstream_update const& content) const
+    {
+        json record = with_tag(tag::upstream_update);
+        put_position(content.changes.base, record);
+        put_position(content.changes.target, record);
+        record.push_back(content.changes.whole);
+        record.push_back(content.changes.put.size());
+        for (discovery::told_upstream const& each : content.changes.put)
+        {
+            put_upstream(each, record);
+        }
+        record.push_back(content.changes.removed.size());
+        for (upstream_id const& id : content.changes.removed)
+        {
+            record.push_back(id.text());
+        }
+        return record;
+    }
+
+    json operator()(upstream_request const& content) const
+    {
+        json record = with_tag(tag::upstream_request);
+        put_position(content.held, record);
+        return record;
+    }
+
+    static void put_position(discovery::list_position const& position,
+                             json& record)
+    {
+        record.push_back(position.term);
+        record.push_back(position.number);
+    }
+
+    /// Labels and connections stay out: the list knows neither.
+    static void put_upstream(discovery::told_upstream const& told, json& record)
+    {
+        record.push_back(told.upstream.id.text());
+        record.push_back(told.upstream.service.text());
+        record.push_back(told.upstream.zone.text());
+        record.push_back(told.upstream.address.address);
+        record.push_back(told.upstream.address.port);
+        record.push_back(told.upstream.slots);
+        record.push_back(told.upstream.leaving);
+        record.push_back(told.cold_left.count());
+    }
 };
 
+discovery::list_position take_position(cbor_fields& fields)
+{
+    discovery::list_position position;
+    position.term = fields.take_unsigned();
+    position.number = fields.take_unsigned();
+    return position;
+}
+
+config::endpoint take_endpoint(cbor_fields& fields)
+{
+    config::endpoint address;
+    address.address = fields.take_text(longest_text);
+    address.port = fields.take_unsigned_16();
+    return address;
+}
+
+entry_presence take_presence(cbor_fields& fields)
+{
+    entry_presence content;
+    content.address = take_endpoint(fields);
+    content.zone = zone_id(fields.take_text(longest_text));
+    content.region = region_id(fields.take_text(longest_text));
+    content.ready = fields.take_bool();
+    content.stopping = fields.take_bool();
+    content.in_force = fields.take_unsigned();
+    content.listing = take_position(fields);
+    std::uint64_t const count = fields.take_unsigned();
+    // A count beyond the record spoils it with the first missing field.
+    for (std::uint64_t each = 0; each < count && fields.intact(); ++each)
+    {
+        service_demand demand;
+        demand.service = service_id(fields.take_text(longest_text));
+        demand.slots = fields.take_unsigned_32();
+        content.demands.push_back(std::move(demand));
+    }
+    return content;
+}
+
+group_news take_group_news(cbor_fields& fields)
+{
+    group_news content;
+    content.entry_hosts = fields.take_unsigned();
+    std::uint64_t const count = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < count && fields.intact(); ++each)
+    {
+        content.control_hosts.emplace_back(fields.take_text(longest_text));
+    }
+    return content;
+}
+
+discovery::told_upstream take_upstream(cbor_fields& fields)
+{
+    discovery::told_upstream told;
+    told.upstream.id = upstream_id(fields.take_text(longest_text));
+    told.upstream.service = service_id(fields.take_text(longest_text));
+    told.upstream.zone = zone_id(fields.take_text(longest_text));
+    told.upstream.address = take_endpoint(fields);
+    told.upstream.slots = fields.take_unsigned_32();
+    told.upstream.leaving = fields.take_bool();
+    told.cold_left = duration(fields.take_signed());
+    return told;
+}
+
+upstream_update take_upstream_update(cbor_fields& fields)
+{
+    upstream_update content;
+    content.changes.base = take_position(fields);
+    content.changes.target = take_position(fields);
+    content.changes.whole = fields.take_bool();
+    std::uint64_t const put = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < put && fields.intact(); ++each)
+    {
+        content.changes.put.push_back(take_upstream(fields));
+    }
+    std::uint64_t const removed = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < removed && fields.intact(); ++each)
+    {
+        content.changes.removed.emplace_back(fields.take_text(longest_text));
+    }
+    return content;
+}
+
 configuration_update take_update(cbor_fields& fields)
 {
     configuration_update content;
@@ -359,6 +532,21 @@
         content.refused_number = fields.take_unsigned();
         return content;
     }
+    case tag::entry_presence:
+        return take_presence(fields);
+    case tag::host_place:
+    {
+        host_place content;
+        content.zone = zone_id(fields.take_text(longest_text));
+        content.region = region_id(fields.take_text(longest_text));
+        return content;
+    }
+    case tag::group_news:
+        return take_group_news(fields);
+    case tag::upstream_update:
+        return take_upstream_update(fields);
+    case tag::upstream_request:
+        return upstream_request{take_position(fields)};
     }
     return unknown_value("kind");
 }
--- a/bilberrylead/link/message.hpp
+++ b/bilberrylead/link/message.hpp
@@ -4,6 +4,9 @@
 #include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/link/messages/claim_reply.hpp"
 #include "bilberrylead/link/messages/configuration_update.hpp"
+#include "bilberrylead/link/messages/entry_presence.hpp"
+#include "bilberrylead/link/messages/group_news.hpp"
+#include "bilberrylead/link/messages/host_place.hpp"
 #include "bilberrylead/link/messages/leader_notice.hpp"
 #include "bilberrylead/link/messages/once_request.hpp"
 #include "bilberrylead/link/messages/registration_reply.hpp"
@@ -12,6 +15,8 @@
 #include "bilberrylead/link/messages/revision_announcement.hpp"
 #include "bilberrylead/link/messages/settle_reply.hpp"
 #include "bilberrylead/link/messages/subscription.hpp"
+#include "bilberrylead/link/messages/upstream_request.hpp"
+#include "bilberrylead/link/messages/upstream_update.hpp"
 
 #include <absl/status/statusor.h>
 
@@ -24,7 +29,9 @@
 using message =
     std::variant<replica_message, subscription, revision_announcement,
                  configuration_update, registration_request, registration_reply,
-                 once_request, claim_reply, settle_reply, leader_notice>;
+                 once_request, claim_reply, settle_reply, leader_notice,
+                 entry_presence, host_place, group_news, upstream_update,
+                 upstream_request>;
 
 /// The message as CBOR.
 bytes encode(message const& content);
--- /dev/null
+++ b/bilberrylead/link/messages/group_news.hpp
@@ -0,0 +1,26 @@
+#ifndef BILBERRYLEAD_LINK_MESSAGES_GROUP_NEWS_HPP
+#define BILBERRYLEAD_LINK_MESSAGES_GROUP_NEWS_HPP
+
+#include "bilberrylead/core/ids.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace bilberrylead::link
+{
+
+/// A control host tells who belongs to the system, so that a process that
+/// knew only some seeds finds all the others. Sent when a link opens and
+/// when it changes.
+struct group_news
+{
+    /// The control hosts that take part in the group, learners too.
+    std::vector<host_id> control_hosts;
+    /// Entry hosts that are ready, as the sender hears them: what is counted
+    /// over all hosts is shared among so many.
+    std::uint64_t entry_hosts = 0;
+};
+
+} // namespace bilberrylead::link
+
+#endif
--- a/bilberrylead/link/peer_node_settings.hpp
+++ b/bilberrylead/link/peer_node_settings.hpp
@@ -37,6 +37,16 @@
     /// Longest pause; it doubles up to here, so that 5,500 hosts do not
     /// storm a peer that stays away.
     duration longest_redial_pause = std::chrono::seconds(2);
+
+    /// Finds lost and returned peers within a second or so, where hosts are
+    /// few enough to be called often: in a group that forms itself a peer
+    /// that nobody calls again is one that is missing.
+    void pace_for_small_group()
+    {
+        this->idle_timeout = std::chrono::milliseconds(1500);
+        this->handshake_timeout = std::chrono::seconds(1);
+        this->longest_redial_pause = std::chrono::milliseconds(400);
+    }
 };
 
 } // namespace bilberrylead::link
--- /dev/null
+++ b/bilberrylead/policy/placement_verdict.hpp
@@ -0,0 +1,44 @@
+#ifndef BILBERRYLEAD_POLICY_PLACEMENT_VERDICT_HPP
+#define BILBERRYLEAD_POLICY_PLACEMENT_VERDICT_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <cstddef>
+#include <variant>
+
+namespace bilberrylead::policy
+{
+
+/// Send the request there.
+struct placed
+{
+    /// Index of the candidate.
+    std::size_t index = 0;
+    /// Expected time until the answer is back.
+    duration completion{};
+    /// What of that is waiting for a slot.
+    duration wait{};
+};
+
+/// No upstream may get it.
+struct nowhere_to_place
+{
+};
+
+/// Every upstream is too busy: it would come too late.
+struct no_room_to_place
+{
+    /// Expected wait at the best upstream.
+    duration wait{};
+    /// After what time room is expected; the caller's return is spread
+    /// around it.
+    duration retry_after{};
+};
+
+/// Where a request goes.
+using placement_verdict =
+    std::variant<placed, nowhere_to_place, no_room_to_place>;
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/bilberrylead/policy/retry_budget.hpp
+++ b/bilberrylead/policy/retry_budget.hpp
@@ -5,6 +5,8 @@
 #include "bilberrylead/policy/generator.hpp"
 #include "bilberrylead/policy/retry_budget_settings.hpp"
 
+#include <algorithm>
+
 #include <optional>
 
 namespace bilberrylead::policy
@@ -49,6 +51,14 @@
     std::optional<duration> ask(retry_question const& question, instant now,
                                 generator& random);
 
+    /// From now on at most so many retries are saved up, at least 0: this
+    /// host's share of what all entry hosts may send besides.
+    void set_most_saved(double most)
+    {
+        this->settings.most_saved = most;
+        this->saved = std::min(this->saved, most);
+    }
+
     /// Retries saved up now.
     double available() const
     {
--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -8,7 +8,6 @@
 find_package(OpenSSL REQUIRED)
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
-pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 add_library(bilberrylead_dependencies INTERFACE)
@@ -24,6 +23,9 @@
     OpenSSL::SSL
     Threads::Threads)
 
-add_library(bilberrylead_test_dependencies INTERFACE)
-target_link_libraries(bilberrylead_test_dependencies INTERFACE
-    PkgConfig::CRITERION)
+if(NOT BILBERRYLEAD_PLATFORM_ONLY)
+    pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
+    add_library(bilberrylead_test_dependencies INTERFACE)
+    target_link_libraries(bilberrylead_test_dependencies INTERFACE
+        PkgConfig::CRITERION)
+endif()
