Plan over regions where requests run; links of entry hosts are no control hosts

Ruled out: the list, the disk. Cause of the refusals: room and callers lie in different regions (sao has 6 of 48 slots of its service and a third of the callers). The leader now plans shares from the demands in heartbeats and the listed slots; entry hosts follow by at most 0.045 of the requests a second.

--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -96,12 +96,13 @@
         return;
     }
     host_id const peer = found->second.id;
+    bool const was_control = found->second.role == link::peer_role::control;
     this->links.erase(found);
     this->exchange_event(distribution::link_closed{what.link});
     this->entry_hosts.lost(what.link);
 
     // Another link to the same control host may still be open.
-    if (this->control_links[peer] == what.link)
+    if (was_control && this->control_links[peer] == what.link)
     {
         this->control_links.erase(peer);
         for (std::pair<link::link_number const, link::peer_identity> const&
@@ -154,6 +155,7 @@
     this->plan_membership();
     this->read_list();
     this->ask_for_listing();
+    this->plan_regions();
 
     // The log's time is measured by whoever leads; time without a leader
     // does not count, so that records live longer, never shorter.
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -117,6 +117,7 @@
     void read_list();
     void ask_for_listing();
     void note_listing(discovery::list_changes const& changes);
+    void plan_regions();
 
     void propose(waiter who, catalog::replicated_command const& command);
     void publish();
@@ -155,6 +156,7 @@
     discovery::upstream_listing listing;
     std::optional<discovery::list_reader> reader;
     instant listing_asked_at;
+    instant regions_planned_at;
 };
 
 } // namespace bilberrylead::control
--- /dev/null
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -0,0 +1,185 @@
+#include "bilberrylead/control/control_reducer.hpp"
+
+#include "bilberrylead/policy/region_plan.hpp"
+
+#include <cmath>
+#include <map>
+#include <string>
+
+/// Which requests run in which region.
+namespace bilberrylead::control
+{
+
+namespace
+{
+
+constexpr double thousand = 1000;
+
+/// Demand and room of every service, by region.
+class region_picture
+{
+public:
+    explicit region_picture(std::vector<config::place> const& places)
+    {
+        for (config::place const& place : places)
+        {
+            this->region_of[place.zone] = place.region;
+            this->numbers.try_emplace(place.region, this->numbers.size());
+        }
+        this->hosts.assign(this->numbers.size(), 0.0);
+    }
+
+    void add_upstream(config::upstream const& upstream)
+    {
+        policy::region_room* const room =
+            this->room(upstream.service, this->region_of[upstream.zone]);
+        if (room != nullptr)
+        {
+            room->slots += upstream.slots;
+        }
+    }
+
+    void add_entry_host(link::entry_presence const& said)
+    {
+        auto const number = this->numbers.find(said.region);
+        if (number == this->numbers.end())
+        {
+            return;
+        }
+        this->hosts[number->second] += 1;
+        for (link::service_demand const& demand : said.demands)
+        {
+            policy::region_room* const room =
+                this->room(demand.service, said.region);
+            if (room != nullptr)
+            {
+                room->demand += demand.slots / thousand;
+            }
+        }
+    }
+
+    /// Before anything is asked for, callers are taken to be where entry
+    /// hosts were put for them: a first guess, replaced by the first
+    /// demands.
+    void assume_demand()
+    {
+        double all_hosts = 0;
+        for (double const count : this->hosts)
+        {
+            all_hosts += count;
+        }
+        for (auto& [service, rooms] : this->services)
+        {
+            double demand = 0;
+            double slots = 0;
+            for (policy::region_room const& room : rooms)
+            {
+                demand += room.demand;
+                slots += room.slots;
+            }
+            for (std::size_t region = 0;
+                 demand <= 0 && all_hosts > 0 && region < rooms.size();
+                 ++region)
+            {
+                rooms[region].demand =
+                    assumed_use * slots * this->hosts[region] / all_hosts;
+            }
+        }
+    }
+
+    link::region_plan plan_for(region_id const& home,
+                               policy::region_plan_settings const& settings,
+                               std::uint64_t term) const
+    {
+        link::region_plan plan;
+        plan.term = term;
+        auto const number = this->numbers.find(home);
+        if (number == this->numbers.end())
+        {
+            return plan;
+        }
+        for (auto const& [service, rooms] : this->services)
+        {
+            std::vector<std::vector<double>> const shares =
+                policy::plan_regions(rooms, settings);
+            for (auto const& [region, place] : this->numbers)
+            {
+                double const share = shares[number->second][place];
+                std::uint32_t const rounded =
+                    static_cast<std::uint32_t>(std::lround(share * thousand));
+                if (rounded > 0)
+                {
+                    plan.shares.push_back({service, region, rounded});
+                }
+            }
+        }
+        return plan;
+    }
+
+private:
+    static constexpr double assumed_use = 0.8;
+
+    policy::region_room* room(service_id const& service,
+                              region_id const& region)
+    {
+        auto const number = this->numbers.find(region);
+        if (number == this->numbers.end())
+        {
+            return nullptr;
+        }
+        std::vector<policy::region_room>& rooms = this->services[service];
+        rooms.resize(this->numbers.size());
+        return &rooms[number->second];
+    }
+
+    std::map<zone_id, region_id> region_of;
+    std::map<region_id, std::size_t> numbers;
+    std::vector<double> hosts;
+    std::map<service_id, std::vector<policy::region_room>> services;
+};
+
+} // namespace
+
+void control_reducer::plan_regions()
+{
+    bool const is_due =
+        !this->settings.places.empty() &&
+        this->replica.role() == agreement::role::leader &&
+        this->time - this->regions_planned_at >= this->settings.region_interval;
+    if (!is_due)
+    {
+        return;
+    }
+    this->regions_planned_at = this->time;
+    region_picture picture(this->settings.places);
+    std::set<zone_id> const& closed = this->replicated.orders().closed_zones();
+    for (auto const& [id, entry] : this->listing.upstreams())
+    {
+        if (!entry.upstream.leaving && !closed.contains(entry.upstream.zone))
+        {
+            picture.add_upstream(entry.upstream);
+        }
+    }
+    for (auto const& [host, row] : this->entry_hosts.hosts())
+    {
+        picture.add_entry_host(row.said);
+    }
+    picture.assume_demand();
+    std::map<region_id, link::region_plan> plans;
+    for (auto const& [host, row] : this->entry_hosts.hosts())
+    {
+        region_id const& home = row.said.region;
+        auto const known = plans.find(home);
+        link::region_plan const& plan =
+            known != plans.end()
+                ? known->second
+                : plans
+                      .emplace(home,
+                               picture.plan_for(home, this->settings.regions,
+                                                this->replica.term()))
+                      .first->second;
+        this->send(row.link, plan);
+    }
+}
+
+} // namespace bilberrylead::control
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -3,16 +3,19 @@
 
 #include "bilberrylead/agreement/replica_settings.hpp"
 #include "bilberrylead/catalog/catalog_settings.hpp"
+#include "bilberrylead/config/place.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_reader_settings.hpp"
 #include "bilberrylead/membership/member_planner_settings.hpp"
 #include "bilberrylead/once/once_settings.hpp"
+#include "bilberrylead/policy/region_plan_settings.hpp"
 #include "bilberrylead/presence/entry_table_settings.hpp"
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace bilberrylead::control
 {
@@ -51,6 +54,13 @@
     /// How often a follower asks the leader for a newer listing, in case
     /// that it missed one.
     duration listing_refresh = std::chrono::seconds(1);
+    /// How requests are planned over regions.
+    policy::region_plan_settings regions;
+    /// How often the leader plans regions. Demands come with heartbeats, two
+    /// a second.
+    duration region_interval = std::chrono::seconds(1);
+    /// The zones and their regions; empty: nothing is planned.
+    std::vector<config::place> places;
     /// How entry hosts are heard and named.
     presence::entry_table_settings entries;
 };
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -225,6 +225,7 @@
     wanted.zone = this->settings.zone;
     wanted.region = this->settings.region;
     wanted.entries.longest_ttl = this->settings.steering_ttl;
+    wanted.places = this->settings.places;
     if (this->forms_itself())
     {
         wanted.planner.emplace();
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -19,6 +19,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -63,6 +64,9 @@
 /// seconds; a request must not cross that.
 constexpr std::chrono::seconds listed_idle_limit{8};
 
+/// Slots and shares go over links as whole thousandths.
+constexpr double slots_in_thousandths = 1000;
+
 constexpr unsigned http_ok = 200;
 constexpr unsigned http_not_found = 404;
 constexpr unsigned http_unavailable = 503;
@@ -107,6 +111,7 @@
     void on_group(link::link_number number, link::group_news const& said);
     void on_listing(link::link_number number,
                     link::upstream_update const& said);
+    void on_plan(link::region_plan const& said);
     void send_heartbeats();
     void tell_presence(link::link_number to);
     void ask_for_listing();
@@ -147,6 +152,7 @@
     std::map<link::link_number, std::uint64_t> heard_entry_hosts;
     instant listing_asked_at{};
     link::link_number last_asked = 0;
+    std::uint64_t plan_term = 0;
     bool told_ready = false;
     bool stopping = false;
     entry_metrics metrics;
@@ -389,6 +395,11 @@
             this->owner.on_listing(this->number, held);
         }
 
+        void operator()(link::region_plan const& held) const
+        {
+            this->owner.on_plan(held);
+        }
+
         void operator()(link::entry_presence const&) const
         {
         }
@@ -557,6 +568,24 @@
     this->server->dispatch(entry::entry_hosts_counted{most});
 }
 
+void entry_program::implementation::on_plan(link::region_plan const& said)
+{
+    // A leader that was replaced while it was cut off plans by an old
+    // picture.
+    if (said.term < this->plan_term)
+    {
+        return;
+    }
+    this->plan_term = said.term;
+    entry::regions_planned plan;
+    for (link::region_share const& each : said.shares)
+    {
+        plan.shares.push_back(
+            {each.service, each.region, each.share / slots_in_thousandths});
+    }
+    this->server->dispatch(std::move(plan));
+}
+
 void entry_program::implementation::on_listing(
     link::link_number number, link::upstream_update const& said)
 {
@@ -594,6 +623,12 @@
     presence.stopping = this->stopping;
     presence.in_force = this->server->revision_in_force();
     presence.listing = this->listing.position();
+    for (auto const& [service, slots] : this->server->demands())
+    {
+        presence.demands.push_back(
+            {service, static_cast<std::uint32_t>(
+                          std::lround(slots * slots_in_thousandths))});
+    }
     this->send(to, presence);
 }
 
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -161,6 +161,45 @@
     this->set_shares();
 }
 
+void entry_reducer::on(regions_planned const& happened)
+{
+    std::map<service_id, std::vector<double>> targets;
+    for (planned_share const& each : happened.shares)
+    {
+        std::uint32_t const number = this->number_of(each.region);
+        std::vector<double>& target = targets[each.service];
+        target.resize(std::max<std::size_t>(target.size(), number + 1));
+        target[number] = each.share;
+    }
+    std::size_t const regions = this->region_numbers.size();
+    for (auto& [service, target] : targets)
+    {
+        // Shares are rounded on their way.
+        double sum = 0;
+        for (double const share : target)
+        {
+            sum += share;
+        }
+        target.resize(regions);
+        target[this->number_of(this->own_region())] += 1 - sum;
+        auto const state = this->states.find(service);
+        if (state != this->states.end())
+        {
+            state->second.regions().aim(target, this->now);
+        }
+    }
+}
+
+std::map<service_id, double> entry_reducer::demands() const
+{
+    std::map<service_id, double> slots;
+    for (auto const& [service, state] : this->states)
+    {
+        slots[service] = state.demand(this->now);
+    }
+    return slots;
+}
+
 void entry_reducer::rebuild()
 {
     if (this->content == nullptr)
@@ -382,6 +421,7 @@
         return false;
     }
     request.service = service->id;
+    this->state_of(service->id).note_arrival(this->now);
     request.repeatable = route.idempotent;
     request.most_attempts = route.most_attempts;
     request.regions = route.regions;
@@ -532,13 +572,24 @@
 void entry_reducer::place_at_upstream(live_request& request)
 {
     service_state& state = this->state_of(request.service);
-    policy::placement_question question;
-    question.object = request.object;
-    question.to_aim = request.aim - this->now;
-    question.to_deadline = request.deadline - this->now;
-    question.region = this->number_of(this->own_region());
-    policy::placement_verdict const verdict =
-        state.place(question, request.reached, request.tried, this->now);
+    std::uint32_t const home = this->number_of(this->own_region());
+    if (!request.region.has_value())
+    {
+        bool const planned = !state.regions().current().empty();
+        request.region =
+            planned
+                ? static_cast<std::uint32_t>(state.regions().next(this->now))
+                : home;
+    }
+    policy::placement_verdict verdict =
+        this->find_place(request, *request.region);
+    if (!std::holds_alternative<policy::placed>(verdict) &&
+        request.region != home)
+    {
+        // The plan is some seconds old. Home may have room by now; going
+        // the other way is for the plan alone, at its bounded pace.
+        verdict = this->find_place(request, home);
+    }
     if (policy::placed const* const found =
             std::get_if<policy::placed>(&verdict))
     {
@@ -556,11 +607,25 @@
     this->refuse(request, refusal_reason::no_upstream);
 }
 
+policy::placement_verdict entry_reducer::find_place(live_request& request,
+                                                    std::uint32_t region)
+{
+    policy::placement_question question;
+    question.object = request.object;
+    question.to_aim = request.aim - this->now;
+    question.to_deadline = request.deadline - this->now;
+    question.region = region;
+    return this->state_of(request.service)
+        .place(question, request.reached, request.tried, this->now);
+}
+
 region_id entry_reducer::own_region() const
 {
-    return this->chosen.region.empty()
-               ? this->routing->region_of(this->chosen.zone)
-               : this->chosen.region;
+    if (!this->chosen.region.empty() || this->routing == nullptr)
+    {
+        return this->chosen.region;
+    }
+    return this->routing->region_of(this->chosen.zone);
 }
 
 bool entry_reducer::is_last_try(live_request const& request) const
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -63,6 +63,9 @@
     /// it leaves that to the settings.
     config::caller_limits const* limits() const;
 
+    /// What callers ask of each service now, in slots.
+    std::map<service_id, double> demands() const;
+
     /// The zones that are closed now.
     std::set<zone_id> const& closed_zones() const
     {
@@ -115,6 +118,7 @@
     void on(control_unreachable const& happened);
     void on(upstreams_listed const& happened);
     void on(entry_hosts_counted const& happened);
+    void on(regions_planned const& happened);
 
     live_request* find(request_number number);
     void admit(live_request request);
@@ -129,6 +133,8 @@
                            request_arrived const& happened);
     void place(live_request& request);
     void place_at_upstream(live_request& request);
+    policy::placement_verdict find_place(live_request& request,
+                                         std::uint32_t region);
     void start(live_request& request);
     void start_at(live_request& request, config::upstream const& upstream);
     bool is_last_try(live_request const& request) const;
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -41,6 +41,24 @@
     std::shared_ptr<std::vector<discovery::listed_upstream> const> upstreams;
 };
 
+/// Share of one service's requests that is to run in one region.
+struct planned_share
+{
+    /// The service.
+    service_id service;
+    /// Where requests run.
+    region_id region;
+    /// Share, 0 to 1.
+    double share = 0;
+};
+
+/// Where requests of this host's callers are to run.
+struct regions_planned
+{
+    /// All shares over 0; a service without any runs at home.
+    std::vector<planned_share> shares;
+};
+
 /// How many entry hosts are ready, this one among them: what is counted
 /// over all of them is shared among so many.
 struct entry_hosts_counted
@@ -201,7 +219,8 @@
                  completion_stored, upstream_head_received,
                  upstream_answer_finished, upstream_failed, caller_gone,
                  load_reported, tick, drain_requested, control_reachable,
-                 control_unreachable, upstreams_listed, entry_hosts_counted>;
+                 control_unreachable, upstreams_listed, entry_hosts_counted,
+                 regions_planned>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/once/claim_key.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,9 @@
     std::uint64_t object = 0;
     /// When its answer is worth less to its caller.
     instant aim = instant::max();
+    /// Number of the region it is to run in; chosen once, so that another
+    /// try does not count as another request there.
+    std::optional<std::uint32_t> region;
     /// Wait for a slot that was expected when it was sent.
     duration expected_wait{};
     /// May be sent again.
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -8,17 +8,20 @@
 #include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/entry/upstream_record.hpp"
 #include "bilberrylead/policy/admission_queue.hpp"
+#include "bilberrylead/policy/arrival_rate.hpp"
 #include "bilberrylead/policy/completion_choice.hpp"
 #include "bilberrylead/policy/generator.hpp"
 #include "bilberrylead/policy/placement_candidate.hpp"
 #include "bilberrylead/policy/placement_question.hpp"
 #include "bilberrylead/policy/placement_verdict.hpp"
+#include "bilberrylead/policy/region_shares.hpp"
 #include "bilberrylead/policy/retry_budget.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
 #include "bilberrylead/policy/slot_pool.hpp"
 #include "bilberrylead/policy/upstream_placement.hpp"
 #include "bilberrylead/policy/upstream_set.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -131,6 +134,21 @@
         return this->configured;
     }
 
+    /// A request for the service arrived.
+    void note_arrival(instant now)
+    {
+        this->arrivals.add(now);
+    }
+
+    /// Slots that its requests would hold if all of them were served.
+    double demand(instant now) const;
+
+    /// Where requests run, by number of region.
+    policy::region_shares& regions()
+    {
+        return this->shares;
+    }
+
     /// Time that requests usually run, for callers that come back.
     duration usual_run() const
     {
@@ -183,6 +201,14 @@
     policy::generator random;
 
 private:
+    /// Demands follow what callers do within a second or two; single gaps
+    /// between requests do not show.
+    static constexpr std::chrono::duration<double> demand_memory{1.5};
+    /// Share of the requests that may move to other regions in a second. Two
+    /// seconds of it, and what chance adds, stay below the usual bound of 15
+    /// in 100.
+    static constexpr double region_pace = 0.045;
+
     upstream_record& record(upstream_id const& id);
     bool open(std::size_t place, instant now) const;
     bool reaches(reach const& reached, std::size_t place) const;
@@ -206,6 +232,8 @@
     duration run_time;
     double others_held = 0;
     double cold_requests_per_second = 0;
+    policy::arrival_rate arrivals{demand_memory};
+    policy::region_shares shares{region_pace};
     std::unordered_map<upstream_id, upstream_record> records;
     std::map<reach, policy::admission_queue> queues;
     policy::completion_choice choice;
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/entry/service_state.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 
 /// Placing requests that wait at upstreams.
@@ -34,6 +35,12 @@
     this->budget.set_most_saved(saved_retries);
 }
 
+double service_state::demand(instant now) const
+{
+    return this->arrivals.per_second(now) *
+           std::chrono::duration<double>(this->run_time).count();
+}
+
 void service_state::note_cold(zone_id const& zone, instant until)
 {
     for (configured_upstream const& each : this->configured)
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -126,6 +126,11 @@
     return this->inner->core->decisions().revision_in_force();
 }
 
+std::map<service_id, double> caller_server::demands() const
+{
+    return this->inner->core->decisions().demands();
+}
+
 bool caller_server::ready() const
 {
     return this->inner->core->decisions().ready();
--- a/bilberrylead/http/caller_server.hpp
+++ b/bilberrylead/http/caller_server.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace boost::asio
@@ -59,6 +60,9 @@
     /// True once a configuration is in force and until a drain begins.
     bool ready() const;
 
+    /// What callers ask of each service now, in slots.
+    std::map<service_id, double> demands() const;
+
     /// What the decisions counted.
     entry::entry_counters const& decision_counters() const;
 
--- a/bilberrylead/link/message.cpp
+++ b/bilberrylead/link/message.cpp
@@ -39,6 +39,7 @@
     group_news = 13,
     upstream_update = 14,
     upstream_request = 15,
+    region_plan = 16,
 };
 
 /// First field of a claim_reply's verdict.
@@ -258,6 +259,20 @@
         return record;
     }
 
+    json operator()(region_plan const& content) const
+    {
+        json record = with_tag(tag::region_plan);
+        record.push_back(content.term);
+        record.push_back(content.shares.size());
+        for (region_share const& each : content.shares)
+        {
+            record.push_back(each.service.text());
+            record.push_back(each.region.text());
+            record.push_back(each.share);
+        }
+        return record;
+    }
+
     static void put_position(discovery::list_position const& position,
                              json& record)
     {
@@ -329,6 +344,22 @@
     return content;
 }
 
+region_plan take_region_plan(cbor_fields& fields)
+{
+    region_plan content;
+    content.term = fields.take_unsigned();
+    std::uint64_t const count = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < count && fields.intact(); ++each)
+    {
+        region_share share;
+        share.service = service_id(fields.take_text(longest_text));
+        share.region = region_id(fields.take_text(longest_text));
+        share.share = fields.take_unsigned_32();
+        content.shares.push_back(std::move(share));
+    }
+    return content;
+}
+
 discovery::told_upstream take_upstream(cbor_fields& fields)
 {
     discovery::told_upstream told;
@@ -547,6 +578,8 @@
         return take_upstream_update(fields);
     case tag::upstream_request:
         return upstream_request{take_position(fields)};
+    case tag::region_plan:
+        return take_region_plan(fields);
     }
     return unknown_value("kind");
 }
--- a/bilberrylead/link/message.hpp
+++ b/bilberrylead/link/message.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/link/messages/host_place.hpp"
 #include "bilberrylead/link/messages/leader_notice.hpp"
 #include "bilberrylead/link/messages/once_request.hpp"
+#include "bilberrylead/link/messages/region_plan.hpp"
 #include "bilberrylead/link/messages/registration_reply.hpp"
 #include "bilberrylead/link/messages/registration_request.hpp"
 #include "bilberrylead/link/messages/replica_message.hpp"
@@ -31,7 +32,7 @@
                  configuration_update, registration_request, registration_reply,
                  once_request, claim_reply, settle_reply, leader_notice,
                  entry_presence, host_place, group_news, upstream_update,
-                 upstream_request>;
+                 upstream_request, region_plan>;
 
 /// The message as CBOR.
 bytes encode(message const& content);
--- /dev/null
+++ b/bilberrylead/link/messages/region_plan.hpp
@@ -0,0 +1,36 @@
+#ifndef BILBERRYLEAD_LINK_MESSAGES_REGION_PLAN_HPP
+#define BILBERRYLEAD_LINK_MESSAGES_REGION_PLAN_HPP
+
+#include "bilberrylead/core/ids.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace bilberrylead::link
+{
+
+/// Share of one service's requests that runs in one region.
+struct region_share
+{
+    /// The service.
+    service_id service;
+    /// Where requests run.
+    region_id region;
+    /// Share, in thousandths.
+    std::uint32_t share = 0;
+};
+
+/// The leader tells an entry host where the requests of its region are to
+/// run. Shares that are not named are 0; a service that is not named runs
+/// at home.
+struct region_plan
+{
+    /// Term of the leader that made it: an older one's plan counts no more.
+    std::uint64_t term = 0;
+    /// All shares that are over 0.
+    std::vector<region_share> shares;
+};
+
+} // namespace bilberrylead::link
+
+#endif
--- /dev/null
+++ b/bilberrylead/policy/arrival_rate.hpp
@@ -0,0 +1,45 @@
+#ifndef BILBERRYLEAD_POLICY_ARRIVAL_RATE_HPP
+#define BILBERRYLEAD_POLICY_ARRIVAL_RATE_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <chrono>
+#include <cmath>
+
+namespace bilberrylead::policy
+{
+
+/// Arrivals a second of late: each counts for less with age.
+class arrival_rate
+{
+public:
+    /// A rate over about the last `memory`, over 0.
+    explicit arrival_rate(std::chrono::duration<double> memory)
+        : time_constant(memory)
+    {
+    }
+
+    /// One arrived.
+    void add(instant now)
+    {
+        this->rate = this->per_second(now) + 1.0 / this->time_constant.count();
+        this->counted_at = now;
+    }
+
+    /// Arrivals a second.
+    double per_second(instant now) const
+    {
+        std::chrono::duration<double> const age = now - this->counted_at;
+        return this->rate *
+               std::exp(-age.count() / this->time_constant.count());
+    }
+
+private:
+    std::chrono::duration<double> time_constant;
+    double rate = 0;
+    instant counted_at{};
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- /dev/null
+++ b/bilberrylead/policy/region_room.hpp
@@ -0,0 +1,19 @@
+#ifndef BILBERRYLEAD_POLICY_REGION_ROOM_HPP
+#define BILBERRYLEAD_POLICY_REGION_ROOM_HPP
+
+namespace bilberrylead::policy
+{
+
+/// What one region's callers ask of a service, and what room the region has.
+struct region_room
+{
+    /// Slots that its callers' requests would hold if all were served; 0 or
+    /// more.
+    double demand = 0;
+    /// Slots of its upstreams that take work; 0 or more.
+    double slots = 0;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- /dev/null
+++ b/bilberrylead/policy/region_shares.hpp
@@ -0,0 +1,53 @@
+#ifndef BILBERRYLEAD_POLICY_REGION_SHARES_HPP
+#define BILBERRYLEAD_POLICY_REGION_SHARES_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace bilberrylead::policy
+{
+
+/// Where one entry host sends the requests of one service, by region, and
+/// how fast that changes.
+///
+/// Load it answers: a plan that changes at once moves the callers of a
+/// whole region onto upstreams that do not know their objects. The shares
+/// follow the plan at a bounded pace, whoever made it: a new leader, or one
+/// with an older picture, moves nothing faster.
+class region_shares
+{
+public:
+    /// Shares that move by at most `pace` a second, summed over the regions
+    /// that lose; 0 to 1.
+    explicit region_shares(double pace);
+
+    /// Sets what is to be reached: a share for each region, which add up to
+    /// 1. The first one is taken over at once: nothing was sent before.
+    void aim(std::vector<double> target, instant now);
+
+    /// The region of the next request. Not drawn by lot: over any few
+    /// requests each region gets its share, so that chance does not move
+    /// callers either.
+    std::size_t next(instant now);
+
+    /// The shares at work; empty before the first aim.
+    std::vector<double> const& current() const
+    {
+        return this->shares;
+    }
+
+private:
+    void follow(instant now);
+
+    double pace;
+    std::vector<double> shares;
+    std::vector<double> wanted;
+    std::vector<double> owed;
+    instant followed_at{};
+};
+
+} // namespace bilberrylead::policy
+
+#endif
