--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -42,6 +42,10 @@
 /// elections' time, after which the others elect one by themselves.
 constexpr std::chrono::milliseconds handover_patience{1500};
 
+/// How often a failed data folder is tried again: a disk that was full has
+/// room again without a word.
+constexpr std::chrono::milliseconds disk_pause{500};
+
 /// How often the settings file is looked at: it may change without a
 /// signal, and stale seeds do no harm for a few seconds.
 constexpr std::chrono::seconds settings_interval{2};
@@ -91,7 +95,7 @@
                    settings_source<config::control_settings> file,
                    control_bindings outside)
         : settings(std::move(given)), source(std::move(file)), adapter(outside),
-          signals(io), reloads(io), ticker(io), stopper(io), watcher(io)
+          signals(io), reloads(io), ticker(io), stopper(io), disk_timer(io), watcher(io)
     {
     }
 
@@ -103,6 +107,11 @@
     bool founds_group() const;
     void take(control::control_event event);
     void flush();
+    void wait_for_disk();
+    bool reopen();
+    void refuse_open_calls();
+    template <class Effect>
+    void write_effect(Effect const& wanted);
     void carry_out(control::control_effect const& effect);
     void write(absl::Status const& written);
     void answer(control::answer_operator const& effect);
@@ -133,6 +142,7 @@
     asio::signal_set reloads;
     asio::steady_timer ticker;
     asio::steady_timer stopper;
+    asio::steady_timer disk_timer;
     asio::steady_timer watcher;
     std::optional<control_store> store;
     std::optional<control::control_reducer> reducer;
@@ -384,9 +394,10 @@
         std::exchange(this->pending, {});
     std::vector<control::control_effect> const effects =
         this->reducer->reduce(events, now());
+    bool const failed_before = this->disk_failed;
     for (control::control_effect const& effect : effects)
     {
-        if (this->disk_failed)
+        if (this->disk_failed && !failed_before)
         {
             // What follows a failed write must not be said to anybody.
             break;
@@ -395,6 +406,67 @@
     }
 }
 
+/// The log may keep no promise until its disk takes writes again: the other
+/// control hosts elect a leader. Callers still get steering answers here,
+/// and a disk that was only full is used again without an operator.
+void control_program::implementation::wait_for_disk()
+{
+    this->disk_timer.expires_after(disk_pause);
+    this->disk_timer.async_wait(
+        [this](error_code const& error)
+        {
+            if (!error && !this->reopen())
+            {
+                this->wait_for_disk();
+            }
+        });
+}
+
+bool control_program::implementation::reopen()
+{
+    absl::StatusOr<control_store> opened =
+        control_store::open(this->settings.data_folder);
+    absl::Status usable = opened.status();
+    if (usable.ok())
+    {
+        // A disk that is still full can be read; only a write tells.
+        usable = opened->carry_out(
+            agreement::persist_hard_state{opened->recovered().hard_state});
+    }
+    if (usable.ok())
+    {
+        usable = opened->carry_out(agreement::sync{});
+    }
+    if (!usable.ok())
+    {
+        return false;
+    }
+    log.info("The data folder takes writes again.");
+    this->store.emplace(std::move(*opened));
+    this->disk_failed = false;
+    this->ended_by = absl::OkStatus();
+    this->pending.clear();
+    this->make_reducer();
+    this->take(control::control_started{std::move(this->store->recovered())});
+    for (std::pair<link::link_number const, link::peer_identity> const& row :
+         this->links)
+    {
+        this->take(control::peer_connected{row.first, row.second});
+    }
+    return true;
+}
+
+void control_program::implementation::refuse_open_calls()
+{
+    std::map<std::uint64_t, open_operator_call> const calls =
+        std::exchange(this->waiting, {});
+    for (auto const& [number, call] : calls)
+    {
+        call.answer(this->adapter.write_operator_reply(
+            call.request, this->ended_by, std::nullopt));
+    }
+}
+
 void control_program::implementation::carry_out(
     control::control_effect const& effect)
 {
@@ -402,22 +474,22 @@
     {
         void operator()(agreement::persist_hard_state const& wanted) const
         {
-            this->owner.write(this->owner.store->carry_out(wanted));
+            this->owner.write_effect(wanted);
         }
 
         void operator()(agreement::append_entries const& wanted) const
         {
-            this->owner.write(this->owner.store->carry_out(wanted));
+            this->owner.write_effect(wanted);
         }
 
         void operator()(agreement::persist_snapshot const& wanted) const
         {
-            this->owner.write(this->owner.store->carry_out(wanted));
+            this->owner.write_effect(wanted);
         }
 
         void operator()(agreement::sync const& wanted) const
         {
-            this->owner.write(this->owner.store->carry_out(wanted));
+            this->owner.write_effect(wanted);
             this->owner.metrics.count_sync();
         }
 
@@ -477,6 +549,15 @@
     std::visit(carrier{*this}, effect);
 }
 
+template <class Effect>
+void control_program::implementation::write_effect(Effect const& wanted)
+{
+    if (!this->disk_failed)
+    {
+        this->write(this->store->carry_out(wanted));
+    }
+}
+
 void control_program::implementation::write(absl::Status const& written)
 {
     if (written.ok() || this->disk_failed)
@@ -487,10 +568,9 @@
               std::string(written.message()));
     this->disk_failed = true;
     this->ended_by = written;
-
-    // The log may keep no promise from here on; entry hosts go on with what
-    // they have, and the other control hosts elect a leader.
-    this->io.stop();
+    this->take(control::control_disk_failed{});
+    this->refuse_open_calls();
+    this->wait_for_disk();
 }
 
 void control_program::implementation::answer(
@@ -602,6 +682,12 @@
                                                   std::nullopt));
         return;
     }
+    if (this->disk_failed)
+    {
+        answer(this->adapter.write_operator_reply(request, this->ended_by,
+                                                  std::nullopt));
+        return;
+    }
     ++this->last_request;
     this->waiting.emplace(this->last_request,
                           open_operator_call{request, std::move(answer)});
