An object has its region; one log line for each request that failed

Cause: in regions with two upstreams of a service every object came to both, 32 of 47 are remembered, so half of the runs were cold (255 to 409 ms beside 110 ms; seen in the new request lines). Objects now have a region as well as an upstream, within 1.5 requests of the planned share, and the second upstream counts as unknown. Log lines are JSON on standard output, written without waiting for the reader; each request that failed has one with the views it rested on, plain successes one in 64.

--- a/bilberrylead/core/log.cpp
+++ b/bilberrylead/core/log.cpp
@@ -1,14 +1,13 @@
 #include "bilberrylead/core/log.hpp"
 
-#include "bilberrylead/core/time.hpp"
-
-#include <fmt/chrono.h>
+#include "bilberrylead/core/log_line.hpp"
+#include "bilberrylead/core/log_sink.hpp"
 
 #include <array>
 #include <atomic>
 #include <cstddef>
-#include <cstdio>
-#include <string>
+#include <mutex>
+#include <unistd.h>
 
 namespace bilberrylead
 {
@@ -18,6 +17,18 @@
 
 std::atomic<log_level> lowest_level{log_level::info};
 
+std::mutex& output_mutex()
+{
+    static std::mutex mutex;
+    return mutex;
+}
+
+log_sink& output()
+{
+    static log_sink sink(STDOUT_FILENO);
+    return sink;
+}
+
 constexpr std::array<std::string_view, 4> level_names = {"debug", "info",
                                                          "warning", "error"};
 
@@ -33,15 +44,31 @@
     return level >= lowest_level.load(std::memory_order_relaxed);
 }
 
+void never_wait_for_log_reader()
+{
+    std::lock_guard<std::mutex> const lock(output_mutex());
+    output().make_non_blocking();
+}
+
+void write_log_line(std::string_view line)
+{
+    std::lock_guard<std::mutex> const lock(output_mutex());
+    output().write(line);
+}
+
+std::uint64_t dropped_log_lines()
+{
+    std::lock_guard<std::mutex> const lock(output_mutex());
+    return output().dropped();
+}
+
 void write_log(log_level level, std::string_view prefix,
                std::string_view sentence)
 {
-    wall_time const now = std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-    std::string const line = fmt::format(
-        "{:%Y-%m-%dT%H:%M:%S}Z {} {}: {}\n", now,
-        level_names.at(static_cast<std::size_t>(level)), prefix, sentence);
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    log_line(prefix, "says")
+        .text("level", level_names.at(static_cast<std::size_t>(level)))
+        .text("sentence", sentence)
+        .write();
 }
 
 } // namespace bilberrylead
--- a/bilberrylead/core/log.hpp
+++ b/bilberrylead/core/log.hpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <string_view>
 #include <utility>
 
@@ -26,8 +27,19 @@
 /// starts; the default is info.
 void set_log_level(log_level lowest);
 
-/// Writes one line to standard error: wall time, level, prefix, sentence.
-/// Safe from every thread; a line is written whole or not at all.
+/// From now on a reader of standard output that stands still does not stop
+/// this process: lines that it does not take are dropped and counted. For
+/// daemons, at their start.
+void never_wait_for_log_reader();
+
+/// Writes one line, a whole JSON object, to standard output. Safe from every
+/// thread; a line is written whole or not at all.
+void write_log_line(std::string_view line);
+
+/// Lines that were dropped, since nobody read them in time.
+std::uint64_t dropped_log_lines();
+
+/// Writes one line with wall time, level, part and a sentence.
 void write_log(log_level level, std::string_view prefix,
                std::string_view sentence);
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -95,7 +95,8 @@
                    settings_source<config::control_settings> file,
                    control_bindings outside)
         : settings(std::move(given)), source(std::move(file)), adapter(outside),
-          signals(io), reloads(io), ticker(io), stopper(io), disk_timer(io), watcher(io)
+          signals(io), reloads(io), ticker(io), stopper(io), disk_timer(io),
+          watcher(io)
     {
     }
 
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -6,10 +6,13 @@
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_number.hpp"
+#include "bilberrylead/entry/request_outcome.hpp"
 #include "bilberrylead/once/claim_key.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -157,6 +160,36 @@
 {
 };
 
+/// How a request ended, for the log and for whoever explains it later. No
+/// effect on the request.
+struct request_ended
+{
+    /// The request.
+    request_number request{};
+    /// The service, empty if none was found.
+    service_id service;
+    /// How.
+    request_outcome outcome = request_outcome::answered;
+    /// Why, unless it was answered.
+    std::optional<refusal_reason> reason;
+    /// Status of the upstream's answer, 0 if there is none.
+    std::uint16_t status = 0;
+    /// The upstream that was tried last; empty if none was.
+    upstream_id upstream;
+    /// Upstreams that were tried.
+    std::size_t tries = 0;
+    /// Wait for a slot that was expected there.
+    duration expected_wait{};
+    /// How many times longer than usual the run was expected to be.
+    double run_factor = 1;
+    /// Time a run usually takes in the service, as believed.
+    duration usual_run{};
+    /// Time from its arrival to its end here.
+    duration took{};
+    /// Time from its last sending to the answer's head; zero if none came.
+    duration answered_after{};
+};
+
 /// Take no new connections of callers from now on, and close those that
 /// are idle.
 struct stop_taking_callers
@@ -170,11 +203,12 @@
 };
 
 /// Everything an entry host can be told to do.
-using effect = std::variant<
-    start_upstream, pass_answer_on, collect_answer, answer_collected,
-    answer_not_run, answer_unknown, answer_recorded, answer_problem,
-    request_claim, report_completion, report_release, report_unknown,
-    cancel_upstream, close_callers_after_answer, stop_taking_callers, drained>;
+using effect = std::variant<start_upstream, pass_answer_on, collect_answer,
+                            answer_collected, answer_not_run, answer_unknown,
+                            answer_recorded, answer_problem, request_claim,
+                            report_completion, report_release, report_unknown,
+                            cancel_upstream, close_callers_after_answer,
+                            stop_taking_callers, request_ended, drained>;
 
 /// Effects in the order in which they are to be carried out.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -577,9 +577,9 @@
     {
         bool const planned = !state.regions().current().empty();
         request.region =
-            planned
-                ? static_cast<std::uint32_t>(state.regions().next(this->now))
-                : home;
+            planned ? static_cast<std::uint32_t>(
+                          state.regions().next(request.object, this->now))
+                    : home;
     }
     policy::placement_verdict verdict =
         this->find_place(request, *request.region);
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -165,6 +165,7 @@
                 duration retry_after);
     void give_up_unknown(live_request& request, refusal_reason reason);
     void finish(live_request& request);
+    void tell_end(live_request const& request);
     void drop_claim(live_request& request);
     void refuse_arrival(request_arrived const& happened, refusal_reason reason);
     void problem(request_number number, service_id const& service,
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -123,6 +123,7 @@
     }
     ++this->counted.services[request->service].callers_gone;
     request->answered = true;
+    request->outcome = request_outcome::caller_gone;
     switch (request->life.current())
     {
     case request_state::claiming:
@@ -217,6 +218,8 @@
     this->drop_claim(request);
     if (!request.answered && request.maybe_ran_before)
     {
+        request.outcome = request_outcome::unknown;
+        request.reason = reason;
         this->out.push_back(
             answer_unknown{request.number, reason, retry_after});
         ++this->counted.refusals.at(static_cast<std::size_t>(reason));
@@ -224,6 +227,8 @@
     }
     else if (!request.answered)
     {
+        request.outcome = request_outcome::not_run;
+        request.reason = reason;
         this->out.push_back(
             answer_not_run{request.number, reason, retry_after});
         ++this->counted.refusals.at(static_cast<std::size_t>(reason));
@@ -255,6 +260,8 @@
     }
     if (!request.answered)
     {
+        request.outcome = request_outcome::unknown;
+        request.reason = reason;
         this->out.push_back(answer_unknown{request.number, reason, {}});
         ++this->counted.refusals.at(static_cast<std::size_t>(reason));
         this->count_end(request, &service_counters::unknown);
@@ -272,13 +279,39 @@
             .cancel(static_cast<std::uint64_t>(number), request.reached);
     }
     this->wakes.erase({request.wake, number});
+    this->tell_end(request);
     this->live.erase(number);
 }
 
+void entry_reducer::tell_end(live_request const& request)
+{
+    request_ended end;
+    end.request = request.number;
+    end.service = request.service;
+    end.outcome = request.outcome;
+    end.reason = request.reason;
+    end.status = request.status;
+    end.upstream = request.tried.empty() ? upstream_id() : request.tried.back();
+    end.tries = request.tried.size();
+    end.expected_wait = request.expected_wait;
+    end.run_factor = request.run_factor;
+    end.usual_run = this->state_of(request.service).usual_run();
+    end.took = this->now - request.arrived;
+    end.answered_after = request.answered_after;
+    this->out.push_back(std::move(end));
+}
+
 void entry_reducer::refuse_arrival(request_arrived const& happened,
                                    refusal_reason reason)
 {
     ++this->counted.refusals.at(static_cast<std::size_t>(reason));
+    request_ended end;
+    end.request = happened.request;
+    end.service = happened.service;
+    end.outcome =
+        happened.repeated ? request_outcome::unknown : request_outcome::not_run;
+    end.reason = reason;
+    this->out.push_back(std::move(end));
     if (happened.repeated)
     {
         this->out.push_back(
@@ -304,6 +337,8 @@
 void entry_reducer::problem_end(live_request& request, std::uint16_t status,
                                 refusal_reason reason, duration retry_after)
 {
+    request.outcome = request_outcome::problem;
+    request.reason = reason;
     this->problem(request.number, request.service, status, reason, retry_after);
     this->finish(request);
 }
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -64,6 +64,8 @@
                         request->body_kept);
         return;
     }
+    request->status = happened.status;
+    request->answered_after = this->now - request->sent;
     if (happened.load.has_value())
     {
         state.note_load(upstream, *happened.load, this->now);
@@ -144,6 +146,8 @@
     {
         // The caller's connection breaks with the answer: it can see that
         // the answer is not whole.
+        request->outcome = request_outcome::broken_off;
+        request->reason = reason;
         this->finish(*request);
         return;
     }
@@ -245,6 +249,8 @@
         // The caller hears at once that the outcome is unknown; the work
         // goes on for its record until it falls silent.
         request.answered = true;
+        request.outcome = request_outcome::unknown;
+        request.reason = refusal_reason::deadline;
         this->out.push_back(
             answer_unknown{request.number, refusal_reason::deadline, {}});
         this->count_end(request, &service_counters::unknown);
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -4,8 +4,10 @@
 #include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_life_cycle.hpp"
 #include "bilberrylead/entry/request_number.hpp"
+#include "bilberrylead/entry/request_outcome.hpp"
 #include "bilberrylead/entry/service_state.hpp"
 #include "bilberrylead/once/claim_key.hpp"
 
@@ -81,6 +83,14 @@
     /// that for both, and do the work again under another key. A granted
     /// claim clears it, since the records know of no run then.
     bool maybe_ran_before = false;
+    /// How it ends, as far as that is known.
+    request_outcome outcome = request_outcome::answered;
+    /// Why, unless it was answered.
+    std::optional<refusal_reason> reason;
+    /// Status of the upstream's answer; 0 before.
+    std::uint16_t status = 0;
+    /// Time from the last sending to the answer's head.
+    duration answered_after{};
     /// True once the caller has its final answer or is gone, while guarded
     /// work goes on for its record.
     bool answered = false;
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/http/server_core.hpp"
 
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/log_line.hpp"
 #include "bilberrylead/http/caller_connection.hpp"
 
 #include <algorithm>
@@ -18,6 +19,8 @@
 constexpr part_log logger{"entry"};
 /// Timeouts of connections are looked at on every fifth tick: 50 ms.
 constexpr std::uint64_t ticks_between_sweeps = 5;
+/// Statuses from here on say that the upstream failed.
+constexpr std::uint16_t first_failure_status = 500;
 
 template <class Event>
 concept speaks_of_request = requires(Event const& event) {
@@ -214,6 +217,11 @@
             std::exchange(request->exchange, nullptr)->cancel();
         }
     }
+    else if (entry::request_ended const* end =
+                 std::get_if<entry::request_ended>(&decided))
+    {
+        this->log_end(*end);
+    }
     else if (std::holds_alternative<entry::close_callers_after_answer>(decided))
     {
         logger.info("The drain has begun; answers end their connections.");
@@ -239,6 +247,37 @@
     }
 }
 
+/// Each failure has its line. Of plain successes one in some is written,
+/// chosen by the request's id: the same one on every host that it passed.
+void server_core::log_end(entry::request_ended const& end)
+{
+    carried_request const* const request = this->find(end.request);
+    std::string const id = request == nullptr ? std::string() : request->id;
+    bool const plain = end.outcome == entry::request_outcome::answered &&
+                       end.status < first_failure_status && end.tries <= 1;
+    bool const sampled =
+        std::hash<std::string>{}(id) % this->chosen.success_sample == 0;
+    if (plain && !sampled)
+    {
+        return;
+    }
+    log_line line("entry", "request");
+    line.text("id", id)
+        .text("service", end.service.text())
+        .text("outcome", entry::to_string(end.outcome))
+        .text("reason",
+              end.reason.has_value() ? entry::to_string(*end.reason) : "")
+        .number("status", end.status)
+        .text("upstream", end.upstream.text())
+        .number("tries", static_cast<std::int64_t>(end.tries))
+        .time("expected_wait_ms", end.expected_wait)
+        .real("run_factor", end.run_factor)
+        .time("usual_run_ms", end.usual_run)
+        .time("answered_after_ms", end.answered_after)
+        .time("took_ms", end.took);
+    line.write();
+}
+
 void server_core::start(entry::start_upstream const& order)
 {
     auto const found = this->carried.find(order.request);
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -110,6 +110,7 @@
     void answer(entry::request_number number, http::reply decided);
     void start(entry::start_upstream const& order);
     void release_if_over(entry::request_number number);
+    void log_end(entry::request_ended const& end);
     void end_drain();
     void close_idle_callers();
     carried_request* find(entry::request_number number);
--- a/bilberrylead/http/server_settings.hpp
+++ b/bilberrylead/http/server_settings.hpp
@@ -57,6 +57,9 @@
     std::size_t memory = std::size_t{192} << 20U;
     /// Callers' connections; one more is closed at once.
     std::size_t largest_connections = 20000;
+    /// Of so many plain successes one gets a log line; at least 1. At the
+    /// largest known load of an entry host that is a line a second.
+    std::size_t success_sample = 64;
     /// How long the rest of a refused request is read and thrown away, so
     /// that its sender sees the answer and not a reset.
     duration linger = std::chrono::seconds(1);
--- a/bilberrylead/policy/placement_settings.hpp
+++ b/bilberrylead/policy/placement_settings.hpp
@@ -15,9 +15,10 @@
     /// that does: a look-up that took 240 ms took 72 ms once the upstream
     /// had its object.
     double unfamiliar_factor = 3.3;
-    /// The same on an object's second upstream of a region: what spills
-    /// over from the first goes there, so that it knows the object often.
-    double second_factor = 2.0;
+    /// The same on an object's second upstream of a region. What spills over
+    /// from the first goes there, but rarely enough that the object has left
+    /// its caches again: a smaller factor filled the caches of both.
+    double second_factor = 3.0;
     /// Wait that is always borne, as a share of the service time: below it
     /// slots would stand idle between two arrivals.
     double least_wait_share = 0.5;
--- a/bilberrylead/policy/region_shares.cpp
+++ b/bilberrylead/policy/region_shares.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/policy/region_shares.hpp"
 
+#include "bilberrylead/policy/generator.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <chrono>
@@ -50,7 +52,24 @@
     }
 }
 
-std::size_t region_shares::next(instant now)
+std::size_t region_shares::region_of(std::uint64_t object) const
+{
+    // As a share moves, only the objects at its edge move with it.
+    double place = generator(object).unit();
+    for (std::size_t region = 0; region < this->shares.size(); ++region)
+    {
+        if (place < this->shares[region])
+        {
+            return region;
+        }
+        place -= this->shares[region];
+    }
+    return static_cast<std::size_t>(
+        std::max_element(this->shares.begin(), this->shares.end()) -
+        this->shares.begin());
+}
+
+std::size_t region_shares::next(std::uint64_t object, instant now)
 {
     assert(!this->shares.empty());
     this->follow(now);
@@ -58,9 +77,13 @@
     {
         this->owed[region] += this->shares[region];
     }
-    std::size_t const chosen = static_cast<std::size_t>(
+    std::size_t const furthest = static_cast<std::size_t>(
         std::max_element(this->owed.begin(), this->owed.end()) -
         this->owed.begin());
+    std::size_t const own = object == 0 ? furthest : this->region_of(object);
+    bool const fair =
+        this->owed[furthest] <= most_owed && this->owed[own] - 1 >= -most_owed;
+    std::size_t const chosen = fair ? own : furthest;
     this->owed[chosen] -= 1;
     return chosen;
 }
--- a/bilberrylead/policy/region_shares.hpp
+++ b/bilberrylead/policy/region_shares.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace bilberrylead::policy
@@ -27,10 +28,11 @@
     /// 1. The first one is taken over at once: nothing was sent before.
     void aim(std::vector<double> target, instant now);
 
-    /// The region of the next request. Not drawn by lot: over any few
-    /// requests each region gets its share, so that chance does not move
-    /// callers either.
-    std::size_t next(instant now);
+    /// The region of the next request, about an object (0: about none). An
+    /// object has its region, so that few upstreams have to know it; but
+    /// over any few requests each region gets its share, so that chance
+    /// does not move callers: a region that is behind goes first.
+    std::size_t next(std::uint64_t object, instant now);
 
     /// The shares at work; empty before the first aim.
     std::vector<double> const& current() const
@@ -39,7 +41,11 @@
     }
 
 private:
+    /// Requests that a region may be before or behind its share.
+    static constexpr double most_owed = 1.5;
+
     void follow(instant now);
+    std::size_t region_of(std::uint64_t object) const;
 
     double pace;
     std::vector<double> shares;
