Fill regions to nearly the same share instead of home first

The way to another region (70 ms) is shorter than both. Ruled out: the estimate of the wait (41 ms expected, answers as late as that).

--- a/bilberrylead/policy/region_plan.cpp
+++ b/bilberrylead/policy/region_plan.cpp
@@ -12,13 +12,17 @@
 {
     std::size_t const count = rooms.size();
     double demand = 0;
-    double room = 0;
+    double slots = 0;
     for (region_room const& each : rooms)
     {
         demand += each.demand;
-        room += each.slots * settings.fill;
+        slots += each.slots;
     }
+    double const room = slots * settings.most_fill;
     double const served = demand > room && demand > 0 ? room / demand : 1.0;
+    double const use = slots > 0 ? demand / slots : 0.0;
+    double const fill = std::clamp(use * settings.excess, settings.least_fill,
+                                   settings.most_fill);
 
     // What each region lacks, and what it can spare, once its own callers
     // have the part that everybody gets.
@@ -28,7 +32,7 @@
     for (std::size_t region = 0; region < count; ++region)
     {
         double const wanted = rooms[region].demand * served;
-        double const own = rooms[region].slots * settings.fill;
+        double const own = rooms[region].slots * fill;
         lacking[region] = std::max(0.0, wanted - own);
         spare[region] = std::max(0.0, own - wanted);
         all_spare += spare[region];
--- a/bilberrylead/policy/region_plan_settings.hpp
+++ b/bilberrylead/policy/region_plan_settings.hpp
@@ -8,10 +8,17 @@
 struct region_plan_settings
 {
     /// Share of a region's slots that is filled before requests go
-    /// elsewhere, and that others may fill. Above it the wait for one of a
-    /// dozen slots exceeds half a run, which is what the way to another
-    /// region costs.
-    double fill = 0.85;
+    /// elsewhere, however little all regions are used: below it there is
+    /// hardly a wait for a slot.
+    double least_fill = 0.5;
+    /// How much fuller than all regions together one may be. The way to
+    /// another region costs less than the wait in a few slots that are
+    /// nearly full, and less than the runs of objects that those have no
+    /// room to remember.
+    double excess = 1.15;
+    /// Share of the slots that is counted on at most; the rest goes to
+    /// arrivals that come unevenly.
+    double most_fill = 0.9;
 };
 
 } // namespace bilberrylead::policy
