Test membership, discovery, presence, placement, plans, orders, the adapter

Two older tests counted all effects of a refusal; a record of the request's end is one more, so they now ask for exactly that one besides.

--- a/tests/unit/control/control_group.hpp
+++ b/tests/unit/control/control_group.hpp
@@ -48,6 +48,8 @@
             control::control_reducer_settings settings;
             settings.self = control_host(place);
             settings.seed = place + 1;
+            settings.planner.emplace();
+            settings.planner->losses = {1, 1, 0};
             this->nodes.at(place) =
                 std::make_unique<control::control_reducer>(settings);
         }
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -266,3 +266,52 @@
               catalog::change_outcome(catalog::change_accepted{1}));
     cr_assert_eq(group.answers.size(), 5U);
 }
+
+// An entry host is killed and its link ends. The leader looks at its links to
+// control hosts soon after, to keep the group's size: an entry that the ended
+// link left behind there pointed nowhere and ended the leader.
+Test(control_reducer, entry_host_whose_link_ended_is_no_control_host)
+{
+    led_group group;
+    group.give(group.leader, {control::peer_disconnected{group.entry_link}});
+    group.advance(20);
+    for (agreement::member const& one :
+         group.nodes.at(group.leader)->log().membership().members)
+    {
+        cr_expect(one.host != host_id("e1"));
+    }
+}
+
+Test(control_reducer, orders_when_accepted_are_published_and_read_back)
+{
+    led_group group;
+    group.ask(group.leader, 1,
+              control::submit_orders{{5, bytes{'t', 'e', 'x', 't'}}});
+    group.advance(3);
+    cr_expect(std::get<catalog::order_outcome>(group.answer_to(1)) ==
+              catalog::order_outcome::taken);
+    group.ask(group.leader, 2, control::read_orders{});
+    group.advance(3);
+    control::orders_reply const read =
+        std::get<control::orders_reply>(group.answer_to(2));
+    cr_expect_eq(read.version, 5U);
+    cr_expect(read.document == (bytes{'t', 'e', 'x', 't'}));
+    group.ask(group.follower, 3, control::read_orders{});
+    group.advance(3);
+    cr_expect(kind_of(refusal_of(group.answer_to(3))) ==
+              error_kind::not_leader);
+}
+
+// The leader is cut off and believes in its office for a moment longer than
+// its lease: what it would say of the newest order may be old.
+Test(control_reducer, orders_are_not_read_from_a_leader_without_a_quorum)
+{
+    led_group group;
+    group.ask(group.leader, 1, control::submit_orders{{5, bytes{'a'}}});
+    group.advance(3);
+    group.isolated.insert(group.leader);
+    group.advance(9); // Its lease is over, its office is not.
+    group.ask(group.leader, 2, control::read_orders{});
+    group.advance(30);
+    cr_expect(std::holds_alternative<absl::Status>(group.answer_to(2)));
+}
--- /dev/null
+++ b/tests/unit/discovery/upstream_listing_test.cpp
@@ -0,0 +1,103 @@
+#include "bilberrylead/discovery/upstream_listing.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using discovery::list_changes;
+using discovery::listed_upstream;
+using discovery::take_result;
+using discovery::upstream_listing;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+
+listed_upstream entry(std::string const& id, bool leaving = false,
+                      instant cold_until = {})
+{
+    listed_upstream made;
+    made.upstream.id = upstream_id(id);
+    made.upstream.service = service_id("s");
+    made.upstream.zone = zone_id("z");
+    made.upstream.address = {"127.0.0.1", 80};
+    made.upstream.leaving = leaving;
+    made.cold_until = cold_until;
+    return made;
+}
+
+} // namespace
+
+Test(upstream_listing, second_reading_without_news_tells_nobody)
+{
+    upstream_listing listing;
+    cr_assert(listing.read({entry("a")}, 3, start).has_value());
+    cr_expect_not(listing.read({entry("a")}, 3, start + 1s).has_value());
+    discovery::list_position const first{3, 1};
+    cr_expect(listing.position() == first);
+}
+
+Test(upstream_listing, only_what_differs_is_told)
+{
+    upstream_listing listing;
+    listing.read({entry("a"), entry("b"), entry("c")}, 3, start);
+    std::optional<list_changes> const changes =
+        listing.read({entry("a"), entry("b", true), entry("d")}, 3, start);
+    cr_assert(changes.has_value());
+    cr_expect_eq(changes->put.size(), 2U);
+    cr_assert_eq(changes->removed.size(), 1U);
+    cr_expect(changes->removed.front() == upstream_id("c"));
+}
+
+// A cold time runs down between two readings: that is no news, or every
+// reading would be told to every entry host.
+Test(upstream_listing, cold_time_that_runs_down_is_no_news)
+{
+    upstream_listing listing;
+    listing.read({entry("a", false, start + 3s)}, 3, start);
+    cr_expect_not(
+        listing.read({entry("a", false, start + 3s + 100ms)}, 3, start + 1s)
+            .has_value());
+    cr_expect(listing.read({entry("a", false, start + 9s)}, 3, start + 2s)
+                  .has_value());
+}
+
+// A leader is frozen while another one takes over and reads the list. When
+// it wakes it still hands out its own listing, of the older term.
+Test(upstream_listing, replaced_reader_when_it_wakes_is_not_believed)
+{
+    upstream_listing old_reader;
+    list_changes const old_news = *old_reader.read({entry("gone")}, 3, start);
+    upstream_listing new_reader;
+    list_changes const news = *new_reader.read({entry("a")}, 4, start);
+
+    upstream_listing held;
+    cr_assert(held.take(news, start) == take_result::taken);
+    cr_expect(held.take(old_news, start) == take_result::not_newer);
+    cr_expect(held.take(old_reader.whole(start), start) ==
+              take_result::not_newer);
+    cr_expect(held.upstreams().contains(upstream_id("a")));
+}
+
+// A delta is lost with its link: the next one starts from a listing that
+// the receiver does not have, and must not be put on top of the old one.
+Test(upstream_listing, delta_with_another_base_asks_for_the_whole)
+{
+    upstream_listing reader;
+    upstream_listing held;
+    cr_assert(held.take(*reader.read({entry("a")}, 3, start), start) ==
+              take_result::taken);
+    reader.read({entry("a"), entry("b")}, 3, start);
+    list_changes const third =
+        *reader.read({entry("a"), entry("b"), entry("c")}, 3, start);
+    cr_expect(held.take(third, start) == take_result::other_base);
+    cr_expect_eq(held.upstreams().size(), 1U);
+    cr_expect(held.take(reader.whole(start), start) == take_result::taken);
+    cr_expect_eq(held.upstreams().size(), 3U);
+    cr_expect(held.position() == reader.position());
+}
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -5,7 +5,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <utility>
@@ -105,6 +107,18 @@
                                           exchange_fault::connection_lost});
     }
 
+    /// How many effects the last event had on requests and hosts: all but
+    /// the record of a request's end, which only the log takes.
+    std::size_t acts() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->said.begin(), this->said.end(),
+            [](effect const& each)
+            {
+                return !std::holds_alternative<request_ended>(each);
+            }));
+    }
+
     template <class Effect>
     Effect const* find() const
     {
--- a/tests/unit/entry/entry_reducer_test.cpp
+++ b/tests/unit/entry/entry_reducer_test.cpp
@@ -29,8 +29,10 @@
     request_arrived arrival;
     arrival.service = service_id("lookup");
     effects const said = reducer.reduce(arrival, instant{});
-    cr_assert_eq(said.size(), 1);
-    cr_assert(std::get<answer_not_run>(said.front()).reason ==
+    cr_assert_eq(said.size(), 2);
+    cr_assert(std::get<request_ended>(said.front()).reason ==
+              refusal_reason::not_ready);
+    cr_assert(std::get<answer_not_run>(said.back()).reason ==
               refusal_reason::not_ready);
     cr_assert_not(reducer.ready());
 }
--- a/tests/unit/entry/guarded_request_test.cpp
+++ b/tests/unit/entry/guarded_request_test.cpp
@@ -62,7 +62,8 @@
         driven_entry entry;
         entry.arrive(1, "grant", "k");
         entry.take(claim_answered{one, each.verdict});
-        cr_assert_eq(entry.said.size(), 1);
+        cr_assert_eq(entry.acts(), 1);
+        cr_assert_eq(entry.said.size(), 2, "and the record of its end");
         cr_assert_not(entry.says<start_upstream>());
         cr_assert_eq(entry.reducer.under_way(), 0);
         if (each.problem != 0)
--- /dev/null
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -0,0 +1,326 @@
+#include "tests/unit/entry/entry_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace bilberrylead::entry;
+
+namespace
+{
+
+config::request_route make_route(std::string const& prefix, bool idempotent,
+                                 std::vector<config::route_target> targets)
+{
+    config::request_route route;
+    route.host = "a.example";
+    route.path_prefix = prefix;
+    route.idempotent = idempotent;
+    route.targets = std::move(targets);
+    route.timeout = 1s;
+    route.aim = 250ms;
+    route.most_attempts = 2;
+    return route;
+}
+
+/// Services "read" and "write" with three listed upstreams each, one of them
+/// in zone z2; routes /r/, /r/special/ and /w/.
+struct routed_entry
+{
+    routed_entry()
+    {
+        auto content = std::make_shared<config::configuration>();
+        for (std::string const name : {"read", "write"})
+        {
+            config::service service;
+            service.id = service_id(name);
+            service.cold_time = 3s;
+            service.cold_rate = 6000;
+            content->services.push_back(service);
+        }
+        content->request_routes = {
+            make_route("/r/", true, {{service_id("read"), 1}}),
+            make_route("/r/special/", true, {{service_id("write"), 1}}),
+            make_route("/w/", false, {{service_id("write"), 1}}),
+            make_route("/split/", true,
+                       {{service_id("read"), 3}, {service_id("write"), 1}})};
+        this->configuration = content;
+        this->take(configuration_received{1, content});
+        this->take(upstreams_listed{this->listing()});
+        this->take(entry_hosts_counted{4});
+    }
+
+    static entry_settings make_settings()
+    {
+        entry_settings settings;
+        settings.self = host_id("e1");
+        settings.zone = zone_id("z1");
+        settings.region = region_id("r1");
+        settings.places = {{zone_id("z1"), region_id("r1"), {}},
+                           {zone_id("z2"), region_id("r1"), {}}};
+        settings.upstreams_are_listed = true;
+        settings.waiting = config::waiting_place::upstream;
+        settings.attempt_share = 1000;
+        settings.retries.slack = 40;
+        settings.stop_time = 6s;
+        return settings;
+    }
+
+    std::shared_ptr<std::vector<discovery::listed_upstream>> listing() const
+    {
+        auto all = std::make_shared<std::vector<discovery::listed_upstream>>();
+        for (std::string const service : {"read", "write"})
+        {
+            for (int number = 0; number < 3; ++number)
+            {
+                discovery::listed_upstream entry;
+                entry.upstream.id =
+                    upstream_id(fmt::format("{}-{}", service, number));
+                entry.upstream.service = service_id(service);
+                entry.upstream.zone = zone_id(number == 2 ? "z2" : "z1");
+                entry.upstream.address = {"127.0.0.1", 9};
+                all->push_back(entry);
+            }
+        }
+        return all;
+    }
+
+    effects const& take(event const& happened)
+    {
+        this->said = this->reducer.reduce(happened, this->now);
+        return this->said;
+    }
+
+    effects const& arrive(std::uint64_t number, std::string const& path)
+    {
+        request_arrived arrival;
+        arrival.request = static_cast<request_number>(number);
+        arrival.host = "a.example";
+        arrival.path = path;
+        return this->take(arrival);
+    }
+
+    template <class Effect>
+    Effect const* find() const
+    {
+        for (effect const& each : this->said)
+        {
+            if (Effect const* found = std::get_if<Effect>(&each))
+            {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    /// The upstream that the last event sent a request to.
+    std::string sent_to() const
+    {
+        start_upstream const* const order = this->find<start_upstream>();
+        return order == nullptr ? std::string() : order->upstream.text();
+    }
+
+    effects const& answer(std::uint64_t number, std::uint16_t status,
+                          bool not_run = false, bool misdirected = false)
+    {
+        upstream_head_received head;
+        head.request = static_cast<request_number>(number);
+        head.status = status;
+        head.not_run = not_run;
+        head.misdirected = misdirected;
+        return this->take(head);
+    }
+
+    effects const& after(duration time)
+    {
+        this->now += time;
+        return this->take(tick{});
+    }
+
+    instant now = instant{} + 1h;
+    entry_reducer reducer{make_settings()};
+    std::shared_ptr<config::configuration const> configuration;
+    effects said;
+};
+
+} // namespace
+
+Test(routed_request, longest_prefix_wins)
+{
+    routed_entry host;
+    host.arrive(1, "/r/x");
+    cr_expect(host.sent_to().starts_with("read-"));
+    host.arrive(2, "/r/special/x");
+    cr_expect(host.sent_to().starts_with("write-"));
+    host.arrive(3, "/nowhere/x");
+    cr_assert_not_null(host.find<answer_problem>());
+    cr_expect_eq(host.find<answer_problem>()->status, 404);
+}
+
+// An entry host that knows no configuration yet cannot say that a route
+// does not exist.
+Test(routed_request, host_without_configuration_answers_not_run)
+{
+    entry_reducer reducer(routed_entry::make_settings());
+    request_arrived arrival;
+    arrival.path = "/r/x";
+    bool refused = false;
+    for (effect const& each : reducer.reduce(arrival, instant{} + 1h))
+    {
+        refused = refused || std::holds_alternative<answer_not_run>(each);
+    }
+    cr_expect(refused);
+    cr_expect_not(reducer.ready());
+}
+
+// The upstream broke off after the request was sent: it may have run, and a
+// second sending could post it twice.
+Test(routed_request, unsafe_request_is_never_sent_again_once_it_may_have_run)
+{
+    routed_entry host;
+    host.arrive(1, "/w/x");
+    host.take(upstream_failed{request_number{1}, exchange_phase::maybe_sent,
+                              exchange_fault::connection_lost});
+    cr_expect_not_null(host.find<answer_unknown>());
+    cr_expect_null(host.find<answer_not_run>());
+    host.after(1s);
+    cr_expect(host.sent_to().empty());
+}
+
+// The upstream itself says that it did not run it.
+Test(routed_request, unsafe_request_that_was_turned_away_goes_elsewhere)
+{
+    routed_entry host;
+    host.arrive(1, "/w/x");
+    std::string const first = host.sent_to();
+    host.answer(1, 503, true);
+    host.after(200ms);
+    cr_expect(!host.sent_to().empty() && host.sent_to() != first);
+}
+
+// The address belongs to another upstream by now, which says so (421). It
+// must not be asked again for the one that is gone.
+Test(routed_request, upstream_whose_address_was_taken_gets_no_more_requests)
+{
+    routed_entry host;
+    host.arrive(1, "/w/x");
+    std::string const gone = host.sent_to();
+    host.answer(1, 421, true, true);
+    for (std::uint64_t number = 2; number < 30; ++number)
+    {
+        host.after(50ms);
+        host.arrive(number, "/w/x");
+        cr_expect(host.sent_to() != gone);
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+}
+
+Test(routed_request, failed_answer_of_a_safe_request_is_tried_once_more)
+{
+    routed_entry host;
+    host.arrive(1, "/r/x");
+    std::string const first = host.sent_to();
+    host.answer(1, 500);
+    cr_expect_null(host.find<pass_answer_on>());
+    host.after(200ms);
+    cr_expect(!host.sent_to().empty() && host.sent_to() != first);
+    host.answer(1, 500);
+    cr_expect_not_null(host.find<pass_answer_on>(),
+                       "the second failure is delivered as it is");
+}
+
+Test(routed_request, failed_answer_of_an_unsafe_request_is_passed_on)
+{
+    routed_entry host;
+    host.arrive(1, "/w/x");
+    host.answer(1, 500);
+    cr_expect_not_null(host.find<pass_answer_on>());
+}
+
+Test(routed_request, attempts_of_the_route_bound_the_tries)
+{
+    routed_entry host;
+    host.arrive(1, "/w/x");
+    host.answer(1, 503, true);
+    host.after(200ms);
+    host.answer(1, 503, true);
+    cr_expect_not_null(host.find<answer_not_run>());
+}
+
+Test(routed_request, closed_zone_gets_no_new_request)
+{
+    routed_entry host;
+    host.take(configuration_received{2, nullptr, {zone_id("z1")}});
+    for (std::uint64_t number = 1; number < 20; ++number)
+    {
+        host.arrive(number, "/r/x");
+        cr_expect(host.sent_to() == "read-2" || host.sent_to().empty());
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+}
+
+// A zone is opened again: its upstreams may have lost their caches meanwhile
+// and crash under what they bear when warm.
+Test(routed_request, zone_that_was_opened_is_treated_as_cold)
+{
+    routed_entry host;
+    host.take(configuration_received{2, nullptr, {zone_id("z1")}});
+    host.take(configuration_received{3, nullptr, {}});
+    std::map<std::string, int> sent;
+    for (std::uint64_t number = 1; number <= 40; ++number)
+    {
+        host.arrive(number, "/r/x");
+        ++sent[host.sent_to()];
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+    cr_expect_leq(sent["read-0"] + sent["read-1"], 2);
+}
+
+Test(routed_request, split_gives_each_part_its_share)
+{
+    routed_entry host;
+    int read = 0;
+    for (std::uint64_t number = 1; number <= 400; ++number)
+    {
+        host.arrive(number, "/split/x");
+        read += host.sent_to().starts_with("read-") ? 1 : 0;
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+    cr_expect_gt(read, 270);
+    cr_expect_lt(read, 330);
+}
+
+// Nothing comes from the upstream until the route's time is over.
+Test(routed_request, request_past_its_routes_time_gets_its_answer)
+{
+    routed_entry host;
+    host.arrive(1, "/w/x");
+    host.after(990ms);
+    cr_expect_null(host.find<answer_unknown>());
+    host.after(20ms);
+    cr_expect_not_null(host.find<answer_unknown>());
+}
+
+// A stop with a bounded time: whoever comes after half of it could not be
+// served to the end, and must be sent away by a refused connection.
+Test(routed_request, bounded_stop_takes_no_callers_in_its_second_half)
+{
+    routed_entry host;
+    host.take(drain_requested{});
+    host.after(2s);
+    host.arrive(1, "/r/x");
+    host.after(500ms);
+    cr_expect_null(host.find<stop_taking_callers>());
+    host.after(250ms);
+    cr_expect_not_null(host.find<stop_taking_callers>());
+    cr_expect_null(host.find<drained>(), "a request is under way");
+}
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -21,6 +21,36 @@
 
 once::claim_key const key{service_id("s"), caller_id("c"), "k"};
 
+link::entry_presence presence_message()
+{
+    link::entry_presence said;
+    said.address = {"127.0.0.1", 80};
+    said.zone = zone_id("z");
+    said.region = region_id("r");
+    said.ready = true;
+    said.in_force = 5;
+    said.listing = {3, 4};
+    said.demands = {{service_id("s"), 1500}, {service_id("t"), 0}};
+    return said;
+}
+
+discovery::list_changes listing_changes()
+{
+    discovery::list_changes changes;
+    changes.base = {3, 3};
+    changes.target = {3, 4};
+    discovery::told_upstream told;
+    told.upstream.id = upstream_id("i-1");
+    told.upstream.service = service_id("s");
+    told.upstream.zone = zone_id("z");
+    told.upstream.address = {"127.0.0.1", 81};
+    told.upstream.leaving = true;
+    told.cold_left = std::chrono::milliseconds(250);
+    changes.put = {told, told};
+    changes.removed = {upstream_id("i-0")};
+    return changes;
+}
+
 /// Every kind of message, and every kind of what some of them hold.
 std::vector<link::message> one_of_each()
 {
@@ -50,6 +80,12 @@
         link::settle_reply{11, once::settle_result::no_record},
         link::leader_notice{host_id("c1"), 12},
         link::leader_notice{host_id(), 0},
+        presence_message(),
+        link::host_place{zone_id("z"), region_id("r")},
+        link::group_news{{host_id("c1"), host_id("c2")}, 11},
+        link::upstream_update{listing_changes()},
+        link::upstream_request{{3, 4}},
+        link::region_plan{7, {{service_id("s"), region_id("r"), 400}}},
     };
 }
 
--- /dev/null
+++ b/tests/unit/membership/member_planner_test.cpp
@@ -0,0 +1,259 @@
+#include "bilberrylead/membership/member_planner.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using agreement::membership_action;
+using agreement::membership_change_requested;
+using membership::member_planner_settings;
+using membership::next_change;
+using membership::planned_host;
+
+namespace
+{
+
+member_planner_settings two_disks()
+{
+    member_planner_settings settings;
+    settings.losses = {2, 1, 1};
+    return settings;
+}
+
+/// Two hosts in each of three regions, each in a zone of its own. The first
+/// one leads; the first in each region are the founders.
+std::vector<planned_host> six_hosts()
+{
+    std::vector<planned_host> hosts;
+    for (int number = 0; number < 6; ++number)
+    {
+        planned_host host;
+        host.host = host_id("c" + std::to_string(number));
+        host.incarnation = 1;
+        host.region = region_id("r" + std::to_string(number % 3));
+        host.zone = zone_id("z" + std::to_string(number));
+        host.member = number < 3;
+        host.voter = number < 3;
+        host.caught_up = number < 3;
+        host.linked = true;
+        host.leader = number == 0;
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+/// Carries a change out as the group would, at once.
+void carry_out(std::vector<planned_host>& hosts,
+               membership_change_requested const& change)
+{
+    for (planned_host& host : hosts)
+    {
+        if (host.host != change.host)
+        {
+            continue;
+        }
+        host.member = change.action != membership_action::remove;
+        host.voter = change.action == membership_action::add_voter;
+        host.caught_up = host.member && host.linked;
+        host.silent_for = host.linked ? 0s : host.silent_for;
+    }
+}
+
+/// Plans until there is nothing left to do; fails if that never comes.
+std::size_t settle(std::vector<planned_host>& hosts)
+{
+    for (std::size_t changes = 0; changes < 30; ++changes)
+    {
+        auto const change = next_change(hosts, two_disks());
+        if (!change.has_value())
+        {
+            return changes;
+        }
+        carry_out(hosts, *change);
+    }
+    cr_assert_fail("the plan never comes to rest");
+    return 0;
+}
+
+std::size_t voters(std::vector<planned_host> const& hosts)
+{
+    return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(),
+                                                  [](planned_host const& host)
+                                                  {
+                                                      return host.voter;
+                                                  }));
+}
+
+std::size_t voters_in(std::vector<planned_host> const& hosts,
+                      std::string const& region)
+{
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(),
+                      [&region](planned_host const& host)
+                      {
+                          return host.voter && host.region == region_id(region);
+                      }));
+}
+
+void lose(planned_host& host)
+{
+    host.linked = false;
+    host.silent_for = 2s;
+    host.caught_up = false;
+}
+
+} // namespace
+
+// Three seeds found the group; with three voters two lost disks could take
+// the only two copies of an order with them.
+Test(member_planner, founders_when_the_others_join_become_five_voters)
+{
+    std::vector<planned_host> hosts = six_hosts();
+    settle(hosts);
+    cr_expect_eq(voters(hosts), 5U);
+    for (std::string const region : {"r0", "r1", "r2"})
+    {
+        cr_expect_leq(voters_in(hosts, region), 2U, "%s", region.c_str());
+    }
+    cr_expect(std::all_of(hosts.begin(), hosts.end(),
+                          [](planned_host const& host)
+                          {
+                              return host.member;
+                          }));
+}
+
+// A host dies for good. The spare learner gets a vote before the dead one
+// loses its own, so that there are never fewer copies than before.
+Test(member_planner, dead_voter_is_replaced_before_it_is_removed)
+{
+    std::vector<planned_host> hosts = six_hosts();
+    settle(hosts);
+    planned_host* const dead =
+        &*std::find_if(hosts.begin(), hosts.end(),
+                       [](planned_host const& host)
+                       {
+                           return host.voter && !host.leader;
+                       });
+    lose(*dead);
+    auto const first = next_change(hosts, two_disks());
+    cr_assert(first.has_value());
+    cr_expect(first->action == membership_action::add_voter);
+    carry_out(hosts, *first);
+    auto const second = next_change(hosts, two_disks());
+    cr_assert(second.has_value());
+    cr_expect(second->action == membership_action::remove);
+    cr_expect(second->host == dead->host);
+}
+
+// Two hosts are lost one after the other and come back as empty hosts at
+// other addresses.
+Test(member_planner, two_hosts_replaced_in_turn_leave_five_voters_alive)
+{
+    std::vector<planned_host> hosts = six_hosts();
+    settle(hosts);
+    for (int round = 0; round < 2; ++round)
+    {
+        planned_host* const dead =
+            &*std::find_if(hosts.begin(), hosts.end(),
+                           [](planned_host const& host)
+                           {
+                               return host.voter && !host.leader && host.linked;
+                           });
+        lose(*dead);
+        planned_host successor;
+        successor.host = host_id("n" + std::to_string(round));
+        successor.incarnation = 9;
+        successor.region = dead->region;
+        successor.zone = dead->zone;
+        successor.linked = true;
+        settle(hosts);
+        hosts.push_back(successor);
+        settle(hosts);
+    }
+    std::size_t const alive = static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(),
+                      [](planned_host const& host)
+                      {
+                          return host.voter && host.linked;
+                      }));
+    cr_expect_eq(alive, 5U);
+    cr_expect_eq(voters(hosts), 5U);
+}
+
+// A region is cut off and comes back: its votes went to the others, and one
+// of them must not end up with more than the group can lose.
+Test(member_planner, region_that_was_away_gets_its_votes_back)
+{
+    std::vector<planned_host> hosts = six_hosts();
+    settle(hosts);
+    for (planned_host& host : hosts)
+    {
+        if (host.region == region_id("r1"))
+        {
+            lose(host);
+        }
+    }
+    settle(hosts);
+    for (planned_host& host : hosts)
+    {
+        if (host.region == region_id("r1"))
+        {
+            host.linked = true;
+            host.silent_for = 0s;
+            host.caught_up = host.member;
+        }
+    }
+    settle(hosts);
+    cr_expect_eq(voters(hosts), 5U);
+    for (std::string const region : {"r0", "r1", "r2"})
+    {
+        cr_expect_leq(voters_in(hosts, region), 2U, "%s", region.c_str());
+    }
+}
+
+// Half of the hosts are away for a moment: the group must not shrink to the
+// rest, since what was accepted may stand only with those that are away.
+Test(member_planner, silent_majority_without_a_spare_keeps_its_votes)
+{
+    std::vector<planned_host> hosts = six_hosts();
+    settle(hosts);
+    for (planned_host& host : hosts)
+    {
+        if (!host.leader && host.host != host_id("c1"))
+        {
+            lose(host);
+        }
+    }
+    auto const change = next_change(hosts, two_disks());
+    cr_expect(!change.has_value() ||
+              change->action != membership_action::remove ||
+              std::none_of(hosts.begin(), hosts.end(),
+                           [&change](planned_host const& host)
+                           {
+                               return host.host == change->host && host.voter;
+                           }));
+}
+
+Test(member_planner, learner_that_fell_silent_is_forgotten)
+{
+    std::vector<planned_host> hosts = six_hosts();
+    settle(hosts);
+    planned_host* const learner = &*std::find_if(hosts.begin(), hosts.end(),
+                                                 [](planned_host const& host)
+                                                 {
+                                                     return !host.voter;
+                                                 });
+    learner->linked = false;
+    learner->silent_for = 2s;
+    cr_expect_not(next_change(hosts, two_disks()).has_value());
+    learner->silent_for = 20s;
+    auto const change = next_change(hosts, two_disks());
+    cr_assert(change.has_value());
+    cr_expect(change->action == membership_action::remove);
+    cr_expect(change->host == learner->host);
+}
--- /dev/null
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -0,0 +1,139 @@
+#include "bilberrylead/policy/region_plan.hpp"
+
+#include "bilberrylead/policy/arrival_rate.hpp"
+#include "bilberrylead/policy/region_shares.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using policy::plan_regions;
+using policy::region_room;
+using policy::region_shares;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+
+bool is_near(double left, double right)
+{
+    return std::abs(left - right) < 0.001;
+}
+
+} // namespace
+
+Test(plan_regions, requests_stay_at_home_while_there_is_room)
+{
+    std::vector<region_room> const rooms{{5, 24}, {2, 6}, {5, 18}};
+    std::vector<std::vector<double>> const shares = plan_regions(rooms);
+    for (std::size_t region = 0; region < rooms.size(); ++region)
+    {
+        cr_expect(is_near(shares[region][region], 1));
+    }
+}
+
+// A third of the callers, an eighth of the slots.
+Test(plan_regions, what_a_region_lacks_goes_where_there_is_room)
+{
+    std::vector<region_room> const rooms{{8, 24}, {8, 6}, {8, 18}};
+    std::vector<std::vector<double>> const shares = plan_regions(rooms);
+    cr_expect(shares[1][1] < 0.5);
+    cr_expect(shares[1][0] > shares[1][2], "more goes where more is spare");
+    cr_expect(is_near(shares[1][0] + shares[1][1] + shares[1][2], 1));
+    cr_expect(is_near(shares[0][0], 1));
+}
+
+// More is asked for than all regions have: callers of a region with few
+// slots must not be the only ones that are refused.
+Test(plan_regions, overload_leaves_every_region_the_same_part)
+{
+    std::vector<region_room> const rooms{{30, 24}, {30, 6}, {30, 18}};
+    std::vector<std::vector<double>> const shares = plan_regions(rooms);
+    double const served = 48 * 0.9 / 90;
+    double const remote = (shares[1][0] + shares[1][2]) * 30;
+    cr_expect(is_near(remote + 6 * 0.9, served * 30));
+    cr_expect(is_near(shares[0][0], 1));
+}
+
+Test(plan_regions, region_without_callers_or_slots_is_no_division_by_zero)
+{
+    std::vector<region_room> const rooms{{0, 0}, {10, 0}, {0, 30}};
+    std::vector<std::vector<double>> const shares = plan_regions(rooms);
+    cr_expect(is_near(shares[0][0], 1));
+    cr_expect(is_near(shares[1][2], 1));
+    std::vector<region_room> const nothing{{5, 0}, {5, 0}};
+    cr_expect(is_near(plan_regions(nothing)[0][0], 1));
+}
+
+// A leader that took over plans from an empty picture, or traffic of a
+// region doubles: the callers must not move all at once.
+Test(region_shares, plan_that_jumps_is_followed_at_the_bounded_pace)
+{
+    region_shares shares(0.05);
+    shares.aim({1, 0, 0}, start);
+    shares.aim({0.2, 0.5, 0.3}, start);
+    shares.next(0, start + 2s);
+    cr_expect(is_near(shares.current()[0], 0.9));
+    shares.next(0, start + 60s);
+    cr_expect(is_near(shares.current()[0], 0.2));
+    cr_expect(is_near(shares.current()[1], 0.5));
+}
+
+Test(region_shares, first_plan_is_taken_over_at_once)
+{
+    region_shares shares(0.05);
+    shares.aim({0.4, 0.6}, start);
+    cr_expect(is_near(shares.current()[0], 0.4));
+}
+
+// Chance alone moves one request in ten from one second to the next, which
+// callers would see as a shift of their region.
+Test(region_shares, every_few_requests_keep_the_shares)
+{
+    region_shares shares(0.05);
+    shares.aim({0.62, 0.38}, start);
+    int at_home = 0;
+    for (std::uint64_t request = 0; request < 500; ++request)
+    {
+        at_home += shares.next(request * 31 + 1, start) == 0 ? 1 : 0;
+        double const wanted = 0.62 * static_cast<double>(request + 1);
+        cr_expect_lt(std::abs(at_home - wanted), 3.0);
+    }
+}
+
+Test(region_shares, object_runs_mostly_in_its_own_region)
+{
+    region_shares shares(0.05);
+    shares.aim({0.5, 0.5}, start);
+    std::vector<int> at_home(20, 0);
+    for (int round = 0; round < 200; ++round)
+    {
+        for (std::uint64_t object = 1; object <= 20; ++object)
+        {
+            at_home[object - 1] += shares.next(object, start) == 0 ? 1 : 0;
+        }
+    }
+    int sure = 0;
+    for (int const count : at_home)
+    {
+        sure += count < 50 || count > 150 ? 1 : 0;
+    }
+    cr_expect_geq(sure, 12);
+}
+
+Test(arrival_rate, rate_follows_what_arrives)
+{
+    policy::arrival_rate rate(1500ms);
+    for (duration passed{}; passed < 10s; passed += 20ms)
+    {
+        rate.add(start + passed);
+    }
+    cr_expect_lt(std::abs(rate.per_second(start + 10s) - 50), 2.0);
+    cr_expect_lt(rate.per_second(start + 20s), 0.2);
+}
--- /dev/null
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -0,0 +1,101 @@
+#include "bilberrylead/presence/entry_table.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using presence::entry_table;
+using presence::steering_question;
+using presence::steering_reply;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+
+link::entry_presence ready_host(std::uint16_t port, std::string const& region)
+{
+    link::entry_presence said;
+    said.address = {"127.0.0.1", port};
+    said.region = region_id(region);
+    said.ready = true;
+    return said;
+}
+
+steering_question from(std::string const& region)
+{
+    return {region_id(region), zone_id("z")};
+}
+
+} // namespace
+
+Test(entry_table, caller_is_sent_to_the_hosts_of_its_region)
+{
+    entry_table table;
+    table.heard(1, host_id("e1"), ready_host(1, "near"), start);
+    table.heard(2, host_id("e2"), ready_host(2, "far"), start);
+    steering_reply const reply = table.answer(from("near"), start);
+    cr_assert_eq(reply.entry_hosts.size(), 1U);
+    cr_expect_eq(reply.entry_hosts.front().port, 1);
+}
+
+Test(entry_table, region_without_hosts_is_served_by_the_others)
+{
+    entry_table table;
+    table.heard(2, host_id("e2"), ready_host(2, "far"), start);
+    cr_expect_eq(table.answer(from("near"), start).entry_hosts.size(), 1U);
+}
+
+// A host is frozen or cut off: its link stays open and says nothing. Callers
+// that are still sent there lose their requests.
+Test(entry_table, host_that_fell_silent_is_not_named)
+{
+    entry_table table;
+    table.heard(1, host_id("e1"), ready_host(1, "near"), start);
+    cr_expect_eq(table.answer(from("near"), start + 1s).entry_hosts.size(), 1U);
+    cr_expect(table.answer(from("near"), start + 2s).entry_hosts.empty());
+}
+
+Test(entry_table, host_whose_link_ended_is_not_named)
+{
+    entry_table table;
+    table.heard(1, host_id("e1"), ready_host(1, "near"), start);
+    table.lost(1);
+    cr_expect(table.answer(from("near"), start).entry_hosts.empty());
+}
+
+// A host was started again over a new link before the old one was seen to
+// end: the end of the old one says nothing of the new one.
+Test(entry_table, end_of_an_older_link_leaves_the_host_named)
+{
+    entry_table table;
+    table.heard(1, host_id("e1"), ready_host(1, "near"), start);
+    table.heard(2, host_id("e1"), ready_host(1, "near"), start);
+    table.lost(1);
+    cr_expect_eq(table.answer(from("near"), start).entry_hosts.size(), 1U);
+}
+
+Test(entry_table, host_that_stops_or_is_not_ready_is_not_named)
+{
+    entry_table table;
+    link::entry_presence stopping = ready_host(1, "near");
+    stopping.stopping = true;
+    link::entry_presence starting = ready_host(2, "near");
+    starting.ready = false;
+    table.heard(1, host_id("e1"), stopping, start);
+    table.heard(2, host_id("e2"), starting, start);
+    cr_expect(table.answer(from("near"), start).entry_hosts.empty());
+    cr_expect_eq(table.ready_hosts(start), 0U);
+}
+
+Test(entry_table, answer_is_never_good_for_longer_than_allowed)
+{
+    presence::entry_table_settings settings;
+    settings.longest_ttl = 700ms;
+    entry_table const table(settings);
+    cr_expect(table.answer(from("near"), start).ttl == 700ms);
+}
