The way to another region is no part of a run

Cause: the estimate of a run took the whole time to the answer, so in regions that send requests away a run of 72 ms was believed to take 135 ms; demand, and the wait that a request may bear, were wrong by as much (seen in the request lines of incident inc-e1b5, which now also tell region and expected wait of a refusal).

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -178,7 +178,10 @@
     upstream_id upstream;
     /// Upstreams that were tried.
     std::size_t tries = 0;
-    /// Wait for a slot that was expected there.
+    /// Region it was planned for; empty if there was no plan.
+    region_id region;
+    /// Wait for a slot that was expected there, or at the best upstream of
+    /// those that were too busy.
     duration expected_wait{};
     /// How many times longer than usual the run was expected to be.
     double run_factor = 1;
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -594,6 +594,7 @@
             std::get_if<policy::placed>(&verdict))
     {
         request.expected_wait = found->wait;
+        request.round_trip = state.round_trip_to(found->index);
         request.run_factor = found->run_factor;
         this->start_at(request, state.upstream_at(found->index));
         return;
@@ -602,6 +603,7 @@
     if (policy::no_room_to_place const* const full =
             std::get_if<policy::no_room_to_place>(&verdict))
     {
+        request.expected_wait = full->wait;
         this->refuse(request, refusal_reason::no_room, full->retry_after);
         return;
     }
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -127,6 +127,7 @@
     region_id own_region() const;
     void set_shares();
     std::uint32_t number_of(region_id const& region);
+    region_id name_of(std::optional<std::uint32_t> region) const;
     bool fill_from_route(live_request& request,
                          config::request_route const& route);
     bool fill_from_service(live_request& request,
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -283,6 +283,18 @@
     this->live.erase(number);
 }
 
+region_id entry_reducer::name_of(std::optional<std::uint32_t> region) const
+{
+    for (auto const& [name, number] : this->region_numbers)
+    {
+        if (region == number)
+        {
+            return name;
+        }
+    }
+    return {};
+}
+
 void entry_reducer::tell_end(live_request const& request)
 {
     request_ended end;
@@ -293,6 +305,7 @@
     end.status = request.status;
     end.upstream = request.tried.empty() ? upstream_id() : request.tried.back();
     end.tries = request.tried.size();
+    end.region = this->name_of(request.region);
     end.expected_wait = request.expected_wait;
     end.run_factor = request.run_factor;
     end.usual_run = this->state_of(request.service).usual_run();
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -13,7 +13,7 @@
 /// Statuses from here on say that the upstream failed.
 constexpr std::uint16_t first_failure_status = 500;
 /// A run takes at least this part of the time to the answer, whatever wait
-/// was expected.
+/// and way were expected.
 constexpr int least_run_share = 3;
 
 refusal_reason reason_of(exchange_fault fault)
@@ -207,7 +207,8 @@
     service_state& state = this->state_of(request.service);
     duration const took = this->now - request.sent;
     duration const run =
-        std::max(took - request.expected_wait, took / least_run_share);
+        std::max(took - request.round_trip - request.expected_wait,
+                 took / least_run_share);
     duration const usual(static_cast<std::int64_t>(
         static_cast<double>(run.count()) / request.run_factor));
     state.note_run(request.tried.back(), usual, request.object, this->now);
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -41,6 +41,8 @@
     std::optional<std::uint32_t> region;
     /// Wait for a slot that was expected when it was sent.
     duration expected_wait{};
+    /// Time there and back to the upstream it was sent to.
+    duration round_trip{};
     /// How many times longer than usual its run was expected to be, since
     /// its object is not known there.
     double run_factor = 1;
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -114,6 +114,12 @@
         return *this->configured[index].upstream;
     }
 
+    /// Time there and back to the upstream at that index.
+    duration round_trip_to(std::size_t index) const
+    {
+        return 2 * this->configured[index].distance;
+    }
+
     /// Requests a second that this host may send to a cold upstream, and
     /// further tries it may save up: its share of what all hosts may.
     void set_shares(double cold_requests, double saved_retries);
