--- /dev/null
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -0,0 +1,347 @@
+#include "bilberrylead/daemon/entry_program_parts.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// What other hosts tell an entry host, and what it tells them.
+namespace bilberrylead::daemon
+{
+
+namespace
+{
+
+using error_code = boost::system::error_code;
+
+constexpr part_log log{"entry"};
+
+/// Pause between two heartbeats to a control host; three may be missed
+/// before callers are sent elsewhere.
+constexpr std::chrono::milliseconds heartbeat_interval{500};
+/// How often a control host is asked for a newer listing of upstreams.
+constexpr std::chrono::seconds listing_refresh{1};
+/// Slots and shares go over links as whole thousandths.
+constexpr double slots_in_thousandths = 1000;
+
+instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+void entry_program::implementation::dial_peers()
+{
+    for (config::host_address const& host : this->settings.control_hosts)
+    {
+        this->peers->dial(host.address);
+    }
+    for (config::host_address const& host : this->settings.neighbours)
+    {
+        this->peers->dial(host.address);
+    }
+    if (!this->settings.seeds.empty())
+    {
+        this->book.emplace(*this->peers, this->settings.peer_listen);
+        this->book->set_seeds(this->settings.seeds);
+    }
+}
+
+void entry_program::implementation::on_connected(
+    link::link_number number, link::peer_identity const& peer)
+{
+    this->links[number] = peer;
+    this->on_exchange(distribution::link_opened{number, peer});
+    if (peer.role == link::peer_role::control)
+    {
+        this->on_claims(once_client::control_link_opened{number, peer.id});
+        this->tell_presence(number);
+        this->send(number, link::upstream_request{this->listing.position()});
+    }
+}
+
+void entry_program::implementation::on_disconnected(link::link_number number)
+{
+    this->on_exchange(distribution::link_closed{number});
+    this->heard_entry_hosts.erase(number);
+    if (this->book.has_value())
+    {
+        this->book->forget_source(number);
+    }
+    if (this->links.at(number).role == link::peer_role::control)
+    {
+        this->on_claims(once_client::control_link_closed{number});
+    }
+    this->links.erase(number);
+}
+
+void entry_program::implementation::on_message(link::link_number number,
+                                               bytes const& said)
+{
+    struct taker
+    {
+        void operator()(link::subscription const& held) const
+        {
+            this->owner.on_exchange(
+                distribution::subscription_received{this->number, held});
+        }
+
+        void operator()(link::revision_announcement const& held) const
+        {
+            this->owner.on_exchange(
+                distribution::announcement_received{this->number, held});
+        }
+
+        void operator()(link::configuration_update const& held) const
+        {
+            this->owner.on_exchange(
+                distribution::update_received{this->number, held});
+        }
+
+        void operator()(link::leader_notice const& held) const
+        {
+            this->owner.on_claims(
+                once_client::leader_named{this->number, held});
+        }
+
+        void operator()(link::registration_reply const& held) const
+        {
+            this->owner.on_claims(once_client::registration_answered{held});
+        }
+
+        void operator()(link::claim_reply const& held) const
+        {
+            this->owner.on_claims(once_client::verdict_received{held});
+        }
+
+        void operator()(link::settle_reply const& held) const
+        {
+            this->owner.on_claims(once_client::settlement_received{held});
+        }
+
+        void operator()(link::group_news const& held) const
+        {
+            this->owner.on_group(this->number, held);
+        }
+
+        void operator()(link::upstream_update const& held) const
+        {
+            this->owner.on_listing(this->number, held);
+        }
+
+        void operator()(link::region_plan const& held) const
+        {
+            this->owner.on_plan(held);
+        }
+
+        void operator()(link::entry_presence const&) const
+        {
+        }
+
+        void operator()(link::host_place const&) const
+        {
+        }
+
+        void operator()(link::upstream_request const&) const
+        {
+        }
+
+        void operator()(link::replica_message const&) const
+        {
+        }
+
+        void operator()(link::registration_request const&) const
+        {
+        }
+
+        void operator()(link::once_request const&) const
+        {
+        }
+
+        implementation& owner;
+        link::link_number number;
+    };
+
+    absl::StatusOr<link::message> const content = link::decode(said);
+    if (!content.ok())
+    {
+        log.warning("A peer's message was dropped: {}",
+                    std::string(content.status().message()));
+        return;
+    }
+    std::visit(taker{*this, number}, *content);
+}
+
+void entry_program::implementation::install(
+    distribution::install_revision const& wanted)
+{
+    absl::StatusOr<accepted_revision> parsed =
+        this->adapter.read_revision(*wanted.document);
+    if (!parsed.ok())
+    {
+        // A newer version accepted what this one cannot read: the last
+        // revision goes on serving.
+        log.error("Revision {} is not put in force: {}", wanted.number,
+                  std::string(parsed.status().message()));
+        return;
+    }
+    log.info("Revision {} is in force; {} zones are closed.", wanted.number,
+             parsed->closed_zones.size());
+    this->server->dispatch(
+        entry::configuration_received{wanted.number, std::move(parsed->content),
+                                      std::move(parsed->closed_zones)});
+}
+
+void entry_program::implementation::on_group(link::link_number number,
+                                             link::group_news const& said)
+{
+    if (this->book.has_value())
+    {
+        this->book->set_named(number, said.control_hosts);
+    }
+
+    // The largest number that any control host hears: too small a share is
+    // safe, too large a one is not.
+    this->heard_entry_hosts[number] = said.entry_hosts;
+    std::uint64_t most = 1;
+    for (auto const& [link, hosts] : this->heard_entry_hosts)
+    {
+        most = std::max(most, hosts);
+    }
+    this->server->dispatch(entry::entry_hosts_counted{most});
+}
+
+void entry_program::implementation::on_plan(link::region_plan const& said)
+{
+    // A leader that was replaced while it was cut off plans by an old
+    // picture.
+    if (said.term < this->plan_term)
+    {
+        return;
+    }
+    this->plan_term = said.term;
+    entry::regions_planned plan;
+    for (link::region_share const& each : said.shares)
+    {
+        plan.shares.push_back(
+            {each.service, each.region, each.share / slots_in_thousandths});
+    }
+    this->server->dispatch(std::move(plan));
+}
+
+void entry_program::implementation::on_listing(
+    link::link_number number, link::upstream_update const& said)
+{
+    discovery::take_result const result =
+        this->listing.take(said.changes, now());
+    if (result == discovery::take_result::other_base)
+    {
+        this->send(number, link::upstream_request{this->listing.position()});
+    }
+    if (result != discovery::take_result::taken)
+    {
+        return;
+    }
+    std::shared_ptr<std::vector<discovery::listed_upstream>> const all =
+        std::make_shared<std::vector<discovery::listed_upstream>>();
+    all->reserve(this->listing.upstreams().size());
+    for (auto const& [id, entry] : this->listing.upstreams())
+    {
+        all->push_back(entry);
+    }
+    log.info("Listing {}.{} of upstreams is in use: {} new or changed, {} "
+             "gone, {} in all.",
+             said.changes.target.term, said.changes.target.number,
+             said.changes.put.size(), said.changes.removed.size(), all->size());
+    this->server->dispatch(entry::upstreams_listed{all});
+}
+
+void entry_program::implementation::tell_presence(link::link_number to)
+{
+    link::entry_presence presence;
+    presence.address = this->settings.caller_listen;
+    presence.zone = this->settings.zone;
+    presence.region = this->settings.region;
+    presence.ready = this->server->ready();
+    presence.stopping = this->stopping;
+    presence.in_force = this->server->revision_in_force();
+    presence.listing = this->listing.position();
+    for (auto const& [service, slots] : this->server->demands())
+    {
+        presence.demands.push_back(
+            {service, static_cast<std::uint32_t>(
+                          std::lround(slots * slots_in_thousandths))});
+    }
+    this->send(to, presence);
+}
+
+void entry_program::implementation::send_heartbeats()
+{
+    this->heartbeat.expires_after(heartbeat_interval);
+    this->heartbeat.async_wait(
+        [this](error_code const& error)
+        {
+            if (error)
+            {
+                return;
+            }
+            for (auto const& [number, peer] : this->links)
+            {
+                if (peer.role == link::peer_role::control)
+                {
+                    this->tell_presence(number);
+                }
+            }
+            this->ask_for_listing();
+            this->send_heartbeats();
+        });
+}
+
+/// A listing that was lost on its way would be missed until the next one: a
+/// control host is asked now and then, each in its turn.
+void entry_program::implementation::ask_for_listing()
+{
+    if (this->links.empty() || now() - this->listing_asked_at < listing_refresh)
+    {
+        return;
+    }
+    this->listing_asked_at = now();
+    auto const next = this->links.upper_bound(this->last_asked);
+    auto const chosen = next == this->links.end() ? this->links.begin() : next;
+    this->last_asked = chosen->first;
+    if (chosen->second.role == link::peer_role::control)
+    {
+        this->send(chosen->first,
+                   link::upstream_request{this->listing.position()});
+    }
+}
+
+void entry_program::implementation::send(link::link_number to,
+                                         link::message const& content)
+{
+    this->peers->send(to, link::encode(content));
+}
+
+/// Callers are sent here, or not any more, without waiting for a heartbeat.
+void entry_program::implementation::tell_changed_readiness()
+{
+    bool const ready = this->server->ready();
+    if (ready == this->told_ready)
+    {
+        return;
+    }
+    this->told_ready = ready;
+    log.info("This host is {}.", ready ? "ready" : "not ready");
+    for (auto const& [number, peer] : this->links)
+    {
+        if (peer.role == link::peer_role::control)
+        {
+            this->tell_presence(number);
+        }
+    }
+}
+
+} // namespace bilberrylead::daemon
