--- a/performance/distribution_slopes/distribution_slopes.cpp
+++ b/performance/distribution_slopes/distribution_slopes.cpp
@@ -200,6 +200,52 @@
             .size());
 }
 
+/// An entry host's heartbeat, its plan and a listing: bytes by services and
+/// by upstreams.
+void measure_presence(double reference)
+{
+    slope_table beat("Heartbeat of an entry host", "bytes", "services");
+    slope_table plan("Plan of one region (12 regions)", "bytes", "services");
+    for (std::size_t const count : {3U, 30U, 100U, 300U})
+    {
+        link::entry_presence said;
+        said.address = {"10.0.0.1", 8080};
+        said.zone = zone_id("zone-1");
+        said.region = region_id("region-1");
+        said.in_force = 1000000;
+        said.listing = {1000, 1000000};
+        link::region_plan shares;
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            service_id const service(fmt::format("service-{}", number));
+            said.demands.push_back({service, 250000});
+            for (std::size_t region = 0; region < zones / 2; ++region)
+            {
+                shares.shares.push_back(
+                    {service, region_id(fmt::format("region-{}", region)), 80});
+            }
+        }
+        beat.add(count, static_cast<double>(link::encode(said).size()));
+        plan.add(count, static_cast<double>(link::encode(shares).size()));
+    }
+    beat.print(reference);
+    plan.print(reference);
+
+    slope_table whole("Whole listing", "bytes", "upstreams");
+    for (std::size_t const count : {40U, 400U, 8100U})
+    {
+        link::upstream_update update;
+        update.changes.whole = true;
+        for (config::upstream const& each :
+             sized_configuration(count).upstreams)
+        {
+            update.changes.put.push_back({each, {}});
+        }
+        whole.add(count, static_cast<double>(link::encode(update).size()));
+    }
+    whole.print(reference);
+}
+
 } // namespace
 
 int main()
@@ -212,5 +258,6 @@
     measure_fan_out(link::delivery::pushed, "Content", reference);
     measure_fan_out(link::delivery::announced, "Number only", reference);
     measure_subscriptions(reference);
+    measure_presence(reference);
     return 0;
 }
