Steering answers name 16 hosts in turn

Cause: of more than 64 hosts in a region the last ones by name were never named (36 of 100 at 300 hosts), and answers of 64 addresses were most of a control host's traffic there.

--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -47,7 +47,7 @@
 
     /// Which entry hosts a caller should use.
     presence::steering_reply steer(presence::steering_question const& question,
-                                   instant now) const
+                                   instant now)
     {
         return this->entry_hosts.answer(question, now);
     }
--- a/bilberrylead/presence/entry_table.cpp
+++ b/bilberrylead/presence/entry_table.cpp
@@ -31,7 +31,7 @@
 }
 
 steering_reply entry_table::answer(steering_question const& question,
-                                   instant now) const
+                                   instant now)
 {
     steering_reply reply;
     reply.ttl = std::min(this->settings.ttl, this->settings.longest_ttl);
@@ -50,9 +50,15 @@
     {
         reply.entry_hosts = std::move(elsewhere);
     }
-    if (reply.entry_hosts.size() > this->settings.most_named)
+    std::size_t const count = reply.entry_hosts.size();
+    if (count > this->settings.most_named)
     {
+        std::rotate(reply.entry_hosts.begin(),
+                    reply.entry_hosts.begin() +
+                        static_cast<std::ptrdiff_t>(this->turn % count),
+                    reply.entry_hosts.end());
         reply.entry_hosts.resize(this->settings.most_named);
+        this->turn += this->settings.most_named;
     }
     return reply;
 }
--- a/bilberrylead/presence/entry_table.hpp
+++ b/bilberrylead/presence/entry_table.hpp
@@ -36,8 +36,9 @@
 
     /// Which hosts a caller should use: those of its region, so that a zone
     /// whose few hosts fail costs its callers no more than a retry; those of
-    /// other regions only if its own has none.
-    steering_reply answer(steering_question const& question, instant now) const;
+    /// other regions only if its own has none. Of many hosts each answer
+    /// names the next few in turn, so that callers spread over all of them.
+    steering_reply answer(steering_question const& question, instant now);
 
     /// Hosts that are ready and heard.
     std::size_t ready_hosts(instant now) const;
@@ -64,6 +65,8 @@
 
     entry_table_settings settings;
     std::map<host_id, row> rows;
+    /// Where the next answer begins, if it cannot name all hosts.
+    std::size_t turn = 0;
 };
 
 } // namespace bilberrylead::presence
--- a/bilberrylead/presence/entry_table_settings.hpp
+++ b/bilberrylead/presence/entry_table_settings.hpp
@@ -21,8 +21,9 @@
     /// How long callers may use an answer. A host that is lost is out of
     /// use after silence_limit and this; a shorter time costs look-ups.
     duration ttl = std::chrono::seconds(2);
-    /// Hosts named at most.
-    std::size_t most_named = 64;
+    /// Hosts named at most. A caller needs a few, so that one that fails it
+    /// costs a retry and no look-up; more only make the answer longer.
+    std::size_t most_named = 16;
 };
 
 } // namespace bilberrylead::presence
--- a/tests/unit/presence/entry_table_test.cpp
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
 using namespace bilberrylead;
@@ -92,10 +93,38 @@
     cr_expect_eq(table.ready_hosts(start), 0U);
 }
 
+// A region with more hosts than an answer names: without turns the last ones
+// by name would never get a caller, and the first ones all of them.
+Test(entry_table, many_hosts_are_named_equally_often)
+{
+    constexpr std::uint16_t hosts = 40;
+    entry_table table;
+    for (std::uint16_t port = 1; port <= hosts; ++port)
+    {
+        table.heard(port, host_id("e" + std::to_string(port)),
+                    ready_host(port, "near"), start);
+    }
+    std::map<std::uint16_t, int> named;
+    for (int count = 0; count < 100; ++count)
+    {
+        steering_reply const reply = table.answer(from("near"), start);
+        cr_assert_eq(reply.entry_hosts.size(), 16U);
+        for (config::endpoint const& host : reply.entry_hosts)
+        {
+            ++named[host.port];
+        }
+    }
+    cr_assert_eq(named.size(), hosts);
+    for (auto const& [port, count] : named)
+    {
+        cr_expect_eq(count, 40, "port %u", unsigned{port});
+    }
+}
+
 Test(entry_table, answer_is_never_good_for_longer_than_allowed)
 {
     presence::entry_table_settings settings;
     settings.longest_ttl = 700ms;
-    entry_table const table(settings);
+    entry_table table(settings);
     cr_expect(table.answer(from("near"), start).ttl == 700ms);
 }
