--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -48,7 +48,9 @@
             make_route("/r/special/", true, {{service_id("write"), 1}}),
             make_route("/w/", false, {{service_id("write"), 1}}),
             make_route("/split/", true,
-                       {{service_id("read"), 3}, {service_id("write"), 1}})};
+                       {{service_id("read"), 3}, {service_id("write"), 1}}),
+            make_route("/home/", true, {{service_id("read"), 1}})};
+        content->request_routes.back().regions = {region_id("r2")};
         this->configuration = content;
         this->take(configuration_received{1, content});
         this->take(upstreams_listed{this->listing()});
@@ -62,7 +64,8 @@
         settings.zone = zone_id("z1");
         settings.region = region_id("r1");
         settings.places = {{zone_id("z1"), region_id("r1"), {}},
-                           {zone_id("z2"), region_id("r1"), {}}};
+                           {zone_id("z2"), region_id("r1"), {}},
+                           {zone_id("z3"), region_id("r2"), {}}};
         settings.upstreams_are_listed = true;
         settings.waiting = config::waiting_place::upstream;
         settings.attempt_share = 1000;
@@ -87,6 +90,9 @@
                 all->push_back(entry);
             }
         }
+        all->push_back(all->front());
+        all->back().upstream.id = upstream_id("read-far");
+        all->back().upstream.zone = zone_id("z3");
         return all;
     }
 
@@ -324,3 +330,35 @@
     cr_expect_not_null(host.find<stop_taking_callers>());
     cr_expect_null(host.find<drained>(), "a request is under way");
 }
+
+// What may be kept in one region only must not leave it, though the own
+// region has upstreams that are nearer and idle.
+Test(routed_request, route_with_a_home_runs_in_that_region_only)
+{
+    routed_entry host;
+    for (std::uint64_t number = 1; number <= 30; ++number)
+    {
+        host.arrive(number, "/home/x");
+        cr_expect(host.sent_to() == "read-far" || host.sent_to().empty());
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+    host.take(configuration_received{2, nullptr, {zone_id("z3")}});
+    host.arrive(31, "/home/x");
+    cr_expect_not_null(host.find<answer_not_run>(),
+                       "not sent to another region instead");
+}
+
+// The way between regions is for the plan alone: requests without a home
+// stay in the own region while that has an upstream.
+Test(routed_request, request_without_a_plan_stays_in_its_region)
+{
+    routed_entry host;
+    for (std::uint64_t number = 1; number <= 30; ++number)
+    {
+        host.arrive(number, "/r/x");
+        cr_expect(host.sent_to() != "read-far");
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+}
