Mend a doubled comment marker in the control host's outside part

Cause: the page split wrapped a doc comment and left a second marker in its second line, so the generated page would show it as text.

--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 /// What operators, callers and the list of upstreams see of a control
-/// /// host.
+/// host.
 namespace bilberrylead::daemon
 {
 
