What is usual at upstreams is kept for each region

Cause: an entry host of a grown deployment hears from each of 585 upstreams once in tens of seconds and goes by what is usual at the others until then. That was one mean over all regions, so the full upstreams of tallinn had requests refused that could have run in tartu and parnu (383 of 1,197 refusals of one zone in 11 s, by the request lines, named an expected wait there that no upstream had). Ruled out: the reports themselves, which were right. The new test fails with one mean.

--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -37,10 +37,13 @@
 
 } // namespace
 
-service_state::service_state(config::work_length usual, std::uint64_t seed,
+service_state::service_state(config::work_length usual_length,
+                             std::uint64_t seed,
                              policy::placement_settings const& placing)
-    : random(seed), length(usual), placement(placing), run_time(run_guess),
-      held(usual == config::work_length::brief ? brief_guess : extended_guess),
+    : random(seed), length(usual_length), placement(placing),
+      usual(run_guess, 0),
+      held(usual_length == config::work_length::brief ? brief_guess
+                                                      : extended_guess),
       answered(brief_guess)
 {
 }
@@ -68,6 +71,7 @@
             this->records.try_emplace(each.upstream->id, each.upstream->slots)
                 .first->second;
         known.cold_until = std::max(known.cold_until, each.cold_until);
+        known.region = each.region;
     }
 }
 
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -20,6 +20,7 @@
 #include "bilberrylead/policy/slot_pool.hpp"
 #include "bilberrylead/policy/upstream_placement.hpp"
 #include "bilberrylead/policy/upstream_set.hpp"
+#include "bilberrylead/policy/usual_load.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -160,7 +161,7 @@
     /// Time that requests usually run, for callers that come back.
     duration usual_run() const
     {
-        return this->run_time;
+        return this->usual.run();
     }
 
     /// Work was started there.
@@ -228,17 +229,18 @@
     void fill_views(reach const& reached,
                     std::vector<upstream_id> const& left_out, instant now);
 
-    config::work_length length;
+    policy::usual_load& usual_in(std::uint32_t region);
     void fill_candidates(std::uint64_t object, reach const& reached,
                          std::vector<upstream_id> const& tried, instant now);
 
+    config::work_length length;
     std::vector<configured_upstream> configured;
     std::vector<policy::placement_candidate> candidates;
     policy::upstream_placement placement;
-    // Mean run on an upstream of usual speed, and what others usually hold
-    // of one.
-    duration run_time;
-    double others_held = 0;
+    // Over all upstreams, and over those of one region by its number, which
+    // starts from what was usual when the region was first looked at.
+    policy::usual_load usual;
+    std::map<std::uint32_t, policy::usual_load> usual_by_region;
     double cold_requests_per_second = 0;
     policy::arrival_rate arrivals{demand_memory};
     policy::region_shares shares{region_pace};
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Weights of the newest run in the mean run, and of the newest report in
-/// what others usually hold: about the last twenty.
-constexpr double mean_weight = 0.05;
 /// Handicap of an upstream that failed a moment ago, in runs: after every
 /// sound one, before a refusal.
 constexpr double suspicion_runs = 3;
@@ -38,7 +35,12 @@
 double service_state::demand(instant now) const
 {
     return this->arrivals.per_second(now) *
-           std::chrono::duration<double>(this->run_time).count();
+           std::chrono::duration<double>(this->usual.run()).count();
+}
+
+policy::usual_load& service_state::usual_in(std::uint32_t region)
+{
+    return this->usual_by_region.try_emplace(region, this->usual).first->second;
 }
 
 void service_state::note_cold(zone_id const& zone, instant until)
@@ -60,7 +62,8 @@
     std::uint32_t const held = load.running + load.waiting;
     known.estimate.reported(held, known.in_flight, now);
     double const others = held > known.in_flight ? held - known.in_flight : 0;
-    this->others_held += mean_weight * (others - this->others_held);
+    this->usual.note_held(others);
+    this->usual_in(known.region).note_held(others);
 }
 
 void service_state::note_run(upstream_id const& id, duration time,
@@ -69,16 +72,16 @@
     // The mean follows what upstreams of usual speed do; one that is slow
     // must not make its slowness the usual.
     upstream_record& known = this->record(id);
-    known.estimate.ran(time, this->run_time, now);
+    policy::usual_load& siblings = this->usual_in(known.region);
+    known.estimate.ran(time, siblings.run(), now);
     if (object != 0)
     {
         known.objects.note(object);
     }
     duration const normal =
         scaled(time, 1.0 / std::max(1.0, known.estimate.slowness(now)));
-    this->run_time += scaled(normal - this->run_time, mean_weight);
-    this->run_time =
-        std::max<duration>(this->run_time, std::chrono::milliseconds(1));
+    siblings.note_run(normal);
+    this->usual.note_run(normal);
 }
 
 void service_state::fill_candidates(std::uint64_t object, reach const& reached,
@@ -90,20 +93,22 @@
     {
         config::upstream const& upstream = *this->configured[place].upstream;
         upstream_record const& known = this->records.at(upstream.id);
+        policy::usual_load const& siblings =
+            this->usual_in(this->configured[place].region);
         policy::placement_candidate& candidate = this->candidates[place];
         candidate.hash = std::hash<upstream_id>{}(upstream.id);
         candidate.slots = std::max(1U, known.health.usable_slots());
         candidate.in_flight = known.in_flight;
-        candidate.others = known.estimate.others(this->others_held, now);
+        candidate.others = known.estimate.others(siblings.held(), now);
         candidate.service_time =
-            scaled(this->run_time, known.estimate.slowness(now));
+            scaled(siblings.run(), known.estimate.slowness(now));
         candidate.distance = this->configured[place].distance;
         candidate.region = this->configured[place].region;
         bool const is_cold = now < known.cold_until;
         bool const suspected =
             known.health.condition() != policy::upstream_condition::healthy;
         candidate.penalty =
-            scaled(this->run_time, (suspected ? suspicion_runs : 0) +
+            scaled(siblings.run(), (suspected ? suspicion_runs : 0) +
                                        (is_cold ? cold_runs : 0));
         candidate.tried =
             std::find(tried.begin(), tried.end(), upstream.id) != tried.end();
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -22,6 +22,8 @@
     {
     }
 
+    /// Number of its region, by the last configuration that had it.
+    std::uint32_t region = 0;
     /// Requests of this entry host that hold a slot there.
     std::uint32_t in_flight = 0;
     /// Slots that others use, by its last report or refusal.
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -362,3 +362,25 @@
         host.take(upstream_answer_finished{request_number{number}, {}});
     }
 }
+
+// A caller whose request may run in an idle region only hears "not run".
+// Upstreams of another region reported long queues; of the idle ones nothing
+// is known yet, and what is usual was one mean over both regions.
+Test(routed_request, full_region_does_not_refuse_for_an_idle_one)
+{
+    routed_entry host;
+    for (std::uint64_t number = 1; number <= 40; ++number)
+    {
+        host.arrive(number, "/w/x");
+        host.arrive(100 + number, "/r/x");
+        upstream_head_received head;
+        head.request = request_number{100 + number};
+        head.status = 200;
+        head.load = upstream_load{3, 60};
+        host.take(head);
+        host.take(upstream_answer_finished{head.request, {}});
+        host.after(5s);
+    }
+    host.arrive(200, "/home/x");
+    cr_expect_eq(host.sent_to(), "read-far");
+}
