Regions share callers before any demand is known

Cause: a plan made before traffic came kept everybody at home, and the bounded pace needed more than ten seconds to move callers out of tallinn, which has a third of the callers and a tenth of the slots; its upstreams were overloaded from the first second and forgot their objects (runs of 1.5 to 2.4 s instead of 0.2). Now at least half of all slots is expected to be asked for, the missing part by the entry hosts of each region, who stand where callers are.

--- a/bilberrylead/control/control_reducer_regions.cpp
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -45,6 +45,10 @@
         {
             return;
         }
+        for (auto& [service, rooms] : this->services)
+        {
+            rooms[number->second].entry_hosts += 1;
+        }
         for (link::service_demand const& demand : said.demands)
         {
             policy::region_room* const room =
--- a/bilberrylead/policy/region_plan.cpp
+++ b/bilberrylead/policy/region_plan.cpp
@@ -2,20 +2,51 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <numeric>
 
 namespace bilberrylead::policy
 {
 
+namespace
+{
+
+/// Demand of each region, filled up to what is expected at least.
+std::vector<double> expected_demands(std::span<region_room const> rooms,
+                                     region_plan_settings const& settings)
+{
+    double measured = 0;
+    double slots = 0;
+    double entry_hosts = 0;
+    for (region_room const& each : rooms)
+    {
+        measured += each.demand;
+        slots += each.slots;
+        entry_hosts += each.entry_hosts;
+    }
+    double const missing =
+        std::max(0.0, slots * settings.expected_use - measured);
+    std::vector<double> demands;
+    for (region_room const& each : rooms)
+    {
+        double const part =
+            entry_hosts > 0 ? each.entry_hosts / entry_hosts : 0.0;
+        demands.push_back(each.demand + missing * part);
+    }
+    return demands;
+}
+
+} // namespace
+
 std::vector<std::vector<double>>
 plan_regions(std::span<region_room const> rooms,
              region_plan_settings const& settings)
 {
     std::size_t const count = rooms.size();
-    double demand = 0;
+    std::vector<double> const demands = expected_demands(rooms, settings);
+    double const demand = std::accumulate(demands.begin(), demands.end(), 0.0);
     double slots = 0;
     for (region_room const& each : rooms)
     {
-        demand += each.demand;
         slots += each.slots;
     }
     double const room = slots * settings.most_fill;
@@ -31,7 +62,7 @@
     double all_spare = 0;
     for (std::size_t region = 0; region < count; ++region)
     {
-        double const wanted = rooms[region].demand * served;
+        double const wanted = demands[region] * served;
         double const own = rooms[region].slots * fill;
         lacking[region] = std::max(0.0, wanted - own);
         spare[region] = std::max(0.0, own - wanted);
@@ -50,7 +81,7 @@
         for (std::size_t other = 0; other < count; ++other)
         {
             double const part =
-                lacking[home] * spare[other] / all_spare / rooms[home].demand;
+                lacking[home] * spare[other] / all_spare / demands[home];
             shares[home][other] += part;
             shares[home][home] -= part;
         }
--- a/bilberrylead/policy/region_plan.hpp
+++ b/bilberrylead/policy/region_plan.hpp
@@ -18,6 +18,10 @@
 /// while slots stand idle a region away; if every entry host went where it
 /// is emptiest by itself, all of them would go to the same place at once.
 ///
+/// While less is asked for than is expected at least, the rest is taken to
+/// come from the regions' entry hosts, so that nobody waits for the bounded
+/// pace to bring callers to where there is room.
+///
 /// Requests stay at home while there is room, since the way to another
 /// region and back costs more than a short wait. What a region lacks is
 /// spread over the others in proportion to what those can spare. If all of
--- a/bilberrylead/policy/region_plan_settings.hpp
+++ b/bilberrylead/policy/region_plan_settings.hpp
@@ -11,6 +11,12 @@
     /// elsewhere, however little all regions are used: below it there is
     /// hardly a wait for a slot.
     double least_fill = 0.5;
+    /// Share of all slots that is expected to be in use whatever is measured:
+    /// what is missing from the demand is taken to come from the entry hosts
+    /// alike. Before any demand is known, and while it is low, callers then
+    /// already run where the plan would move them later; at its bounded pace
+    /// that move takes ten seconds and more, with a full region meanwhile.
+    double expected_use = 0.5;
     /// How much fuller than all regions together one may be. The way to
     /// another region costs less than the wait in a few slots that are
     /// nearly full, and less than the runs of objects that those have no
--- a/bilberrylead/policy/region_room.hpp
+++ b/bilberrylead/policy/region_room.hpp
@@ -12,6 +12,9 @@
     double demand = 0;
     /// Slots of its upstreams that take work; 0 or more.
     double slots = 0;
+    /// Entry hosts that stand there. They are put where callers are, so they
+    /// tell what to expect of a region as long as its demand does not.
+    double entry_hosts = 0;
 };
 
 } // namespace bilberrylead::policy
--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -71,6 +71,39 @@
     cr_expect(is_near(plan_regions(nothing)[0][0], 1));
 }
 
+// Callers of a region with few slots hear "not run" in the first seconds:
+// nothing has run yet, so no demand is known, all of them start at home, and
+// the bounded pace needs ten seconds to move them.
+Test(plan_regions, region_with_few_slots_is_relieved_before_demand_is_known)
+{
+    std::vector<region_room> const rooms{
+        {0, 99, 25}, {0, 396, 22}, {0, 468, 24}};
+    std::vector<std::vector<double>> const shares = plan_regions(rooms);
+    cr_expect_lt(shares[0][0], 0.4);
+    cr_expect(is_near(shares[0][0] + shares[0][1] + shares[0][2], 1));
+    cr_expect(is_near(shares[1][1], 1));
+    cr_expect(is_near(shares[2][2], 1));
+}
+
+// The first few requests must not bring everybody home again.
+Test(plan_regions, little_demand_does_not_undo_what_is_expected)
+{
+    std::vector<region_room> const calm{
+        {0, 99, 25}, {0, 396, 22}, {0, 468, 24}};
+    std::vector<region_room> const starting{
+        {20, 99, 25}, {18, 396, 22}, {19, 468, 24}};
+    double const before = plan_regions(calm)[0][0];
+    cr_expect_lt(std::abs(plan_regions(starting)[0][0] - before), 0.05);
+}
+
+// What is measured counts as soon as it is as much as was expected.
+Test(plan_regions, measured_demand_replaces_what_is_expected)
+{
+    std::vector<region_room> const hosts{{8, 24, 50}, {8, 6, 1}, {8, 18, 1}};
+    std::vector<region_room> const none{{8, 24, 0}, {8, 6, 0}, {8, 18, 0}};
+    cr_expect(is_near(plan_regions(hosts)[1][1], plan_regions(none)[1][1]));
+}
+
 // A leader that took over plans from an empty picture, or traffic of a
 // region doubles: the callers must not move all at once.
 Test(region_shares, plan_that_jumps_is_followed_at_the_bounded_pace)
