Long answers are paced below the rate of the host's link

Cause: entry hosts of the grown deployments have 6 Mbit/s; a download of 90 KB takes 120 ms of it and look-ups wait behind. What comes in still waits behind what upstreams send at once; that is theirs to pace.

--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -68,6 +68,9 @@
     retry_bounds retries;
     /// What all entry hosts together may send to a cold upstream.
     cold_bounds cold;
+    /// Rate of the host's link each way, Mbit/s; long answers are paced so
+    /// that they do not fill it. 0: not known, nothing is paced.
+    double link_rate = 0;
     /// Where requests wait while all slots are taken.
     waiting_place waiting = waiting_place::entry_host;
     /// The lowest level that is logged.
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -137,6 +137,7 @@
     visitor.seconds("steering_ttl_s", value.steering_ttl, longest_setting);
     visitor.section("retries", value.retries);
     visitor.section("cold", value.cold);
+    visitor.fraction("link_mbit_per_s", value.link_rate, 0, 10'000'000);
     visitor.choice("waiting", value.waiting, waiting_place_names);
 }
 
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -43,6 +43,7 @@
 /// seconds; a request must not cross that.
 constexpr std::chrono::seconds listed_idle_limit{8};
 
+constexpr double bytes_in_megabit = 125'000;
 constexpr unsigned http_ok = 200;
 constexpr unsigned http_not_found = 404;
 constexpr unsigned http_unavailable = 503;
@@ -121,6 +122,7 @@
     wanted.largest_head = limits.header_bytes;
     wanted.piece = limits.buffer_bytes;
     wanted.largest_connections = limits.connections;
+    wanted.link_rate = this->settings.link_rate * bytes_in_megabit;
     return wanted;
 }
 
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -67,6 +67,7 @@
     task<bool> write_reply(carried_request& carried);
     task<bool> stream_answer(carried_request& carried,
                              std::shared_ptr<upstream_exchange> exchange);
+    task<void> wait_for_turn(std::size_t passed, std::size_t count);
     task<bool> write_whole(whole_answer answer, std::string_view id);
     task<bool> refuse(beast::http::status status, std::string_view title,
                       std::string_view detail);
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -115,10 +115,13 @@
     std::unique_ptr<char[]> const piece =
         std::make_unique_for_overwrite<char[]>(size);
     error_code error;
+    std::size_t passed = 0;
     do
     {
         std::size_t const count =
             co_await exchange->read_some({piece.get(), size}, error);
+        co_await this->wait_for_turn(passed, count);
+        passed += count;
         if (error)
         {
             // The caller must see that its answer is not whole.
@@ -154,6 +157,22 @@
     co_return keep;
 }
 
+task<void> caller_connection::wait_for_turn(std::size_t passed,
+                                            std::size_t count)
+{
+    duration const wait =
+        this->core->pace().reserve(passed, count, clock_now());
+    if (wait > duration::zero())
+    {
+        // Nothing cancels it: it is shorter than the time in which a caller
+        // that left has to be noticed.
+        wait_timer timer(this->core->place());
+        timer.expires_after(wait);
+        error_code ignored;
+        co_await timer.async_wait(to_task(ignored));
+    }
+}
+
 task<bool> caller_connection::write_whole(whole_answer answer,
                                           std::string_view id)
 {
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/http/server_settings.hpp"
 #include "bilberrylead/http/upstream_exchange.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
+#include "bilberrylead/policy/bulk_pace.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -91,6 +92,12 @@
         return this->chosen;
     }
 
+    /// Paces long answers.
+    policy::bulk_pace& pace()
+    {
+        return this->answer_pace;
+    }
+
     /// What this side counts.
     http_counters& counters()
     {
@@ -123,6 +130,7 @@
     http_counters counted;
     entry::entry_reducer reducer;
     upstream_pool pool;
+    policy::bulk_pace answer_pace;
     event_sink report;
     wait_timer clock;
     std::uint64_t ticks = 0;
--- a/bilberrylead/http/server_settings.hpp
+++ b/bilberrylead/http/server_settings.hpp
@@ -47,6 +47,9 @@
     /// Bodies up to this are kept whole before the request is admitted, so
     /// that a slow sender holds no slot and another try is possible, bytes.
     std::size_t kept_body = std::size_t{64} << 10U;
+    /// Rate of the host's link each way, bytes a second; 0: not known, so
+    /// that long answers are not paced.
+    double link_rate = 0;
     /// One piece of a body that is passed on, bytes.
     std::size_t piece = std::size_t{16} << 10U;
     /// Largest answer of guarded work that its caller can be given, bytes.
--- /dev/null
+++ b/bilberrylead/policy/bulk_pace.hpp
@@ -0,0 +1,66 @@
+#ifndef BILBERRYLEAD_POLICY_BULK_PACE_HPP
+#define BILBERRYLEAD_POLICY_BULK_PACE_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+
+namespace bilberrylead::policy
+{
+
+/// When the next piece of a long answer may be passed on, so that short
+/// answers find the host's link free.
+///
+/// Load it answers: an entry host on a link of a few Mbit/s that carries
+/// downloads and look-ups. A download of 90 KB takes 120 ms there at
+/// 6 Mbit/s; passed on as fast as its upstream sends it, every packet of the
+/// host waits behind it, and look-ups of 230 ms were answered after 400 ms.
+/// All bodies count against a share of the link, but only what an answer has
+/// beyond its beginning waits, so the queue in front of the link stays as
+/// short as a piece or two and short answers pass long ones. Fixed memory,
+/// no allocation.
+class bulk_pace
+{
+public:
+    /// Paces for a link of that many bytes a second; 0 or less: no pace.
+    explicit bulk_pace(double link_bytes_per_second)
+        : bytes_per_second(link_bytes_per_second * share)
+    {
+    }
+
+    /// Notes that an answer's next `count` bytes are passed on, and tells how
+    /// long they have to wait; `passed` bytes of that answer went before.
+    duration reserve(std::size_t passed, std::size_t count, instant now)
+    {
+        if (this->bytes_per_second <= 0)
+        {
+            return duration::zero();
+        }
+        instant const turn = std::max(now, this->free_at);
+        std::chrono::duration<double> const takes(static_cast<double>(count) /
+                                                  this->bytes_per_second);
+        this->free_at = turn + std::chrono::duration_cast<duration>(takes);
+        return passed < beginning
+                   ? duration::zero()
+                   : std::min<duration>(turn - now, longest_wait);
+    }
+
+private:
+    /// Share of the link that bodies may fill: the rest is for heads,
+    /// heartbeats and new connections, and lets the queue drain.
+    static constexpr double share = 0.85;
+    /// Bytes of an answer that never wait. Most look-ups are shorter.
+    static constexpr std::size_t beginning = std::size_t{16} << 10U;
+    /// A piece that waited so long goes, whatever else is under way: a
+    /// download is slow then, but not taken for dead.
+    static constexpr std::chrono::milliseconds longest_wait{250};
+
+    double bytes_per_second;
+    instant free_at{};
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/tests/unit/http/streaming_test.cpp
+++ b/tests/unit/http/streaming_test.cpp
@@ -60,6 +60,27 @@
     }
 }
 
+// On a link of a few Mbit/s a download is passed on in turns with other
+// answers; none of its bytes may be lost or swapped by that, nor may the
+// connection fall out of step.
+Test(streaming, download_on_a_slow_link_arrives_whole)
+{
+    std::string const body = patterned(std::size_t{256} << 10U);
+    fake_upstream upstream(always(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body));
+    server_settings settings;
+    settings.link_rate = 2'000'000;
+    running_server entry(settings);
+    entry.configure({upstream.port()});
+    for (int number = 0; number < 2; ++number)
+    {
+        std::optional<answer_text> const got = entry.ask(get("/s/x"));
+        cr_assert(got.has_value());
+        cr_assert(got->body() == body);
+    }
+}
+
 Test(streaming, large_requests_arrive_whole_in_every_framing)
 {
     std::string const body = patterned(large);
--- /dev/null
+++ b/tests/unit/policy/bulk_pace_test.cpp
@@ -0,0 +1,79 @@
+#include "bilberrylead/policy/bulk_pace.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstddef>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using policy::bulk_pace;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+constexpr double six_mbit = 750'000;
+constexpr std::size_t piece = std::size_t{16} << 10U;
+
+} // namespace
+
+// A caller's look-up waits behind 90 KB of somebody else's download: the
+// download's pieces are spread over the time the link needs for them.
+Test(bulk_pace, pieces_of_a_long_answer_are_spread_over_the_links_time)
+{
+    bulk_pace pace(six_mbit);
+    duration waited{};
+    std::size_t passed = 0;
+    instant now = start;
+    while (passed < 6 * piece)
+    {
+        duration const wait = pace.reserve(passed, piece, now);
+        waited += wait;
+        now += wait;
+        passed += piece;
+    }
+    cr_expect_gt(waited, 100ms);
+    cr_expect_lt(waited, 160ms);
+}
+
+Test(bulk_pace, short_answer_never_waits)
+{
+    bulk_pace pace(six_mbit);
+    for (std::size_t passed = 0; passed < 20 * piece; passed += piece)
+    {
+        pace.reserve(passed, piece, start);
+    }
+    cr_expect_eq(pace.reserve(0, 1500, start), duration::zero());
+}
+
+Test(bulk_pace, short_answers_delay_long_ones)
+{
+    bulk_pace pace(six_mbit);
+    for (int answer = 0; answer < 50; ++answer)
+    {
+        cr_expect_eq(pace.reserve(0, 1500, start), duration::zero());
+    }
+    cr_expect_gt(pace.reserve(piece, piece, start), 100ms);
+}
+
+// A download must not be taken for dead, however many there are.
+Test(bulk_pace, no_piece_waits_longer_than_the_limit)
+{
+    bulk_pace pace(six_mbit);
+    duration longest{};
+    for (int answer = 0; answer < 200; ++answer)
+    {
+        longest = std::max(longest, pace.reserve(piece, piece, start));
+    }
+    cr_expect_leq(longest, 250ms);
+}
+
+Test(bulk_pace, link_that_is_not_known_paces_nothing)
+{
+    bulk_pace pace(0);
+    for (int answer = 0; answer < 50; ++answer)
+    {
+        cr_expect_eq(pace.reserve(piece, piece, start), duration::zero());
+    }
+}
