Leaving upstreams are told before the whole list is read

Requests that need up to 0.4 s on a full link made it worse, but some were sent as late. Ruled out: the way of a listing to the entry hosts (0.05 s in the middle, 0.5 s at most). Now the pause runs from call to call, and upstreams that turned to leaving are told while the rest is read, every 400 ms at most.

--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -156,6 +156,7 @@
     discovery::upstream_listing listing;
     std::optional<discovery::list_reader> reader;
     instant listing_asked_at;
+    instant listing_told_at;
     instant regions_planned_at;
 };
 
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -2,12 +2,24 @@
 
 #include "bilberrylead/membership/member_planner.hpp"
 
+#include <chrono>
 #include <utility>
 
 /// Who belongs to the system, and what upstreams there are.
 namespace bilberrylead::control
 {
 
+namespace
+{
+
+/// Leaving upstreams that were read are told no more often than this while
+/// the rest of the list is still being read: each telling makes every entry
+/// host take over a listing, and a quarter of the three seconds in which they
+/// must be out of use is soon enough.
+constexpr std::chrono::milliseconds early_listing_interval{400};
+
+} // namespace
+
 void control_reducer::on_peer(link::link_number from,
                               link::entry_presence const& said)
 {
@@ -149,16 +161,21 @@
     }
     std::optional<std::vector<discovery::listed_upstream>> const found =
         this->reader->page_read(what.number, what.page, this->time);
-    if (!found.has_value())
+    std::optional<discovery::list_changes> changes;
+    if (found.has_value())
     {
-        return;
+        changes = this->listing.read(*found, this->replica.term(), this->time);
+    }
+    else if (this->time >= this->listing_told_at + early_listing_interval)
+    {
+        changes = this->listing.read_leaving(this->reader->found_so_far(),
+                                             this->replica.term(), this->time);
     }
-    std::optional<discovery::list_changes> changes =
-        this->listing.read(*found, this->replica.term(), this->time);
     if (!changes.has_value())
     {
         return;
     }
+    this->listing_told_at = this->time;
     this->note_listing(*changes);
     link::upstream_update const update{std::move(*changes)};
     for (auto const& [number, peer] : this->links)
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -39,7 +39,7 @@
     }
     if (this->open_call != 0)
     {
-        if (now < this->call_ends)
+        if (now < this->call_began + this->settings.call_timeout)
         {
             return std::nullopt;
         }
@@ -54,7 +54,7 @@
         this->reading_began = now;
     }
     this->open_call = ++this->last_number;
-    this->call_ends = now + this->settings.call_timeout;
+    this->call_began = now;
     return page_call{this->open_call, this->next_page};
 }
 
@@ -77,12 +77,13 @@
     if (!page.next.empty() && this->pages < this->settings.most_pages)
     {
         this->next_page = page.next;
-        this->next_due = now + spacing;
+        this->next_due = std::max(now, this->call_began + spacing);
         return std::nullopt;
     }
     std::vector<listed_upstream> whole = std::move(this->found);
     this->start_again(
-        std::max(this->reading_began + this->settings.period, now + spacing));
+        std::max({now, this->reading_began + this->settings.period,
+                  this->call_began + spacing}));
     this->read_at = now;
     return whole;
 }
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -49,6 +49,12 @@
     /// A call failed; the reading starts again after a pause.
     void call_failed(std::uint64_t number, instant now);
 
+    /// What the pages of the reading under way had so far.
+    std::vector<listed_upstream> const& found_so_far() const
+    {
+        return this->found;
+    }
+
     /// When the list was last read whole; nothing if it never was.
     std::optional<instant> last_read() const
     {
@@ -63,7 +69,7 @@
     std::uint64_t last_number = 0;
     /// The call under way; 0 if there is none.
     std::uint64_t open_call = 0;
-    instant call_ends{};
+    instant call_began{};
     instant next_due{};
     instant reading_began{};
     std::string next_page;
--- a/bilberrylead/discovery/upstream_listing.cpp
+++ b/bilberrylead/discovery/upstream_listing.cpp
@@ -73,6 +73,35 @@
     return changes;
 }
 
+std::optional<list_changes>
+upstream_listing::read_leaving(std::vector<listed_upstream> const& part,
+                               std::uint64_t term, instant now)
+{
+    if (this->held.term != term)
+    {
+        return std::nullopt;
+    }
+    list_changes changes;
+    for (listed_upstream const& each : part)
+    {
+        auto const known = this->entries.find(each.upstream.id);
+        if (each.upstream.leaving && known != this->entries.end() &&
+            !known->second.upstream.leaving)
+        {
+            known->second = each;
+            changes.put.push_back(tell(each, now));
+        }
+    }
+    if (changes.put.empty())
+    {
+        return std::nullopt;
+    }
+    changes.base = this->held;
+    changes.target = list_position{term, this->held.number + 1};
+    this->held = changes.target;
+    return changes;
+}
+
 take_result upstream_listing::take(list_changes const& told, instant now)
 {
     if (told.target <= this->held)
--- a/bilberrylead/discovery/upstream_listing.hpp
+++ b/bilberrylead/discovery/upstream_listing.hpp
@@ -35,6 +35,18 @@
     std::optional<list_changes> read(std::vector<listed_upstream> const& found,
                                      std::uint64_t term, instant now);
 
+    /// Takes of a part of the list what can't wait for the rest of it:
+    /// upstreams that are leaving now and were not before. Returns what to
+    /// tell others, nothing if there is none, or if the listing held is not
+    /// of `term`: a whole reading comes first then.
+    ///
+    /// Load it answers: a list of many pages in another region takes seconds
+    /// to read; a leaving upstream on its first page got requests all that
+    /// time, and as long again if it left just after that page was read.
+    std::optional<list_changes>
+    read_leaving(std::vector<listed_upstream> const& part, std::uint64_t term,
+                 instant now);
+
     /// Takes what another process told.
     take_result take(list_changes const& told, instant now);
 
--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -115,3 +115,25 @@
         reader.page_read(open.number, page("a", ""), start).has_value());
     cr_expect_not(reader.next_call(start + 10s).has_value());
 }
+
+// An upstream that leaves gets requests for seconds. The list has 16 pages
+// and each answer takes 70 ms: a pause after each answer, instead of from
+// call to call, makes a reading twice as long.
+Test(list_reader, answers_that_take_long_do_not_add_to_the_pause)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 50;
+    list_reader reader(settings);
+    reader.set_active(true, start);
+    instant now = start;
+    for (int number = 1; number <= 16; ++number)
+    {
+        std::optional<page_call> const call = reader.next_call(now);
+        cr_assert(call.has_value());
+        now += 70ms;
+        reader.page_read(call->number, page("a", number < 16 ? "next" : ""),
+                         now);
+    }
+    cr_assert(reader.last_read().has_value());
+    cr_expect_eq(*reader.last_read() - start, 16 * 70ms);
+}
--- a/tests/unit/discovery/upstream_listing_test.cpp
+++ b/tests/unit/discovery/upstream_listing_test.cpp
@@ -101,3 +101,45 @@
     cr_expect_eq(held.upstreams().size(), 3U);
     cr_expect(held.position() == reader.position());
 }
+
+// A caller's request reaches an upstream seconds after that was listed as
+// leaving. Its page was read at once, the pages after it took long, and
+// nothing was told before the last one had come.
+Test(upstream_listing, leaving_upstream_is_told_before_the_whole_list_is_read)
+{
+    upstream_listing listing;
+    listing.read({entry("a"), entry("b")}, 3, start);
+    upstream_listing follower;
+    follower.take(listing.whole(start), start);
+    std::optional<list_changes> const early =
+        listing.read_leaving({entry("a", true)}, 3, start);
+    cr_assert(early.has_value());
+    cr_expect_eq(early->put.size(), 1U);
+    cr_expect(early->removed.empty(), "the rest was not read yet");
+    cr_expect(follower.take(*early, start) == take_result::taken);
+    cr_expect(follower.upstreams().at(upstream_id("a")).upstream.leaving);
+    cr_expect_eq(follower.upstreams().size(), 2U);
+    cr_expect_not(
+        listing.read_leaving({entry("a", true)}, 3, start).has_value());
+    cr_expect_not(
+        listing.read({entry("a", true), entry("b")}, 3, start).has_value(),
+        "told once");
+}
+
+Test(upstream_listing, part_of_a_list_adds_nothing_but_leaving)
+{
+    upstream_listing listing;
+    listing.read({entry("a")}, 3, start);
+    cr_expect_not(listing.read_leaving({entry("a"), entry("b", true)}, 3, start)
+                      .has_value());
+}
+
+// A new leader has read no whole list in its term: its followers may hold
+// another one.
+Test(upstream_listing, part_of_a_list_counts_for_nothing_in_a_new_term)
+{
+    upstream_listing listing;
+    listing.read({entry("a")}, 3, start);
+    cr_expect_not(
+        listing.read_leaving({entry("a", true)}, 4, start).has_value());
+}
