Hosts that lost power go on with what they remember

Ruled out: the processes' own start (0.1 s). Now the term and vote's record also tells how far the log was committed, at most 200 ms ago, so that a control host applies that much by itself; and control hosts keep the last listing in the data folder, written once a second by a thread of its own, so that a slow disk holds nothing up. Both are hints: what has changed since comes with the leader, and a damaged file counts as none. Founding a group is written once now, for seeds and for an operator's order.

--- a/bilberrylead/agreement/hard_state.hpp
+++ b/bilberrylead/agreement/hard_state.hpp
@@ -15,6 +15,10 @@
     std::uint64_t term = 0;
     /// Whom it voted for in that term; empty if for nobody.
     host_id voted_for;
+    /// An index up to which the log was known to be committed: a hint that
+    /// may be behind, never ahead. A host that comes back applies the log up
+    /// to there without waiting for a leader.
+    std::uint64_t committed = 0;
 
     friend bool operator==(hard_state const&, hard_state const&) = default;
 };
--- a/bilberrylead/agreement/record_json.cpp
+++ b/bilberrylead/agreement/record_json.cpp
@@ -111,7 +111,9 @@
 
 json write_record(hard_state const& value)
 {
-    return {{"term", value.term}, {"voted_for", value.voted_for.text()}};
+    return {{"term", value.term},
+            {"voted_for", value.voted_for.text()},
+            {"committed", value.committed}};
 }
 
 template <>
@@ -120,6 +122,8 @@
     hard_state value;
     value.term = reader.number("term");
     value.voted_for = host_id(reader.text("voted_for"));
+    // Folders of earlier versions do not have it.
+    value.committed = reader.number_or("committed", 0);
     return value;
 }
 
--- a/bilberrylead/agreement/record_reader.cpp
+++ b/bilberrylead/agreement/record_reader.cpp
@@ -73,6 +73,11 @@
     return value->get<std::uint64_t>();
 }
 
+std::uint64_t record_reader::number_or(char const* name, std::uint64_t missing)
+{
+    return this->whole.contains(name) ? this->number(name) : missing;
+}
+
 bool record_reader::flag(char const* name)
 {
     nlohmann::json const* const value = this->field(name);
--- a/bilberrylead/agreement/record_reader.hpp
+++ b/bilberrylead/agreement/record_reader.hpp
@@ -33,6 +33,8 @@
 
     /// A whole number from 0.
     std::uint64_t number(char const* name);
+    /// A whole number from 0, or `missing` if there is no such field.
+    std::uint64_t number_or(char const* name, std::uint64_t missing);
     /// True or false.
     bool flag(char const* name);
     /// A text.
--- a/bilberrylead/agreement/replica_core.cpp
+++ b/bilberrylead/agreement/replica_core.cpp
@@ -49,10 +49,20 @@
 
 void replica_core::set_hard_state(std::uint64_t term, host_id const& voted_for)
 {
-    this->hard_state = {term, voted_for};
+    this->hard_state = {term, voted_for, this->commit_index};
+    this->commit_noted_at = this->now;
     this->out.write(persist_hard_state{this->hard_state});
 }
 
+void replica_core::note_commit()
+{
+    if (this->commit_index > this->hard_state.committed &&
+        this->now - this->commit_noted_at >= this->settings.commit_note_pause)
+    {
+        this->set_hard_state(this->hard_state.term, this->hard_state.voted_for);
+    }
+}
+
 message replica_core::make_message(message_body body) const
 {
     return {this->hard_state.term, this->incarnation, std::move(body)};
--- a/bilberrylead/agreement/replica_core.hpp
+++ b/bilberrylead/agreement/replica_core.hpp
@@ -46,6 +46,10 @@
     /// Sets term and vote and has them written.
     void set_hard_state(std::uint64_t term, host_id const& voted_for);
 
+    /// Makes durable how far the log is committed, if that is news and the
+    /// last such note is some time ago.
+    void note_commit();
+
     /// Makes the message that says `body` now.
     message make_message(message_body body) const;
 
@@ -84,6 +88,8 @@
     /// Highest index known to be committed; equals the last applied index
     /// between events.
     std::uint64_t commit_index = 0;
+    /// When `hard_state` last took the commit index over.
+    instant commit_noted_at{};
     /// Last index when the call began: durable before any effect of it.
     std::uint64_t durable_index = 0;
     /// Who leads in the present term; empty if unknown.
--- a/bilberrylead/agreement/replica_parts.cpp
+++ b/bilberrylead/agreement/replica_parts.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 
@@ -138,10 +139,19 @@
     {
         to.set_hard_state(to.log.last_term(), host_id());
     }
+
+    // What was committed once stays so: the state is whole again before
+    // there is a leader, and hosts that ask get what was in force.
+    this->applier.commit_through(
+        std::min(what.hard_state.committed, to.log.last_index()));
 }
 
 void replica_parts::on(tick const&)
 {
+    if (this->core.role() != role::stopped)
+    {
+        this->core.note_commit();
+    }
     if (this->core.role() == role::leader)
     {
         this->changes.on_tick();
--- a/bilberrylead/agreement/replica_settings.hpp
+++ b/bilberrylead/agreement/replica_settings.hpp
@@ -21,6 +21,10 @@
     duration heartbeat_interval = std::chrono::milliseconds(140);
     /// How often `tick` is due; half a heartbeat keeps timers exact enough.
     duration tick_interval = std::chrono::milliseconds(70);
+    /// Shortest time between two notes of how far the log is committed. Each
+    /// is a sync of its own; what was accepted since the last one waits for
+    /// a leader if all hosts lose power at once.
+    duration commit_note_pause = std::chrono::milliseconds(200);
     /// Taken off the election timeout to get the lease: covers monotonic
     /// clocks that run at different rates (150 ms in 700 is far beyond any
     /// crystal), so that the old lease ends before a successor starts.
--- a/bilberrylead/control/control_event.hpp
+++ b/bilberrylead/control/control_event.hpp
@@ -4,12 +4,14 @@
 #include "bilberrylead/agreement/events/started.hpp"
 #include "bilberrylead/control/operator_request.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_changes.hpp"
 #include "bilberrylead/discovery/list_page.hpp"
 #include "bilberrylead/link/message.hpp"
 #include "bilberrylead/link/peer_callbacks.hpp"
 #include "bilberrylead/link/peer_identity.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 namespace bilberrylead::control
@@ -20,6 +22,8 @@
 {
     /// What the data folder held.
     agreement::started recovered;
+    /// The upstreams as they were listed before, if that is remembered.
+    std::optional<discovery::list_changes> listing = std::nullopt;
 };
 
 /// A link to a peer is open.
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -68,6 +68,11 @@
 {
     this->time_advanced_at = this->time;
     this->replica_events.emplace_back(what.recovered);
+    if (what.listing.has_value())
+    {
+        this->listing.take(*what.listing, this->time);
+        this->note_listing(*what.listing);
+    }
 }
 
 void control_reducer::on(peer_connected const& what)
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -72,7 +72,10 @@
         return opened.status();
     }
     this->store.emplace(std::move(*opened));
-    this->make_reducer();
+    if (this->settings.upstream_list.port != 0)
+    {
+        this->memory.emplace(this->io, this->settings.data_folder);
+    }
     if (this->founds_group())
     {
         this->write(this->store->become_founder());
@@ -80,15 +83,18 @@
         {
             return this->ended_by;
         }
-        this->make_reducer();
-        this->take(control::control_started{this->founding()});
+        std::vector<host_id> founders;
+        for (config::endpoint const& seed : this->settings.seeds)
+        {
+            founders.emplace_back(seed.address);
+        }
+        this->start_reducer(this->founding(founders));
         log.info("A new group of {} control hosts is founded.",
                  this->settings.seeds.size());
     }
     else
     {
-        this->take(
-            control::control_started{std::move(this->store->recovered())});
+        this->start_reducer(std::move(this->store->recovered()));
     }
     return this->listen();
 }
@@ -115,18 +121,45 @@
     return this->settings.first_start && blank && is_seed;
 }
 
-agreement::started control_program::implementation::founding()
+/// The same first membership at every founder.
+agreement::started control_program::implementation::founding(
+    std::vector<host_id> const& founders) const
 {
     agreement::started first;
     first.founding.emplace();
-    for (config::endpoint const& seed : this->settings.seeds)
+    for (host_id const& founder : founders)
     {
-        first.founding->put(
-            {host_id(seed.address), this->store->incarnation(), true, false});
+        first.founding->put({founder, this->store->incarnation(), true, false});
     }
     return first;
 }
 
+void control_program::implementation::start_reducer(agreement::started found)
+{
+    this->make_reducer();
+    control::control_started event{std::move(found), std::nullopt};
+    if (this->memory.has_value())
+    {
+        event.listing = this->memory->recall();
+    }
+    this->take(std::move(event));
+
+    // Hosts that are linked already say so once only.
+    for (std::pair<link::link_number const, link::peer_identity> const& row :
+         this->links)
+    {
+        this->take(control::peer_connected{row.first, row.second});
+    }
+}
+
+void control_program::implementation::remember_listing()
+{
+    if (this->memory.has_value() && this->memory->wants_listing(now()))
+    {
+        this->memory->remember(this->reducer->upstreams().whole(now()), now());
+    }
+}
+
 void control_program::implementation::make_reducer()
 {
     control::control_reducer_settings wanted;
@@ -314,6 +347,10 @@
 
         void operator()(control::listing_changed const& wanted) const
         {
+            if (this->owner.memory.has_value())
+            {
+                this->owner.memory->note_change();
+            }
             log.info("Listing {}.{} of upstreams is held: {} new or changed, "
                      "{} gone, {} in all.",
                      wanted.position.term, wanted.position.number, wanted.put,
@@ -369,6 +406,7 @@
             if (!error)
             {
                 this->take(control::control_tick{});
+                this->remember_listing();
                 this->start_ticking();
             }
         });
--- a/bilberrylead/daemon/control_program_disk.cpp
+++ b/bilberrylead/daemon/control_program_disk.cpp
@@ -60,13 +60,7 @@
     this->disk_failed = false;
     this->ended_by = absl::OkStatus();
     this->pending.clear();
-    this->make_reducer();
-    this->take(control::control_started{std::move(this->store->recovered())});
-    for (std::pair<link::link_number const, link::peer_identity> const& row :
-         this->links)
-    {
-        this->take(control::peer_connected{row.first, row.second});
-    }
+    this->start_reducer(std::move(this->store->recovered()));
     return true;
 }
 
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -246,20 +246,12 @@
         return;
     }
 
-    // The same first membership at every founder.
-    agreement::started first;
-    first.founding.emplace();
+    std::vector<host_id> founders;
     for (config::host_address const& host : this->settings.control_hosts)
     {
-        first.founding->put({host.id, this->store->incarnation(), true, false});
-    }
-    this->make_reducer();
-    this->take(control::control_started{std::move(first)});
-    for (std::pair<link::link_number const, link::peer_identity> const& row :
-         this->links)
-    {
-        this->take(control::peer_connected{row.first, row.second});
+        founders.push_back(host.id);
     }
+    this->start_reducer(this->founding(founders));
     log.info("A new group of {} control hosts is founded.",
              this->settings.control_hosts.size());
     answer(write_operator_reply(control::done_reply{}));
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/daemon/control_metrics.hpp"
 #include "bilberrylead/daemon/control_program.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
+#include "bilberrylead/daemon/listing_memory.hpp"
 #include "bilberrylead/daemon/operator_api.hpp"
 #include "bilberrylead/daemon/peer_book.hpp"
 #include "bilberrylead/daemon/settings_watch.hpp"
@@ -72,7 +73,9 @@
     absl::StatusOr<discovery::list_page>
     page_of(absl::StatusOr<link::http_result> const& result) const;
     void found(link::http_endpoint::answer_function const& answer);
-    agreement::started founding();
+    agreement::started founding(std::vector<host_id> const& founders) const;
+    void start_reducer(agreement::started found);
+    void remember_listing();
     void start_ticking();
     void reload();
     void wait_for_stop();
@@ -98,6 +101,7 @@
     std::optional<link::http_caller> list;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
+    std::optional<listing_memory> memory;
     std::vector<control::control_event> pending;
     bool flush_is_due = false;
     bool disk_failed = false;
--- a/bilberrylead/store/checked_file.hpp
+++ b/bilberrylead/store/checked_file.hpp
@@ -20,6 +20,8 @@
     snapshot = 0x6e536c42,
     /// The head of the journal.
     journal = 0x6e4a6c42,
+    /// The upstreams as they were listed last.
+    listing = 0x734c6c42,
 };
 
 /// A file that is written once, whole: a number and content, checksummed
--- a/tests/unit/agreement/codec_test.cpp
+++ b/tests/unit/agreement/codec_test.cpp
@@ -148,7 +148,7 @@
 
 Test(codec, records_of_the_data_folder_when_written_and_read_are_the_same)
 {
-    hard_state const state{7, host_id("a")};
+    hard_state const state{7, host_id("a"), 5};
     snapshot const whole{12, 3, two_members(), {1, 2, 3, 4}};
     log_entry const entry{3, 9, entry_kind::command, {}};
     cr_assert(*decode_hard_state(encode_hard_state(state)) == state);
--- a/tests/unit/agreement/failure_test.cpp
+++ b/tests/unit/agreement/failure_test.cpp
@@ -175,3 +175,30 @@
     cr_assert(group.settle(*group.leader()) == outcome::accepted);
     group.expect_no_breach();
 }
+
+// All hosts lose power at once and callers wait for the first one that is
+// back: it must know what was in force before there is a leader. Until it
+// does, entry hosts that lost power as well refuse every request.
+Test(replica, host_when_all_lost_power_applies_what_was_committed_alone)
+{
+    group_fixture group(3, 0);
+    std::size_t const leader = *group.leader();
+    for (int change = 0; change < 20; ++change)
+    {
+        cr_assert(group.settle(leader) == outcome::accepted);
+    }
+    group.run_for(1s);
+    std::uint64_t const committed = group.checker.committed();
+    for (std::size_t place = 0; place < 3; ++place)
+    {
+        group.crash(place);
+    }
+    group.start(0);
+    cr_expect_eq(group.hosts[0].applied, committed);
+    group.run_for(5s);
+    cr_expect_not(group.leader().has_value(), "one of three elects nobody");
+    group.start(1);
+    group.run_for(5s);
+    cr_expect(group.settle(*group.leader()) == outcome::accepted);
+    group.expect_no_breach();
+}
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -315,3 +315,35 @@
     group.advance(30);
     cr_expect(std::holds_alternative<absl::Status>(group.answer_to(2)));
 }
+
+// All hosts lost power and entry hosts ask for upstreams. The control host
+// has no leader to read the list yet; what it remembers of it is enough for
+// callers to be served.
+Test(control_reducer, host_when_restarted_hands_out_the_listing_it_remembers)
+{
+    control::control_reducer_settings settings;
+    settings.self = control_host(0);
+    control::control_reducer host(settings);
+    instant const now = instant{} + std::chrono::hours(1);
+    discovery::list_changes remembered;
+    remembered.whole = true;
+    remembered.target = {7, 3};
+    remembered.put.emplace_back();
+    remembered.put.back().upstream.id = upstream_id("a");
+    std::vector<control::control_event> const events = {
+        control::control_started{{}, remembered},
+        control::peer_connected{1, {host_id("e1"), link::peer_role::entry, 1}},
+        control::peer_message{1, link::upstream_request{}}};
+    std::size_t told = 0;
+    for (control::control_effect const& effect : host.reduce(events, now))
+    {
+        control::send_to_peer const* const sent =
+            std::get_if<control::send_to_peer>(&effect);
+        link::upstream_update const* const update =
+            sent == nullptr
+                ? nullptr
+                : std::get_if<link::upstream_update>(&sent->content);
+        told += update == nullptr ? 0 : update->changes.put.size();
+    }
+    cr_expect_eq(told, 1U);
+}
