Long documents and listings are packed on links

Cause: a configuration of a thousand routes has 300 KB, and each change sends it whole to every entry host: 0.36 s of a link of 6.7 Mbit/s, during which every request and answer waits. Ruled out: the upstreams (answered as before), processor time (2 % of a core), and the reading of the document (hosts of the same zone were 0.3 s apart, the rest of the way). Now documents and listings of 1 KB and more are Zstandard frames (libzstd). Weighed, not measured: deltas (smaller still, but with a base to agree on; open for the size in two years) and compression of the whole link (each message of each link anew, small ones too).

--- a/bilberrylead/link/message.cpp
+++ b/bilberrylead/link/message.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/cbor.hpp"
 #include "bilberrylead/core/cbor_fields.hpp"
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/core/packed_bytes.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -584,16 +585,13 @@
     return unknown_value("kind");
 }
 
-} // namespace
+/// A document or listing of this many bytes or more is packed: shorter ones
+/// fit a packet or two.
+constexpr std::size_t least_packed = 1024;
+/// Longest message that is unpacked, bytes; as long as a link takes.
+constexpr std::size_t longest_message = std::size_t{256} << 20U;
 
-bytes encode(message const& content)
-{
-    bytes output;
-    append_cbor(std::visit(message_writer{}, content), output);
-    return output;
-}
-
-absl::StatusOr<message> decode(bytes const& encoded)
+absl::StatusOr<message> decode_plain(bytes const& encoded)
 {
     absl::StatusOr<cbor_fields> fields = cbor_fields::parse(encoded);
     if (!fields.ok())
@@ -608,4 +606,30 @@
     return content;
 }
 
+} // namespace
+
+bytes encode(message const& content)
+{
+    bytes output;
+    append_cbor(std::visit(message_writer{}, content), output);
+    bool const is_long_text =
+        std::holds_alternative<configuration_update>(content) ||
+        std::holds_alternative<upstream_update>(content);
+    if (is_long_text && output.size() >= least_packed)
+    {
+        return pack(output);
+    }
+    return output;
+}
+
+absl::StatusOr<message> decode(bytes const& encoded)
+{
+    if (is_packed(encoded))
+    {
+        absl::StatusOr<bytes> const content = unpack(encoded, longest_message);
+        return content.ok() ? decode_plain(*content) : content.status();
+    }
+    return decode_plain(encoded);
+}
+
 } // namespace bilberrylead::link
--- a/bilberrylead/link/message.hpp
+++ b/bilberrylead/link/message.hpp
@@ -34,7 +34,8 @@
                  entry_presence, host_place, group_news, upstream_update,
                  upstream_request, region_plan>;
 
-/// The message as CBOR.
+/// The message as CBOR; long documents and listings are packed, since entry
+/// hosts may stand behind a link of a few Mbit/s.
 bytes encode(message const& content);
 
 /// Reads a message. Any bytes may come in: what is no message is an error
--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -9,6 +9,7 @@
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
 
 add_library(bilberrylead_dependencies INTERFACE)
 target_link_libraries(bilberrylead_dependencies INTERFACE
@@ -19,6 +20,7 @@
     absl::status
     absl::statusor
     PkgConfig::XXHASH
+    PkgConfig::ZSTD
     OpenSSL::Crypto
     OpenSSL::SSL
     Threads::Threads)
--- a/cmake/setup.sh
+++ b/cmake/setup.sh
@@ -5,6 +5,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config make
     libboost1.81-dev nlohmann-json3-dev prometheus-cpp-dev libtclap-dev
     libfmt-dev libabsl-dev libcriterion-dev libxxhash-dev libssl-dev
+    libzstd-dev
     clang-format-19 clang-tidy-19)
 missing=()
 for package in "${packages[@]}"; do
