--- a/bilberrylead/control/control_reducer_regions.cpp
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -1,8 +1,8 @@
 #include "bilberrylead/control/control_reducer.hpp"
 
+#include "bilberrylead/link/thousandths.hpp"
 #include "bilberrylead/policy/region_plan.hpp"
 
-#include <cmath>
 #include <map>
 #include <string>
 
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr double thousand = 1000;
-
 /// Demand and room of every service, by region.
 class region_picture
 {
@@ -55,7 +53,7 @@
                 this->room(demand.service, said.region);
             if (room != nullptr)
             {
-                room->demand += demand.slots / thousand;
+                room->demand += link::from_thousandths(demand.slots);
             }
         }
     }
@@ -77,9 +75,8 @@
                 policy::plan_regions(rooms, settings);
             for (auto const& [region, place] : this->numbers)
             {
-                double const share = shares[number->second][place];
                 std::uint32_t const rounded =
-                    static_cast<std::uint32_t>(std::lround(share * thousand));
+                    link::to_thousandths(shares[number->second][place]);
                 if (rounded > 0)
                 {
                     plan.shares.push_back({service, region, rounded});
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/daemon/control_program_parts.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -33,17 +35,6 @@
 /// The source in the peer book that stands for the own log.
 constexpr std::uint64_t own_log = 0;
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-wall_time wall_now()
-{
-    return std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 std::uint64_t seed_of(host_id const& host)
 {
     return std::hash<host_id>{}(host);
@@ -154,9 +145,10 @@
 
 void control_program::implementation::remember_listing()
 {
-    if (this->memory.has_value() && this->memory->wants_listing(now()))
+    if (this->memory.has_value() && this->memory->wants_listing(clock_now()))
     {
-        this->memory->remember(this->reducer->upstreams().whole(now()), now());
+        this->memory->remember(this->reducer->upstreams().whole(clock_now()),
+                               clock_now());
     }
 }
 
@@ -276,7 +268,7 @@
     std::vector<control::control_event> const events =
         std::exchange(this->pending, {});
     std::vector<control::control_effect> const effects =
-        this->reducer->reduce(events, now());
+        this->reducer->reduce(events, clock_now());
     bool const failed_before = this->disk_failed;
     for (control::control_effect const& effect : effects)
     {
@@ -431,15 +423,15 @@
             }
             ++this->last_request;
             this->take(control::operator_asked{
-                this->last_request, control::hand_over{}, wall_now()});
-            this->stop_when_handed_over(now() + handover_patience);
+                this->last_request, control::hand_over{}, wall_clock_now()});
+            this->stop_when_handed_over(clock_now() + handover_patience);
         });
 }
 
 void control_program::implementation::stop_when_handed_over(instant deadline)
 {
     bool const leads = this->reducer->log().role() == agreement::role::leader;
-    if (!leads || now() >= deadline)
+    if (!leads || clock_now() >= deadline)
     {
         this->io.stop();
         return;
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/daemon/control_program_parts.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
+
 #include <fmt/format.h>
 
 #include <string_view>
@@ -25,17 +27,6 @@
 
 constexpr unsigned http_ok = 200;
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-wall_time wall_now()
-{
-    return std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 } // namespace
 
 absl::Status control_program::implementation::listen_outside()
@@ -136,7 +127,7 @@
         return;
     }
     answer(this->adapter.write_steering_reply(
-        this->reducer->steer(*asked, now())));
+        this->reducer->steer(*asked, clock_now())));
 }
 
 absl::StatusOr<discovery::list_page> control_program::implementation::page_of(
@@ -220,7 +211,7 @@
     this->waiting.emplace(this->last_request,
                           open_operator_call{request, std::move(answer)});
     this->take(control::operator_asked{this->last_request, std::move(*asked),
-                                       wall_now()});
+                                       wall_clock_now()});
 }
 
 void control_program::implementation::found(
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/daemon/entry_program_parts.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -48,11 +50,6 @@
 constexpr unsigned http_not_found = 404;
 constexpr unsigned http_unavailable = 503;
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Number of this life of the process. If the wall clock went back, the
 /// control hosts say so and a larger one is taken.
 std::uint64_t incarnation_from_clock()
@@ -257,7 +254,7 @@
     distribution::exchange_event const& what)
 {
     for (distribution::exchange_effect const& effect :
-         this->exchange.reduce(what, now()))
+         this->exchange.reduce(what, clock_now()))
     {
         if (distribution::send_message const* const sent =
                 std::get_if<distribution::send_message>(&effect))
@@ -275,7 +272,7 @@
     once_client::once_client_event const& what)
 {
     for (once_client::once_client_effect const& effect :
-         this->claims.reduce(what, now()))
+         this->claims.reduce(what, clock_now()))
     {
         if (once_client::send_to_control const* sent =
                 std::get_if<once_client::send_to_control>(&effect))
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -1,7 +1,9 @@
 #include "bilberrylead/daemon/entry_program_parts.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
+#include "bilberrylead/link/thousandths.hpp"
+
 #include <algorithm>
-#include <cmath>
 #include <string>
 #include <utility>
 #include <variant>
@@ -23,13 +25,6 @@
 constexpr std::chrono::milliseconds heartbeat_interval{500};
 /// How often a control host is asked for a newer listing of upstreams.
 constexpr std::chrono::seconds listing_refresh{1};
-/// Slots and shares go over links as whole thousandths.
-constexpr double slots_in_thousandths = 1000;
-
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
 
 } // namespace
 
@@ -227,7 +222,7 @@
     for (link::region_share const& each : said.shares)
     {
         plan.shares.push_back(
-            {each.service, each.region, each.share / slots_in_thousandths});
+            {each.service, each.region, link::from_thousandths(each.share)});
     }
     this->server->dispatch(std::move(plan));
 }
@@ -236,7 +231,7 @@
     link::link_number number, link::upstream_update const& said)
 {
     discovery::take_result const result =
-        this->listing.take(said.changes, now());
+        this->listing.take(said.changes, clock_now());
     if (result == discovery::take_result::other_base)
     {
         this->send(number, link::upstream_request{this->listing.position()});
@@ -271,9 +266,7 @@
     presence.listing = this->listing.position();
     for (auto const& [service, slots] : this->server->demands())
     {
-        presence.demands.push_back(
-            {service, static_cast<std::uint32_t>(
-                          std::lround(slots * slots_in_thousandths))});
+        presence.demands.push_back({service, link::to_thousandths(slots)});
     }
     this->send(to, presence);
 }
@@ -304,11 +297,12 @@
 /// control host is asked now and then, each in its turn.
 void entry_program::implementation::ask_for_listing()
 {
-    if (this->links.empty() || now() - this->listing_asked_at < listing_refresh)
+    if (this->links.empty() ||
+        clock_now() - this->listing_asked_at < listing_refresh)
     {
         return;
     }
-    this->listing_asked_at = now();
+    this->listing_asked_at = clock_now();
     auto const next = this->links.upper_bound(this->last_asked);
     auto const chosen = next == this->links.end() ? this->links.begin() : next;
     this->last_asked = chosen->first;
--- a/bilberrylead/http/net.hpp
+++ b/bilberrylead/http/net.hpp
@@ -4,6 +4,7 @@
 // Asio and Beast as this folder's sources use them. Not for headers that
 // other folders include.
 
+#include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/core/time.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -63,13 +64,6 @@
 /// An answer made here.
 using whole_answer = beast::http::response<beast::http::string_body>;
 
-/// Now, on the clock that events carry.
-inline instant clock_now()
-{
-    return std::chrono::time_point_cast<duration>(
-        std::chrono::steady_clock::now());
-}
-
 } // namespace bilberrylead::http
 
 #endif
--- /dev/null
+++ b/bilberrylead/link/message_reader.cpp
@@ -0,0 +1,321 @@
+#include "bilberrylead/link/message_reader.hpp"
+
+#include "bilberrylead/catalog/replicated_command.hpp"
+#include "bilberrylead/core/error.hpp"
+#include "bilberrylead/link/message_tag.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+namespace bilberrylead::link
+{
+
+namespace
+{
+
+constexpr std::size_t longest_text = 4096;
+
+discovery::list_position take_position(cbor_fields& fields)
+{
+    discovery::list_position position;
+    position.term = fields.take_unsigned();
+    position.number = fields.take_unsigned();
+    return position;
+}
+
+config::endpoint take_endpoint(cbor_fields& fields)
+{
+    config::endpoint address;
+    address.address = fields.take_text(longest_text);
+    address.port = fields.take_unsigned_16();
+    return address;
+}
+
+entry_presence take_presence(cbor_fields& fields)
+{
+    entry_presence content;
+    content.address = take_endpoint(fields);
+    content.zone = zone_id(fields.take_text(longest_text));
+    content.region = region_id(fields.take_text(longest_text));
+    content.ready = fields.take_bool();
+    content.stopping = fields.take_bool();
+    content.in_force = fields.take_unsigned();
+    content.listing = take_position(fields);
+    std::uint64_t const count = fields.take_unsigned();
+    // A count beyond the record spoils it with the first missing field.
+    for (std::uint64_t each = 0; each < count && fields.intact(); ++each)
+    {
+        service_demand demand;
+        demand.service = service_id(fields.take_text(longest_text));
+        demand.slots = fields.take_unsigned_32();
+        content.demands.push_back(std::move(demand));
+    }
+    return content;
+}
+
+group_news take_group_news(cbor_fields& fields)
+{
+    group_news content;
+    content.entry_hosts = fields.take_unsigned();
+    std::uint64_t const count = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < count && fields.intact(); ++each)
+    {
+        content.control_hosts.emplace_back(fields.take_text(longest_text));
+    }
+    return content;
+}
+
+region_plan take_region_plan(cbor_fields& fields)
+{
+    region_plan content;
+    content.term = fields.take_unsigned();
+    std::uint64_t const count = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < count && fields.intact(); ++each)
+    {
+        region_share share;
+        share.service = service_id(fields.take_text(longest_text));
+        share.region = region_id(fields.take_text(longest_text));
+        share.share = fields.take_unsigned_32();
+        content.shares.push_back(std::move(share));
+    }
+    return content;
+}
+
+discovery::told_upstream take_upstream(cbor_fields& fields)
+{
+    discovery::told_upstream told;
+    told.upstream.id = upstream_id(fields.take_text(longest_text));
+    told.upstream.service = service_id(fields.take_text(longest_text));
+    told.upstream.zone = zone_id(fields.take_text(longest_text));
+    told.upstream.address = take_endpoint(fields);
+    told.upstream.slots = fields.take_unsigned_32();
+    told.upstream.leaving = fields.take_bool();
+    told.cold_left = duration(fields.take_signed());
+    return told;
+}
+
+upstream_update take_upstream_update(cbor_fields& fields)
+{
+    upstream_update content;
+    content.changes.base = take_position(fields);
+    content.changes.target = take_position(fields);
+    content.changes.whole = fields.take_bool();
+    std::uint64_t const put = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < put && fields.intact(); ++each)
+    {
+        content.changes.put.push_back(take_upstream(fields));
+    }
+    std::uint64_t const removed = fields.take_unsigned();
+    for (std::uint64_t each = 0; each < removed && fields.intact(); ++each)
+    {
+        content.changes.removed.emplace_back(fields.take_text(longest_text));
+    }
+    return content;
+}
+
+configuration_update take_update(cbor_fields& fields)
+{
+    configuration_update content;
+    content.target = fields.take_unsigned();
+    content.base = fields.take_unsigned();
+    content.content = fields.take_bytes();
+    return content;
+}
+
+registration_reply take_registration(cbor_fields& fields)
+{
+    registration_reply content;
+    content.result.accepted = fields.take_bool();
+    content.result.incarnation = fields.take_unsigned();
+    content.result.outcomes_unknown = fields.take_unsigned();
+    return content;
+}
+
+/// The part of a replicated command that entry hosts may ask for; nothing
+/// for operators' changes and the log's own time.
+std::optional<once::once_command>
+as_entry_command(catalog::replicated_command&& command)
+{
+    if (once::claim* const held = std::get_if<once::claim>(&command))
+    {
+        return std::move(*held);
+    }
+    if (once::complete* const held = std::get_if<once::complete>(&command))
+    {
+        return std::move(*held);
+    }
+    if (once::release* const held = std::get_if<once::release>(&command))
+    {
+        return std::move(*held);
+    }
+    if (once::mark_unknown* const held =
+            std::get_if<once::mark_unknown>(&command))
+    {
+        return std::move(*held);
+    }
+    return std::nullopt;
+}
+
+absl::Status unknown_value(char const* what)
+{
+    return make_error(error_kind::bad_value,
+                      std::string("A peer's message has an unknown ") + what +
+                          ".",
+                      "Run the same version on all hosts.");
+}
+
+absl::StatusOr<message> take_once_request(cbor_fields& fields)
+{
+    once_request content;
+    content.number = fields.take_unsigned();
+    absl::StatusOr<catalog::replicated_command> command =
+        catalog::decode_command(fields.take_bytes());
+    if (!command.ok())
+    {
+        return command.status();
+    }
+    std::optional<once::once_command> allowed =
+        as_entry_command(std::move(*command));
+    if (!allowed.has_value())
+    {
+        return unknown_value("command");
+    }
+    content.command = std::move(*allowed);
+    return content;
+}
+
+std::optional<once::claim_verdict> take_verdict(cbor_fields& fields)
+{
+    switch (static_cast<verdict_tag>(fields.take_unsigned()))
+    {
+    case verdict_tag::granted:
+        return once::claim_granted{};
+    case verdict_tag::in_progress:
+        return once::claim_in_progress{};
+    case verdict_tag::recorded:
+    {
+        once::claim_recorded verdict;
+        verdict.answer.status = fields.take_unsigned_16();
+        verdict.answer.content_type = fields.take_text(longest_text);
+        verdict.answer.body = fields.take_bytes();
+        verdict.answer.body_dropped = fields.take_bool();
+        return verdict;
+    }
+    case verdict_tag::outcome_unknown:
+        return once::claim_outcome_unknown{};
+    case verdict_tag::mismatch:
+        return once::claim_mismatch{};
+    case verdict_tag::refused:
+    {
+        once::claim_refused verdict;
+        std::uint64_t const reason = fields.take_unsigned();
+        std::uint64_t const last =
+            static_cast<std::uint64_t>(once::claim_refusal::given_up);
+        if (reason > last)
+        {
+            return std::nullopt;
+        }
+        verdict.reason = static_cast<once::claim_refusal>(reason);
+        verdict.retry_after = duration(fields.take_signed());
+        return verdict;
+    }
+    }
+    return std::nullopt;
+}
+
+absl::StatusOr<message> take_claim_reply(cbor_fields& fields)
+{
+    claim_reply content;
+    content.number = fields.take_unsigned();
+    std::optional<once::claim_verdict> verdict = take_verdict(fields);
+    if (!verdict.has_value())
+    {
+        return unknown_value("verdict");
+    }
+    content.verdict = std::move(*verdict);
+    return content;
+}
+
+absl::StatusOr<message> take_settle_reply(cbor_fields& fields)
+{
+    settle_reply content;
+    content.number = fields.take_unsigned();
+    std::uint64_t const result = fields.take_unsigned();
+    if (result > static_cast<std::uint64_t>(once::settle_result::no_record))
+    {
+        return unknown_value("result");
+    }
+    content.result = static_cast<once::settle_result>(result);
+    return content;
+}
+
+absl::StatusOr<message> take_message(cbor_fields& fields)
+{
+    switch (static_cast<message_tag>(fields.take_unsigned()))
+    {
+    case message_tag::replica_message:
+        return replica_message{fields.take_bytes()};
+    case message_tag::subscription:
+    {
+        subscription content;
+        content.in_force = fields.take_unsigned();
+        content.wanted =
+            fields.take_bool() ? delivery::pushed : delivery::announced;
+        return content;
+    }
+    case message_tag::revision_announcement:
+        return revision_announcement{fields.take_unsigned()};
+    case message_tag::configuration_update:
+        return take_update(fields);
+    case message_tag::registration_request:
+        return registration_request{fields.take_unsigned()};
+    case message_tag::registration_reply:
+        return take_registration(fields);
+    case message_tag::once_request:
+        return take_once_request(fields);
+    case message_tag::claim_reply:
+        return take_claim_reply(fields);
+    case message_tag::settle_reply:
+        return take_settle_reply(fields);
+    case message_tag::leader_notice:
+    {
+        leader_notice content;
+        content.leader = host_id(fields.take_text(longest_text));
+        content.refused_number = fields.take_unsigned();
+        return content;
+    }
+    case message_tag::entry_presence:
+        return take_presence(fields);
+    case message_tag::host_place:
+    {
+        host_place content;
+        content.zone = zone_id(fields.take_text(longest_text));
+        content.region = region_id(fields.take_text(longest_text));
+        return content;
+    }
+    case message_tag::group_news:
+        return take_group_news(fields);
+    case message_tag::upstream_update:
+        return take_upstream_update(fields);
+    case message_tag::upstream_request:
+        return upstream_request{take_position(fields)};
+    case message_tag::region_plan:
+        return take_region_plan(fields);
+    }
+    return unknown_value("kind");
+}
+
+} // namespace
+
+absl::StatusOr<message> read_message(cbor_fields& fields)
+{
+    absl::StatusOr<message> content = take_message(fields);
+    if (content.ok() && !fields.complete())
+    {
+        return unknown_value("field");
+    }
+    return content;
+}
+
+} // namespace bilberrylead::link
--- /dev/null
+++ b/bilberrylead/link/message_writer.cpp
@@ -0,0 +1,264 @@
+#include "bilberrylead/link/message_writer.hpp"
+
+#include "bilberrylead/catalog/replicated_command.hpp"
+#include "bilberrylead/link/message_tag.hpp"
+
+#include <utility>
+
+namespace bilberrylead::link
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+json with_tag(message_tag kind)
+{
+    return json::array({static_cast<std::uint64_t>(kind)});
+}
+
+/// Appends a verdict's fields to a record.
+struct verdict_writer
+{
+    void operator()(once::claim_granted const&) const
+    {
+        this->put(verdict_tag::granted);
+    }
+
+    void operator()(once::claim_in_progress const&) const
+    {
+        this->put(verdict_tag::in_progress);
+    }
+
+    void operator()(once::claim_recorded const& verdict) const
+    {
+        this->put(verdict_tag::recorded);
+        this->record.push_back(verdict.answer.status);
+        this->record.push_back(verdict.answer.content_type);
+        this->record.push_back(json::binary(verdict.answer.body));
+        this->record.push_back(verdict.answer.body_dropped);
+    }
+
+    void operator()(once::claim_outcome_unknown const&) const
+    {
+        this->put(verdict_tag::outcome_unknown);
+    }
+
+    void operator()(once::claim_mismatch const&) const
+    {
+        this->put(verdict_tag::mismatch);
+    }
+
+    void operator()(once::claim_refused const& verdict) const
+    {
+        this->put(verdict_tag::refused);
+        this->record.push_back(static_cast<std::uint64_t>(verdict.reason));
+        this->record.push_back(verdict.retry_after.count());
+    }
+
+    void put(verdict_tag kind) const
+    {
+        this->record.push_back(static_cast<std::uint64_t>(kind));
+    }
+
+    json& record;
+};
+
+/// Turns each message into its record.
+struct message_writer
+{
+    json operator()(replica_message const& content) const
+    {
+        json record = with_tag(message_tag::replica_message);
+        record.push_back(json::binary(content.content));
+        return record;
+    }
+
+    json operator()(subscription const& content) const
+    {
+        json record = with_tag(message_tag::subscription);
+        record.push_back(content.in_force);
+        record.push_back(content.wanted == delivery::pushed);
+        return record;
+    }
+
+    json operator()(revision_announcement const& content) const
+    {
+        json record = with_tag(message_tag::revision_announcement);
+        record.push_back(content.in_force);
+        return record;
+    }
+
+    json operator()(configuration_update const& content) const
+    {
+        json record = with_tag(message_tag::configuration_update);
+        record.push_back(content.target);
+        record.push_back(content.base);
+        record.push_back(json::binary(content.content));
+        return record;
+    }
+
+    json operator()(registration_request const& content) const
+    {
+        json record = with_tag(message_tag::registration_request);
+        record.push_back(content.incarnation);
+        return record;
+    }
+
+    json operator()(registration_reply const& content) const
+    {
+        json record = with_tag(message_tag::registration_reply);
+        record.push_back(content.result.accepted);
+        record.push_back(content.result.incarnation);
+        record.push_back(content.result.outcomes_unknown);
+        return record;
+    }
+
+    json operator()(once_request const& content) const
+    {
+        json record = with_tag(message_tag::once_request);
+        record.push_back(content.number);
+        bytes const command = std::visit(
+            [](catalog::replicated_command const& held)
+            {
+                return catalog::encode_command(held);
+            },
+            content.command);
+        record.push_back(json::binary(command));
+        return record;
+    }
+
+    json operator()(claim_reply const& content) const
+    {
+        json record = with_tag(message_tag::claim_reply);
+        record.push_back(content.number);
+        std::visit(verdict_writer{record}, content.verdict);
+        return record;
+    }
+
+    json operator()(settle_reply const& content) const
+    {
+        json record = with_tag(message_tag::settle_reply);
+        record.push_back(content.number);
+        record.push_back(static_cast<std::uint64_t>(content.result));
+        return record;
+    }
+
+    json operator()(leader_notice const& content) const
+    {
+        json record = with_tag(message_tag::leader_notice);
+        record.push_back(content.leader.text());
+        record.push_back(content.refused_number);
+        return record;
+    }
+
+    json operator()(entry_presence const& content) const
+    {
+        json record = with_tag(message_tag::entry_presence);
+        record.push_back(content.address.address);
+        record.push_back(content.address.port);
+        record.push_back(content.zone.text());
+        record.push_back(content.region.text());
+        record.push_back(content.ready);
+        record.push_back(content.stopping);
+        record.push_back(content.in_force);
+        put_position(content.listing, record);
+        record.push_back(content.demands.size());
+        for (service_demand const& each : content.demands)
+        {
+            record.push_back(each.service.text());
+            record.push_back(each.slots);
+        }
+        return record;
+    }
+
+    json operator()(host_place const& content) const
+    {
+        json record = with_tag(message_tag::host_place);
+        record.push_back(content.zone.text());
+        record.push_back(content.region.text());
+        return record;
+    }
+
+    json operator()(group_news const& content) const
+    {
+        json record = with_tag(message_tag::group_news);
+        record.push_back(content.entry_hosts);
+        record.push_back(content.control_hosts.size());
+        for (host_id const& host : content.control_hosts)
+        {
+            record.push_back(host.text());
+        }
+        return record;
+    }
+
+    json operator()(upstream_update const& content) const
+    {
+        json record = with_tag(message_tag::upstream_update);
+        put_position(content.changes.base, record);
+        put_position(content.changes.target, record);
+        record.push_back(content.changes.whole);
+        record.push_back(content.changes.put.size());
+        for (discovery::told_upstream const& each : content.changes.put)
+        {
+            put_upstream(each, record);
+        }
+        record.push_back(content.changes.removed.size());
+        for (upstream_id const& id : content.changes.removed)
+        {
+            record.push_back(id.text());
+        }
+        return record;
+    }
+
+    json operator()(upstream_request const& content) const
+    {
+        json record = with_tag(message_tag::upstream_request);
+        put_position(content.held, record);
+        return record;
+    }
+
+    json operator()(region_plan const& content) const
+    {
+        json record = with_tag(message_tag::region_plan);
+        record.push_back(content.term);
+        record.push_back(content.shares.size());
+        for (region_share const& each : content.shares)
+        {
+            record.push_back(each.service.text());
+            record.push_back(each.region.text());
+            record.push_back(each.share);
+        }
+        return record;
+    }
+
+    static void put_position(discovery::list_position const& position,
+                             json& record)
+    {
+        record.push_back(position.term);
+        record.push_back(position.number);
+    }
+
+    /// Labels and connections stay out: the list knows neither.
+    static void put_upstream(discovery::told_upstream const& told, json& record)
+    {
+        record.push_back(told.upstream.id.text());
+        record.push_back(told.upstream.service.text());
+        record.push_back(told.upstream.zone.text());
+        record.push_back(told.upstream.address.address);
+        record.push_back(told.upstream.address.port);
+        record.push_back(told.upstream.slots);
+        record.push_back(told.upstream.leaving);
+        record.push_back(told.cold_left.count());
+    }
+};
+
+} // namespace
+
+nlohmann::json write_message(message const& content)
+{
+    return std::visit(message_writer{}, content);
+}
+
+} // namespace bilberrylead::link
--- a/bilberrylead/load/load_run.cpp
+++ b/bilberrylead/load/load_run.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/load/load_run.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/load/caller_connections.hpp"
 #include "bilberrylead/load/caller_exchange.hpp"
 #include "bilberrylead/load/caller_steering.hpp"
@@ -28,11 +29,6 @@
 
 namespace asio = boost::asio;
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// One run on one thread.
 class load_runner
 {
@@ -46,10 +42,10 @@
 
     load_run_result run()
     {
-        instant const begin = now();
+        instant const begin = clock_now();
         asio::co_spawn(this->context, this->send_all(begin), asio::detached);
         this->context.run();
-        this->result.elapsed = now() - begin;
+        this->result.elapsed = clock_now() - begin;
         this->context.restart();
         asio::co_spawn(this->context, this->collect(), asio::detached);
         this->context.run();
@@ -64,7 +60,7 @@
         while (std::optional<planned_request> request = plan.next())
         {
             instant const due = begin + request->start;
-            if (now() < due)
+            if (clock_now() < due)
             {
                 timer.expires_at(due);
                 boost::system::error_code error;
@@ -72,7 +68,7 @@
                     asio::redirect_error(asio::use_awaitable, error));
             }
             this->result.worst_delay =
-                std::max(this->result.worst_delay, now() - due);
+                std::max(this->result.worst_delay, clock_now() - due);
             asio::co_spawn(this->context, this->live(*request, begin),
                            asio::detached);
         }
--- a/bilberrylead/load/request_life.cpp
+++ b/bilberrylead/load/request_life.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/load/request_life.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/load/caller_connections.hpp"
 #include "bilberrylead/load/caller_steering.hpp"
 #include "bilberrylead/load/load_run.hpp"
@@ -33,11 +34,6 @@
 /// Callers who were all told the same second come back spread out.
 constexpr std::uint64_t spread_ms = 200;
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 request_life::request_life(load_profile const& load,
@@ -182,7 +178,7 @@
         this->may_have_run = false;
     }
     ++this->come_backs;
-    this->attempt_start = now();
+    this->attempt_start = clock_now();
     this->avoided.clear();
 }
 
@@ -191,7 +187,7 @@
     request_end end;
     end.kind = result.kind;
     end.start = this->plan.start;
-    end.latency = now() - this->attempt_start;
+    end.latency = clock_now() - this->attempt_start;
     end.late = end.latency > this->kind->deadline;
     end.come_backs = this->come_backs;
     this->tally->request_ended(this->kind->name, end);
--- a/bilberrylead/load/stand_in_connection.cpp
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/load/stand_in_connection.hpp"
 
 #include "bilberrylead/config/decimal.hpp"
+#include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/load/beast_text.hpp"
 #include "bilberrylead/load/stand_in_admin.hpp"
 #include "bilberrylead/load/wire.hpp"
@@ -34,17 +35,6 @@
 constexpr std::uint64_t largest_body = std::uint64_t{1} << 30U;
 constexpr instant never = instant::max();
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-wall_time wall_now()
-{
-    return std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 answered_request name_of(http::request<http::string_body> const& request)
 {
     return {field_of(request, caller_request_header),
@@ -113,7 +103,8 @@
     admin_request const admin{from_beast(request.method_string()), target.path,
                               target.query, request.body()};
     std::array<stand_in_upstream*, 1> const self = {this->upstream};
-    admin_answer const result = handle_admin(admin, self, now(), wall_now());
+    admin_answer const result =
+        handle_admin(admin, self, clock_now(), wall_clock_now());
     co_return co_await this->write_text(request, result.status, result.body);
 }
 
@@ -122,7 +113,7 @@
 {
     this->peer_gone = false;
     instant const deadline = this->deadline_of(request);
-    arrival const decision = this->upstream->model.arrive(now());
+    arrival const decision = this->upstream->model.arrive(clock_now());
     if (decision == arrival::shed)
     {
         co_return co_await this->write_refusal(request, 503, true);
@@ -147,7 +138,7 @@
 {
     this->granted = false;
     this->upstream->waiters.push_back(this);
-    while (!this->granted && !this->is_cancelled() && now() < deadline)
+    while (!this->granted && !this->is_cancelled() && clock_now() < deadline)
     {
         co_await this->pause_until(deadline);
     }
@@ -161,7 +152,7 @@
     {
         // The slot came in the same moment as the caller's end: it was not
         // used, so nothing ran.
-        this->upstream->release_slot(now());
+        this->upstream->release_slot(clock_now());
         co_return false;
     }
     co_return true;
@@ -173,20 +164,20 @@
     upstream_model& model = this->upstream->model;
     work_lot const lot =
         model.start(field_of(request, caller_request_header),
-                    field_of(request, idempotency_header), now());
-    instant const work_end = now() + lot.work;
-    while (now() < std::min(work_end, deadline) && !this->is_cancelled())
+                    field_of(request, idempotency_header), clock_now());
+    instant const work_end = clock_now() + lot.work;
+    while (clock_now() < std::min(work_end, deadline) && !this->is_cancelled())
     {
         co_await this->pause_until(std::min(work_end, deadline));
     }
     this->stop_watching();
     bool const gone = this->is_cancelled();
-    bool const expired = now() < work_end;
+    bool const expired = clock_now() < work_end;
     bool const download =
         split_target(from_beast(request.target())).path.ends_with("/download");
     if (gone || expired || !download)
     {
-        this->upstream->release_slot(now());
+        this->upstream->release_slot(clock_now());
     }
     if (gone)
     {
@@ -208,7 +199,7 @@
     upstream_model& model = this->upstream->model;
     if (lot.late > duration::zero())
     {
-        co_await this->pause_until(now() + lot.late);
+        co_await this->pause_until(clock_now() + lot.late);
     }
     target_parts const target = split_target(from_beast(request.target()));
     answered_request const own = name_of(request);
@@ -231,7 +222,7 @@
     }
     if (download)
     {
-        this->upstream->release_slot(now());
+        this->upstream->release_slot(clock_now());
     }
     bool const whole = open || lot.cut || lot.dropped || !request.keep_alive();
     whole ? model.finished() : model.cancelled();
@@ -268,7 +259,7 @@
     {
         return never;
     }
-    return now() + std::chrono::milliseconds(*left);
+    return clock_now() + std::chrono::milliseconds(*left);
 }
 
 bool stand_in_connection::is_cancelled() const
--- a/bilberrylead/load/stand_in_connection_write.cpp
+++ b/bilberrylead/load/stand_in_connection_write.cpp
@@ -1,3 +1,4 @@
+#include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/load/beast_text.hpp"
 #include "bilberrylead/load/body_pattern.hpp"
 #include "bilberrylead/load/stand_in_connection.hpp"
@@ -37,11 +38,6 @@
 constexpr std::chrono::seconds write_timeout(60);
 constexpr std::string_view come_back_seconds = "1";
 
-instant now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::string digest_of(body_pattern const& pattern, std::uint64_t length)
 {
     std::vector<char> body(length);
@@ -146,7 +142,7 @@
     body_pattern const pattern(value.belongs_to.caller_request);
     std::array<char, chunk_bytes> chunk{};
     std::uint64_t position = 0;
-    instant const first = now();
+    instant const first = clock_now();
     while (position < value.sent_bytes)
     {
         std::uint64_t const left = value.sent_bytes - position;
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -52,6 +52,20 @@
     return made;
 }
 
+/// The first effect of that kind; null if there is none.
+template <class Effect>
+Effect const* find_effect(effects const& said)
+{
+    for (effect const& each : said)
+    {
+        if (Effect const* found = std::get_if<Effect>(&each))
+        {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
 /// Drives one entry_reducer and looks into what it said.
 struct driven_entry
 {
@@ -122,14 +136,7 @@
     template <class Effect>
     Effect const* find() const
     {
-        for (effect const& each : this->said)
-        {
-            if (Effect const* found = std::get_if<Effect>(&each))
-            {
-                return found;
-            }
-        }
-        return nullptr;
+        return find_effect<Effect>(this->said);
     }
 
     template <class Effect>
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -114,14 +114,7 @@
     template <class Effect>
     Effect const* find() const
     {
-        for (effect const& each : this->said)
-        {
-            if (Effect const* found = std::get_if<Effect>(&each))
-            {
-                return found;
-            }
-        }
-        return nullptr;
+        return find_effect<Effect>(this->said);
     }
 
     /// The upstream that the last event sent a request to.
--- a/tests/unit/http/http_fixture.hpp
+++ b/tests/unit/http/http_fixture.hpp
@@ -322,6 +322,14 @@
            std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body;
 }
 
+/// A whole answer 200; `headers` end with a line break each.
+inline std::string whole_answer_text(std::string const& body,
+                                     std::string const& headers = {})
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n" + headers + "\r\n" + body;
+}
+
 } // namespace bilberrylead::http
 
 #endif
--- a/tests/unit/http/named_headers_test.cpp
+++ b/tests/unit/http/named_headers_test.cpp
@@ -6,12 +6,6 @@
 namespace
 {
 
-std::string whole(std::string const& body, std::string const& headers = {})
-{
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n" + headers + "\r\n" + body;
-}
-
 /// A deployment with headers of its own.
 server_settings with_own_names()
 {
@@ -46,9 +40,10 @@
                 return;
             }
             std::string const id((*request)["Bilberry-Request-Id"]);
-            connection.send(whole("stale", "Bilberry-Request-Id: entry-9\r\n"));
             connection.send(
-                whole("own", "Bilberry-Request-Id: " + id + "\r\n"));
+                whole_answer_text("stale", "Bilberry-Request-Id: entry-9\r\n"));
+            connection.send(whole_answer_text(
+                "own", "Bilberry-Request-Id: " + id + "\r\n"));
             connection.closed();
         });
     running_server entry;
@@ -74,7 +69,7 @@
             {
                 while (connection.request().has_value())
                 {
-                    connection.send(whole("rotten", headers));
+                    connection.send(whole_answer_text("rotten", headers));
                 }
             });
         running_server entry(with_own_names());
@@ -100,7 +95,8 @@
             }
             seen.set_value(std::string((*request)["X-Id"]) + " " +
                            std::string((*request)["X-Expect"]));
-            connection.send(whole("own", "X-Mark: m\r\nX-Id: a1\r\n"));
+            connection.send(
+                whole_answer_text("own", "X-Mark: m\r\nX-Id: a1\r\n"));
             connection.closed();
         });
     running_server entry(with_own_names());
@@ -133,7 +129,7 @@
         {
             while (connection.request().has_value())
             {
-                connection.send(whole("own", "X-Mark: m\r\n"));
+                connection.send(whole_answer_text("own", "X-Mark: m\r\n"));
             }
         });
     running_server entry(with_own_names());
--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -6,12 +6,6 @@
 namespace
 {
 
-std::string whole(std::string const& body, std::string const& headers = {})
-{
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n" + headers + "\r\n" + body;
-}
-
 void not_repeatable(config::service& service)
 {
     service.idempotent = false;
@@ -34,8 +28,8 @@
             if (place == 0)
             {
                 connection.request();
-                connection.send(
-                    whole("other", "Bilberry-Request-Id: entry-999\r\n"));
+                connection.send(whole_answer_text(
+                    "other", "Bilberry-Request-Id: entry-999\r\n"));
                 return;
             }
             echo(connection);
@@ -59,8 +53,8 @@
             if (place == 0)
             {
                 connection.request();
-                connection.send(whole("first"));
-                connection.send(whole("stale"));
+                connection.send(whole_answer_text("first"));
+                connection.send(whole_answer_text("stale"));
                 stale_sent.set_value();
                 connection.closed();
                 return;
@@ -124,7 +118,7 @@
                               return arrived == 2;
                           });
             }
-            connection.send(whole("kept"));
+            connection.send(whole_answer_text("kept"));
             connection.closed();
         });
     running_server entry;
@@ -290,7 +284,7 @@
             while (connection.request())
             {
                 ++late_work;
-                connection.send(whole(
+                connection.send(whole_answer_text(
                     "left", "Connection: close\r\nBilberry-Leaving: 1\r\n"));
             }
         });
