--- a/performance/distribution_slopes/distribution_slopes.cpp
+++ b/performance/distribution_slopes/distribution_slopes.cpp
@@ -71,6 +71,7 @@
 void measure_documents(double reference)
 {
     slope_table size("Whole document", "bytes", "upstreams");
+    slope_table wire("Whole document on a link", "bytes", "upstreams");
     slope_table render("Render a document", "ns", "upstreams");
     slope_table parse("Read and check a document", "ns", "upstreams");
     slope_table encode("Encode an update for one link", "ns", "upstreams");
@@ -82,6 +83,7 @@
         update.target = 1;
         update.content.assign(document.begin(), document.end());
         size.add(upstreams, static_cast<double>(document.size()));
+        wire.add(upstreams, static_cast<double>(link::encode(update).size()));
         render.add(upstreams, least_nanoseconds_of(
                                   rounds,
                                   [&content]()
@@ -106,6 +108,7 @@
                                                    }));
     }
     size.print(reference);
+    wire.print(reference);
     render.print(reference);
     parse.print(reference);
     encode.print(reference);
