Waits for the link are counted, and told on the operators' pages

Cause: a download that is late since its host's link is narrow could not be told from one whose upstream is slow. The pieces that waited and how long are counted now; a broken answer no longer waits for its turn before its caller sees that. Two loops that the linter found reserve their room.

--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -75,6 +75,7 @@
             return this->ended_by;
         }
         std::vector<host_id> founders;
+        founders.reserve(this->settings.seeds.size());
         for (config::endpoint const& seed : this->settings.seeds)
         {
             founders.emplace_back(seed.address);
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -238,6 +238,7 @@
     }
 
     std::vector<host_id> founders;
+    founders.reserve(this->settings.control_hosts.size());
     for (config::host_address const& host : this->settings.control_hosts)
     {
         founders.push_back(host.id);
--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -148,6 +148,15 @@
     builder.counter("bilberry_entry_answers_cut_total",
                     "Answers that broke off after they had begun.",
                     counters.answers_cut);
+    builder.counter("bilberry_entry_paced_pieces_total",
+                    "Pieces of long answers that waited for the link.",
+                    counters.pieces_paced);
+    builder.counter("bilberry_entry_paced_milliseconds_total",
+                    "Time that they waited, all together.",
+                    static_cast<std::uint64_t>(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            counters.paced)
+                            .count()));
     builder.counter("bilberry_entry_upstream_connections_total",
                     "Connections to upstreams that were opened.",
                     counters.upstream_opened);
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -120,8 +120,6 @@
     {
         std::size_t const count =
             co_await exchange->read_some({piece.get(), size}, error);
-        co_await this->wait_for_turn(passed, count);
-        passed += count;
         if (error)
         {
             // The caller must see that its answer is not whole.
@@ -129,6 +127,8 @@
             this->socket.set_option(asio::socket_base::linger(true, 0), error);
             co_return false;
         }
+        co_await this->wait_for_turn(passed, count);
+        passed += count;
         answer.body().data = count > 0 ? piece.get() : nullptr;
         answer.body().size = count;
         answer.body().more = !exchange->ended();
@@ -164,6 +164,9 @@
         this->core->pace().reserve(passed, count, clock_now());
     if (wait > duration::zero())
     {
+        ++this->core->counters().pieces_paced;
+        this->core->counters().paced += wait;
+
         // Nothing cancels it: it is shorter than the time in which a caller
         // that left has to be noticed.
         wait_timer timer(this->core->place());
--- a/bilberrylead/http/http_counters.hpp
+++ b/bilberrylead/http/http_counters.hpp
@@ -1,6 +1,8 @@
 #ifndef BILBERRYLEAD_HTTP_HTTP_COUNTERS_HPP
 #define BILBERRYLEAD_HTTP_HTTP_COUNTERS_HPP
 
+#include "bilberrylead/core/time.hpp"
+
 #include <cstddef>
 #include <cstdint>
 
@@ -20,6 +22,10 @@
     std::uint64_t bad_requests = 0;
     /// Answers that broke off after they had begun.
     std::uint64_t answers_cut = 0;
+    /// Pieces of long answers that waited for their turn on the link.
+    std::uint64_t pieces_paced = 0;
+    /// Time that they waited, all together.
+    duration paced{};
     /// Connections to upstreams that were opened.
     std::uint64_t upstream_opened = 0;
     /// Exchanges that used a connection kept from an earlier one.
--- a/tests/unit/http/streaming_test.cpp
+++ b/tests/unit/http/streaming_test.cpp
@@ -65,12 +65,12 @@
 // connection fall out of step.
 Test(streaming, download_on_a_slow_link_arrives_whole)
 {
-    std::string const body = patterned(std::size_t{256} << 10U);
+    std::string const body = patterned(std::size_t{128} << 10U);
     fake_upstream upstream(always(
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
         "\r\n\r\n" + body));
     server_settings settings;
-    settings.link_rate = 2'000'000;
+    settings.link_rate = 200'000;
     running_server entry(settings);
     entry.configure({upstream.port()});
     for (int number = 0; number < 2; ++number)
@@ -79,6 +79,13 @@
         cr_assert(got.has_value());
         cr_assert(got->body() == body);
     }
+    std::uint64_t paced = 0;
+    entry.call(
+        [&entry, &paced]
+        {
+            paced = entry.server->connection_counters().pieces_paced;
+        });
+    cr_expect_gt(paced, 0U, "a link of 200 KB/s is slower than loopback");
 }
 
 Test(streaming, large_requests_arrive_whole_in_every_framing)
