A crowd of long answers owes the link no more than the longest wait

Cause, found on reading: pieces that had waited 250 ms went on, but what they took still counted in full, so that after an overload every later download waited 250 ms for each piece although the link was idle. The new test fails without the bound.

--- a/bilberrylead/policy/bulk_pace.hpp
+++ b/bilberrylead/policy/bulk_pace.hpp
@@ -38,13 +38,14 @@
         {
             return duration::zero();
         }
-        instant const turn = std::max(now, this->free_at);
+        // What is owed beyond the longest wait was passed on already, so it
+        // must not hold up answers that come later.
+        instant const turn =
+            std::min<instant>(std::max(now, this->free_at), now + longest_wait);
         std::chrono::duration<double> const takes(static_cast<double>(count) /
                                                   this->bytes_per_second);
         this->free_at = turn + std::chrono::duration_cast<duration>(takes);
-        return passed < beginning
-                   ? duration::zero()
-                   : std::min<duration>(turn - now, longest_wait);
+        return passed < beginning ? duration::zero() : turn - now;
     }
 
 private:
--- a/tests/unit/policy/bulk_pace_test.cpp
+++ b/tests/unit/policy/bulk_pace_test.cpp
@@ -69,6 +69,18 @@
     cr_expect_leq(longest, 250ms);
 }
 
+// A crowd of downloads is over and the link idle: a later one must not wait
+// for what the crowd took beyond the pace.
+Test(bulk_pace, crowd_that_is_over_delays_nobody)
+{
+    bulk_pace pace(six_mbit);
+    for (int answer = 0; answer < 200; ++answer)
+    {
+        pace.reserve(piece, piece, start);
+    }
+    cr_expect_eq(pace.reserve(piece, piece, start + 300ms), duration::zero());
+}
+
 Test(bulk_pace, link_that_is_not_known_paces_nothing)
 {
     bulk_pace pace(0);
