A cold upstream keeps its bound from however many entry hosts

Ruled out: the listing (the zone's return was known), a wrong bound (3.2 x 1.5 + 8). Where the bound is too small for one request of each host, a part of the hosts sends to each cold upstream, another part to each.

--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -19,9 +19,6 @@
 constexpr double shared_bound_use = 0.8;
 /// Where a service names no bound for cold upstreams.
 constexpr double unlimited_rate = 1e9;
-/// Requests a second to a cold upstream that each host may send at least:
-/// without any, nobody would see that it is warm again.
-constexpr double least_cold_rate = 0.1;
 
 } // namespace
 
@@ -151,12 +148,12 @@
             service.cold_rate / full_share_real * this->chosen.cold.factor +
             this->chosen.cold.slack;
         // Each sender may have a saved token to spend in the same second.
-        double const rate =
+        policy::cold_share const cold =
             service.cold_rate == 0
-                ? unlimited_rate
-                : std::max(least_cold_rate,
-                           shared_bound_use * bound / senders - 1);
-        this->state_of(service.id).set_shares(rate, saved);
+                ? policy::cold_share{unlimited_rate}
+                : policy::cold_share_of(
+                      bound, senders, std::hash<host_id>{}(this->chosen.self));
+        this->state_of(service.id).set_shares(cold, saved);
     }
 }
 
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -266,7 +266,7 @@
     upstream_record& known = this->record(id);
     if (now < known.cold_until)
     {
-        known.cold_share.take(this->cold_requests_per_second, now);
+        known.cold_share.take(this->cold.requests_per_second, now);
     }
     ++known.in_flight;
     ++this->taken;
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/entry/upstream_record.hpp"
 #include "bilberrylead/policy/admission_queue.hpp"
 #include "bilberrylead/policy/arrival_rate.hpp"
+#include "bilberrylead/policy/cold_share.hpp"
 #include "bilberrylead/policy/completion_choice.hpp"
 #include "bilberrylead/policy/generator.hpp"
 #include "bilberrylead/policy/placement_candidate.hpp"
@@ -121,9 +122,9 @@
         return 2 * this->configured[index].distance;
     }
 
-    /// Requests a second that this host may send to a cold upstream, and
-    /// further tries it may save up: its share of what all hosts may.
-    void set_shares(double cold_requests, double saved_retries);
+    /// What this host may send to a cold upstream, and further tries it may
+    /// save up: its share of what all hosts may.
+    void set_shares(policy::cold_share const& cold, double saved_retries);
 
     /// The upstream's load, as it told beside an answer.
     void note_load(upstream_id const& id, upstream_load const& load,
@@ -229,6 +230,7 @@
     void fill_views(reach const& reached,
                     std::vector<upstream_id> const& left_out, instant now);
 
+    bool sends_cold_to(std::uint64_t upstream) const;
     policy::usual_load& usual_in(std::uint32_t region);
     void fill_candidates(std::uint64_t object, reach const& reached,
                          std::vector<upstream_id> const& tried, instant now);
@@ -241,7 +243,7 @@
     // starts from what was usual when the region was first looked at.
     policy::usual_load usual;
     std::map<std::uint32_t, policy::usual_load> usual_by_region;
-    double cold_requests_per_second = 0;
+    policy::cold_share cold;
     policy::arrival_rate arrivals{demand_memory};
     policy::region_shares shares{region_pace};
     std::unordered_map<upstream_id, upstream_record> records;
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-void service_state::set_shares(double cold_requests, double saved_retries)
+void service_state::set_shares(policy::cold_share const& chosen,
+                               double saved_retries)
 {
-    this->cold_requests_per_second = cold_requests;
+    this->cold = chosen;
     this->budget.set_most_saved(saved_retries);
 }
 
@@ -43,6 +44,14 @@
     return this->usual_by_region.try_emplace(region, this->usual).first->second;
 }
 
+bool service_state::sends_cold_to(std::uint64_t upstream) const
+{
+    // Each cold upstream has other hosts that send to it.
+    return this->cold.part_of_hosts >= 1 ||
+           policy::generator(this->cold.host ^ upstream).unit() <
+               this->cold.part_of_hosts;
+}
+
 void service_state::note_cold(zone_id const& zone, instant until)
 {
     for (configured_upstream const& each : this->configured)
@@ -116,7 +125,8 @@
         candidate.allowed =
             this->reaches(reached, place) && this->open(place, now) &&
             (!is_cold ||
-             known.cold_share.has_token(this->cold_requests_per_second, now));
+             (this->sends_cold_to(candidate.hash) &&
+              known.cold_share.has_token(this->cold.requests_per_second, now)));
     }
 }
 
--- /dev/null
+++ b/bilberrylead/policy/cold_share.hpp
@@ -0,0 +1,52 @@
+#ifndef BILBERRYLEAD_POLICY_COLD_SHARE_HPP
+#define BILBERRYLEAD_POLICY_COLD_SHARE_HPP
+
+#include <cstdint>
+
+namespace bilberrylead::policy
+{
+
+/// What one entry host may send to a cold upstream, so that all of them
+/// together keep the bound without hearing of each other.
+///
+/// Load it answers: an upstream with cold caches, whose objects are asked for
+/// by more entry hosts than it may get requests in a second. One request of
+/// each of them is too much already, so only a part of the hosts sends to it,
+/// another part to each upstream.
+struct cold_share
+{
+    /// Requests a second, beside one that is saved up.
+    double requests_per_second = 0;
+    /// Part of the entry hosts that send to one cold upstream, 0 to 1.
+    double part_of_hosts = 1;
+    /// Hash of this entry host's name.
+    std::uint64_t host = 0;
+};
+
+/// The share of one of so many entry hosts, where all of them together may
+/// send `bound` requests in any second; `host` is the hash of its name.
+inline cold_share cold_share_of(double bound, double senders,
+                                std::uint64_t host)
+{
+    /// Part of the bound that is used: the senders' number may be old by one
+    /// host that came.
+    constexpr double shared_use = 0.8;
+    /// The same where chance picks the hosts. Of 24 hosts and with a bound of
+    /// 12.8 more than 12 are picked for 9 of 100 upstreams with 0.8, for 2 of
+    /// 10,000 with this (binomial).
+    constexpr double drawn_use = 0.4;
+    /// Requests a second that a host which sends may send at least: without
+    /// any, nobody would see that the upstream is warm again.
+    constexpr double least_rate = 0.1;
+    double const rate = shared_use * bound / senders - 1;
+    if (rate >= least_rate)
+    {
+        return {rate, 1, host};
+    }
+    double const drawn = drawn_use * bound / (1 + least_rate);
+    return {least_rate, drawn < senders ? drawn / senders : 1, host};
+}
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -377,3 +377,43 @@
     host.arrive(200, "/home/x");
     cr_expect_eq(host.sent_to(), "read-far");
 }
+
+// An upstream that came back cold crashes. 24 entry hosts of its region each
+// have one request for it in the same second; each of them has a token saved,
+// and the bound over all hosts is 12.8.
+Test(routed_request, cold_upstream_gets_its_bound_from_however_many_hosts)
+{
+    int most = 0;
+    for (int upstream = 0; upstream < 200; ++upstream)
+    {
+        int sent = 0;
+        for (int host = 0; host < 24; ++host)
+        {
+            policy::cold_share const share = policy::cold_share_of(
+                12.8, 24,
+                std::hash<host_id>{}(host_id(fmt::format("edge-{}", host))));
+            service_state state(config::work_length::brief, 1);
+            config::upstream told;
+            told.id = upstream_id(fmt::format("i-{}", upstream));
+            told.slots = 3;
+            instant const now = instant{} + 1h;
+            state.configure({{&told, {}, 0, false, now + 3s}});
+            state.set_shares(share, 0);
+            policy::placement_question question;
+            question.to_aim = 1s;
+            question.to_deadline = 3s;
+            for (int request = 0; request < 3; ++request)
+            {
+                if (std::holds_alternative<policy::placed>(
+                        state.place(question, {}, {}, now)))
+                {
+                    state.take_slot(told.id, now);
+                    ++sent;
+                }
+            }
+        }
+        most = std::max(most, sent);
+    }
+    cr_expect_leq(most, 12);
+    cr_expect_gt(most, 0, "somebody must see that it is warm again");
+}
