Cold upstreams get work from the entry hosts of their own region only

Cause: the bound of a cold upstream was shared among a region's entry hosts, counted as all hosts over all regions, but hosts of other regions sent to it as well whenever the plan had their callers run there. Ruled out: the bucket itself (each host kept its rate). Control hosts now tell the most ready entry hosts of one region, so that uneven regions keep the bound as well, and only hosts of the region send.

Both tests fail without it.

--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -86,7 +86,7 @@
     std::optional<link::http_endpoint> metrics_port;
     std::optional<link::http_endpoint> readiness_port;
     discovery::upstream_listing listing;
-    std::map<link::link_number, std::uint64_t> heard_entry_hosts;
+    std::map<link::link_number, entry::entry_hosts_counted> heard_entry_hosts;
     instant listing_asked_at{};
     link::link_number last_asked = 0;
     std::uint64_t plan_term = 0;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -200,13 +200,15 @@
 
     // The largest number that any control host hears: too small a share is
     // safe, too large a one is not.
-    this->heard_entry_hosts[number] = said.entry_hosts;
-    std::uint64_t most = 1;
-    for (auto const& [link, hosts] : this->heard_entry_hosts)
+    this->heard_entry_hosts[number] = {said.entry_hosts,
+                                       said.region_entry_hosts};
+    entry::entry_hosts_counted most;
+    for (auto const& [link, heard] : this->heard_entry_hosts)
     {
-        most = std::max(most, hosts);
+        most.hosts = std::max(most.hosts, heard.hosts);
+        most.in_a_region = std::max(most.in_a_region, heard.in_a_region);
     }
-    this->server->dispatch(entry::entry_hosts_counted{most});
+    this->server->dispatch(most);
 }
 
 void entry_program::implementation::on_plan(link::region_plan const& said)
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -186,7 +186,7 @@
     std::shared_ptr<config::configuration const> content;
     std::shared_ptr<std::vector<discovery::listed_upstream> const> listed;
     std::set<zone_id> closed;
-    std::uint64_t entry_hosts = 1;
+    entry_hosts_counted entry_hosts;
     policy::generator draws{draw_seed};
     std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -51,7 +51,9 @@
 
 void entry_reducer::on(entry_hosts_counted const& happened)
 {
-    this->entry_hosts = std::max<std::uint64_t>(happened.hosts, 1);
+    this->entry_hosts.hosts = std::max<std::uint64_t>(happened.hosts, 1);
+    this->entry_hosts.in_a_region =
+        std::max<std::uint64_t>(happened.in_a_region, 1);
     this->set_shares();
 }
 
@@ -132,25 +134,25 @@
     {
         return;
     }
-    double const hosts = static_cast<double>(this->entry_hosts);
+    double const hosts = static_cast<double>(this->entry_hosts.hosts);
     double const saved =
         policy::shared_bound_use * this->chosen.retries.slack / hosts;
 
-    // Cold upstreams get work from their own region only.
-    double const regions = static_cast<double>(
-        std::max<std::size_t>(this->region_numbers.size(), 1));
-    double const senders = std::ceil(hosts / regions);
+    double const senders = static_cast<double>(this->entry_hosts.in_a_region);
+    std::uint32_t const home = this->number_of(this->own_region());
     for (config::service const& service : this->content->services)
     {
         double const bound =
             service.cold_rate / full_share_real * this->chosen.cold.factor +
             this->chosen.cold.slack;
         // Each sender may have a saved token to spend in the same second.
-        policy::cold_share const cold =
-            service.cold_rate == 0
-                ? policy::cold_share{unlimited_rate}
-                : policy::cold_share_of(
-                      bound, senders, std::hash<host_id>{}(this->chosen.self));
+        policy::cold_share cold{unlimited_rate};
+        if (service.cold_rate > 0)
+        {
+            cold = policy::cold_share_of(
+                bound, senders, std::hash<host_id>{}(this->chosen.self));
+            cold.region = home;
+        }
         this->state_of(service.id).set_shares(cold, saved);
     }
 }
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -63,8 +63,10 @@
 /// over all of them is shared among so many.
 struct entry_hosts_counted
 {
-    /// Their number.
+    /// Their number; at least 1.
     std::uint64_t hosts = 1;
+    /// The most of them that stand in one region; at least 1.
+    std::uint64_t in_a_region = 1;
 };
 
 /// A caller's request is here: its head, and of its body as much as the
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -234,7 +234,7 @@
     void fill_views(reach const& reached,
                     std::vector<upstream_id> const& left_out, instant now);
 
-    bool sends_cold_to(std::uint64_t upstream) const;
+    bool sends_cold_to(std::uint64_t upstream, std::uint32_t region) const;
     policy::usual_load& usual_in(std::uint32_t region);
     void fill_candidates(std::uint64_t object, reach const& reached,
                          std::vector<upstream_id> const& tried, instant now);
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -37,8 +37,13 @@
     return this->usual_by_region.try_emplace(region, this->usual).first->second;
 }
 
-bool service_state::sends_cold_to(std::uint64_t upstream) const
+bool service_state::sends_cold_to(std::uint64_t upstream,
+                                  std::uint32_t region) const
 {
+    if (this->cold.region.has_value() && this->cold.region != region)
+    {
+        return false;
+    }
     // Each cold upstream has other hosts that send to it.
     return this->cold.part_of_hosts >= 1 ||
            policy::generator(this->cold.host ^ upstream).unit() <
@@ -117,9 +122,10 @@
         candidate.familiar = object != 0 && known.objects.knows(object);
         candidate.allowed =
             this->reaches(reached, place) && this->open(place, now) &&
-            (!is_cold || (this->sends_cold_to(candidate.hash) &&
-                          known.cold_tokens.has_token(
-                              this->cold.requests_per_second, now)));
+            (!is_cold ||
+             (this->sends_cold_to(candidate.hash, candidate.region) &&
+              known.cold_tokens.has_token(this->cold.requests_per_second,
+                                          now)));
     }
 }
 
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -76,6 +76,7 @@
 {
     group_news content;
     content.entry_hosts = fields.take_unsigned();
+    content.region_entry_hosts = fields.take_unsigned();
     content.control_hosts =
         take_list(fields,
                   [&fields]()
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -185,6 +185,7 @@
     {
         json record = with_tag(message_tag::group_news);
         record.push_back(content.entry_hosts);
+        record.push_back(content.region_entry_hosts);
         record.push_back(content.control_hosts.size());
         for (host_id const& host : content.control_hosts)
         {
--- a/bilberrylead/link/messages/group_news.hpp
+++ b/bilberrylead/link/messages/group_news.hpp
@@ -19,6 +19,9 @@
     /// Entry hosts that are ready, as the sender hears them: what is counted
     /// over all hosts is shared among so many.
     std::uint64_t entry_hosts = 0;
+    /// The most of them that stand in one region: what only hosts of a
+    /// region use is shared among at most so many.
+    std::uint64_t region_entry_hosts = 0;
 };
 
 } // namespace bilberrylead::link
--- a/bilberrylead/policy/cold_share.hpp
+++ b/bilberrylead/policy/cold_share.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_POLICY_COLD_SHARE_HPP
 
 #include <cstdint>
+#include <optional>
 
 namespace bilberrylead::policy
 {
@@ -25,6 +26,11 @@
     double part_of_hosts = 1;
     /// Hash of this entry host's name.
     std::uint64_t host = 0;
+    /// Number of the region whose cold upstreams it sends to; none: of every
+    /// region. The bound is shared among the entry hosts of one region, so
+    /// that a host need not know where the callers of others are sent; once
+    /// warm an upstream gets work from everywhere.
+    std::optional<std::uint32_t> region = std::nullopt;
 };
 
 /// The share of one of so many entry hosts, where all of them together may
@@ -42,10 +48,10 @@
     double const rate = shared_bound_use * bound / senders - 1;
     if (rate >= least_rate)
     {
-        return {rate, 1, host};
+        return {rate, 1, host, {}};
     }
     double const drawn = drawn_use * bound / (1 + least_rate);
-    return {least_rate, drawn < senders ? drawn / senders : 1, host};
+    return {least_rate, drawn < senders ? drawn / senders : 1, host, {}};
 }
 
 } // namespace bilberrylead::policy
--- a/bilberrylead/presence/entry_table.cpp
+++ b/bilberrylead/presence/entry_table.cpp
@@ -73,4 +73,18 @@
         }));
 }
 
+std::size_t entry_table::most_ready_hosts_of_a_region(instant now) const
+{
+    std::map<region_id, std::size_t> counts;
+    std::size_t most = 0;
+    for (auto const& [host, known] : this->rows)
+    {
+        if (this->usable(known, now))
+        {
+            most = std::max(most, ++counts[known.said.region]);
+        }
+    }
+    return most;
+}
+
 } // namespace bilberrylead::presence
--- a/bilberrylead/presence/entry_table.hpp
+++ b/bilberrylead/presence/entry_table.hpp
@@ -43,6 +43,9 @@
     /// Hosts that are ready and heard.
     std::size_t ready_hosts(instant now) const;
 
+    /// The most of them that stand in one region.
+    std::size_t most_ready_hosts_of_a_region(instant now) const;
+
     /// A host as it was last heard.
     struct row
     {
--- a/tests/unit/entry/object_placement_test.cpp
+++ b/tests/unit/entry/object_placement_test.cpp
@@ -45,3 +45,33 @@
     }
     cr_expect_gt(apart, 10, "of three upstreams two thirds differ by chance");
 }
+
+// Upstreams of another region were started anew, and callers are planned
+// there from everywhere. The hosts there share the bound among themselves; if
+// hosts of other regions sent as well, the cold upstream would get the bound
+// once more from each region, and crash.
+Test(object_placement, cold_upstream_of_another_region_gets_nothing)
+{
+    routed_entry host;
+    auto listed = host.listing();
+    for (discovery::listed_upstream& each : *listed)
+    {
+        if (each.upstream.id == upstream_id("read-far"))
+        {
+            each.cold_until = host.now + 3s;
+        }
+    }
+    host.take(upstreams_listed{listed});
+    host.take(regions_planned{{{service_id("read"), region_id("r2"), 1.0}}});
+    for (std::uint64_t number = 1; number <= 20; ++number)
+    {
+        host.arrive(number, "/r/x");
+        cr_expect_neq(host.sent_to(), "read-far");
+        cr_expect_neq(host.sent_to(), "", "its own region has room");
+        host.answer(number, 200);
+        host.take(upstream_answer_finished{request_number{number}, {}});
+    }
+    host.after(3s + 1ms);
+    host.arrive(100, "/r/x");
+    cr_expect_eq(host.sent_to(), "read-far");
+}
--- a/tests/unit/entry/routed_entry.hpp
+++ b/tests/unit/entry/routed_entry.hpp
@@ -61,7 +61,7 @@
         this->configuration = content;
         this->take(configuration_received{1, content});
         this->take(upstreams_listed{this->listing()});
-        this->take(entry_hosts_counted{4});
+        this->take(entry_hosts_counted{4, 4});
     }
 
     static entry_settings make_settings()
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -82,7 +82,7 @@
         link::leader_notice{host_id(), 0},
         presence_message(),
         link::host_place{zone_id("z"), region_id("r")},
-        link::group_news{{host_id("c1"), host_id("c2")}, 11},
+        link::group_news{{host_id("c1"), host_id("c2")}, 11, 4},
         link::upstream_update{listing_changes()},
         link::upstream_request{{3, 4}},
         link::region_plan{7, {{service_id("s"), region_id("r"), 400}}},
--- a/tests/unit/presence/entry_table_test.cpp
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -128,3 +128,21 @@
     entry_table table(settings);
     cr_expect(table.answer(from("near"), start).ttl == 700ms);
 }
+
+// Eight hosts in one region and one in each of two others: shared among a
+// third of ten, a bound of the large region's hosts would be broken twice
+// over.
+Test(entry_table, hosts_are_counted_in_the_region_with_the_most)
+{
+    entry_table table;
+    for (std::uint16_t number = 1; number <= 8; ++number)
+    {
+        table.heard(number, host_id("e" + std::to_string(number)),
+                    ready_host(number, "large"), start);
+    }
+    table.heard(9, host_id("e9"), ready_host(9, "small"), start);
+    table.heard(10, host_id("e10"), ready_host(10, "other"), start);
+    cr_expect_eq(table.ready_hosts(start), 10U);
+    cr_expect_eq(table.most_ready_hosts_of_a_region(start), 8U);
+    cr_expect_eq(table.most_ready_hosts_of_a_region(start + 1h), 0U);
+}
