An object has the same order of regions on every entry host

Cause: a region's number followed the order in which a host heard of the regions, and objects were laid over the shares in that order. Regions now draw for an object by their names, at the rate of their shares. A region that is ahead of its share is passed over in the object's own order; before, the request went to the one furthest behind, any of them. The bound on what a region may be ahead stays.

Also: a plan that came before any upstream of the own region was listed wrote behind the end of its shares.

--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -127,6 +127,8 @@
     region_id own_region() const;
     void set_shares();
     std::uint32_t number_of(region_id const& region);
+    std::vector<policy::region_target>
+    named_regions(std::vector<double> const& shares) const;
     region_id name_of(std::optional<std::uint32_t> region) const;
     bool fill_from_route(live_request& request,
                          config::request_route const& route,
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -59,6 +59,9 @@
 
 void entry_reducer::on(regions_planned const& happened)
 {
+    // Numbered first: a plan may come before any upstream of this region is
+    // listed, and each target must have a place for it.
+    std::uint32_t const home = this->number_of(this->own_region());
     std::map<service_id, std::vector<double>> targets;
     for (planned_share const& each : happened.shares)
     {
@@ -77,11 +80,11 @@
             sum += share;
         }
         target.resize(regions);
-        target[this->number_of(this->own_region())] += 1 - sum;
+        target[home] += 1 - sum;
         auto const state = this->states.find(service);
         if (state != this->states.end())
         {
-            state->second.regions().aim(target, this->now);
+            state->second.regions().aim(this->named_regions(target), this->now);
         }
     }
 }
@@ -157,6 +160,17 @@
     }
 }
 
+std::vector<policy::region_target>
+entry_reducer::named_regions(std::vector<double> const& shares) const
+{
+    std::vector<policy::region_target> named(shares.size());
+    for (auto const& [name, number] : this->region_numbers)
+    {
+        named[number] = {std::hash<region_id>{}(name), shares[number]};
+    }
+    return named;
+}
+
 std::uint32_t entry_reducer::number_of(region_id const& region)
 {
     return this->region_numbers
--- a/bilberrylead/policy/region_shares.cpp
+++ b/bilberrylead/policy/region_shares.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cassert>
 #include <chrono>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace bilberrylead::policy
@@ -14,17 +16,25 @@
 {
 }
 
-void region_shares::aim(std::vector<double> target, instant now)
+void region_shares::aim(std::vector<region_target> const& target, instant now)
 {
     assert(!target.empty());
-    if (this->shares.size() != target.size())
+    std::vector<double> reached;
+    std::vector<std::uint64_t> named;
+    for (region_target const& each : target)
     {
-        this->shares = target;
-        this->owed.assign(target.size(), 0.0);
+        reached.push_back(each.share);
+        named.push_back(each.region);
+    }
+    if (this->shares.size() != reached.size())
+    {
+        this->shares = reached;
+        this->owed.assign(reached.size(), 0.0);
         this->followed_at = now;
     }
+    this->regions = std::move(named);
     this->follow(now);
-    this->wanted = std::move(target);
+    this->wanted = std::move(reached);
 }
 
 void region_shares::follow(instant now)
@@ -54,19 +64,28 @@
 
 std::size_t region_shares::region_of(std::uint64_t object) const
 {
-    // As a share moves, only the objects at its edge move with it.
-    double place = generator(object).unit();
+    // Weighted rendezvous hashing: each region draws a time at the rate of
+    // its share, the same on every host; the earliest has the object.
+    // A region that got more than its share is passed over: the object goes
+    // to its next one, which soon knows it as well. At least one is left,
+    // since what is owed to all of them adds up to one request.
+    std::size_t best = 0;
+    double earliest = std::numeric_limits<double>::infinity();
     for (std::size_t region = 0; region < this->shares.size(); ++region)
     {
-        if (place < this->shares[region])
+        if (this->owed[region] - 1 < -most_owed)
+        {
+            continue;
+        }
+        double const drawn = generator(object ^ this->regions[region]).unit();
+        double const time = -std::log(1 - drawn) / this->shares[region];
+        if (this->shares[region] > 0 && time < earliest)
         {
-            return region;
+            best = region;
+            earliest = time;
         }
-        place -= this->shares[region];
     }
-    return static_cast<std::size_t>(
-        std::max_element(this->shares.begin(), this->shares.end()) -
-        this->shares.begin());
+    return best;
 }
 
 std::size_t region_shares::next(std::uint64_t object, instant now)
@@ -80,10 +99,7 @@
     std::size_t const furthest = static_cast<std::size_t>(
         std::max_element(this->owed.begin(), this->owed.end()) -
         this->owed.begin());
-    std::size_t const own = object == 0 ? furthest : this->region_of(object);
-    bool const fair =
-        this->owed[furthest] <= most_owed && this->owed[own] - 1 >= -most_owed;
-    std::size_t const chosen = fair ? own : furthest;
+    std::size_t const chosen = object == 0 ? furthest : this->region_of(object);
     this->owed[chosen] -= 1;
     return chosen;
 }
--- a/bilberrylead/policy/region_shares.hpp
+++ b/bilberrylead/policy/region_shares.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_POLICY_REGION_SHARES_HPP
 
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/region_target.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,14 +25,18 @@
     /// that lose; 0 to 1.
     explicit region_shares(double pace);
 
-    /// Sets what is to be reached: a share for each region, which add up to
-    /// 1. The first one is taken over at once: nothing was sent before.
-    void aim(std::vector<double> target, instant now);
+    /// Sets what is to be reached: a share for each region, always in the
+    /// same order here; they add up to 1. The first one is taken over at once:
+    /// nothing was sent before.
+    void aim(std::vector<region_target> const& target, instant now);
 
-    /// The region of the next request, about an object (0: about none). An
-    /// object has its region, so that few upstreams have to know it; but
-    /// over any few requests each region gets its share, so that chance
-    /// does not move callers: a region that is behind goes first.
+    /// The region of the next request, about an object (0: about none).
+    ///
+    /// An object has its order of regions, the same on every entry host and
+    /// after every restart, so that few upstreams have to know it; as a share
+    /// moves, hardly any object moves but those that the region gains or
+    /// loses. Over any few requests each region gets its share, so that
+    /// chance does not move callers: a region that is ahead is passed over.
     std::size_t next(std::uint64_t object, instant now);
 
     /// The shares at work; empty before the first aim.
@@ -41,13 +46,14 @@
     }
 
 private:
-    /// Requests that a region may be before or behind its share.
+    /// Requests that a region may be ahead of its share.
     static constexpr double most_owed = 1.5;
 
     void follow(instant now);
     std::size_t region_of(std::uint64_t object) const;
 
     double pace;
+    std::vector<std::uint64_t> regions;
     std::vector<double> shares;
     std::vector<double> wanted;
     std::vector<double> owed;
--- a/tests/unit/entry/object_placement_test.cpp
+++ b/tests/unit/entry/object_placement_test.cpp
@@ -75,3 +75,38 @@
     host.arrive(100, "/r/x");
     cr_expect_eq(host.sent_to(), "read-far");
 }
+
+// A host starts with the plan before it has heard of any upstream of its own
+// region; its region has no number yet, and the rest of the shares, which is
+// its own, must find a place.
+Test(object_placement, plan_may_come_before_the_own_region_is_known)
+{
+    routed_entry started;
+    entry_reducer reducer(routed_entry::make_settings());
+    reducer.reduce(configuration_received{1, started.configuration},
+                   started.now);
+    reducer.reduce(
+        regions_planned{{{service_id("read"), region_id("r2"), 0.4}}},
+        started.now);
+    reducer.reduce(upstreams_listed{started.listing()}, started.now);
+    int far = 0;
+    for (std::uint64_t number = 1; number <= 50; ++number)
+    {
+        request_arrived arrival;
+        arrival.request = static_cast<request_number>(number);
+        arrival.host = "a.example";
+        arrival.path = "/r/x";
+        effects const said = reducer.reduce(arrival, started.now);
+        start_upstream const* const order = find_effect<start_upstream>(said);
+        cr_assert_not_null(order);
+        far += order->upstream == upstream_id("read-far") ? 1 : 0;
+        upstream_head_received head;
+        head.request = arrival.request;
+        head.status = 200;
+        reducer.reduce(head, started.now);
+        reducer.reduce(upstream_answer_finished{arrival.request, {}},
+                       started.now);
+    }
+    cr_expect_geq(far, 17);
+    cr_expect_leq(far, 23, "0.4 of 50, and what a region may be ahead");
+}
--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -109,8 +109,8 @@
 Test(region_shares, plan_that_jumps_is_followed_at_the_bounded_pace)
 {
     region_shares shares(0.05);
-    shares.aim({1, 0, 0}, start);
-    shares.aim({0.2, 0.5, 0.3}, start);
+    shares.aim({{10, 1}, {11, 0}, {12, 0}}, start);
+    shares.aim({{10, 0.2}, {11, 0.5}, {12, 0.3}}, start);
     shares.next(0, start + 2s);
     cr_expect(is_near(shares.current()[0], 0.9));
     shares.next(0, start + 60s);
@@ -121,7 +121,7 @@
 Test(region_shares, first_plan_is_taken_over_at_once)
 {
     region_shares shares(0.05);
-    shares.aim({0.4, 0.6}, start);
+    shares.aim({{10, 0.4}, {11, 0.6}}, start);
     cr_expect(is_near(shares.current()[0], 0.4));
 }
 
@@ -130,7 +130,7 @@
 Test(region_shares, every_few_requests_keep_the_shares)
 {
     region_shares shares(0.05);
-    shares.aim({0.62, 0.38}, start);
+    shares.aim({{10, 0.62}, {11, 0.38}}, start);
     int at_home = 0;
     for (std::uint64_t request = 0; request < 500; ++request)
     {
@@ -143,7 +143,7 @@
 Test(region_shares, object_runs_mostly_in_its_own_region)
 {
     region_shares shares(0.05);
-    shares.aim({0.5, 0.5}, start);
+    shares.aim({{10, 0.5}, {11, 0.5}}, start);
     std::vector<int> at_home(20, 0);
     for (int round = 0; round < 200; ++round)
     {
@@ -160,6 +160,42 @@
     cr_expect_geq(sure, 12);
 }
 
+// An entry host starts anew and hears of the regions in another order than
+// its neighbours. If it sent objects elsewhere, every object would be known
+// in two regions, and each first run there would be late.
+Test(region_shares, object_has_its_region_in_whatever_order_regions_came)
+{
+    region_shares one(0.05);
+    one.aim({{11, 0.5}, {12, 0.3}, {13, 0.2}}, start);
+    region_shares other(0.05);
+    other.aim({{13, 0.2}, {11, 0.5}, {12, 0.3}}, start);
+    std::vector<std::uint64_t> const first{11, 12, 13};
+    std::vector<std::uint64_t> const second{13, 11, 12};
+    for (std::uint64_t object = 1; object <= 500; ++object)
+    {
+        cr_expect_eq(first[one.next(object * 977, start)],
+                     second[other.next(object * 977, start)]);
+    }
+}
+
+// The callers of a region move from a second region to a third. Objects that
+// stay at home must not move: nobody knows them elsewhere.
+Test(region_shares, share_that_moves_takes_few_other_objects_along)
+{
+    int moved = 0;
+    for (std::uint64_t object = 1; object <= 2000; ++object)
+    {
+        region_shares before(0.05);
+        before.aim({{11, 0.4}, {12, 0.4}, {13, 0.2}}, start);
+        region_shares after(0.05);
+        after.aim({{11, 0.4}, {12, 0.2}, {13, 0.4}}, start);
+        std::size_t const old = before.next(object * 977, start);
+        std::size_t const chosen = after.next(object * 977, start);
+        moved += old == 0 && chosen != 0 ? 1 : 0;
+    }
+    cr_expect_lt(moved, 160, "a tenth of the 800 at home, twice for chance");
+}
+
 Test(arrival_rate, rate_follows_what_arrives)
 {
     policy::arrival_rate rate(1500ms);
