A wait of one run is always borne

Hypothesis: with aims far below the deadlines a refusal serves a caller worse than a late answer, so a wait of more than half a run should be borne.

--- a/bilberrylead/policy/placement_settings.hpp
+++ b/bilberrylead/policy/placement_settings.hpp
@@ -21,9 +21,12 @@
     /// from the first goes there, but rarely enough that the object has left
     /// its caches again: a small factor filled the caches of both.
     double second_factor = 7;
-    /// Wait that is always borne, as a share of the service time: below it
-    /// slots would stand idle between two arrivals.
-    double least_wait_share = 0.5;
+    /// Wait that is always borne, as a share of the service time. Below it
+    /// slots would stand idle between two arrivals, and a caller that is late
+    /// already would come back later still: a late answer is worth more to it
+    /// than a refusal. Of 0.5, 1, 2 and 4 runs, 1 served callers best; from 2
+    /// on the waits make others late.
+    double least_wait_share = 1;
     /// Share of the time to the deadline that the expected completion may
     /// use; the rest covers what the estimate misses.
     double deadline_share = 0.9;
