--- a/bilberrylead/link/peer_node_settings.hpp
+++ b/bilberrylead/link/peer_node_settings.hpp
@@ -29,7 +29,13 @@
     /// silent for good while new ones work, so that waiting for the
     /// operating system's own time-out (minutes) would be too long.
     duration idle_timeout = std::chrono::seconds(3);
-    /// Time for connecting and for the handshake.
+    /// Time for a connection to open. A peer that is powered off says
+    /// nothing, and neither does the system when the peer is back, so that
+    /// each attempt waits for this to end: several round trips between
+    /// regions, and well below the second after which the system itself asks
+    /// again.
+    duration connect_timeout = std::chrono::seconds(1);
+    /// Time for the handshake on an open connection.
     duration handshake_timeout = std::chrono::seconds(2);
     /// Pause before a lost link is dialled again: short, since a restarted
     /// process is usually back within a second.
@@ -44,6 +50,7 @@
     void pace_for_small_group()
     {
         this->idle_timeout = std::chrono::milliseconds(1500);
+        this->connect_timeout = std::chrono::milliseconds(300);
         this->handshake_timeout = std::chrono::seconds(1);
         this->longest_redial_pause = std::chrono::milliseconds(400);
     }
--- a/bilberrylead/link/peer_session.cpp
+++ b/bilberrylead/link/peer_session.cpp
@@ -68,7 +68,7 @@
 void peer_session::start_dialled(boost::asio::ip::tcp::endpoint const& address)
 {
     this->dialled = true;
-    this->stream.next_layer().expires_after(this->settings.handshake_timeout);
+    this->stream.next_layer().expires_after(this->settings.connect_timeout);
     this->stream.next_layer().async_connect(
         address,
         [self = this->shared_from_this()](error_code const& error)
--- a/bilberrylead/policy/region_plan.cpp
+++ b/bilberrylead/policy/region_plan.cpp
@@ -51,9 +51,6 @@
     }
     double const room = slots * settings.most_fill;
     double const served = demand > room && demand > 0 ? room / demand : 1.0;
-    double const use = slots > 0 ? demand / slots : 0.0;
-    double const fill = std::clamp(use * settings.excess, settings.least_fill,
-                                   settings.most_fill);
 
     // What each region lacks, and what it can spare, once its own callers
     // have the part that everybody gets.
@@ -63,7 +60,7 @@
     for (std::size_t region = 0; region < count; ++region)
     {
         double const wanted = demands[region] * served;
-        double const own = rooms[region].slots * fill;
+        double const own = rooms[region].slots * settings.most_fill;
         lacking[region] = std::max(0.0, wanted - own);
         spare[region] = std::max(0.0, own - wanted);
         all_spare += spare[region];
