--- a/tests/unit/link/peer_node_test.cpp
+++ b/tests/unit/link/peer_node_test.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace bilberrylead;
 
@@ -201,3 +202,53 @@
     }
     cr_assert_eq(alone.lost_links, 0);
 }
+
+// A host lost power while another one starts: what is sent to it vanishes
+// without an answer. If the attempt waited for the system's own time-outs,
+// the starting host would serve nobody for a second after the other is back.
+// A listener whose queue is full is silent the same way.
+Test(peer_node, peer_that_says_nothing_is_given_up_and_dialled_again)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    tcp::acceptor silent(io, tcp::endpoint(tcp::v4(), 0));
+    silent.listen(0);
+    std::vector<tcp::socket> queued;
+    queued.reserve(4);
+    int opened = 0;
+    for (int each = 0; each < 4; ++each)
+    {
+        queued.emplace_back(io).async_connect(
+            tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                          silent.local_endpoint().port()),
+            [&opened](boost::system::error_code const& error)
+            {
+                opened += error ? 0 : 1;
+            });
+    }
+    while (opened == 0)
+    {
+        io.run_one();
+    }
+    cr_assert_lt(opened, 4, "the queue is not full");
+    link::peer_node_settings settings = peer::settings("calling", "a key");
+    settings.connect_timeout = std::chrono::milliseconds(50);
+    settings.handshake_timeout = std::chrono::hours(1);
+    int given_up = 0;
+    link::peer_node calling(
+        io, settings,
+        {[](link::link_number, link::peer_identity const&) {},
+         [](link::link_number, bytes const&) {}, [](link::link_number) {},
+         [&given_up]()
+         {
+             ++given_up;
+         }});
+    calling.dial({"127.0.0.1", silent.local_endpoint().port()});
+    std::chrono::steady_clock::time_point const end =
+        std::chrono::steady_clock::now() + patience;
+    while (given_up < 2 && std::chrono::steady_clock::now() < end)
+    {
+        io.run_one_for(std::chrono::milliseconds(50));
+    }
+    cr_expect_geq(given_up, 2);
+}
