Shares are taken over at once until the first request is sent

Cause: an entry host took its first plan over at once and every later one at the bounded pace, though nothing was sent yet. At the start the first plan comes before all entry hosts are counted and all upstreams are listed; what it lacked was made up for over fifteen seconds, in the middle of traffic. Now callers that were sent nothing move freely and all others at the pace, to a new region as well.

The test of a new region fails without it; that of a plan that jumps sends a request first, since only callers that were sent somewhere can be moved.

--- a/bilberrylead/policy/region_shares.cpp
+++ b/bilberrylead/policy/region_shares.cpp
@@ -26,12 +26,13 @@
         reached.push_back(each.share);
         named.push_back(each.region);
     }
-    if (this->shares.size() != reached.size())
+    if (!this->has_sent)
     {
         this->shares = reached;
-        this->owed.assign(reached.size(), 0.0);
         this->followed_at = now;
     }
+    this->shares.resize(reached.size(), 0.0);
+    this->owed.resize(reached.size(), 0.0);
     this->regions = std::move(named);
     this->follow(now);
     this->wanted = std::move(reached);
@@ -92,6 +93,7 @@
 {
     assert(!this->shares.empty());
     this->follow(now);
+    this->has_sent = true;
     for (std::size_t region = 0; region < this->shares.size(); ++region)
     {
         this->owed[region] += this->shares[region];
--- a/bilberrylead/policy/region_shares.hpp
+++ b/bilberrylead/policy/region_shares.hpp
@@ -26,8 +26,9 @@
     explicit region_shares(double pace);
 
     /// Sets what is to be reached: a share for each region, always in the
-    /// same order here; they add up to 1. The first one is taken over at once:
-    /// nothing was sent before.
+    /// same order here; they add up to 1. Taken over at once until the first
+    /// request is sent; from then on a region that is new gets its share at
+    /// the same pace as any other.
     void aim(std::vector<region_target> const& target, instant now);
 
     /// The region of the next request, about an object (0: about none).
@@ -53,6 +54,7 @@
     std::size_t region_of(std::uint64_t object) const;
 
     double pace;
+    bool has_sent = false;
     std::vector<std::uint64_t> regions;
     std::vector<double> shares;
     std::vector<double> wanted;
--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -110,6 +110,7 @@
 {
     region_shares shares(0.05);
     shares.aim({{10, 1}, {11, 0}, {12, 0}}, start);
+    shares.next(0, start);
     shares.aim({{10, 0.2}, {11, 0.5}, {12, 0.3}}, start);
     shares.next(0, start + 2s);
     cr_expect(is_near(shares.current()[0], 0.9));
@@ -125,6 +126,21 @@
     cr_expect(is_near(shares.current()[0], 0.4));
 }
 
+// An entry host hears of the upstreams of a third region after its first
+// plan. Taken over at once, the new plan would move half of the callers of a
+// region within a second, wherever hosts learn of it together.
+Test(region_shares, region_that_is_new_gets_its_share_at_the_bounded_pace)
+{
+    region_shares shares(0.05);
+    shares.aim({{10, 0.7}, {11, 0.3}}, start);
+    shares.next(0, start);
+    shares.aim({{10, 0.3}, {11, 0.2}, {12, 0.5}}, start + 1s);
+    shares.next(0, start + 3s);
+    cr_expect(is_near(shares.current()[2], 0.1));
+    shares.next(0, start + 60s);
+    cr_expect(is_near(shares.current()[2], 0.5));
+}
+
 // Chance alone moves one request in ten from one second to the next, which
 // callers would see as a shift of their region.
 Test(region_shares, every_few_requests_keep_the_shares)
