A region without a share gets nothing while others are ahead

Reading again: when every region with a share was ahead, the request went to the first one by number, share or not. It goes to the one furthest behind.

--- a/bilberrylead/policy/region_shares.cpp
+++ b/bilberrylead/policy/region_shares.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace bilberrylead::policy
@@ -63,30 +64,39 @@
     }
 }
 
+std::size_t region_shares::furthest_behind() const
+{
+    return static_cast<std::size_t>(
+        std::max_element(this->owed.begin(), this->owed.end()) -
+        this->owed.begin());
+}
+
 std::size_t region_shares::region_of(std::uint64_t object) const
 {
     // Weighted rendezvous hashing: each region draws a time at the rate of
-    // its share, the same on every host; the earliest has the object.
-    // A region that got more than its share is passed over: the object goes
-    // to its next one, which soon knows it as well. At least one is left,
-    // since what is owed to all of them adds up to one request.
-    std::size_t best = 0;
+    // its share, the same on every host; the earliest has the object. A
+    // region that is ahead is passed over: the object goes to its next one,
+    // which soon knows it as well.
+    std::optional<std::size_t> best;
     double earliest = std::numeric_limits<double>::infinity();
     for (std::size_t region = 0; region < this->shares.size(); ++region)
     {
-        if (this->owed[region] - 1 < -most_owed)
+        bool const is_ahead = this->owed[region] - 1 < -most_owed;
+        if (is_ahead || this->shares[region] <= 0)
         {
             continue;
         }
         double const drawn = generator(object ^ this->regions[region]).unit();
         double const time = -std::log(1 - drawn) / this->shares[region];
-        if (this->shares[region] > 0 && time < earliest)
+        if (time < earliest)
         {
             best = region;
             earliest = time;
         }
     }
-    return best;
+    // All that have a share are ahead while others, which just lost theirs,
+    // are still behind.
+    return best.value_or(this->furthest_behind());
 }
 
 std::size_t region_shares::next(std::uint64_t object, instant now)
@@ -98,10 +108,8 @@
     {
         this->owed[region] += this->shares[region];
     }
-    std::size_t const furthest = static_cast<std::size_t>(
-        std::max_element(this->owed.begin(), this->owed.end()) -
-        this->owed.begin());
-    std::size_t const chosen = object == 0 ? furthest : this->region_of(object);
+    std::size_t const chosen =
+        object == 0 ? this->furthest_behind() : this->region_of(object);
     this->owed[chosen] -= 1;
     return chosen;
 }
--- a/bilberrylead/policy/region_shares.hpp
+++ b/bilberrylead/policy/region_shares.hpp
@@ -51,6 +51,7 @@
     static constexpr double most_owed = 1.5;
 
     void follow(instant now);
+    std::size_t furthest_behind() const;
     std::size_t region_of(std::uint64_t object) const;
 
     double pace;
--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -141,6 +141,25 @@
     cr_expect(is_near(shares.current()[2], 0.5));
 }
 
+// A region is emptied. What it was behind when its share ended is not made up
+// for: its callers would find no upstream there.
+Test(region_shares, region_that_lost_its_share_gets_nothing_more)
+{
+    region_shares shares(0.05);
+    shares.aim({{10, 0.3}, {11, 0.3}, {12, 0.4}}, start);
+    for (std::uint64_t request = 1; request <= 100; ++request)
+    {
+        shares.next(request * 31, start);
+    }
+    shares.aim({{10, 0}, {11, 0}, {12, 1}}, start);
+    int elsewhere = 0;
+    for (std::uint64_t request = 1; request <= 100; ++request)
+    {
+        elsewhere += shares.next(request * 31, start + 60s) == 2 ? 0 : 1;
+    }
+    cr_expect_leq(elsewhere, 2);
+}
+
 // Chance alone moves one request in ten from one second to the next, which
 // callers would see as a shift of their region.
 Test(region_shares, every_few_requests_keep_the_shares)
