Lists of names are read by one function; group news are compared whole

Reading again: two lists of ids stood as the same lambda over take_list, and the control host compared the fields of its group news one by one, so that a field added later could be forgotten and its change not told. No behaviour changes; messages have the same bytes.

--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -52,11 +52,7 @@
     news.entry_hosts = this->entry_hosts.ready_hosts(this->time);
     news.region_entry_hosts =
         this->entry_hosts.most_ready_hosts_of_a_region(this->time);
-    bool const same =
-        news.control_hosts == this->told_group.control_hosts &&
-        news.entry_hosts == this->told_group.entry_hosts &&
-        news.region_entry_hosts == this->told_group.region_entry_hosts;
-    if (same || news.control_hosts.empty())
+    if (news == this->told_group || news.control_hosts.empty())
     {
         return;
     }
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -42,6 +42,17 @@
     return list;
 }
 
+/// A list of names.
+template <class Id>
+std::vector<Id> take_ids(cbor_fields& fields)
+{
+    return take_list(fields,
+                     [&fields]()
+                     {
+                         return Id(fields.take_text(longest_text));
+                     });
+}
+
 config::endpoint take_endpoint(cbor_fields& fields)
 {
     config::endpoint address;
@@ -77,12 +88,7 @@
     group_news content;
     content.entry_hosts = fields.take_unsigned();
     content.region_entry_hosts = fields.take_unsigned();
-    content.control_hosts =
-        take_list(fields,
-                  [&fields]()
-                  {
-                      return host_id(fields.take_text(longest_text));
-                  });
+    content.control_hosts = take_ids<host_id>(fields);
     return content;
 }
 
@@ -128,12 +134,7 @@
                                     {
                                         return take_upstream(fields);
                                     });
-    content.changes.removed =
-        take_list(fields,
-                  [&fields]()
-                  {
-                      return upstream_id(fields.take_text(longest_text));
-                  });
+    content.changes.removed = take_ids<upstream_id>(fields);
     return content;
 }
 
--- a/bilberrylead/link/messages/group_news.hpp
+++ b/bilberrylead/link/messages/group_news.hpp
@@ -22,6 +22,8 @@
     /// The most of them that stand in one region: what only hosts of a
     /// region use is shared among at most so many.
     std::uint64_t region_entry_hosts = 0;
+
+    friend bool operator==(group_news const&, group_news const&) = default;
 };
 
 } // namespace bilberrylead::link
