Bounds of a deployment may be fractions, of any size

Settings took whole numbers only, so every process ended at its start with "retries.slack: This is a fraction", and nobody was served.

Gone through: every number that deploy/*.settings fills in. Slacks are real numbers, ratios and factors may be any from 0 on, times up to thirty years, losses any count, the list's calls 0 (none stated), and a whole number may be written with a point.

--- a/bilberrylead/config/cold_bounds.hpp
+++ b/bilberrylead/config/cold_bounds.hpp
@@ -1,8 +1,6 @@
 #ifndef BILBERRYLEAD_CONFIG_COLD_BOUNDS_HPP
 #define BILBERRYLEAD_CONFIG_COLD_BOUNDS_HPP
 
-#include <cstdint>
-
 namespace bilberrylead::config
 {
 
@@ -10,10 +8,10 @@
 /// one second, by all entry hosts together: it crashes well above that.
 struct cold_bounds
 {
-    /// Times the service's cold rate; at least 1.
+    /// Times the service's cold rate; at least 0.
     double factor = 1;
     /// Requests besides.
-    std::uint32_t slack = 0;
+    double slack = 0;
 
     friend bool operator==(cold_bounds const&, cold_bounds const&) = default;
 };
--- a/bilberrylead/config/control_settings.hpp
+++ b/bilberrylead/config/control_settings.hpp
@@ -62,7 +62,8 @@
     /// Where the list of upstreams is read; port 0: the configuration names
     /// them.
     endpoint upstream_list;
-    /// Calls a second that the list takes from all hosts together; over 0.
+    /// Calls a second that the list takes from all hosts together; 0: none
+    /// are stated.
     double upstream_list_calls = 1;
     /// Whom the operators' port trusts.
     operator_trust trust = operator_trust::by_key;
--- a/bilberrylead/config/field_reader.cpp
+++ b/bilberrylead/config/field_reader.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstdint>
 #include <optional>
 
 namespace bilberrylead::config
@@ -44,6 +46,22 @@
     return value.type_name();
 }
 
+/// A whole number, also one that its writer gave a point: 2.0 means 2.
+std::optional<std::uint64_t> whole_number(nlohmann::json const& value)
+{
+    if (value.is_number_unsigned())
+    {
+        return value.get<std::uint64_t>();
+    }
+    /// Whole numbers up to here have a floating-point value of their own.
+    constexpr double most_exact = 9007199254740992.0;
+    double const number = value.is_number_float() ? value.get<double>() : -1;
+    bool const is_whole =
+        number >= 0 && number <= most_exact && number == std::floor(number);
+    return is_whole ? std::optional(static_cast<std::uint64_t>(number))
+                    : std::nullopt;
+}
+
 } // namespace
 
 field_reader::field_reader(nlohmann::json const& value, std::string path,
@@ -363,13 +381,14 @@
     {
         return unset;
     }
-    if (!found->is_number_unsigned())
+    std::optional<std::uint64_t> const read = whole_number(*found);
+    if (!read.has_value())
     {
         this->fail_type(name, fmt::format("a whole number from {} to {}",
                                           range.least, range.most));
         return unset;
     }
-    std::uint64_t const value = found->get<std::uint64_t>();
+    std::uint64_t const value = *read;
     std::optional<field_fault> const fault = range_fault(value, range);
     if (fault.has_value())
     {
--- a/bilberrylead/config/retry_bounds.hpp
+++ b/bilberrylead/config/retry_bounds.hpp
@@ -1,8 +1,6 @@
 #ifndef BILBERRYLEAD_CONFIG_RETRY_BOUNDS_HPP
 #define BILBERRYLEAD_CONFIG_RETRY_BOUNDS_HPP
 
-#include <cstdint>
-
 namespace bilberrylead::config
 {
 
@@ -15,7 +13,7 @@
     double ratio = 0.1;
     /// Further tries in a window that are allowed besides, so that a quiet
     /// service can retry too.
-    std::uint32_t slack = 40;
+    double slack = 40;
 
     friend bool operator==(retry_bounds const&, retry_bounds const&) = default;
 };
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -7,14 +7,23 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <string_view>
 
 /// The fields of the daemons' settings by name and range.
 namespace bilberrylead::config
 {
 
-/// An hour; longer times in settings are slips of the unit.
-inline constexpr std::chrono::hours longest_setting{1};
+/// About thirty years: any time that a platform may state, and far from where
+/// its sum with a clock would overflow.
+inline constexpr std::chrono::seconds longest_setting{1'000'000'000};
+
+/// The largest bound that makes sense to count with; beyond it a value is a
+/// slip, not a bound.
+inline constexpr double most_bound = 1e12;
+
+/// Losses beyond any number of hosts: the group is as large as it may be.
+inline constexpr std::uint64_t most_losses = 1'000'000'000;
 
 /// Names of the log levels, in the order of log_level.
 inline constexpr std::array<std::string_view, 4> log_level_names = {
@@ -66,25 +75,25 @@
 template <class Visitor>
 void visit_fields(Visitor& visitor, retry_bounds& value)
 {
-    visitor.fraction("ratio", value.ratio, 0, 1);
-    visitor.number("slack", value.slack, {0, 1'000'000});
+    visitor.fraction("ratio", value.ratio, 0, most_bound);
+    visitor.fraction("slack", value.slack, 0, most_bound);
 }
 
 /// Fields of what may be sent to a cold upstream.
 template <class Visitor>
 void visit_fields(Visitor& visitor, cold_bounds& value)
 {
-    visitor.fraction("factor", value.factor, 1, 1000);
-    visitor.number("slack", value.slack, {0, 1'000'000});
+    visitor.fraction("factor", value.factor, 0, most_bound);
+    visitor.fraction("slack", value.slack, 0, most_bound);
 }
 
 /// Fields of what the group of control hosts must bear.
 template <class Visitor>
 void visit_fields(Visitor& visitor, group_losses& value)
 {
-    visitor.number("hosts", value.hosts, {0, 100});
-    visitor.number("zones", value.zones, {0, 100});
-    visitor.number("regions", value.regions, {0, 100});
+    visitor.number("hosts", value.hosts, {0, most_losses});
+    visitor.number("zones", value.zones, {0, most_losses});
+    visitor.number("regions", value.regions, {0, most_losses});
 }
 
 /// Fields of a control host's settings.
@@ -109,8 +118,8 @@
     visitor.seconds("steering_ttl_s", value.steering_ttl, longest_setting);
     visitor.list("places", value.places);
     visitor.optional("upstream_list", value.upstream_list);
-    visitor.fraction("upstream_list_calls_per_s", value.upstream_list_calls,
-                     0.001, 1'000'000);
+    visitor.fraction("upstream_list_calls_per_s", value.upstream_list_calls, 0,
+                     most_bound);
     visitor.choice("trust", value.trust, operator_trust_names);
 }
 
@@ -137,7 +146,7 @@
     visitor.seconds("steering_ttl_s", value.steering_ttl, longest_setting);
     visitor.section("retries", value.retries);
     visitor.section("cold", value.cold);
-    visitor.fraction("link_mbit_per_s", value.link_rate, 0, 10'000'000);
+    visitor.fraction("link_mbit_per_s", value.link_rate, 0, most_bound);
     visitor.choice("waiting", value.waiting, waiting_place_names);
 }
 
