A long list of upstreams is read by zone, and pages follow at once

Each page names the next one, so a page costs a round trip (70 ms where the leader stands in another region), and the next page was asked for by the 70 ms tick only: 140 ms a page, over 4 s a reading.

Now the page that came asks for the next one at once, and a list of 600 upstreams or more is read by zone, all zones side by side, one connection each. Every 16th reading asks for all zones together, and a list with upstreams in zones that this host was not told of is never split. A failed page starts its zone again, not the others. Leaving upstreams are gathered apart, so that a page no longer goes over all pages before it.

Ruled out: the way to the entry hosts (35 ms and a packed delta), a listing lost on its way (asked for each second, from control hosts in turn).

Tests: reading by zone takes as long as its calls, unknown zones, failed zone, whole reading now and then; without the change 36 pages take 2.5 s in the test.

--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -10,7 +10,7 @@
 #include "bilberrylead/control/operator_reply.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/discovery/list_position.hpp"
-#include "bilberrylead/discovery/list_reader.hpp"
+#include "bilberrylead/discovery/page_call.hpp"
 #include "bilberrylead/link/message.hpp"
 #include "bilberrylead/link/peer_callbacks.hpp"
 
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -115,6 +115,7 @@
     void tell_group();
     void tell_group(link::link_number to);
     void read_list();
+    void expect_list();
     void ask_for_listing();
     void note_listing(discovery::list_changes const& changes);
     void plan_regions();
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/membership/member_planner.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -143,16 +144,33 @@
     {
         return;
     }
-    this->reader->set_active(this->replica.role() == agreement::role::leader,
-                             this->time);
-    std::optional<discovery::page_call> const call =
-        this->reader->next_call(this->time);
-    if (call.has_value())
+    bool const leads = this->replica.role() == agreement::role::leader;
+    if (leads != this->reader->is_active())
+    {
+        this->expect_list();
+        this->reader->set_active(leads, this->time);
+    }
+    while (std::optional<discovery::page_call> const call =
+               this->reader->next_call(this->time))
     {
         this->effects.emplace_back(call_upstream_list{*call});
     }
 }
 
+/// A new leader goes by what its predecessor told.
+void control_reducer::expect_list()
+{
+    std::map<upstream_id, discovery::listed_upstream> const& held =
+        this->listing.upstreams();
+    bool const only_known_zones = std::all_of(
+        held.begin(), held.end(),
+        [this](auto const& known)
+        {
+            return this->reader->knows_zone(known.second.upstream.zone);
+        });
+    this->reader->expect(held.size(), only_known_zones);
+}
+
 void control_reducer::on(list_page_came const& what)
 {
     if (!this->reader.has_value())
@@ -161,6 +179,9 @@
     }
     std::optional<std::vector<discovery::listed_upstream>> const found =
         this->reader->page_read(what.number, what.page, this->time);
+    // The next page is asked for at once: a timer's pause for each page of a
+    // long list adds up to seconds.
+    this->read_list();
     std::optional<discovery::list_changes> changes;
     if (found.has_value())
     {
@@ -168,7 +189,7 @@
     }
     else if (this->time >= this->listing_told_at + early_listing_interval)
     {
-        changes = this->listing.read_leaving(this->reader->found_so_far(),
+        changes = this->listing.read_leaving(this->reader->leaving_so_far(),
                                              this->replica.term(), this->time);
     }
     if (!changes.has_value())
--- a/bilberrylead/daemon/control_adapter.hpp
+++ b/bilberrylead/daemon/control_adapter.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/control/operator_reply.hpp"
 #include "bilberrylead/control/operator_request.hpp"
 #include "bilberrylead/discovery/list_page.hpp"
+#include "bilberrylead/discovery/page_call.hpp"
 #include "bilberrylead/link/http_endpoint.hpp"
 #include "bilberrylead/presence/steering_question.hpp"
 #include "bilberrylead/presence/steering_reply.hpp"
@@ -26,7 +27,8 @@
     requires(link::http_request const& request, std::string const& text,
              control::operator_reply const& reply,
              std::optional<config::endpoint> const& leader,
-             presence::steering_reply const& steering) {
+             presence::steering_reply const& steering,
+             discovery::page_call const& call) {
         {
             Adapter::read_operator_request(request, text)
         } -> std::same_as<absl::StatusOr<control::operator_request>>;
@@ -39,7 +41,7 @@
         {
             Adapter::write_steering_reply(steering)
         } -> std::same_as<link::http_answer>;
-        { Adapter::list_target(text) } -> std::same_as<std::string>;
+        { Adapter::list_target(call) } -> std::same_as<std::string>;
         {
             Adapter::read_list_page(text)
         } -> std::same_as<absl::StatusOr<discovery::list_page>>;
@@ -63,7 +65,7 @@
     link::http_answer (*write_steering_reply)(
         presence::steering_reply const& steering);
     /// The target that asks for a page of the list of upstreams.
-    std::string (*list_target)(std::string const& page);
+    std::string (*list_target)(discovery::page_call const& call);
     /// Reads a page of the list of upstreams.
     absl::StatusOr<discovery::list_page> (*read_list_page)(
         std::string const& body);
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -171,7 +171,14 @@
     if (this->settings.upstream_list.port != 0)
     {
         wanted.list.emplace();
-        wanted.list->calls_per_second = this->settings.upstream_list_calls;
+        if (this->settings.upstream_list_calls > 0)
+        {
+            wanted.list->calls_per_second = this->settings.upstream_list_calls;
+        }
+        for (config::place const& place : this->settings.places)
+        {
+            wanted.list->zones.push_back(place.zone);
+        }
     }
     this->reducer.emplace(wanted);
 }
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -63,12 +63,6 @@
             return listening;
         }
     }
-    if (this->settings.upstream_list.port != 0)
-    {
-        this->list.emplace(this->io, this->settings.upstream_list,
-                           discovery::list_reader_settings{}.call_timeout);
-    }
-
     this->metrics_port.emplace(
         this->io,
         [this](link::http_request const&,
@@ -150,8 +144,14 @@
 void control_program::implementation::call_list(
     discovery::page_call const& call)
 {
-    this->list->get(
-        this->adapter.list_target(call.page),
+    // A caller makes one call at a time; zones are asked side by side.
+    link::http_caller& caller =
+        this->lists
+            .try_emplace(call.zone, this->io, this->settings.upstream_list,
+                         discovery::list_reader_settings{}.call_timeout)
+            .first->second;
+    caller.get(
+        this->adapter.list_target(call),
         [this,
          number = call.number](absl::StatusOr<link::http_result> const& result)
         {
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -100,7 +100,7 @@
     std::optional<peer_book> book;
     std::optional<link::http_endpoint> operators;
     std::optional<link::http_endpoint> steering;
-    std::optional<link::http_caller> list;
+    std::map<zone_id, link::http_caller> lists;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
     std::optional<listing_memory> memory;
--- a/bilberrylead/daemon/own_control_adapter.cpp
+++ b/bilberrylead/daemon/own_control_adapter.cpp
@@ -98,9 +98,10 @@
     return answer;
 }
 
-std::string own_control_adapter::list_target(std::string const& page)
+std::string own_control_adapter::list_target(discovery::page_call const& call)
 {
-    return page.empty() ? "/upstreams" : "/upstreams?page=" + page;
+    return link::target_with_query(
+        "/upstreams", {{"zone", call.zone.text()}, {"page", call.page}});
 }
 
 absl::StatusOr<discovery::list_page>
--- a/bilberrylead/daemon/own_control_adapter.hpp
+++ b/bilberrylead/daemon/own_control_adapter.hpp
@@ -25,8 +25,8 @@
     /// {"entry_hosts": ["192.0.2.1:80"], "ttl_s": 2}
     static link::http_answer
     write_steering_reply(presence::steering_reply const& steering);
-    /// /upstreams?page=PAGE
-    static std::string list_target(std::string const& page);
+    /// /upstreams?zone=ZONE&page=PAGE
+    static std::string list_target(discovery::page_call const& call);
     /// {"upstreams": [{"name", "service", "zone", "address", "slots",
     /// "leaving", "cold_ms"}], "next": "PAGE"}
     static absl::StatusOr<discovery::list_page>
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace bilberrylead::discovery
@@ -19,83 +20,169 @@
         return;
     }
     this->active = wanted;
-    this->open_call = 0;
-    this->start_again(now);
+    this->next_due = std::max(this->next_due, now);
+    this->start_reading(now);
 }
 
-void list_reader::start_again(instant when)
+void list_reader::expect(std::size_t upstreams, bool only_known_zones)
 {
-    this->next_due = when;
-    this->next_page.clear();
-    this->pages = 0;
-    this->found.clear();
+    this->expected = upstreams;
+    this->zones_are_known = only_known_zones;
 }
 
-std::optional<page_call> list_reader::next_call(instant now)
+bool list_reader::knows_zone(zone_id const& zone) const
 {
-    if (!this->active)
+    return std::find(this->settings.zones.begin(), this->settings.zones.end(),
+                     zone) != this->settings.zones.end();
+}
+
+void list_reader::start_reading(instant when)
+{
+    bool const by_zone =
+        this->zones_are_known && !this->settings.zones.empty() &&
+        this->expected >= this->settings.split_from &&
+        (this->readings + 1) % this->settings.whole_reading_each != 0;
+    this->parts.assign(by_zone ? this->settings.zones.size() : 1, {});
+    for (std::size_t place = 0; place < this->parts.size(); ++place)
     {
-        return std::nullopt;
+        this->parts[place].not_before = when;
+        this->parts[place].zone =
+            by_zone ? this->settings.zones[place] : zone_id();
     }
-    if (this->open_call != 0)
+    this->leaving.clear();
+    this->has_begun = false;
+}
+
+duration list_reader::spacing() const
+{
+    return std::chrono::round<duration>(std::chrono::duration<double>(
+        1.0 / (this->settings.calls_per_second * this->settings.share)));
+}
+
+void list_reader::give_up_late_calls(instant now)
+{
+    for (list_part& each : this->parts)
     {
-        if (now < this->call_began + this->settings.call_timeout)
+        if (each.open_call != 0 &&
+            now >= each.call_began + this->settings.call_timeout)
         {
-            return std::nullopt;
+            this->call_failed(each.open_call, now);
         }
-        this->call_failed(this->open_call, now);
     }
+}
+
+std::optional<page_call> list_reader::next_call(instant now)
+{
+    if (!this->active)
+    {
+        return std::nullopt;
+    }
+    this->give_up_late_calls(now);
     if (now < this->next_due)
     {
         return std::nullopt;
     }
-    if (this->pages == 0)
+    auto const part = std::find_if(this->parts.begin(), this->parts.end(),
+                                   [now](list_part const& each)
+                                   {
+                                       return !each.complete &&
+                                              each.open_call == 0 &&
+                                              now >= each.not_before;
+                                   });
+    if (part == this->parts.end())
     {
+        return std::nullopt;
+    }
+    if (!this->has_begun)
+    {
+        this->has_begun = true;
         this->reading_began = now;
     }
-    this->open_call = ++this->last_number;
-    this->call_began = now;
-    return page_call{this->open_call, this->next_page};
+    part->open_call = ++this->last_number;
+    part->call_began = now;
+    duration const saved =
+        scaled(this->spacing(), this->settings.most_saved_calls);
+    this->next_due = std::max(this->next_due, now - saved) + this->spacing();
+    page_call call{this->last_number, part->zone, part->next_page};
+    // Parts take turns, so that all of them end at about the same time.
+    std::rotate(part, std::next(part), this->parts.end());
+    return call;
+}
+
+list_part* list_reader::part_of(std::uint64_t number)
+{
+    auto const found = std::find_if(this->parts.begin(), this->parts.end(),
+                                    [number](list_part const& each)
+                                    {
+                                        return each.open_call == number;
+                                    });
+    return number == 0 || found == this->parts.end() ? nullptr : &*found;
+}
+
+std::vector<listed_upstream> list_reader::take_all()
+{
+    std::vector<listed_upstream> whole;
+    for (list_part& each : this->parts)
+    {
+        std::move(each.found.begin(), each.found.end(),
+                  std::back_inserter(whole));
+    }
+    return whole;
 }
 
 std::optional<std::vector<listed_upstream>>
 list_reader::page_read(std::uint64_t number, list_page const& page, instant now)
 {
-    if (number != this->open_call || number == 0)
+    list_part* const part = this->part_of(number);
+    if (part == nullptr)
     {
         return std::nullopt;
     }
-    this->open_call = 0;
-    ++this->pages;
+    part->open_call = 0;
+    ++part->pages;
     for (told_upstream const& each : page.upstreams)
     {
-        this->found.push_back({each.upstream, now + each.cold_left});
+        part->found.push_back({each.upstream, now + each.cold_left});
+        if (each.upstream.leaving)
+        {
+            this->leaving.push_back(part->found.back());
+        }
     }
-    duration const spacing =
-        std::chrono::round<duration>(std::chrono::duration<double>(
-            1.0 / (this->settings.calls_per_second * this->settings.share)));
-    if (!page.next.empty() && this->pages < this->settings.most_pages)
+    if (!page.next.empty() && part->pages < this->settings.most_pages)
     {
-        this->next_page = page.next;
-        this->next_due = std::max(now, this->call_began + spacing);
+        part->next_page = page.next;
         return std::nullopt;
     }
-    std::vector<listed_upstream> whole = std::move(this->found);
-    this->start_again(
-        std::max({now, this->reading_began + this->settings.period,
-                  this->call_began + spacing}));
+    part->complete = true;
+    if (!std::all_of(this->parts.begin(), this->parts.end(),
+                     [](list_part const& each)
+                     {
+                         return each.complete;
+                     }))
+    {
+        return std::nullopt;
+    }
+    std::vector<listed_upstream> whole = this->take_all();
+    ++this->readings;
     this->read_at = now;
+    this->expect(whole.size(),
+                 std::all_of(whole.begin(), whole.end(),
+                             [this](listed_upstream const& each)
+                             {
+                                 return this->knows_zone(each.upstream.zone);
+                             }));
+    this->start_reading(
+        std::max(now, this->reading_began + this->settings.period));
     return whole;
 }
 
 void list_reader::call_failed(std::uint64_t number, instant now)
 {
-    if (number != this->open_call || number == 0)
+    list_part* const part = this->part_of(number);
+    if (part != nullptr)
     {
-        return;
+        part->start_again(now + this->settings.failure_pause);
     }
-    this->open_call = 0;
-    this->start_again(now + this->settings.failure_pause);
 }
 
 } // namespace bilberrylead::discovery
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -3,31 +3,28 @@
 
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_page.hpp"
+#include "bilberrylead/discovery/list_part.hpp"
 #include "bilberrylead/discovery/list_reader_settings.hpp"
 #include "bilberrylead/discovery/listed_upstream.hpp"
+#include "bilberrylead/discovery/page_call.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace bilberrylead::discovery
 {
 
-/// Ask for one page of the list.
-struct page_call
-{
-    /// Number of the call, for its answer.
-    std::uint64_t number = 0;
-    /// Names the page; empty for the first.
-    std::string page;
-};
-
 /// Reads the list of upstreams page by page, no faster than the list
 /// allows. One host of the group reads at a time: whoever leads, so that
 /// the calls, which are counted over all hosts, stay within the bound. A
 /// reducer without clock or I/O.
+///
+/// Load it answers: a list of many pages in another region. A page names the
+/// next one, so that pages cost a round trip each: with thirty of them an
+/// upstream that leaves is found after seconds. A long list is therefore
+/// read by zone, all zones at the same time.
 class list_reader
 {
 public:
@@ -38,21 +35,34 @@
     /// reader that was stopped counts for nothing.
     void set_active(bool wanted, instant now);
 
-    /// The call that is due now, if any. Its answer, or its failure, is
-    /// reported by page_read or call_failed.
+    /// True if it reads.
+    bool is_active() const
+    {
+        return this->active;
+    }
+
+    /// What the list is expected to hold, before the first reading of this
+    /// reader has ended: `upstreams` of them, in known zones only or not.
+    void expect(std::size_t upstreams, bool only_known_zones);
+
+    /// True if a zone is among those by which the list is read.
+    bool knows_zone(zone_id const& zone) const;
+
+    /// A call that is due now, if any; there may be more. Its answer, or its
+    /// failure, is reported by page_read or call_failed.
     std::optional<page_call> next_call(instant now);
 
     /// A page came; gives the whole list once its last page is here.
     std::optional<std::vector<listed_upstream>>
     page_read(std::uint64_t number, list_page const& page, instant now);
 
-    /// A call failed; the reading starts again after a pause.
+    /// A call failed; its part of the reading starts again after a pause.
     void call_failed(std::uint64_t number, instant now);
 
-    /// What the pages of the reading under way had so far.
-    std::vector<listed_upstream> const& found_so_far() const
+    /// The upstreams that leave, by the pages of the reading under way.
+    std::vector<listed_upstream> const& leaving_so_far() const
     {
-        return this->found;
+        return this->leaving;
     }
 
     /// When the list was last read whole; nothing if it never was.
@@ -62,19 +72,23 @@
     }
 
 private:
-    void start_again(instant when);
+    void start_reading(instant when);
+    void give_up_late_calls(instant now);
+    duration spacing() const;
+    list_part* part_of(std::uint64_t number);
+    std::vector<listed_upstream> take_all();
 
     list_reader_settings settings;
     bool active = false;
     std::uint64_t last_number = 0;
-    /// The call under way; 0 if there is none.
-    std::uint64_t open_call = 0;
-    instant call_began{};
     instant next_due{};
     instant reading_began{};
-    std::string next_page;
-    std::size_t pages = 0;
-    std::vector<listed_upstream> found;
+    bool has_begun = false;
+    std::size_t readings = 0;
+    std::size_t expected = 0;
+    bool zones_are_known = false;
+    std::vector<list_part> parts;
+    std::vector<listed_upstream> leaving;
     std::optional<instant> read_at;
 };
 
--- a/bilberrylead/discovery/list_reader_settings.hpp
+++ b/bilberrylead/discovery/list_reader_settings.hpp
@@ -1,10 +1,12 @@
 #ifndef BILBERRYLEAD_DISCOVERY_LIST_READER_SETTINGS_HPP
 #define BILBERRYLEAD_DISCOVERY_LIST_READER_SETTINGS_HPP
 
+#include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 
 #include <chrono>
 #include <cstddef>
+#include <vector>
 
 namespace bilberrylead::discovery
 {
@@ -22,12 +24,23 @@
     /// Share of those that this reader uses at most: during a change of
     /// leader two hosts may read at the same time.
     double share = 0.4;
+    /// Calls that may be made up for at once when the reader was asked late.
+    /// It is asked by a timer that is coarser than a fast list's pauses.
+    double most_saved_calls = 3;
     /// A call without an answer has failed after this time.
     duration call_timeout = std::chrono::milliseconds(1000);
     /// Pause after a failed call.
     duration failure_pause = std::chrono::milliseconds(250);
-    /// Pages of one reading at most, against a list without end.
+    /// Pages of one part of one reading at most, against a list without end.
     std::size_t most_pages = 10000;
+    /// The zones by which a long list is read in parts; empty: never.
+    std::vector<zone_id> zones;
+    /// Upstreams from which on the list is read by zone. Below that it has
+    /// few pages, and one for each zone would be more of them.
+    std::size_t split_from = 600;
+    /// Of so many readings one asks for all zones together: it shows
+    /// upstreams in zones that this host was not told of.
+    std::size_t whole_reading_each = 16;
 };
 
 } // namespace bilberrylead::discovery
--- a/bilberrylead/link/query.cpp
+++ b/bilberrylead/link/query.cpp
@@ -1,6 +1,9 @@
 #include "bilberrylead/link/query.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cstddef>
 #include <system_error>
@@ -8,6 +11,19 @@
 namespace bilberrylead::link
 {
 
+namespace
+{
+
+/// Letters that stand for themselves in a target (RFC 3986).
+bool is_unreserved(char letter)
+{
+    constexpr std::string_view marks = "-._~";
+    return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
+           marks.find(letter) != std::string_view::npos;
+}
+
+} // namespace
+
 query::query(std::string_view target)
 {
     std::size_t const mark = target.find('?');
@@ -60,4 +76,35 @@
     return result;
 }
 
+std::string target_with_query(std::string_view path,
+                              std::vector<query_value> const& values)
+{
+    std::string target(path);
+    char separator = '?';
+    for (query_value const& each : values)
+    {
+        if (each.value.empty())
+        {
+            continue;
+        }
+        target += separator;
+        target += each.name;
+        target += '=';
+        for (char const letter : each.value)
+        {
+            if (is_unreserved(letter))
+            {
+                target += letter;
+            }
+            else
+            {
+                target +=
+                    fmt::format("%{:02X}", static_cast<unsigned char>(letter));
+            }
+        }
+        separator = '&';
+    }
+    return target;
+}
+
 } // namespace bilberrylead::link
--- a/bilberrylead/link/query.hpp
+++ b/bilberrylead/link/query.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bilberrylead::link
 {
@@ -39,6 +40,20 @@
     std::map<std::string_view, std::string_view> values;
 };
 
+/// One name of a query with its value.
+struct query_value
+{
+    /// As the called side names it.
+    std::string_view name;
+    /// As it is meant; it is escaped where it is put into a target.
+    std::string value;
+};
+
+/// The target that asks for a path with these values; those that are empty
+/// are left out.
+std::string target_with_query(std::string_view path,
+                              std::vector<query_value> const& values);
+
 } // namespace bilberrylead::link
 
 #endif
--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -3,6 +3,9 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -137,3 +140,118 @@
     cr_assert(reader.last_read().has_value());
     cr_expect_eq(*reader.last_read() - start, 16 * 70ms);
 }
+
+// An upstream leaves. The list has 36 pages in nine zones, each answer takes
+// 70 ms and names the next page. Read one after the other, the last page comes
+// after 2.5 s, and callers' requests reach the upstream for longer than they
+// may; read by zone, the pages come as fast as the list takes calls.
+Test(list_reader, long_list_when_read_by_zone_takes_as_long_as_its_calls)
+{
+    constexpr int pages_a_zone = 4;
+    list_reader_settings settings;
+    settings.calls_per_second = 50;
+    for (int number = 0; number < 9; ++number)
+    {
+        settings.zones.emplace_back("z" + std::to_string(number));
+    }
+    list_reader reader(settings);
+    reader.expect(1485, true);
+    reader.set_active(true, start);
+    std::map<std::uint64_t, instant> answers;
+    std::map<std::string, int> pages;
+    std::map<std::uint64_t, std::string> zones;
+    instant now = start;
+    while (!reader.last_read().has_value() && now < start + 10s)
+    {
+        while (std::optional<page_call> const call = reader.next_call(now))
+        {
+            answers[call->number] = now + 70ms;
+            zones[call->number] = call->zone.text();
+        }
+        now += 10ms;
+        for (auto const& [number, when] : answers)
+        {
+            if (when == now)
+            {
+                int const read = ++pages[zones[number]];
+                reader.page_read(
+                    number, page("u", read < pages_a_zone ? "next" : ""), now);
+            }
+        }
+    }
+    cr_assert(reader.last_read().has_value());
+    duration const took = *reader.last_read() - start;
+    cr_expect_leq(took.count(), duration(1900ms).count());
+    cr_expect_eq(pages.size(), 9U);
+}
+
+// A zone's page fails: the other zones' pages stand, and half a list takes no
+// upstream out of use.
+Test(list_reader, failed_page_of_a_zone_starts_only_that_zone_again)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.zones = {zone_id("z0"), zone_id("z1")};
+    list_reader reader(settings);
+    reader.expect(settings.split_from, true);
+    reader.set_active(true, start);
+    page_call const one = *reader.next_call(start);
+    page_call const other = *reader.next_call(start + 10ms);
+    cr_expect(one.zone == zone_id("z0"));
+    cr_expect(other.zone == zone_id("z1"));
+    cr_expect_not(
+        reader.page_read(one.number, page("a", ""), start + 20ms).has_value());
+    reader.call_failed(other.number, start + 30ms);
+    cr_expect_not(reader.next_call(start + 100ms).has_value());
+    std::optional<page_call> const again = reader.next_call(start + 300ms);
+    cr_assert(again.has_value());
+    cr_expect(again->zone == zone_id("z1"));
+    auto const whole =
+        reader.page_read(again->number, page("b", ""), start + 310ms);
+    cr_assert(whole.has_value());
+    cr_expect_eq(whole->size(), 2U);
+}
+
+// The list has upstreams in a zone that this host was not told of. Read by
+// zone they would be missing, and their callers refused.
+Test(list_reader, list_with_unknown_zones_is_read_as_a_whole)
+{
+    list_reader_settings settings;
+    settings.zones = {zone_id("z0")};
+    settings.split_from = 1;
+    list_reader reader(settings);
+    reader.set_active(true, start);
+    for (int reading = 0; reading < 3; ++reading)
+    {
+        instant const now = start + reading * 1s;
+        std::optional<page_call> const call = reader.next_call(now);
+        cr_assert(call.has_value());
+        cr_expect(call->zone.empty());
+        reader.page_read(call->number, page("a", ""), now);
+    }
+}
+
+// Every now and then a long list is read as a whole, so that upstreams of a
+// new zone are found at all.
+Test(list_reader, long_list_is_read_as_a_whole_now_and_then)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.zones = {zone_id("z0")};
+    settings.split_from = 1;
+    list_reader reader(settings);
+    reader.set_active(true, start);
+    std::size_t wholes = 0;
+    for (std::size_t reading = 0; reading < 3 * settings.whole_reading_each;
+         ++reading)
+    {
+        instant const now = start + static_cast<int>(reading) * 1s;
+        page_call const call = *reader.next_call(now);
+        wholes += call.zone.empty() ? 1 : 0;
+        list_page one = page("a", "");
+        one.upstreams.back().upstream.zone = zone_id("z0");
+        reader.page_read(call.number, one, now);
+    }
+    // The first one, too: nothing is known then.
+    cr_expect_eq(wholes, 4U);
+}
--- a/tests/unit/platform/platform_adapter_test.cpp
+++ b/tests/unit/platform/platform_adapter_test.cpp
@@ -238,8 +238,13 @@
         cr_expect_not(platform_control_adapter::read_list_page(body).ok(), "%s",
                       body.c_str());
     }
-    cr_expect(platform_control_adapter::list_target("p-2") ==
+    cr_expect(platform_control_adapter::list_target({1, {}, ""}) ==
+              "/instances");
+    cr_expect(platform_control_adapter::list_target({1, {}, "p-2"}) ==
               "/instances?page_token=p-2");
+    cr_expect(
+        platform_control_adapter::list_target({1, zone_id("z-1"), "p-2"}) ==
+        "/instances?zone=z-1&page_token=p-2");
 }
 
 Test(platform_revision, closed_zones_come_before_the_first_configuration)
