An entry host keeps links to a few control hosts, not to all

Now presence/control_link_plan chooses: up to nine control hosts are linked whole (all sites before this one); of more, three of the own region and two of each other one in different zones, and whoever leads. All are called while nobody names a leader for 2.5 s, which is how an entry host whose control hosts were cut off finds the others. group_news says where control hosts stand, and is sent twice a second at most while only numbers change. Shares of what all entry hosts may do together go by the largest number heard within 10 s: a new leader hears few of them at first. It plans no regions in its first 1.5 s. A listing is taken over without comparing each record with each upstream (906 times 906).

--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -112,6 +112,7 @@
 
     void plan_membership();
     std::vector<membership::planned_host> planned_hosts() const;
+    link::group_host placed(host_id const& host) const;
     void tell_group();
     void tell_group(link::link_number to);
     void read_list();
@@ -153,12 +154,14 @@
     presence::entry_table entry_hosts;
     std::map<host_id, link::host_place> places;
     link::group_news told_group;
+    instant group_told_at{};
     instant planned_at;
     discovery::upstream_listing listing;
     std::optional<discovery::list_reader> reader;
     instant listing_asked_at;
     instant listing_told_at;
     instant regions_planned_at;
+    instant leads_since{};
 };
 
 } // namespace bilberrylead::control
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -19,6 +19,16 @@
 /// must be out of use is soon enough.
 constexpr std::chrono::milliseconds early_listing_interval{400};
 
+std::vector<host_id> names_of(link::group_news const& news)
+{
+    std::vector<host_id> names;
+    for (link::group_host const& each : news.control_hosts)
+    {
+        names.push_back(each.id);
+    }
+    return names;
+}
+
 } // namespace
 
 void control_reducer::on_peer(link::link_number from,
@@ -39,16 +49,36 @@
     // knows them from the log.
     if (this->replica.membership().members.empty())
     {
-        this->effects.emplace_back(link_members{said.control_hosts});
+        this->effects.emplace_back(link_members{names_of(said)});
     }
 }
 
+link::group_host control_reducer::placed(host_id const& host) const
+{
+    if (host == this->settings.self)
+    {
+        return {host, this->settings.zone, this->settings.region};
+    }
+    auto const known = this->places.find(host);
+    return known == this->places.end()
+               ? link::group_host{host, {}, {}}
+               : link::group_host{host, known->second.zone,
+                                  known->second.region};
+}
+
 void control_reducer::tell_group()
 {
     link::group_news news;
     for (agreement::member const& one : this->replica.membership().members)
     {
-        news.control_hosts.push_back(one.host);
+        news.control_hosts.push_back(this->placed(one.host));
+    }
+    bool const same_group =
+        news.control_hosts == this->told_group.control_hosts;
+    if (same_group &&
+        this->time - this->group_told_at < this->settings.entry_count_interval)
+    {
+        return;
     }
     news.entry_hosts = this->entry_hosts.ready_hosts(this->time);
     news.region_entry_hosts =
@@ -58,7 +88,8 @@
         return;
     }
     this->told_group = news;
-    this->effects.emplace_back(link_members{news.control_hosts});
+    this->group_told_at = this->time;
+    this->effects.emplace_back(link_members{names_of(news)});
     for (auto const& [number, peer] : this->links)
     {
         this->send(number, news);
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -182,6 +182,7 @@
         return;
     }
     this->known_leader = effect.leader;
+    this->leads_since = this->time;
     for (std::pair<link::link_number const, link::peer_identity> const& row :
          this->links)
     {
--- a/bilberrylead/control/control_reducer_regions.cpp
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -114,6 +114,7 @@
     bool const is_due =
         !this->settings.places.empty() &&
         this->replica.role() == agreement::role::leader &&
+        this->time - this->leads_since >= this->settings.region_grace &&
         this->time - this->regions_planned_at >= this->settings.region_interval;
     if (!is_due)
     {
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -56,6 +56,14 @@
     duration listing_refresh = std::chrono::seconds(1);
     /// How requests are planned over regions.
     policy::region_plan_settings regions;
+    /// How often the number of entry hosts is told where the group itself is
+    /// the same. While many of them are stopped and started it changes all
+    /// the time, and each telling goes to every host.
+    duration entry_count_interval = std::chrono::milliseconds(500);
+    /// A new leader plans no regions before this: entry hosts link to it
+    /// once they hear of it, and by the demand of the first few alone
+    /// callers of whole regions would be moved.
+    duration region_grace = std::chrono::milliseconds(1500);
     /// How often the leader plans regions. Demands come with heartbeats, two
     /// a second.
     duration region_interval = std::chrono::seconds(1);
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -45,6 +45,10 @@
 /// seconds; a request must not cross that.
 constexpr std::chrono::seconds listed_idle_limit{8};
 
+/// A leader that was replaced and the time until its successor hears all
+/// entry hosts, several times over.
+constexpr std::chrono::seconds count_memory{10};
+
 constexpr double bytes_in_megabit = 125'000;
 constexpr unsigned http_ok = 200;
 constexpr unsigned http_not_found = 404;
@@ -72,7 +76,9 @@
                            {
                                this->reload();
                            }),
-      exchange({}), claims(claim_settings())
+      exchange({}), claims(claim_settings()), most_entry_hosts(count_memory),
+      most_in_a_region(count_memory),
+      control_links(settings.id, settings.region)
 {
 }
 once_client::once_client_settings
@@ -310,7 +316,11 @@
         this->source.changed();
     if (changed.has_value() && this->book.has_value())
     {
-        this->book->set_seeds(changed->seeds);
+        this->settings.seeds = changed->seeds;
+        if (this->links_seeds)
+        {
+            this->book->set_seeds(changed->seeds);
+        }
         log.info("The settings were read again; {} seeds.",
                  changed->seeds.size());
     }
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -15,6 +15,8 @@
 #include "bilberrylead/link/peer_node.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
 #include "bilberrylead/once_client/once_client.hpp"
+#include "bilberrylead/policy/recent_peak.hpp"
+#include "bilberrylead/presence/control_link_plan.hpp"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -48,6 +50,7 @@
     absl::Status listen();
     absl::Status listen_for_checks();
     void dial_peers();
+    void link_control_hosts();
     void on_group(link::link_number number, link::group_news const& said);
     void on_listing(link::link_number number,
                     link::upstream_update const& said);
@@ -87,6 +90,11 @@
     std::optional<link::http_endpoint> readiness_port;
     discovery::upstream_listing listing;
     std::map<link::link_number, entry::entry_hosts_counted> heard_entry_hosts;
+    policy::recent_peak most_entry_hosts;
+    policy::recent_peak most_in_a_region;
+    presence::control_link_plan control_links;
+    std::set<host_id> linked_control_hosts;
+    bool links_seeds = false;
     instant listing_asked_at{};
     link::link_number last_asked = 0;
     std::uint64_t plan_term = 0;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -23,6 +23,8 @@
 /// Pause between two heartbeats to a control host; three may be missed
 /// before callers are sent elsewhere.
 constexpr std::chrono::milliseconds heartbeat_interval{500};
+/// The source in the peer book that stands for the chosen control hosts.
+constexpr std::uint64_t chosen_hosts = 0;
 /// How often a control host is asked for a newer listing of upstreams.
 constexpr std::chrono::seconds listing_refresh{1};
 
@@ -41,6 +43,7 @@
     if (!this->settings.seeds.empty())
     {
         this->book.emplace(*this->peers, this->settings.peer_listen);
+        this->links_seeds = true;
         this->book->set_seeds(this->settings.seeds);
     }
 }
@@ -62,10 +65,8 @@
 {
     this->on_exchange(distribution::link_closed{number});
     this->heard_entry_hosts.erase(number);
-    if (this->book.has_value())
-    {
-        this->book->forget_source(number);
-    }
+    this->control_links.closed(number);
+    this->link_control_hosts();
     if (this->links.at(number).role == link::peer_role::control)
     {
         this->on_claims(once_client::control_link_closed{number});
@@ -98,6 +99,9 @@
 
         void operator()(link::leader_notice const& held) const
         {
+            this->owner.control_links.leader_named(this->number, held.leader,
+                                                   clock_now());
+            this->owner.link_control_hosts();
             this->owner.on_claims(
                 once_client::leader_named{this->number, held});
         }
@@ -193,10 +197,8 @@
 void entry_program::implementation::on_group(link::link_number number,
                                              link::group_news const& said)
 {
-    if (this->book.has_value())
-    {
-        this->book->set_named(number, said.control_hosts);
-    }
+    this->control_links.named(number, said.control_hosts);
+    this->link_control_hosts();
 
     // The largest number that any control host hears: too small a share is
     // safe, too large a one is not.
@@ -208,9 +210,39 @@
         most.hosts = std::max(most.hosts, heard.hosts);
         most.in_a_region = std::max(most.in_a_region, heard.in_a_region);
     }
+    most.hosts = this->most_entry_hosts.note(most.hosts, clock_now());
+    most.in_a_region =
+        this->most_in_a_region.note(most.in_a_region, clock_now());
     this->server->dispatch(most);
 }
 
+/// Calls the control hosts that are to be linked now, and lets go of others.
+void entry_program::implementation::link_control_hosts()
+{
+    if (!this->book.has_value())
+    {
+        return;
+    }
+    instant const now = clock_now();
+    bool const searching = this->control_links.is_searching(now);
+    if (searching != this->links_seeds)
+    {
+        this->links_seeds = searching;
+        this->book->set_seeds(searching ? this->settings.seeds
+                                        : std::vector<config::endpoint>{});
+        log.info("{}", searching ? "No leader is known; all control hosts are "
+                                   "called."
+                                 : "A leader is known again.");
+    }
+    std::set<host_id> wanted = this->control_links.wanted(now);
+    if (wanted != this->linked_control_hosts)
+    {
+        this->linked_control_hosts = std::move(wanted);
+        this->book->set_named(chosen_hosts, {this->linked_control_hosts.begin(),
+                                             this->linked_control_hosts.end()});
+    }
+}
+
 void entry_program::implementation::on_plan(link::region_plan const& said)
 {
     // A leader that was replaced while it was cut off plans by an old
@@ -291,6 +323,7 @@
                 }
             }
             this->ask_for_listing();
+            this->link_control_hosts();
             this->send_heartbeats();
         });
 }
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <iterator>
+#include <unordered_set>
 #include <utility>
 
 namespace bilberrylead::entry
@@ -54,17 +55,17 @@
     assert(this->waiting() == 0);
     this->queues.clear();
     this->configured = std::move(upstreams);
+    std::unordered_set<upstream_id> present;
+    present.reserve(this->configured.size());
+    for (configured_upstream const& each : this->configured)
+    {
+        present.insert(each.upstream->id);
+    }
     std::erase_if(this->records,
-                  [this](auto const& known)
+                  [&present](auto const& known)
                   {
                       return known.second.in_flight == 0 &&
-                             std::none_of(
-                                 this->configured.begin(),
-                                 this->configured.end(),
-                                 [&known](configured_upstream const& each)
-                                 {
-                                     return each.upstream->id == known.first;
-                                 });
+                             !present.contains(known.first);
                   });
     this->configured_records.clear();
     for (configured_upstream const& each : this->configured)
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -88,7 +88,16 @@
     group_news content;
     content.entry_hosts = fields.take_unsigned();
     content.region_entry_hosts = fields.take_unsigned();
-    content.control_hosts = take_ids<host_id>(fields);
+    content.control_hosts =
+        take_list(fields,
+                  [&fields]()
+                  {
+                      group_host host;
+                      host.id = host_id(fields.take_text(longest_text));
+                      host.zone = zone_id(fields.take_text(longest_text));
+                      host.region = region_id(fields.take_text(longest_text));
+                      return host;
+                  });
     return content;
 }
 
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -187,9 +187,11 @@
         record.push_back(content.entry_hosts);
         record.push_back(content.region_entry_hosts);
         record.push_back(content.control_hosts.size());
-        for (host_id const& host : content.control_hosts)
+        for (group_host const& host : content.control_hosts)
         {
-            record.push_back(host.text());
+            record.push_back(host.id.text());
+            record.push_back(host.zone.text());
+            record.push_back(host.region.text());
         }
         return record;
     }
--- a/bilberrylead/link/messages/group_news.hpp
+++ b/bilberrylead/link/messages/group_news.hpp
@@ -1,7 +1,7 @@
 #ifndef BILBERRYLEAD_LINK_MESSAGES_GROUP_NEWS_HPP
 #define BILBERRYLEAD_LINK_MESSAGES_GROUP_NEWS_HPP
 
-#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/link/messages/group_host.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -15,7 +15,7 @@
 struct group_news
 {
     /// The control hosts that take part in the group, learners too.
-    std::vector<host_id> control_hosts;
+    std::vector<group_host> control_hosts;
     /// Entry hosts that are ready, as the sender hears them: what is counted
     /// over all hosts is shared among so many.
     std::uint64_t entry_hosts = 0;
--- /dev/null
+++ b/tests/unit/presence/control_link_plan_test.cpp
@@ -0,0 +1,175 @@
+#include "bilberrylead/presence/control_link_plan.hpp"
+#include "bilberrylead/presence/control_links.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using link::group_host;
+using presence::choose_control_links;
+using presence::control_link_plan;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+
+/// Nine zones in three regions, with so many control hosts each.
+std::vector<group_host> group_of(std::size_t hosts_a_zone)
+{
+    std::vector<group_host> hosts;
+    for (std::string const region : {"a", "b", "c"})
+    {
+        for (std::string const zone : {"1", "2", "3"})
+        {
+            for (std::size_t number = 0; number < hosts_a_zone; ++number)
+            {
+                hosts.push_back(
+                    {host_id(region + zone + "-" + std::to_string(number)),
+                     zone_id(region + zone), region_id(region)});
+            }
+        }
+    }
+    return hosts;
+}
+
+host_id entry_host(std::size_t number)
+{
+    return host_id("e" + std::to_string(number));
+}
+
+zone_id zone_of(std::vector<group_host> const& hosts, host_id const& id)
+{
+    return std::find_if(hosts.begin(), hosts.end(),
+                        [&id](group_host const& each)
+                        {
+                            return each.id == id;
+                        })
+        ->zone;
+}
+
+} // namespace
+
+// Hundreds of entry hosts with a link and two heartbeats a second to each of
+// dozens of control hosts do little else.
+Test(control_links, entry_host_of_a_large_group_links_a_few_in_all_places)
+{
+    std::vector<group_host> const hosts = group_of(3);
+    std::set<host_id> const chosen = choose_control_links(
+        hosts, {entry_host(1), region_id("a"), {host_id("b2-1")}});
+    cr_expect_geq(chosen.size(), 7U);
+    cr_expect_leq(chosen.size(), 8U);
+    cr_expect(chosen.contains(host_id("b2-1")), "the leader");
+    std::map<zone_id, std::size_t> zones;
+    for (host_id const& each : chosen)
+    {
+        ++zones[zone_of(hosts, each)];
+    }
+    cr_expect_eq(zones[zone_id("a1")], 1U);
+    cr_expect_eq(zones[zone_id("a2")], 1U);
+    cr_expect_eq(zones[zone_id("a3")], 1U);
+}
+
+Test(control_links, small_group_is_linked_whole)
+{
+    std::vector<group_host> const hosts = group_of(1);
+    cr_expect_eq(
+        choose_control_links(hosts, {entry_host(1), region_id("a"), {}}).size(),
+        hosts.size());
+}
+
+// Callers ask any control host of their zone, and get the entry hosts that it
+// hears. One that hears few sends all of its callers to them.
+Test(control_links, control_hosts_hear_about_as_many_entry_hosts_each)
+{
+    std::vector<group_host> const hosts = group_of(3);
+    std::map<host_id, std::size_t> heard;
+    constexpr std::size_t entry_hosts = 90;
+    for (std::size_t number = 0; number < entry_hosts; ++number)
+    {
+        for (host_id const& each : choose_control_links(
+                 hosts, {entry_host(number), region_id("a"), {}}))
+        {
+            ++heard[each];
+        }
+    }
+    for (group_host const& each : hosts)
+    {
+        if (each.region == region_id("a"))
+        {
+            // A third of them each, but for chance.
+            cr_expect_geq(heard[each.id], entry_hosts / 6);
+            cr_expect_leq(heard[each.id], entry_hosts / 2);
+        }
+    }
+}
+
+Test(control_links, lost_host_moves_no_link_but_its_own)
+{
+    std::vector<group_host> hosts = group_of(3);
+    std::set<host_id> const before =
+        choose_control_links(hosts, {entry_host(7), region_id("a"), {}});
+    host_id const lost = *before.begin();
+    std::erase_if(hosts,
+                  [&lost](group_host const& each)
+                  {
+                      return each.id == lost;
+                  });
+    std::set<host_id> const after =
+        choose_control_links(hosts, {entry_host(7), region_id("a"), {}});
+    std::size_t const kept =
+        static_cast<std::size_t>(std::count_if(before.begin(), before.end(),
+                                               [&after](host_id const& each)
+                                               {
+                                                   return after.contains(each);
+                                               }));
+    cr_expect_eq(kept, before.size() - 1);
+}
+
+Test(control_links, host_whose_place_is_unknown_is_linked)
+{
+    std::vector<group_host> hosts = group_of(3);
+    hosts.push_back({host_id("new"), {}, {}});
+    cr_expect(choose_control_links(hosts, {entry_host(1), region_id("a"), {}})
+                  .contains(host_id("new")));
+}
+
+// The core is cut in two, and all that this entry host is linked to are in
+// the smaller half: they know no leader and accept nothing. An operator's
+// change in the other half would never reach this entry host's callers.
+Test(control_link_plan, links_without_a_leader_make_it_call_all)
+{
+    control_link_plan plan(entry_host(1), region_id("a"));
+    cr_expect(plan.is_searching(start), "nobody is known yet");
+    plan.named(1, group_of(3));
+    plan.leader_named(1, host_id("a1-0"), start);
+    cr_expect_not(plan.is_searching(start));
+    cr_expect_leq(plan.wanted(start).size(), 8U);
+    plan.leader_named(1, {}, start + 1s);
+    cr_expect_not(plan.is_searching(start + 2s), "an election");
+    cr_expect(plan.is_searching(start + 4s));
+    cr_expect_eq(plan.wanted(start + 4s).size(), 27U);
+    plan.named(2, group_of(3));
+    plan.leader_named(2, host_id("c1-0"), start + 5s);
+    cr_expect_not(plan.is_searching(start + 5s));
+    cr_expect(plan.wanted(start + 5s).contains(host_id("c1-0")));
+}
+
+// All links are lost at once. Whom to call is still known.
+Test(control_link_plan, closed_links_leave_what_they_named)
+{
+    control_link_plan plan(entry_host(1), region_id("a"));
+    plan.named(1, group_of(3));
+    plan.leader_named(1, host_id("a1-0"), start);
+    plan.closed(1);
+    cr_expect_geq(plan.wanted(start + 1s).size(), 7U);
+    cr_expect_eq(plan.wanted(start + 4s).size(), 27U);
+}
