--- a/bilberrylead/policy/cold_share.hpp
+++ b/bilberrylead/policy/cold_share.hpp
@@ -38,9 +38,8 @@
 inline cold_share cold_share_of(double bound, double senders,
                                 std::uint64_t host)
 {
-    /// Part that is used where chance picks the hosts. Of 24 hosts and with a
-    /// bound of 12.8 more than 12 are picked for 9 of 100 upstreams with 0.8,
-    /// for 2 of 10,000 with this (binomial).
+    /// Part that is used where chance picks the hosts: so small that more of
+    /// them than the bound allows are picked for hardly any upstream.
     constexpr double drawn_use = 0.4;
     /// Requests a second that a host which sends may send at least: without
     /// any, nobody would see that the upstream is warm again.
--- a/bilberrylead/policy/placement_settings.hpp
+++ b/bilberrylead/policy/placement_settings.hpp
@@ -12,10 +12,8 @@
 struct placement_settings
 {
     /// What a run costs on an upstream that does not know the object,
-    /// against one that does. It takes 3.3 times as long (a look-up of
-    /// 240 ms takes 72 ms once the object is known) and pushes another
-    /// object out, whose next run is as long. Of 3.3, 4.5 and 8 the largest
-    /// served callers best, in calm and in overload.
+    /// against one that does: it takes several times as long and pushes
+    /// another object out, whose next run is as long.
     double unfamiliar_factor = 8;
     /// The same on an object's second upstream of a region. What spills over
     /// from the first goes there, but rarely enough that the object has left
@@ -24,8 +22,7 @@
     /// Wait that is always borne, as a share of the service time. Below it
     /// slots would stand idle between two arrivals, and a caller that is late
     /// already would come back later still: a late answer is worth more to it
-    /// than a refusal. Of 0.5, 1, 2 and 4 runs, 1 served callers best; from 2
-    /// on the waits make others late.
+    /// than a refusal. Longer waits make others late.
     double least_wait_share = 1;
     /// Share of the time to the deadline that the expected completion may
     /// use; the rest covers what the estimate misses.
@@ -34,8 +31,7 @@
     /// expected; each draws its own between the two. The expected time counts
     /// those who wait now. Others are refused and come back as well, so that
     /// a caller that is back after that time is refused again; most have one
-    /// more try only. With 0.75 to 1.5 times 4.1, 2.2 and 3.2 of 100 requests
-    /// of three deployments were refused for good, with this 3.8, 2.0 and 3.0.
+    /// more try only.
     double soonest_return = 1.5;
     double latest_return = 3;
     /// Shortest time after which a refused caller is told to come back.
--- a/bilberrylead/policy/region_plan_settings.hpp
+++ b/bilberrylead/policy/region_plan_settings.hpp
@@ -12,9 +12,7 @@
     /// alike. Callers then run where a full day would have them run anyway,
     /// and a demand that rises and falls moves few of them: each object that
     /// changes its region has to be learnt there, in a run several times as
-    /// long. With a way of 24 ms between regions 0.35 served the region with
-    /// the fewest slots worst, 0.5 to 0.9 better and better; with 70 ms the
-    /// difference is small.
+    /// long.
     double expected_use = 0.8;
     /// Share of a region's slots that is counted on at most; the rest goes to
     /// arrivals that come unevenly.
