The plan of regions is remembered and told to entry hosts that start

Cause: an entry host that starts is ready 0.4 s later and hears the leader's plan up to 1.5 s after that; until its first request it takes a plan over at once, from then on at the bounded pace. So it sent its first requests home, to upstreams that do not know the objects which ran elsewhere, and needed ten seconds and more to come back from there. After a loss of all hosts there was no plan until a leader was elected and its grace was over. A plan that came before the configuration was dropped.

Now the leader tells control hosts their region's plan as well, these tell it to entry hosts of the region with their first heartbeat, and keep it in the file `plan` (message_memory, made from listing_memory, serves both). Entry hosts keep a plan for services that the configuration brings later.

Ruled out on the way: the listing (remembered already) and the configuration come within 0.45 s of a restart.

Tests, failing without the change: a plan goes to an entry host that starts, an older term's or an entry host's counts for nothing, a plan before the configuration is followed, a file of another kind is no plan.

--- a/bilberrylead/control/control_event.hpp
+++ b/bilberrylead/control/control_event.hpp
@@ -24,6 +24,8 @@
     agreement::started recovered;
     /// The upstreams as they were listed before, if that is remembered.
     std::optional<discovery::list_changes> listing = std::nullopt;
+    /// The plan of its region, if that is remembered.
+    std::optional<link::region_plan> plan = std::nullopt;
 };
 
 /// A link to a peer is open.
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -73,6 +73,7 @@
         this->listing.take(*what.listing, this->time);
         this->note_listing(*what.listing);
     }
+    this->held_plan = what.plan;
 }
 
 void control_reducer::on(peer_connected const& what)
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -58,6 +58,12 @@
         return this->listing;
     }
 
+    /// The newest plan of this host's region; nothing if none is known.
+    std::optional<link::region_plan> const& plan() const
+    {
+        return this->held_plan;
+    }
+
 private:
     void on(control_started const& what);
     void on(peer_connected const& what);
@@ -80,6 +86,7 @@
     void on_peer(link::link_number from, link::group_news const& said);
     void on_peer(link::link_number from, link::upstream_update const& said);
     void on_peer(link::link_number from, link::upstream_request const& said);
+    void on_peer(link::link_number from, link::region_plan const& said);
     template <class Other>
     void on_peer(link::link_number from, Other const& said);
 
@@ -161,6 +168,7 @@
     instant listing_asked_at;
     instant listing_told_at;
     instant regions_planned_at;
+    std::optional<link::region_plan> held_plan;
     instant leads_since{};
 };
 
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -22,6 +22,7 @@
 std::vector<host_id> names_of(link::group_news const& news)
 {
     std::vector<host_id> names;
+    names.reserve(news.control_hosts.size());
     for (link::group_host const& each : news.control_hosts)
     {
         names.push_back(each.id);
@@ -34,6 +35,16 @@
 void control_reducer::on_peer(link::link_number from,
                               link::entry_presence const& said)
 {
+    // An entry host that starts sends its first requests by this plan. Until
+    // the leader's next one it would send all of them home, to upstreams that
+    // do not know their objects, and come back from there at a bounded pace.
+    bool const is_new =
+        !this->entry_hosts.hosts().contains(this->peer_of(from));
+    if (is_new && this->held_plan.has_value() &&
+        said.region == this->settings.region)
+    {
+        this->send(from, *this->held_plan);
+    }
     this->entry_hosts.heard(from, this->peer_of(from), said, this->time);
 }
 
--- a/bilberrylead/control/control_reducer_regions.cpp
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -136,12 +136,32 @@
     }
     std::map<region_id, link::region_plan> const plans =
         picture.plans(this->settings.regions, this->replica.term());
+    auto const plan_of = [this, &plans](region_id const& region)
+    {
+        auto const plan = plans.find(region);
+        return plan != plans.end()
+                   ? plan->second
+                   : link::region_plan{this->replica.term(), {}};
+    };
+    this->held_plan = plan_of(this->settings.region);
     for (auto const& [host, row] : this->entry_hosts.hosts())
     {
-        auto const plan = plans.find(row.said.region);
-        this->send(row.link, plan != plans.end()
-                                 ? plan->second
-                                 : link::region_plan{this->replica.term(), {}});
+        this->send(row.link, plan_of(row.said.region));
+    }
+    for (auto const& [host, number] : this->control_links)
+    {
+        this->send(number, plan_of(this->placed(host).region));
+    }
+}
+
+void control_reducer::on_peer(link::link_number from,
+                              link::region_plan const& said)
+{
+    bool const is_newer =
+        !this->held_plan.has_value() || said.term >= this->held_plan->term;
+    if (this->links.at(from).role == link::peer_role::control && is_newer)
+    {
+        this->held_plan = said;
     }
 }
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -65,7 +65,10 @@
     this->store.emplace(std::move(*opened));
     if (this->settings.upstream_list.port != 0)
     {
-        this->memory.emplace(this->io, this->settings.data_folder);
+        this->listing_memory.emplace(this->io, this->settings.data_folder,
+                                     remembered_listing);
+        this->plan_memory.emplace(this->io, this->settings.data_folder,
+                                  remembered_plan);
     }
     if (this->founds_group())
     {
@@ -130,10 +133,7 @@
 {
     this->make_reducer();
     control::control_started event{std::move(found), std::nullopt};
-    if (this->memory.has_value())
-    {
-        event.listing = this->memory->recall();
-    }
+    this->recall(event);
     this->take(std::move(event));
 
     // Hosts that are linked already say so once only.
@@ -144,12 +144,55 @@
     }
 }
 
-void control_program::implementation::remember_listing()
+void control_program::implementation::recall(
+    control::control_started& event) const
 {
-    if (this->memory.has_value() && this->memory->wants_listing(clock_now()))
+    if (!this->listing_memory.has_value())
+    {
+        return;
+    }
+    std::optional<link::message> listing = this->listing_memory->recall();
+    if (listing.has_value())
+    {
+        link::upstream_update* const update =
+            std::get_if<link::upstream_update>(&*listing);
+        if (update != nullptr && update->changes.whole)
+        {
+            event.listing = std::move(update->changes);
+        }
+    }
+    std::optional<link::message> plan = this->plan_memory->recall();
+    if (plan.has_value())
+    {
+        link::region_plan* const known = std::get_if<link::region_plan>(&*plan);
+        if (known != nullptr)
+        {
+            event.plan = std::move(*known);
+        }
+    }
+}
+
+/// Writes what a restart of all hosts would miss most.
+void control_program::implementation::remember()
+{
+    if (!this->listing_memory.has_value())
+    {
+        return;
+    }
+    instant const now = clock_now();
+    if (this->listing_memory->wants_message(now))
+    {
+        this->listing_memory->remember(
+            link::upstream_update{this->reducer->upstreams().whole(now)}, now);
+    }
+    if (this->reducer->plan() != this->told_plan)
+    {
+        this->told_plan = this->reducer->plan();
+        this->plan_memory->note_change();
+    }
+    if (this->told_plan.has_value() && this->plan_memory->wants_message(now))
     {
-        this->memory->remember(this->reducer->upstreams().whole(clock_now()),
-                               clock_now());
+        this->plan_memory->remember(*this->told_plan, now);
     }
 }
 
@@ -348,9 +391,9 @@
 
         void operator()(control::listing_changed const& wanted) const
         {
-            if (this->owner.memory.has_value())
+            if (this->owner.listing_memory.has_value())
             {
-                this->owner.memory->note_change();
+                this->owner.listing_memory->note_change();
             }
             log.info("Listing {}.{} of upstreams is held: {} new or changed, "
                      "{} gone, {} in all.",
@@ -407,7 +450,7 @@
             if (!error)
             {
                 this->take(control::control_tick{});
-                this->remember_listing();
+                this->remember();
                 this->start_ticking();
             }
         });
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -7,7 +7,7 @@
 #include "bilberrylead/daemon/control_metrics.hpp"
 #include "bilberrylead/daemon/control_program.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
-#include "bilberrylead/daemon/listing_memory.hpp"
+#include "bilberrylead/daemon/message_memory.hpp"
 #include "bilberrylead/daemon/operator_api.hpp"
 #include "bilberrylead/daemon/peer_book.hpp"
 #include "bilberrylead/daemon/settings_watch.hpp"
@@ -76,7 +76,8 @@
     void found(link::http_endpoint::answer_function const& answer);
     agreement::started founding(std::vector<host_id> const& founders) const;
     void start_reducer(agreement::started found);
-    void remember_listing();
+    void recall(control::control_started& event) const;
+    void remember();
     void start_ticking();
     void reload();
     void wait_for_stop();
@@ -103,7 +104,9 @@
     std::map<zone_id, link::http_caller> lists;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
-    std::optional<listing_memory> memory;
+    std::optional<message_memory> listing_memory;
+    std::optional<message_memory> plan_memory;
+    std::optional<link::region_plan> told_plan;
     std::vector<control::control_event> pending;
     bool flush_is_due = false;
     bool disk_failed = false;
--- a/bilberrylead/daemon/listing_memory.cpp
+++ b/bilberrylead/daemon/message_memory.cpp
@@ -1,17 +1,13 @@
-#include "bilberrylead/daemon/listing_memory.hpp"
+#include "bilberrylead/daemon/message_memory.hpp"
 
 #include "bilberrylead/core/log.hpp"
-#include "bilberrylead/link/message.hpp"
-#include "bilberrylead/store/checked_file.hpp"
 #include "bilberrylead/store/folder_files.hpp"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/post.hpp>
 
-#include <chrono>
 #include <string>
 #include <utility>
-#include <variant>
 
 namespace bilberrylead::daemon
 {
@@ -20,20 +16,19 @@
 {
 
 constexpr part_log log{"control"};
-constexpr char const* file_name = "listing";
-/// Shortest time between two writings: what a restart finds is a second old
-/// at most, beside the seconds that the restart itself takes.
-constexpr std::chrono::seconds write_pause{1};
+/// No order stands behind these files.
+constexpr std::uint64_t no_number = 0;
 
 } // namespace
 
-listing_memory::listing_memory(boost::asio::io_context& where,
-                               std::filesystem::path const& folder)
-    : context(where), path(folder / file_name)
+message_memory::message_memory(boost::asio::io_context& where,
+                               std::filesystem::path const& folder,
+                               remembered_kind const& what)
+    : context(where), kind(what), path(folder / what.file_name)
 {
 }
 
-std::optional<discovery::list_changes> listing_memory::recall() const
+std::optional<link::message> message_memory::recall() const
 {
     absl::StatusOr<std::optional<bytes>> const held =
         store::read_file(this->path);
@@ -42,37 +37,36 @@
         return std::nullopt;
     }
     std::optional<store::checked_file> const file =
-        store::decode_checked_file(store::file_purpose::listing, **held);
+        store::decode_checked_file(this->kind.purpose, **held);
     if (!file.has_value())
     {
-        log.warning("The remembered listing is damaged and not used.");
+        log.warning("The remembered {} is damaged and not used.",
+                    this->kind.name);
         return std::nullopt;
     }
     absl::StatusOr<link::message> content = link::decode(file->content);
-    link::upstream_update* const update =
-        content.ok() ? std::get_if<link::upstream_update>(&*content) : nullptr;
-    if (update == nullptr || !update->changes.whole)
+    if (!content.ok())
     {
-        log.warning("The remembered listing can't be read and is not used.");
+        log.warning("The remembered {} can't be read and is not used.",
+                    this->kind.name);
         return std::nullopt;
     }
-    return std::move(update->changes);
+    return *std::move(content);
 }
 
-bool listing_memory::wants_listing(instant now) const
+bool message_memory::wants_message(instant now) const
 {
     return this->is_due && !this->is_writing &&
-           now - this->written_at >= write_pause;
+           now - this->written_at >= this->kind.write_pause;
 }
 
-void listing_memory::remember(discovery::list_changes const& whole, instant now)
+void message_memory::remember(link::message const& newest, instant now)
 {
     this->is_due = false;
     this->is_writing = true;
     this->written_at = now;
-    bytes content = store::encode_checked_file(
-        store::file_purpose::listing, whole.target.number,
-        link::encode(link::upstream_update{whole}));
+    bytes content = store::encode_checked_file(this->kind.purpose, no_number,
+                                               link::encode(newest));
     boost::asio::post(
         this->writer,
         [this, content = std::move(content)]()
@@ -90,12 +84,12 @@
         });
 }
 
-void listing_memory::note_written(absl::Status const& written)
+void message_memory::note_written(absl::Status const& written)
 {
     this->is_writing = false;
     if (!written.ok() && !this->has_failed)
     {
-        log.warning("The listing could not be remembered: {}",
+        log.warning("The {} could not be remembered: {}", this->kind.name,
                     std::string(written.message()));
     }
     // The next change tries again; it is news only when it works again.
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -126,6 +126,7 @@
     void note_opened(zone_id const& zone);
     region_id own_region() const;
     void set_shares();
+    void follow_plan();
     std::uint32_t number_of(region_id const& region);
     std::vector<policy::region_target>
     named_regions(std::vector<double> const& shares) const;
@@ -189,6 +190,7 @@
     std::shared_ptr<std::vector<discovery::listed_upstream> const> listed;
     std::set<zone_id> closed;
     entry_hosts_counted entry_hosts;
+    regions_planned plan;
     policy::generator draws{draw_seed};
     std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -58,12 +58,21 @@
 }
 
 void entry_reducer::on(regions_planned const& happened)
+{
+    this->plan = happened;
+    this->follow_plan();
+}
+
+/// Services that the configuration brings later follow the same plan: after a
+/// start it often comes first, and without it their first requests would all
+/// run at home.
+void entry_reducer::follow_plan()
 {
     // Numbered first: a plan may come before any upstream of this region is
     // listed, and each target must have a place for it.
     std::uint32_t const home = this->number_of(this->own_region());
     std::map<service_id, std::vector<double>> targets;
-    for (planned_share const& each : happened.shares)
+    for (planned_share const& each : this->plan.shares)
     {
         std::uint32_t const number = this->number_of(each.region);
         std::vector<double>& target = targets[each.service];
@@ -127,6 +136,7 @@
     {
         this->state_of(service.id);
     }
+    this->follow_plan();
     this->place_again();
     this->set_shares();
 }
--- a/bilberrylead/link/messages/region_plan.hpp
+++ b/bilberrylead/link/messages/region_plan.hpp
@@ -18,10 +18,13 @@
     region_id region;
     /// Share, in thousandths.
     std::uint32_t share = 0;
+
+    friend bool operator==(region_share const&, region_share const&) = default;
 };
 
-/// The leader tells an entry host where the requests of its region are to
-/// run. Shares that are not named are 0; a service that is not named runs
+/// Where the requests of a region are to run. The leader tells it to the
+/// region's entry hosts and control hosts; these tell it to entry hosts that
+/// start. Shares that are not named are 0; a service that is not named runs
 /// at home.
 struct region_plan
 {
@@ -29,6 +32,8 @@
     std::uint64_t term = 0;
     /// All shares that are over 0.
     std::vector<region_share> shares;
+
+    friend bool operator==(region_plan const&, region_plan const&) = default;
 };
 
 } // namespace bilberrylead::link
--- a/bilberrylead/presence/control_links.cpp
+++ b/bilberrylead/presence/control_links.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace bilberrylead::presence
@@ -57,11 +58,12 @@
     {
         each.round = taken[each.zone]++;
     }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](ranked_host const& one, ranked_host const& other)
-                     {
-                         return one.round < other.round;
-                     });
+    std::sort(ranked.begin(), ranked.end(),
+              [](ranked_host const& one, ranked_host const& other)
+              {
+                  return std::tie(one.round, other.rank) <
+                         std::tie(other.round, one.rank);
+              });
     return ranked;
 }
 
--- a/bilberrylead/store/checked_file.hpp
+++ b/bilberrylead/store/checked_file.hpp
@@ -22,6 +22,8 @@
     journal = 0x6e4a6c42,
     /// The upstreams as they were listed last.
     listing = 0x734c6c42,
+    /// Which requests run in which region, as it was planned last.
+    region_plan = 0x50526c42,
 };
 
 /// A file that is written once, whole: a number and content, checksummed
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -347,3 +347,98 @@
     }
     cr_expect_eq(told, 1U);
 }
+
+namespace
+{
+
+/// A control host of region "r" that was started with a remembered plan.
+struct planned_control_host
+{
+    planned_control_host()
+    {
+        control::control_reducer_settings settings;
+        settings.self = control_host(0);
+        settings.region = region_id("r");
+        this->host.emplace(settings);
+        control::control_started started;
+        started.plan =
+            link::region_plan{3, {{service_id("s"), region_id("far"), 600}}};
+        this->give({started});
+    }
+
+    void give(control::control_event const& event)
+    {
+        this->said = this->host->reduce({&event, 1}, this->now);
+    }
+
+    void connect(link::link_number number, link::peer_role role)
+    {
+        this->give(control::peer_connected{
+            number, {host_id("h" + std::to_string(number)), role, 1}});
+    }
+
+    /// An entry host of that region says that it is there.
+    void hear(link::link_number number, std::string const& region)
+    {
+        link::entry_presence presence;
+        presence.region = region_id(region);
+        this->give(control::peer_message{number, presence});
+    }
+
+    /// Plans that the last event had sent.
+    std::vector<link::region_plan> plans() const
+    {
+        std::vector<link::region_plan> found;
+        for (control::control_effect const& effect : this->said)
+        {
+            control::send_to_peer const* const sent =
+                std::get_if<control::send_to_peer>(&effect);
+            link::region_plan const* const plan =
+                sent == nullptr
+                    ? nullptr
+                    : std::get_if<link::region_plan>(&sent->content);
+            if (plan != nullptr)
+            {
+                found.push_back(*plan);
+            }
+        }
+        return found;
+    }
+
+    instant now = instant{} + std::chrono::hours(1);
+    std::optional<control::control_reducer> host;
+    std::vector<control::control_effect> said;
+};
+
+} // namespace
+
+// Hosts are stopped and started in turn. An entry host that starts sends its
+// first requests before the leader's next plan, all of them home, where their
+// objects are not known; it then moves to its shares at the bounded pace, for
+// ten seconds and more.
+Test(control_reducer, plan_goes_to_an_entry_host_of_the_region_that_starts)
+{
+    planned_control_host host;
+    host.connect(1, link::peer_role::entry);
+    host.hear(1, "r");
+    cr_assert_eq(host.plans().size(), 1U);
+    cr_expect(host.plans().front() == *host.host->plan());
+    host.hear(1, "r");
+    cr_expect(host.plans().empty(), "a later heartbeat asks for no plan");
+    host.connect(2, link::peer_role::entry);
+    host.hear(2, "other");
+    cr_expect(host.plans().empty(), "it is another region's plan");
+}
+
+Test(control_reducer, plan_of_an_older_term_or_of_an_entry_host_is_not_held)
+{
+    planned_control_host host;
+    host.connect(1, link::peer_role::control);
+    host.connect(2, link::peer_role::entry);
+    host.give(control::peer_message{1, link::region_plan{2, {}}});
+    cr_expect_eq(host.host->plan()->term, 3U);
+    host.give(control::peer_message{2, link::region_plan{9, {}}});
+    cr_expect_eq(host.host->plan()->term, 3U);
+    host.give(control::peer_message{1, link::region_plan{4, {}}});
+    cr_expect_eq(host.host->plan()->term, 4U);
+}
--- a/tests/unit/daemon/listing_memory_test.cpp
+++ b/tests/unit/daemon/message_memory_test.cpp
@@ -1,4 +1,4 @@
-#include "bilberrylead/daemon/listing_memory.hpp"
+#include "bilberrylead/daemon/message_memory.hpp"
 
 #include "tests/unit/store/journal_fixture.hpp"
 
@@ -12,7 +12,9 @@
 using namespace bilberrylead;
 using namespace bilberrylead::tests;
 using namespace std::chrono_literals;
-using bilberrylead::daemon::listing_memory;
+using bilberrylead::daemon::message_memory;
+using bilberrylead::daemon::remembered_listing;
+using bilberrylead::daemon::remembered_plan;
 using bilberrylead::discovery::list_changes;
 
 namespace
@@ -34,9 +36,9 @@
 }
 
 /// A memory in a folder of its own that is told a listing.
-struct remembered_listing
+struct kept_listing
 {
-    remembered_listing()
+    kept_listing()
     {
         std::filesystem::create_directories(this->folder.data());
     }
@@ -45,8 +47,8 @@
     void write(instant when)
     {
         this->memory->note_change();
-        cr_assert(this->memory->wants_listing(when));
-        this->memory->remember(whole_listing(), when);
+        cr_assert(this->memory->wants_message(when));
+        this->memory->remember(link::upstream_update{whole_listing()}, when);
         this->context.restart();
         boost::asio::executor_work_guard<
             boost::asio::io_context::executor_type> const guard =
@@ -57,20 +59,27 @@
     /// What another process finds in the folder.
     std::optional<list_changes> found_later()
     {
-        return listing_memory(this->context, this->folder.data()).recall();
+        std::optional<link::message> const found =
+            message_memory(this->context, this->folder.data(),
+                           remembered_listing)
+                .recall();
+        return found.has_value()
+                   ? std::optional(
+                         std::get<link::upstream_update>(*found).changes)
+                   : std::nullopt;
     }
 
     temporary_folder folder;
     boost::asio::io_context context;
-    std::optional<listing_memory> memory{std::in_place, this->context,
-                                         this->folder.data()};
+    std::optional<message_memory> memory{
+        std::in_place, this->context, this->folder.data(), remembered_listing};
 };
 
 } // namespace
 
-Test(listing_memory, listing_when_remembered_is_found_by_the_next_process)
+Test(message_memory, listing_when_remembered_is_found_by_the_next_process)
 {
-    remembered_listing kept;
+    kept_listing kept;
     cr_expect_not(kept.found_later().has_value(), "nothing was written yet");
     kept.write(start);
     std::optional<list_changes> const found = kept.found_later();
@@ -81,20 +90,20 @@
     cr_expect(found->put.front().upstream == whole_listing().put[0].upstream);
 }
 
-Test(listing_memory, changes_when_frequent_are_written_once_a_second)
+Test(message_memory, changes_when_frequent_are_written_once_a_second)
 {
-    remembered_listing kept;
+    kept_listing kept;
     kept.write(start);
     kept.memory->note_change();
-    cr_expect_not(kept.memory->wants_listing(start + 500ms));
-    cr_expect(kept.memory->wants_listing(start + 1s));
+    cr_expect_not(kept.memory->wants_message(start + 500ms));
+    cr_expect(kept.memory->wants_message(start + 1s));
 }
 
 // A power loss tears the file. The host comes back without a listing, as if
 // none was kept, and reads the list; it does not fail or use half of one.
-Test(listing_memory, file_when_torn_counts_as_none)
+Test(message_memory, file_when_torn_counts_as_none)
 {
-    remembered_listing kept;
+    kept_listing kept;
     kept.write(start);
     std::filesystem::path const path = kept.folder.data() / "listing";
     std::uintmax_t const size = std::filesystem::file_size(path);
@@ -110,9 +119,9 @@
 
 // The disk takes no writes for a while: callers notice nothing, and the next
 // change is remembered.
-Test(listing_memory, disk_when_it_failed_is_tried_with_the_next_change)
+Test(message_memory, disk_when_it_failed_is_tried_with_the_next_change)
 {
-    remembered_listing kept;
+    kept_listing kept;
     std::filesystem::remove_all(kept.folder.data());
     kept.write(start);
     cr_expect_not(kept.found_later().has_value());
@@ -120,3 +129,16 @@
     kept.write(start + 2s);
     cr_expect(kept.found_later().has_value());
 }
+
+// A listing was copied to where the plan is expected. It is not taken for one.
+Test(message_memory, file_of_another_kind_counts_as_none)
+{
+    kept_listing kept;
+    kept.write(start);
+    std::filesystem::copy_file(kept.folder.data() / "listing",
+                               kept.folder.data() / "plan");
+    cr_expect_not(
+        message_memory(kept.context, kept.folder.data(), remembered_plan)
+            .recall()
+            .has_value());
+}
--- a/tests/unit/entry/object_placement_test.cpp
+++ b/tests/unit/entry/object_placement_test.cpp
@@ -22,6 +22,29 @@
     return upstream;
 }
 
+/// Of 50 requests, those that a host sends to another region.
+int far_requests(entry_reducer& reducer, instant now)
+{
+    int far = 0;
+    for (std::uint64_t number = 1; number <= 50; ++number)
+    {
+        request_arrived arrival;
+        arrival.request = static_cast<request_number>(number);
+        arrival.host = "a.example";
+        arrival.path = "/r/x";
+        effects const said = reducer.reduce(arrival, now);
+        start_upstream const* const order = find_effect<start_upstream>(said);
+        cr_assert_not_null(order);
+        far += order->upstream == upstream_id("read-far") ? 1 : 0;
+        upstream_head_received head;
+        head.request = arrival.request;
+        head.status = 200;
+        reducer.reduce(head, now);
+        reducer.reduce(upstream_answer_finished{arrival.request, {}}, now);
+    }
+    return far;
+}
+
 } // namespace
 
 // Callers fetch recipes and book crews of one service, and number both from
@@ -89,24 +112,25 @@
         regions_planned{{{service_id("read"), region_id("r2"), 0.4}}},
         started.now);
     reducer.reduce(upstreams_listed{started.listing()}, started.now);
-    int far = 0;
-    for (std::uint64_t number = 1; number <= 50; ++number)
-    {
-        request_arrived arrival;
-        arrival.request = static_cast<request_number>(number);
-        arrival.host = "a.example";
-        arrival.path = "/r/x";
-        effects const said = reducer.reduce(arrival, started.now);
-        start_upstream const* const order = find_effect<start_upstream>(said);
-        cr_assert_not_null(order);
-        far += order->upstream == upstream_id("read-far") ? 1 : 0;
-        upstream_head_received head;
-        head.request = arrival.request;
-        head.status = 200;
-        reducer.reduce(head, started.now);
-        reducer.reduce(upstream_answer_finished{arrival.request, {}},
-                       started.now);
-    }
+    int const far = far_requests(reducer, started.now);
     cr_expect_geq(far, 17);
     cr_expect_leq(far, 23, "0.4 of 50, and what a region may be ahead");
 }
+
+// A host was stopped and started. The plan comes before the configuration
+// does; if it were dropped, all first requests would run at home, where their
+// objects are not known, until the bounded pace has brought the shares back.
+Test(object_placement, plan_that_came_before_the_configuration_is_followed)
+{
+    routed_entry started;
+    entry_reducer reducer(routed_entry::make_settings());
+    reducer.reduce(
+        regions_planned{{{service_id("read"), region_id("r2"), 0.4}}},
+        started.now);
+    reducer.reduce(configuration_received{1, started.configuration},
+                   started.now);
+    reducer.reduce(upstreams_listed{started.listing()}, started.now);
+    int const far = far_requests(reducer, started.now);
+    cr_expect_geq(far, 17);
+    cr_expect_leq(far, 23);
+}
