A request's line tells its revision and how its part was drawn

The line now has revision, split_drawn, split_sum and split_earlier. No decision changes. Unit tests of entry and http pass.

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/request_outcome.hpp"
+#include "bilberrylead/entry/split_draw.hpp"
 #include "bilberrylead/once/claim_key.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 
@@ -168,6 +169,10 @@
     request_number request{};
     /// The service, empty if none was found.
     service_id service;
+    /// Revision by which its route was found; 0 if none was.
+    bilberrylead::revision routed_by = 0;
+    /// How its service was drawn; nothing if nothing was drawn.
+    std::optional<split_draw> split;
     /// How.
     request_outcome outcome = request_outcome::answered;
     /// Why, unless it was answered.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -92,6 +92,7 @@
     live_request request;
     request.number = happened.request;
     request.arrived = this->now;
+    request.routed_by = this->revision;
     bool filled = false;
     if (this->routing->has_routes())
     {
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -192,6 +192,7 @@
     entry_hosts_counted entry_hosts;
     regions_planned plan;
     policy::generator draws{draw_seed};
+    std::uint64_t drawn_before = 0;
     std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
     std::map<service_id, service_state> states;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -300,6 +300,8 @@
     request_ended end;
     end.request = request.number;
     end.service = request.service;
+    end.routed_by = request.routed_by;
+    end.split = request.split;
     end.outcome = request.outcome;
     end.reason = request.reason;
     end.status = request.status;
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -62,7 +62,12 @@
     {
         return false;
     }
-    std::uint32_t drawn = sum > 1 ? this->draws.below(sum) : 0;
+    std::uint32_t drawn = 0;
+    if (sum > 1)
+    {
+        drawn = this->draws.below(sum);
+        request.split = split_draw{drawn, sum, this->drawn_before++};
+    }
     config::service const* service = nullptr;
     for (config::route_target const& target : route.targets)
     {
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/request_outcome.hpp"
 #include "bilberrylead/entry/service_state.hpp"
+#include "bilberrylead/entry/split_draw.hpp"
 #include "bilberrylead/once/claim_key.hpp"
 
 #include <cstdint>
@@ -32,6 +33,10 @@
     std::uint32_t most_attempts = 0;
     /// Regions it may be served in; empty is everywhere.
     std::vector<region_id> regions;
+    /// Revision by which its route was found.
+    bilberrylead::revision routed_by = 0;
+    /// How its service was drawn; nothing if nothing was drawn.
+    std::optional<split_draw> split;
     /// Hash of the object it is about; 0 if none.
     std::uint64_t object = 0;
     /// When its answer is worth less to its caller.
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -265,6 +265,7 @@
     log_line line("entry", "request");
     line.text("id", id)
         .text("service", end.service.text())
+        .number("revision", static_cast<std::int64_t>(end.routed_by))
         .text("outcome", entry::to_string(end.outcome))
         .text("reason",
               end.reason.has_value() ? entry::to_string(*end.reason) : "")
@@ -277,6 +278,13 @@
         .time("usual_run_ms", end.usual_run)
         .time("answered_after_ms", end.answered_after)
         .time("took_ms", end.took);
+    if (end.split.has_value())
+    {
+        line.number("split_drawn", end.split->drawn)
+            .number("split_sum", end.split->sum)
+            .number("split_earlier",
+                    static_cast<std::int64_t>(end.split->earlier));
+    }
     line.write();
 }
 
