Each incarnation of an entry host draws the parts of routes from its own seed

Cause: entry_reducer drew from a generator with one constant seed. Every entry host, and every incarnation of it, drew the same numbers in the same order: few requests at each of many hosts are one host's first draws over and over. The class: numbers that are to differ between hosts or incarnations and do not.

Change: process_seed, from the host's name and its incarnation; the entry reducer and the server around it are not made without one, so that it can't be left out again. Each use has a sequence of its own.

--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -70,12 +70,12 @@
     config::entry_settings given, settings_source<config::entry_settings> file,
     entry_bindings outside)
     : settings(std::move(given)), source(std::move(file)), adapter(outside),
-      incarnation(incarnation_from_clock()), signals(io), ticker(io),
-      heartbeat(io), watch(io,
-                           [this]
-                           {
-                               this->reload();
-                           }),
+      incarnation(incarnation_from_clock()), seed(settings.id, incarnation),
+      signals(io), ticker(io), heartbeat(io), watch(io,
+                                                    [this]
+                                                    {
+                                                        this->reload();
+                                                    }),
       exchange({}), claims(claim_settings()), most_entry_hosts(count_memory),
       most_in_a_region(count_memory),
       control_links(settings.id, settings.region)
@@ -163,7 +163,7 @@
 
 absl::Status entry_program::implementation::listen()
 {
-    this->server.emplace(this->io, this->server_settings(),
+    this->server.emplace(this->io, this->server_settings(), this->seed,
                          [this](entry::effect const& wanted)
                          {
                              this->on_effect_of_server(wanted);
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_DAEMON_ENTRY_PROGRAM_PARTS_HPP
 
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/daemon/entry_metrics.hpp"
 #include "bilberrylead/daemon/entry_program.hpp"
 #include "bilberrylead/daemon/peer_book.hpp"
@@ -76,6 +77,7 @@
     settings_source<config::entry_settings> source;
     entry_bindings adapter;
     std::uint64_t incarnation;
+    process_seed seed;
     boost::asio::io_context io{1};
     boost::asio::signal_set signals;
     boost::asio::steady_timer ticker;
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/entry/entry_reducer.hpp"
 
+#include "bilberrylead/core/process_seed.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <variant>
@@ -21,8 +23,8 @@
 
 } // namespace
 
-entry_reducer::entry_reducer(entry_settings settings)
-    : chosen(std::move(settings))
+entry_reducer::entry_reducer(entry_settings settings, process_seed const& seed)
+    : chosen(std::move(settings)), draws(seed.of(random_sequence::route_split))
 {
 }
 
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/entry/live_request.hpp"
 #include "bilberrylead/entry/routing_table.hpp"
 #include "bilberrylead/entry/service_state.hpp"
+#include "bilberrylead/policy/generator.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -20,6 +21,11 @@
 #include <unordered_map>
 #include <utility>
 
+namespace bilberrylead
+{
+class process_seed;
+}
+
 namespace bilberrylead::entry
 {
 
@@ -30,7 +36,7 @@
 {
 public:
     /// Makes an entry host that has no configuration yet.
-    explicit entry_reducer(entry_settings chosen);
+    entry_reducer(entry_settings chosen, process_seed const& seed);
 
     /// Takes one event and says what has to be done, in that order.
     effects reduce(event const& happened, instant now);
@@ -101,7 +107,6 @@
 
 private:
     using wake_entry = std::pair<instant, request_number>;
-    static constexpr std::uint64_t draw_seed = 0x5157;
 
     void on(configuration_received const& happened);
     void on(request_arrived const& happened);
@@ -191,7 +196,7 @@
     std::set<zone_id> closed;
     entry_hosts_counted entry_hosts;
     regions_planned plan;
-    policy::generator draws{draw_seed};
+    policy::generator draws;
     std::uint64_t drawn_before = 0;
     std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -28,8 +28,8 @@
     : std::enable_shared_from_this<caller_server::implementation>
 {
     implementation(executor const& place, server_settings chosen,
-                   outside_sink outside)
-        : core(std::make_shared<server_core>(place, std::move(chosen),
+                   process_seed const& seed, outside_sink outside)
+        : core(std::make_shared<server_core>(place, std::move(chosen), seed,
                                              std::move(outside))),
           acceptor(place), pause(place)
     {
@@ -72,9 +72,10 @@
 }
 
 caller_server::caller_server(boost::asio::io_context& context,
-                             server_settings chosen, outside_sink outside)
+                             server_settings chosen, process_seed const& seed,
+                             outside_sink outside)
     : inner(std::make_shared<implementation>(
-          context.get_executor(), std::move(chosen), std::move(outside)))
+          context.get_executor(), std::move(chosen), seed, std::move(outside)))
 {
 }
 
--- a/bilberrylead/http/caller_server.hpp
+++ b/bilberrylead/http/caller_server.hpp
@@ -19,6 +19,11 @@
 class io_context;
 }
 
+namespace bilberrylead
+{
+class process_seed;
+}
+
 namespace bilberrylead::http
 {
 
@@ -36,7 +41,7 @@
 
     /// Prepares a server; `context` must outlive it.
     caller_server(boost::asio::io_context& context, server_settings chosen,
-                  outside_sink outside);
+                  process_seed const& seed, outside_sink outside);
     /// Ends every connection. Run the context once more afterwards to free
     /// what they held.
     ~caller_server();
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -30,9 +30,9 @@
 } // namespace
 
 server_core::server_core(executor const& place, server_settings settings,
-                         outside_sink sink)
+                         process_seed const& seed, outside_sink sink)
     : where(place), chosen(std::move(settings)), outside(std::move(sink)),
-      reducer(this->chosen.entry), pool(this->chosen.pool, this->counted),
+      reducer(this->chosen.entry, seed), pool(this->chosen.pool, this->counted),
       answer_pace(this->chosen.link_rate),
       report(
           [this](entry::event happened)
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -34,7 +34,7 @@
 
     /// Prepares a core that has nothing to do yet.
     server_core(executor const& place, server_settings chosen,
-                outside_sink sink);
+                process_seed const& seed, outside_sink sink);
 
     /// What ends the taking of new connections, for a planned stop.
     void set_stop_accepting(std::function<void()> stop)
--- a/performance/entry_bench/main.cpp
+++ b/performance/entry_bench/main.cpp
@@ -3,6 +3,7 @@
 // figure through the entry host stands beside the one without it, of the
 // same run.
 
+#include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/http/caller_server.hpp"
 #include "performance/entry_bench/bench_upstream.hpp"
 
@@ -51,7 +52,7 @@
 {
 public:
     explicit bench_entry(std::uint16_t upstream_port)
-        : server(this->context, {}, {})
+        : server(this->context, {}, process_seed(host_id("entry-bench"), 1), {})
     {
         std::shared_ptr<config::configuration> made =
             std::make_shared<config::configuration>();
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_TESTS_UNIT_ENTRY_ENTRY_FIXTURE_HPP
 #define BILBERRYLEAD_TESTS_UNIT_ENTRY_ENTRY_FIXTURE_HPP
 
+#include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/entry/entry_reducer.hpp"
 
 #include <fmt/format.h>
@@ -66,6 +67,9 @@
     return nullptr;
 }
 
+/// Of the one process that most tests look at.
+inline process_seed const test_seed(host_id("e1"), 1);
+
 /// Drives one entry_reducer and looks into what it said.
 struct driven_entry
 {
@@ -146,7 +150,7 @@
     }
 
     instant now = instant{} + 1h;
-    entry_reducer reducer{make_settings()};
+    entry_reducer reducer{make_settings(), test_seed};
     effects said;
     /// What the next arrivals say of earlier sendings.
     bool repeated = false;
--- a/tests/unit/entry/entry_reducer_test.cpp
+++ b/tests/unit/entry/entry_reducer_test.cpp
@@ -25,7 +25,7 @@
 
 Test(entry_reducer, request_before_any_configuration_is_not_run)
 {
-    entry_reducer reducer(driven_entry::make_settings());
+    entry_reducer reducer(driven_entry::make_settings(), test_seed);
     request_arrived arrival;
     arrival.service = service_id("lookup");
     effects const said = reducer.reduce(arrival, instant{});
--- a/tests/unit/entry/object_placement_test.cpp
+++ b/tests/unit/entry/object_placement_test.cpp
@@ -105,7 +105,7 @@
 Test(object_placement, plan_may_come_before_the_own_region_is_known)
 {
     routed_entry started;
-    entry_reducer reducer(routed_entry::make_settings());
+    entry_reducer reducer(routed_entry::make_settings(), test_seed);
     reducer.reduce(configuration_received{1, started.configuration},
                    started.now);
     reducer.reduce(
@@ -123,7 +123,7 @@
 Test(object_placement, plan_that_came_before_the_configuration_is_followed)
 {
     routed_entry started;
-    entry_reducer reducer(routed_entry::make_settings());
+    entry_reducer reducer(routed_entry::make_settings(), test_seed);
     reducer.reduce(
         regions_planned{{{service_id("read"), region_id("r2"), 0.4}}},
         started.now);
--- a/tests/unit/entry/routed_entry.hpp
+++ b/tests/unit/entry/routed_entry.hpp
@@ -151,7 +151,7 @@
     }
 
     instant now = instant{} + 1h;
-    entry_reducer reducer{make_settings()};
+    entry_reducer reducer{make_settings(), test_seed};
     std::shared_ptr<config::configuration const> configuration;
     effects said;
 };
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -27,7 +27,7 @@
 // does not exist.
 Test(routed_request, host_without_configuration_answers_not_run)
 {
-    entry_reducer reducer(routed_entry::make_settings());
+    entry_reducer reducer(routed_entry::make_settings(), test_seed);
     request_arrived arrival;
     arrival.path = "/r/x";
     bool refused = false;
--- a/tests/unit/http/http_fixture.hpp
+++ b/tests/unit/http/http_fixture.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_TESTS_UNIT_HTTP_HTTP_FIXTURE_HPP
 
 #include "bilberrylead/config/configuration.hpp"
+#include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/http/caller_server.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -197,15 +198,15 @@
     {
         settings.entry.self = host_id("e1");
         settings.entry.zone = zone_id("z1");
-        this->server =
-            std::make_unique<caller_server>(this->context, settings,
-                                            [this](entry::effect const& decided)
-                                            {
-                                                if (this->outside)
-                                                {
-                                                    this->outside(decided);
-                                                }
-                                            });
+        this->server = std::make_unique<caller_server>(
+            this->context, settings, process_seed(settings.entry.self, 1),
+            [this](entry::effect const& decided)
+            {
+                if (this->outside)
+                {
+                    this->outside(decided);
+                }
+            });
         cr_assert(this->server->listen().ok());
         this->thread = std::thread(
             [this]
