Choices of services differ by entry host and by incarnation

What callers saw: nothing that was reported. Cause: entry_settings::seed was never set by the daemon, so that every service of every host started from 1 plus its number. With equal upstreams the first request of each of 80 hosts went to the same one; callers refused at the same moment by different hosts were told the same Retry-After to the nanosecond; pauses before further tries were alike.

Change: the seed comes from process_seed; the setting, which nobody set and whose default was the fault, leaves.

Tests, failed before: choices_over_hosts, 80 first requests over 16 equal upstreams (before: all at one; now at most 15 each), 80 refusals at one moment (before: one Retry-After for all; now 80).

--- a/bilberrylead/core/process_seed.hpp
+++ b/bilberrylead/core/process_seed.hpp
@@ -14,6 +14,8 @@
 {
     /// Parts of split routes.
     route_split,
+    /// Which of equal upstreams, and when callers and tries come back.
+    placement,
 };
 
 /// Where the random numbers of one incarnation of one process start.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 entry_reducer::entry_reducer(entry_settings settings, process_seed const& seed)
-    : chosen(std::move(settings)), draws(seed.of(random_sequence::route_split))
+    : chosen(std::move(settings)), draws(seed.of(random_sequence::route_split)),
+      placement_seed(seed.of(random_sequence::placement))
 {
 }
 
@@ -79,7 +80,7 @@
         .try_emplace(
             service,
             known == nullptr ? config::work_length::brief : known->length,
-            this->chosen.seed + this->states.size(), this->chosen.placement)
+            this->placement_seed + this->states.size(), this->chosen.placement)
         .first->second;
 }
 
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -197,6 +197,7 @@
     entry_hosts_counted entry_hosts;
     regions_planned plan;
     policy::generator draws;
+    std::uint64_t placement_seed;
     std::uint64_t drawn_before = 0;
     std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
--- a/bilberrylead/entry/entry_settings.hpp
+++ b/bilberrylead/entry/entry_settings.hpp
@@ -49,8 +49,6 @@
     std::uint32_t attempt_share = 500;
     /// What pays for further tries.
     policy::retry_budget_settings retry;
-    /// Starts the random numbers of the choices.
-    std::uint64_t seed = 1;
     /// What a caller that is turned away is told to wait.
     duration retry_after = std::chrono::seconds(1);
     /// How long a collected answer waits for its record to be durable
