Requests without an object are drawn to regions, not dealt from the start

Change: such a request gets an object drawn for it, and goes the way of all others: its region by weighted hashing, one that is ahead is passed over, so that over any few requests each region still has its share.

Test, failed before (400 of 400 first requests in one region, its share 0.62): first_requests_of_many_hosts_keep_the_shares; and one host alone is never off by three requests, as with objects.

--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -172,10 +172,10 @@
     if (!request.region.has_value())
     {
         bool const planned = !state.regions().current().empty();
-        request.region =
-            planned ? static_cast<std::uint32_t>(
-                          state.regions().next(request.object, this->now))
-                    : home;
+        request.region = planned
+                             ? static_cast<std::uint32_t>(state.regions().next(
+                                   request.object, this->now, state.random))
+                             : home;
     }
     policy::placement_verdict verdict =
         this->find_place(request, *request.region);
--- a/bilberrylead/policy/region_shares.cpp
+++ b/bilberrylead/policy/region_shares.cpp
@@ -99,7 +99,8 @@
     return best.value_or(this->furthest_behind());
 }
 
-std::size_t region_shares::next(std::uint64_t object, instant now)
+std::size_t region_shares::next(std::uint64_t object, instant now,
+                                generator& random)
 {
     assert(!this->shares.empty());
     this->follow(now);
@@ -108,8 +109,10 @@
     {
         this->owed[region] += this->shares[region];
     }
+    // Without an object the region that is furthest behind would begin
+    // alike on every host.
     std::size_t const chosen =
-        object == 0 ? this->furthest_behind() : this->region_of(object);
+        this->region_of(object == 0 ? random.next() : object);
     this->owed[chosen] -= 1;
     return chosen;
 }
--- a/bilberrylead/policy/region_shares.hpp
+++ b/bilberrylead/policy/region_shares.hpp
@@ -11,6 +11,8 @@
 namespace bilberrylead::policy
 {
 
+class generator;
+
 /// Where one entry host sends the requests of one service, by region, and
 /// how fast that changes.
 ///
@@ -31,14 +33,15 @@
     /// the same pace as any other.
     void aim(std::vector<region_target> const& target, instant now);
 
-    /// The region of the next request, about an object (0: about none).
+    /// The region of the next request, about an object (0: about none, so
+    /// that `random` draws one).
     ///
     /// An object has its order of regions, the same on every entry host and
     /// after every restart, so that few upstreams have to know it; as a share
     /// moves, hardly any object moves but those that the region gains or
     /// loses. Over any few requests each region gets its share, so that
     /// chance does not move callers: a region that is ahead is passed over.
-    std::size_t next(std::uint64_t object, instant now);
+    std::size_t next(std::uint64_t object, instant now, generator& random);
 
     /// The shares at work; empty before the first aim.
     std::vector<double> const& current() const
--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/policy/region_plan.hpp"
 
 #include "bilberrylead/policy/arrival_rate.hpp"
+#include "bilberrylead/policy/generator.hpp"
 #include "bilberrylead/policy/region_shares.hpp"
 
 #include <criterion/criterion.h>
@@ -26,6 +27,8 @@
     return std::abs(left - right) < 0.001;
 }
 
+policy::generator draws{7};
+
 } // namespace
 
 Test(plan_regions, requests_stay_at_home_while_there_is_room)
@@ -110,11 +113,11 @@
 {
     region_shares shares(0.05);
     shares.aim({{10, 1}, {11, 0}, {12, 0}}, start);
-    shares.next(0, start);
+    shares.next(0, start, draws);
     shares.aim({{10, 0.2}, {11, 0.5}, {12, 0.3}}, start);
-    shares.next(0, start + 2s);
+    shares.next(0, start + 2s, draws);
     cr_expect(is_near(shares.current()[0], 0.9));
-    shares.next(0, start + 60s);
+    shares.next(0, start + 60s, draws);
     cr_expect(is_near(shares.current()[0], 0.2));
     cr_expect(is_near(shares.current()[1], 0.5));
 }
@@ -133,11 +136,11 @@
 {
     region_shares shares(0.05);
     shares.aim({{10, 0.7}, {11, 0.3}}, start);
-    shares.next(0, start);
+    shares.next(0, start, draws);
     shares.aim({{10, 0.3}, {11, 0.2}, {12, 0.5}}, start + 1s);
-    shares.next(0, start + 3s);
+    shares.next(0, start + 3s, draws);
     cr_expect(is_near(shares.current()[2], 0.1));
-    shares.next(0, start + 60s);
+    shares.next(0, start + 60s, draws);
     cr_expect(is_near(shares.current()[2], 0.5));
 }
 
@@ -149,13 +152,13 @@
     shares.aim({{10, 0.3}, {11, 0.3}, {12, 0.4}}, start);
     for (std::uint64_t request = 1; request <= 100; ++request)
     {
-        shares.next(request * 31, start);
+        shares.next(request * 31, start, draws);
     }
     shares.aim({{10, 0}, {11, 0}, {12, 1}}, start);
     int elsewhere = 0;
     for (std::uint64_t request = 1; request <= 100; ++request)
     {
-        elsewhere += shares.next(request * 31, start + 60s) == 2 ? 0 : 1;
+        elsewhere += shares.next(request * 31, start + 60s, draws) == 2 ? 0 : 1;
     }
     cr_expect_leq(elsewhere, 2);
 }
@@ -169,12 +172,42 @@
     int at_home = 0;
     for (std::uint64_t request = 0; request < 500; ++request)
     {
-        at_home += shares.next(request * 31 + 1, start) == 0 ? 1 : 0;
+        at_home += shares.next(request * 31 + 1, start, draws) == 0 ? 1 : 0;
         double const wanted = 0.62 * static_cast<double>(request + 1);
         cr_expect_lt(std::abs(at_home - wanted), 3.0);
     }
 }
 
+// Guards against hosts whose turns among regions begin alike: the first
+// requests of all of them would run in one region.
+Test(region_shares, first_requests_of_many_hosts_keep_the_shares)
+{
+    constexpr int hosts = 400;
+    int at_home = 0;
+    for (std::uint64_t host = 1; host <= hosts; ++host)
+    {
+        policy::generator own(host);
+        region_shares shares(0.05);
+        shares.aim({{10, 0.62}, {11, 0.38}}, start);
+        at_home += shares.next(0, start, own) == 0 ? 1 : 0;
+    }
+    cr_expect_lt(std::abs(at_home - 0.62 * hosts), 0.1 * hosts);
+}
+
+// Requests without an object are drawn to regions, and over any few of them
+// each region has its share all the same.
+Test(region_shares, every_few_requests_without_an_object_keep_the_shares)
+{
+    region_shares shares(0.05);
+    shares.aim({{10, 0.62}, {11, 0.38}}, start);
+    int at_home = 0;
+    for (int request = 1; request <= 500; ++request)
+    {
+        at_home += shares.next(0, start, draws) == 0 ? 1 : 0;
+        cr_expect_lt(std::abs(at_home - 0.62 * request), 3.0);
+    }
+}
+
 Test(region_shares, object_runs_mostly_in_its_own_region)
 {
     region_shares shares(0.05);
@@ -184,7 +217,8 @@
     {
         for (std::uint64_t object = 1; object <= 20; ++object)
         {
-            at_home[object - 1] += shares.next(object, start) == 0 ? 1 : 0;
+            at_home[object - 1] +=
+                shares.next(object, start, draws) == 0 ? 1 : 0;
         }
     }
     int sure = 0;
@@ -208,8 +242,8 @@
     std::vector<std::uint64_t> const second{13, 11, 12};
     for (std::uint64_t object = 1; object <= 500; ++object)
     {
-        cr_expect_eq(first[one.next(object * 977, start)],
-                     second[other.next(object * 977, start)]);
+        cr_expect_eq(first[one.next(object * 977, start, draws)],
+                     second[other.next(object * 977, start, draws)]);
     }
 }
 
@@ -224,8 +258,8 @@
         before.aim({{11, 0.4}, {12, 0.4}, {13, 0.2}}, start);
         region_shares after(0.05);
         after.aim({{11, 0.4}, {12, 0.2}, {13, 0.4}}, start);
-        std::size_t const old = before.next(object * 977, start);
-        std::size_t const chosen = after.next(object * 977, start);
+        std::size_t const old = before.next(object * 977, start, draws);
+        std::size_t const chosen = after.next(object * 977, start, draws);
         moved += old == 0 && chosen != 0 ? 1 : 0;
     }
     cr_expect_lt(moved, 160, "a tenth of the 800 at home, twice for chance");
