Hosts dial a lost peer, and send heartbeats, at different times

Cause: the pauses before a lost link is dialled again were 100, 200, 400 ms on every host, from the moment at which all of them lose the link to a stopped peer; heartbeats of hosts that start together fell on the same 500 ms.

Change: link/redial_pause, a pause drawn from the upper half of a bound that doubles as before; the first heartbeat comes after a part of the interval that is drawn. Both start from process_seed.

--- a/bilberrylead/core/process_seed.hpp
+++ b/bilberrylead/core/process_seed.hpp
@@ -20,6 +20,10 @@
     election,
     /// Where steering answers begin.
     steering,
+    /// Pauses before a lost link is dialled again.
+    redial,
+    /// Phase of the heartbeats.
+    heartbeat,
 };
 
 /// Where the random numbers of one incarnation of one process start.
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -381,7 +381,7 @@
     log.info("Entry host {} runs, incarnation {}.",
              this->impl->settings.id.text(), this->impl->incarnation);
     this->impl->start_ticking();
-    this->impl->send_heartbeats();
+    this->impl->start_heartbeats();
     this->impl->watch.start();
     this->impl->wait_for_stop();
     this->impl->io.run();
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -56,7 +56,8 @@
     void on_listing(link::link_number number,
                     link::upstream_update const& said);
     void on_plan(link::region_plan const& said);
-    void send_heartbeats();
+    void start_heartbeats();
+    void send_heartbeats_after(duration pause);
     void tell_presence(link::link_number to);
     void ask_for_listing();
     void reload();
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/link/thousandths.hpp"
+#include "bilberrylead/policy/generator.hpp"
 
 #include <algorithm>
 #include <string>
@@ -305,9 +306,17 @@
     this->send(to, presence);
 }
 
-void entry_program::implementation::send_heartbeats()
+/// Hosts that start together have different phases, so that a control host
+/// does not hear all of them at once.
+void entry_program::implementation::start_heartbeats()
 {
-    this->heartbeat.expires_after(heartbeat_interval);
+    policy::generator phase(this->seed.of(random_sequence::heartbeat));
+    this->send_heartbeats_after(scaled(heartbeat_interval, phase.unit()));
+}
+
+void entry_program::implementation::send_heartbeats_after(duration pause)
+{
+    this->heartbeat.expires_after(pause);
     this->heartbeat.async_wait(
         [this](error_code const& error)
         {
@@ -324,7 +333,7 @@
             }
             this->ask_for_listing();
             this->link_control_hosts();
-            this->send_heartbeats();
+            this->send_heartbeats_after(heartbeat_interval);
         });
 }
 
--- a/bilberrylead/link/peer_node.cpp
+++ b/bilberrylead/link/peer_node.cpp
@@ -1,9 +1,11 @@
 #include "bilberrylead/link/peer_node.hpp"
 
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
 #include "bilberrylead/link/peer_session.hpp"
+#include "bilberrylead/link/redial_pause.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -35,12 +37,13 @@
     /// An address whose link is kept up.
     struct dialled_address
     {
-        explicit dialled_address(asio::io_context& io) : timer(io)
+        dialled_address(asio::io_context& io, redial_pause const& pauses)
+            : pause(pauses), timer(io)
         {
         }
 
         tcp::endpoint address;
-        duration pause{};
+        redial_pause pause;
         asio::steady_timer timer;
         link_number link = 0;
         bool forgotten = false;
@@ -49,10 +52,14 @@
     implementation(asio::io_context& io, peer_node_settings settings,
                    peer_callbacks callbacks)
         : io(io), settings(std::move(settings)),
-          callbacks(std::move(callbacks)), acceptor(io)
+          callbacks(std::move(callbacks)), acceptor(io),
+          redial_seeds(process_seed(this->settings.self.id,
+                                    this->settings.self.incarnation)
+                           .of(random_sequence::redial))
     {
     }
 
+    redial_pause make_redial_pause();
     void accept_next();
     link_number add(tcp::socket socket,
                     std::shared_ptr<dialled_address> const& from);
@@ -64,12 +71,20 @@
     peer_node_settings settings;
     peer_callbacks callbacks;
     tcp::acceptor acceptor;
+    /// Each dialled address has pauses of its own.
+    policy::generator redial_seeds;
     link_number last_number = 0;
     std::map<link_number, std::shared_ptr<peer_session>> sessions;
     std::set<link_number> open_links;
     std::map<config::endpoint, std::shared_ptr<dialled_address>> dialled;
 };
 
+redial_pause peer_node::implementation::make_redial_pause()
+{
+    return {this->settings.redial_pause, this->settings.longest_redial_pause,
+            this->redial_seeds.next()};
+}
+
 void peer_node::implementation::accept_next()
 {
     this->acceptor.async_accept(
@@ -100,7 +115,7 @@
     {
         if (from)
         {
-            from->pause = this->settings.redial_pause;
+            from->pause.reset();
         }
         this->open_links.insert(number);
         this->callbacks.connected(number, identity);
@@ -144,11 +159,8 @@
         return;
     }
 
-    // Dial again after a pause that doubles while the peer stays away.
     from->link = 0;
-    from->timer.expires_after(from->pause);
-    from->pause =
-        std::min(from->pause * 2, this->settings.longest_redial_pause);
+    from->timer.expires_after(from->pause.next());
     from->timer.async_wait(
         [this, from](error_code const& error)
         {
@@ -212,9 +224,9 @@
         return;
     }
     std::shared_ptr<implementation::dialled_address> const target =
-        std::make_shared<implementation::dialled_address>(this->impl->io);
+        std::make_shared<implementation::dialled_address>(
+            this->impl->io, this->impl->make_redial_pause());
     target->address = *where;
-    target->pause = this->impl->settings.redial_pause;
     this->impl->dialled.emplace(address, target);
     this->impl->dial_now(target);
 }
--- a/bilberrylead/link/peer_node_settings.hpp
+++ b/bilberrylead/link/peer_node_settings.hpp
@@ -37,8 +37,8 @@
     duration connect_timeout = std::chrono::seconds(1);
     /// Time for the handshake on an open connection.
     duration handshake_timeout = std::chrono::seconds(2);
-    /// Pause before a lost link is dialled again: short, since a restarted
-    /// process is usually back within a second.
+    /// Longest pause before a lost link is first dialled again: short, since
+    /// a restarted process is usually back within a second.
     duration redial_pause = std::chrono::milliseconds(100);
     /// Longest pause; it doubles up to here, so that 5,500 hosts do not
     /// storm a peer that stays away.
