--- /dev/null
+++ b/tests/soak/soak_settings.hpp
@@ -0,0 +1,24 @@
+#ifndef BILBERRYLEAD_SOAK_SOAK_SETTINGS_HPP
+#define BILBERRYLEAD_SOAK_SOAK_SETTINGS_HPP
+
+#include <cstdint>
+
+namespace bilberrylead::soak
+{
+
+/// What one soak is made of.
+struct soak_settings
+{
+    /// The same seed gives the same plan.
+    std::uint64_t seed = 1;
+    /// Faults and planned changes, at least 1.
+    std::uint32_t faults = 12;
+    /// Entry hosts, at least 2.
+    std::uint32_t entry_hosts = 4;
+    /// Look-ups a second, over all entry hosts.
+    std::uint32_t lookups_per_s = 60;
+};
+
+} // namespace bilberrylead::soak
+
+#endif
