A survey of all zones holds no reading of a long list up

What callers would see: requests sent to an upstream up to 3.7 s after the platform listed it as leaving, bound 3 s (DRAIN).

Cause: of 16 readings of a list that is read by zone, one asked for all zones together, to find zones that this host was not told of: 30 pages and more, each a round trip, 2.5 s at 36 pages and 70 ms.

Change: that became a survey beside the readings by zone. It has one call in each reading, so that a list that takes few calls does not starve it, and otherwise the time that the zones leave; a zone it finds has the next reading take the whole list, as before. What a reading by zone shows no longer counts as proof that there are no other zones.

Tests: survey_of_all_zones_holds_no_reading_up (120 s of a list of 36 pages, 70 ms an answer: the longest gap between readings was over 2.0 s before, is under it now) and survey_comes_once_in_so_many_readings failed before; survey_that_finds_a_new_zone_has_the_list_read_as_a_whole is new. The latter two replace long_list_is_read_as_a_whole_now_and_then, which asked for the whole reading itself: they ask for as many looks at all zones, and besides that a new zone is found, and that no zone's reading waits.

--- a/bilberrylead/discovery/list_part.hpp
+++ b/bilberrylead/discovery/list_part.hpp
@@ -34,6 +34,22 @@
     /// True once the last page is here.
     bool complete = false;
 
+    /// True if a call for its next page may be made.
+    bool is_due(instant now) const
+    {
+        return !this->complete && this->open_call == 0 &&
+               now >= this->not_before;
+    }
+
+    /// A page came, which names the next one; empty after the last.
+    void advance(std::string const& next, std::size_t most_pages)
+    {
+        this->open_call = 0;
+        ++this->pages;
+        this->next_page = next;
+        this->complete = next.empty() || this->pages >= most_pages;
+    }
+
     /// Starts from the first page again, no earlier than `when`.
     void start_again(instant when)
     {
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -24,7 +24,9 @@
 /// Load it answers: a list of many pages in another region. A page names the
 /// next one, so that pages cost a round trip each: with thirty of them an
 /// upstream that leaves is found after seconds. A long list is therefore
-/// read by zone, all zones at the same time.
+/// read by zone, all zones at the same time. Now and then a survey of the
+/// list of all zones looks for zones that this host was not told of; it goes
+/// on beside the readings by zone and holds none of them up.
 class list_reader
 {
 public:
@@ -74,6 +76,8 @@
 private:
     void start_reading(instant when);
     void give_up_late_calls(instant now);
+    list_part* due_part(instant now);
+    void survey_page_read(list_page const& page);
     duration spacing() const;
     list_part* part_of(std::uint64_t number);
     std::vector<listed_upstream> take_all();
@@ -88,6 +92,9 @@
     std::size_t expected = 0;
     bool zones_are_known = false;
     std::vector<list_part> parts;
+    std::optional<list_part> survey;
+    // True once the survey had a call in the reading under way.
+    bool has_surveyed = false;
     std::vector<listed_upstream> leaving;
     std::optional<instant> read_at;
 };
--- a/bilberrylead/discovery/list_reader_settings.hpp
+++ b/bilberrylead/discovery/list_reader_settings.hpp
@@ -42,9 +42,9 @@
     /// Upstreams from which on the list is read by zone. Below that it has
     /// few pages, and one for each zone would be more of them.
     std::size_t split_from = 600;
-    /// Of so many readings one asks for all zones together: it shows
-    /// upstreams in zones that this host was not told of.
-    std::size_t whole_reading_each = 16;
+    /// Readings by zone from one survey of all zones to the next, at least 1:
+    /// a survey shows upstreams in zones that this host was not told of.
+    std::size_t survey_each = 16;
 };
 
 } // namespace bilberrylead::discovery
--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -231,27 +232,154 @@
     }
 }
 
-// Every now and then a long list is read as a whole, so that upstreams of a
-// new zone are found at all.
-Test(list_reader, long_list_is_read_as_a_whole_now_and_then)
+namespace
+{
+
+/// A list of many pages whose answers take a while, and a reader of it that
+/// was told of its zones but for those that are added later.
+class long_list
+{
+public:
+    static constexpr int zones = 9;
+    static constexpr int pages_a_zone = 4;
+
+    long_list() : reader(make_settings())
+    {
+        this->reader.expect(1485, true);
+        this->reader.set_active(true, this->now);
+    }
+
+    static list_reader_settings make_settings()
+    {
+        list_reader_settings settings;
+        settings.calls_per_second = 50;
+        for (int number = 0; number < zones; ++number)
+        {
+            settings.zones.emplace_back("z" + std::to_string(number));
+        }
+        return settings;
+    }
+
+    void run_for(duration time)
+    {
+        instant const end = this->now + time;
+        for (; this->now < end; this->now += 10ms)
+        {
+            while (std::optional<page_call> const call =
+                       this->reader.next_call(this->now))
+            {
+                this->surveyed_pages += call->zone.empty() ? 1 : 0;
+                this->answers.emplace(this->now + answer_time, *call);
+            }
+            while (!this->answers.empty() &&
+                   this->answers.begin()->first <= this->now)
+            {
+                this->answer(
+                    this->answers.extract(this->answers.begin()).mapped());
+            }
+        }
+    }
+
+    list_reader reader;
+    instant now = start;
+    bool has_new_zone = false;
+    int surveyed_pages = 0;
+    duration longest_reading{};
+    std::size_t listed = 0;
+
+private:
+    static constexpr duration answer_time = 70ms;
+
+    void answer(page_call const& call)
+    {
+        bool const of_all = call.zone.empty();
+        int const number = call.page.empty() ? 1 : std::stoi(call.page);
+        int const last = of_all ? zones * pages_a_zone : pages_a_zone;
+        list_page told =
+            page("u", number < last ? std::to_string(number + 1) : "");
+        for (int count = 1; count < 50; ++count)
+        {
+            told.upstreams.push_back(told.upstreams.front());
+        }
+        for (discovery::told_upstream& each : told.upstreams)
+        {
+            each.upstream.zone = of_all ? zone_id("z0") : call.zone;
+        }
+        if (of_all && number == last && this->has_new_zone)
+        {
+            told.upstreams.back().upstream.zone = zone_id("new");
+        }
+        auto const whole = this->reader.page_read(call.number, told, this->now);
+        if (whole.has_value())
+        {
+            this->longest_reading =
+                std::max(this->longest_reading, this->now - this->read_at);
+            this->read_at = this->now;
+            this->listed = whole->size();
+        }
+    }
+
+    instant read_at = start;
+    std::multimap<instant, page_call> answers;
+};
+
+} // namespace
+
+// Guards against a survey of all zones that holds up the readings by zone: an
+// upstream that leaves would be found after more than three seconds.
+Test(list_reader, survey_of_all_zones_holds_no_reading_up)
+{
+    long_list list;
+    list.run_for(120s);
+    cr_expect_leq(list.longest_reading.count(), duration(2000ms).count());
+    cr_expect_geq(list.surveyed_pages,
+                  long_list::zones * long_list::pages_a_zone);
+}
+
+// Guards against a list that takes so few calls that the readings leave no
+// time for the survey, and against surveys that are made all the time.
+Test(list_reader, survey_comes_once_in_so_many_readings)
 {
     list_reader_settings settings;
     settings.calls_per_second = 1000;
     settings.zones = {zone_id("z0")};
     settings.split_from = 1;
     list_reader reader(settings);
+    reader.expect(1, true);
     reader.set_active(true, start);
-    std::size_t wholes = 0;
-    for (std::size_t reading = 0; reading < 3 * settings.whole_reading_each;
-         ++reading)
+    std::size_t surveys = 0;
+    for (std::size_t reading = 0; reading < 3 * settings.survey_each; ++reading)
     {
         instant const now = start + static_cast<int>(reading) * 1s;
-        page_call const call = *reader.next_call(now);
-        wholes += call.zone.empty() ? 1 : 0;
+        std::optional<page_call> call = reader.next_call(now);
+        cr_assert(call.has_value());
         list_page one = page("a", "");
         one.upstreams.back().upstream.zone = zone_id("z0");
-        reader.page_read(call.number, one, now);
+        if (call->zone.empty())
+        {
+            ++surveys;
+            reader.page_read(call->number, one, now);
+            call = reader.next_call(now + 10ms);
+            cr_assert(call.has_value());
+        }
+        cr_expect(call->zone == zone_id("z0"));
+        cr_expect(reader.page_read(call->number, one, now + 10ms).has_value());
     }
-    // The first one, too: nothing is known then.
-    cr_expect_eq(wholes, 4U);
+    cr_expect_eq(surveys, 3U);
+}
+
+// An upstream is in a zone that this host was not told of. Read by zone it
+// would be missing for good, and its callers refused.
+Test(list_reader, survey_that_finds_a_new_zone_has_the_list_read_as_a_whole)
+{
+    long_list list;
+    list.run_for(10s);
+    cr_expect_eq(list.listed, 1800U);
+    list.surveyed_pages = 0;
+    list.has_new_zone = true;
+    list.run_for(60s);
+    // Two surveys' time; from then on every reading is a whole one.
+    int const surveyed = list.surveyed_pages;
+    list.run_for(10s);
+    cr_expect_geq(list.surveyed_pages - surveyed, 36);
 }
