A request's line names its digest, its caller and the upstreams of earlier tries

The digest covers host, method, target, caller and body, and is the same in every repeat at every host. No decision looks at it yet.

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -179,10 +179,12 @@
     std::optional<refusal_reason> reason;
     /// Status of the upstream's answer, 0 if there is none.
     std::uint16_t status = 0;
-    /// The upstream that was tried last; empty if none was.
-    upstream_id upstream;
-    /// Upstreams that were tried.
-    std::size_t tries = 0;
+    /// Digest of what repeats of it have in common; 0 if unknown.
+    std::uint64_t digest = 0;
+    /// Who sent it.
+    caller_id caller;
+    /// The upstreams that were tried, in order.
+    std::vector<upstream_id> tried;
     /// Region it was planned for; empty if there was no plan.
     region_id region;
     /// Wait for a slot that was expected there, or at the best upstream of
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -132,6 +132,7 @@
         this->refuse_arrival(happened, refusal_reason::deadline);
         return;
     }
+    request.digest = happened.digest;
     request.body_kept = happened.body_kept;
     request.maybe_ran_before = happened.repeated;
     request.caller = happened.caller;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -305,8 +305,9 @@
     end.outcome = request.outcome;
     end.reason = request.reason;
     end.status = request.status;
-    end.upstream = request.tried.empty() ? upstream_id() : request.tried.back();
-    end.tries = request.tried.size();
+    end.digest = request.digest;
+    end.caller = request.caller;
+    end.tried = request.tried;
     end.region = this->name_of(request.region);
     end.expected_wait = request.expected_wait;
     end.run_factor = request.run_factor;
@@ -323,6 +324,8 @@
     request_ended end;
     end.request = happened.request;
     end.service = happened.service;
+    end.digest = happened.digest;
+    end.caller = happened.caller;
     end.outcome =
         happened.repeated ? request_outcome::unknown : request_outcome::not_run;
     end.reason = reason;
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -91,6 +91,9 @@
     std::string idempotency_key;
     /// Digest of method, target and body; 0 unless the service is guarded.
     std::uint64_t body_digest = 0;
+    /// Digest of what a repeat of the same request has in common with it:
+    /// host, method, target, caller and body; 0 if unknown.
+    std::uint64_t digest = 0;
     /// True if the whole body is kept, so that it could be sent again.
     bool body_kept = true;
     /// True if the caller says that it sent the same request before and had
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -37,6 +37,8 @@
     bilberrylead::revision routed_by = 0;
     /// How its service was drawn; nothing if nothing was drawn.
     std::optional<split_draw> split;
+    /// Digest of what repeats of it have in common; 0 if unknown.
+    std::uint64_t digest = 0;
     /// Hash of the object it is about; 0 if none.
     std::uint64_t object = 0;
     /// When its answer is worth less to its caller.
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
+#include "bilberrylead/http/request_digest.hpp"
 #include "bilberrylead/http/server_core.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -70,16 +71,6 @@
     return std::chrono::milliseconds(std::min(count, longest_deadline_ms));
 }
 
-std::uint64_t digest_of(carried_request const& carried)
-{
-    std::string text(carried.message.method_string());
-    text.push_back('\n');
-    text.append(carried.message.target());
-    text.push_back('\n');
-    XXH64_hash_t const head = XXH3_64bits(text.data(), text.size());
-    return XXH3_64bits_withSeed(carried.kept.data(), carried.kept.size(), head);
-}
-
 } // namespace
 
 task<bool> caller_connection::carry()
@@ -116,7 +107,8 @@
     }
     this->frame_request(*carried);
     arrival.body_kept = carried->complete;
-    arrival.body_digest = rules.keep_whole ? digest_of(*carried) : 0;
+    arrival.body_digest = rules.keep_whole ? content_digest(*carried) : 0;
+    arrival.digest = request_digest(*carried, arrival.host, arrival.caller);
     carried->replied = [self = std::weak_ptr(this->shared_from_this())]
     {
         if (std::shared_ptr<caller_connection> const connection = self.lock())
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -4,6 +4,8 @@
 #include "bilberrylead/core/log_line.hpp"
 #include "bilberrylead/http/caller_connection.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -27,6 +29,17 @@
     { event.request } -> std::convertible_to<entry::request_number>;
 };
 
+/// All but the last, with commas between.
+std::string earlier_upstreams(std::vector<upstream_id> const& tried)
+{
+    std::string names;
+    for (std::size_t place = 0; place + 1 < tried.size(); ++place)
+    {
+        names += (place == 0 ? "" : ",") + tried[place].text();
+    }
+    return names;
+}
+
 } // namespace
 
 server_core::server_core(executor const& place, server_settings settings,
@@ -255,7 +268,8 @@
     carried_request const* const request = this->find(end.request);
     std::string const id = request == nullptr ? std::string() : request->id;
     bool const plain = end.outcome == entry::request_outcome::answered &&
-                       end.status < first_failure_status && end.tries <= 1;
+                       end.status < first_failure_status &&
+                       end.tried.size() <= 1;
     bool const sampled =
         std::hash<std::string>{}(id) % this->chosen.success_sample == 0;
     if (plain && !sampled)
@@ -270,9 +284,12 @@
         .text("reason",
               end.reason.has_value() ? entry::to_string(*end.reason) : "")
         .number("status", end.status)
-        .text("upstream", end.upstream.text())
+        .text("upstream", end.tried.empty() ? "" : end.tried.back().text())
+        .text("earlier", earlier_upstreams(end.tried))
         .text("region", end.region.text())
-        .number("tries", static_cast<std::int64_t>(end.tries))
+        .number("tries", static_cast<std::int64_t>(end.tried.size()))
+        .text("digest", fmt::format("{:016x}", end.digest))
+        .text("caller", end.caller.text())
         .time("expected_wait_ms", end.expected_wait)
         .real("run_factor", end.run_factor)
         .time("usual_run_ms", end.usual_run)
