Hosts tell each other under which requests upstreams ended

crash_history holds, for each request's digest, the incarnations of upstreams that ended while they ran it: bounded (1,024 records, the least harmful goes first, counted), aged, cleared by a whole answer. Records merge whatever the order: a higher generation replaces, equal ones are united, so that messages end. crash_report carries them: an entry host tells what it finds to all hosts that it is linked to, control hosts pass on what they learn, and hosts tell all they know when a link opens. No leader is needed; hosts that were cut off merge what each side knows.

Weighed: entry hosts that pass heard records on as well; left, since each record would cross every link of every entry host. The replicated log was left too: it takes a quorum, and a lost record costs one more crash only.

Tests: crash_history (merge in any order, full memory, age, clearing), every form of the message, relay without a leader and on a new link.

--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -82,6 +82,7 @@
 void control_reducer::on(peer_connected const& what)
 {
     this->links[what.link] = what.peer;
+    this->tell_crashes(what.link);
     if (what.peer.role == link::peer_role::control)
     {
         this->control_links[what.peer.id] = what.link;
@@ -165,6 +166,7 @@
     this->read_list();
     this->ask_for_listing();
     this->plan_regions();
+    this->crashes.expire(this->time);
 
     // The log's time is measured by whoever leads; time without a leader
     // does not count, so that records live longer, never shorter.
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -13,6 +13,7 @@
 #include "bilberrylead/discovery/upstream_listing.hpp"
 #include "bilberrylead/distribution/revision_exchange.hpp"
 #include "bilberrylead/membership/planned_host.hpp"
+#include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/presence/entry_table.hpp"
 
 #include <cstdint>
@@ -70,6 +71,12 @@
         return this->held_plan;
     }
 
+    /// Requests under which upstreams ended, for metrics.
+    policy::crash_history const& crash_records() const
+    {
+        return this->crashes;
+    }
+
 private:
     void on(control_started const& what);
     void on(peer_connected const& what);
@@ -93,6 +100,7 @@
     void on_peer(link::link_number from, link::upstream_update const& said);
     void on_peer(link::link_number from, link::upstream_request const& said);
     void on_peer(link::link_number from, link::region_plan const& said);
+    void on_peer(link::link_number from, link::crash_report const& said);
     template <class Other>
     void on_peer(link::link_number from, Other const& said);
 
@@ -133,6 +141,7 @@
     void ask_for_listing();
     void note_listing(discovery::list_changes const& changes);
     void plan_regions();
+    void tell_crashes(link::link_number to);
 
     void propose(waiter who, catalog::replicated_command const& command);
     void publish();
@@ -176,6 +185,7 @@
     instant regions_planned_at;
     std::optional<link::region_plan> held_plan;
     instant leads_since{};
+    policy::crash_history crashes;
 };
 
 } // namespace bilberrylead::control
--- /dev/null
+++ b/bilberrylead/control/control_reducer_crashes.cpp
@@ -0,0 +1,37 @@
+#include "bilberrylead/control/control_reducer.hpp"
+
+/// Relay of what hosts know of requests under which upstreams ended.
+namespace bilberrylead::control
+{
+
+void control_reducer::tell_crashes(link::link_number to)
+{
+    if (this->crashes.size() > 0)
+    {
+        this->send(to, link::crash_report{this->crashes.all()});
+    }
+}
+
+void control_reducer::on_peer(link::link_number from,
+                              link::crash_report const& said)
+{
+    policy::crash_merge const merged =
+        this->crashes.merge(said.records, this->time);
+    if (!merged.missing_there.empty())
+    {
+        this->send(from, link::crash_report{merged.missing_there});
+    }
+    if (merged.learned.empty())
+    {
+        return;
+    }
+    for (auto const& [number, peer] : this->links)
+    {
+        if (number != from)
+        {
+            this->send(number, link::crash_report{merged.learned});
+        }
+    }
+}
+
+} // namespace bilberrylead::control
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -249,6 +249,11 @@
         this->on_claims(once_client::unknown_wanted{
             static_cast<local_request>(unknown->request), unknown->key});
     }
+    else if (entry::tell_crash_records const* const crashes =
+                 std::get_if<entry::tell_crash_records>(&wanted))
+    {
+        this->tell_crashes(*crashes);
+    }
     else if (std::holds_alternative<entry::drained>(wanted))
     {
         log.info("Everything under way has ended.");
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/link/thousandths.hpp"
+#include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/policy/generator.hpp"
 
 #include <algorithm>
@@ -54,6 +55,12 @@
 {
     this->links[number] = peer;
     this->on_exchange(distribution::link_opened{number, peer});
+    std::vector<policy::crash_record> crashes =
+        this->server->crash_history().all();
+    if (!crashes.empty())
+    {
+        this->tell_crashes({std::move(crashes), number});
+    }
     if (peer.role == link::peer_role::control)
     {
         this->on_claims(once_client::control_link_opened{number, peer.id});
@@ -137,6 +144,12 @@
             this->owner.on_plan(held);
         }
 
+        void operator()(link::crash_report const& held) const
+        {
+            this->owner.server->dispatch(
+                entry::crash_records_heard{this->number, held.records});
+        }
+
         void operator()(link::entry_presence const&) const
         {
         }
@@ -262,6 +275,19 @@
     this->server->dispatch(std::move(plan));
 }
 
+void entry_program::implementation::tell_crashes(
+    entry::tell_crash_records const& wanted)
+{
+    link::crash_report const report{wanted.records};
+    for (auto const& [number, peer] : this->links)
+    {
+        if (!wanted.only_to.has_value() || number == *wanted.only_to)
+        {
+            this->send(number, report);
+        }
+    }
+}
+
 void entry_program::implementation::on_listing(
     link::link_number number, link::upstream_update const& said)
 {
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/entry/split_draw.hpp"
 #include "bilberrylead/once/claim_key.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
+#include "bilberrylead/policy/crash_record.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -200,6 +201,15 @@
     duration answered_after{};
 };
 
+/// Tell other hosts what is known of requests under which upstreams ended.
+struct tell_crash_records
+{
+    /// The records.
+    std::vector<policy::crash_record> records;
+    /// The only link that they go to; nothing: all links.
+    std::optional<std::uint64_t> only_to = std::nullopt;
+};
+
 /// Take no new connections of callers from now on, and close those that
 /// are idle.
 struct stop_taking_callers
@@ -213,12 +223,12 @@
 };
 
 /// Everything an entry host can be told to do.
-using effect = std::variant<start_upstream, pass_answer_on, collect_answer,
-                            answer_collected, answer_not_run, answer_unknown,
-                            answer_recorded, answer_problem, request_claim,
-                            report_completion, report_release, report_unknown,
-                            cancel_upstream, close_callers_after_answer,
-                            stop_taking_callers, request_ended, drained>;
+using effect = std::variant<
+    start_upstream, pass_answer_on, collect_answer, answer_collected,
+    answer_not_run, answer_unknown, answer_recorded, answer_problem,
+    request_claim, report_completion, report_release, report_unknown,
+    cancel_upstream, close_callers_after_answer, stop_taking_callers,
+    request_ended, drained, tell_crash_records>;
 
 /// Effects in the order in which they are to be carried out.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/entry/live_request.hpp"
 #include "bilberrylead/entry/routing_table.hpp"
 #include "bilberrylead/entry/service_state.hpp"
+#include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/policy/generator.hpp"
 
 #include <cstddef>
@@ -96,6 +97,12 @@
         return this->live.contains(number);
     }
 
+    /// Requests under which upstreams ended, as known here.
+    policy::crash_history const& crash_records() const
+    {
+        return this->crashes;
+    }
+
     /// What was counted so far.
     entry_counters const& counters();
 
@@ -124,6 +131,7 @@
     void on(upstreams_listed const& happened);
     void on(entry_hosts_counted const& happened);
     void on(regions_planned const& happened);
+    void on(crash_records_heard const& happened);
 
     live_request* find(request_number number);
     void admit(live_request request);
@@ -215,6 +223,7 @@
     instant drain_began{};
     instant last_work{};
     entry_counters counted;
+    policy::crash_history crashes;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/once/claim_verdict.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
+#include "bilberrylead/policy/crash_record.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -218,6 +219,15 @@
 {
 };
 
+/// Another host tells under which requests upstreams ended.
+struct crash_records_heard
+{
+    /// The link that it came by.
+    std::uint64_t from = 0;
+    /// What that host knows.
+    std::vector<policy::crash_record> records;
+};
+
 /// Everything that can happen to an entry host.
 using event =
     std::variant<configuration_received, request_arrived, claim_answered,
@@ -225,7 +235,7 @@
                  upstream_answer_finished, upstream_failed, caller_gone,
                  load_reported, tick, drain_requested, control_reachable,
                  control_unreachable, upstreams_listed, entry_hosts_counted,
-                 regions_planned>;
+                 regions_planned, crash_records_heard>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -127,6 +127,11 @@
     return this->inner->core->decisions().revision_in_force();
 }
 
+policy::crash_history const& caller_server::crash_history() const
+{
+    return this->inner->core->decisions().crash_records();
+}
+
 std::map<service_id, double> caller_server::demands() const
 {
     return this->inner->core->decisions().demands();
--- a/bilberrylead/http/caller_server.hpp
+++ b/bilberrylead/http/caller_server.hpp
@@ -24,6 +24,11 @@
 class process_seed;
 }
 
+namespace bilberrylead::policy
+{
+class crash_history;
+}
+
 namespace bilberrylead::http
 {
 
@@ -68,6 +73,9 @@
     /// What callers ask of each service now, in slots.
     std::map<service_id, double> demands() const;
 
+    /// Requests under which upstreams ended, as known here.
+    policy::crash_history const& crash_history() const;
+
     /// What the decisions counted.
     entry::entry_counters const& decision_counters() const;
 
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -119,6 +119,24 @@
     return content;
 }
 
+crash_report take_crash_report(cbor_fields& fields)
+{
+    crash_report content;
+    content.records =
+        take_list(fields,
+                  [&fields]()
+                  {
+                      policy::crash_record record;
+                      record.digest = fields.take_unsigned();
+                      record.generation = fields.take_unsigned();
+                      std::vector<upstream_id> const ended =
+                          take_ids<upstream_id>(fields);
+                      record.ended.insert(ended.begin(), ended.end());
+                      return record;
+                  });
+    return content;
+}
+
 discovery::told_upstream take_upstream(cbor_fields& fields)
 {
     discovery::told_upstream told;
@@ -335,6 +353,8 @@
         return upstream_request{take_position(fields)};
     case message_tag::region_plan:
         return take_region_plan(fields);
+    case message_tag::crash_report:
+        return take_crash_report(fields);
     }
     return unknown_value("kind");
 }
--- a/bilberrylead/link/message_tag.hpp
+++ b/bilberrylead/link/message_tag.hpp
@@ -25,6 +25,7 @@
     upstream_update = 14,
     upstream_request = 15,
     region_plan = 16,
+    crash_report = 17,
 };
 
 /// First field of a claim_reply's verdict.
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -236,6 +236,23 @@
         return record;
     }
 
+    json operator()(crash_report const& content) const
+    {
+        json record = with_tag(message_tag::crash_report);
+        record.push_back(content.records.size());
+        for (policy::crash_record const& each : content.records)
+        {
+            record.push_back(each.digest);
+            record.push_back(each.generation);
+            record.push_back(each.ended.size());
+            for (upstream_id const& id : each.ended)
+            {
+                record.push_back(id.text());
+            }
+        }
+        return record;
+    }
+
     static void put_position(discovery::list_position const& position,
                              json& record)
     {
--- /dev/null
+++ b/bilberrylead/policy/crash_history.hpp
@@ -0,0 +1,96 @@
+#ifndef BILBERRYLEAD_POLICY_CRASH_HISTORY_HPP
+#define BILBERRYLEAD_POLICY_CRASH_HISTORY_HPP
+
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/crash_history_settings.hpp"
+#include "bilberrylead/policy/crash_merge.hpp"
+#include "bilberrylead/policy/crash_record.hpp"
+#include "bilberrylead/policy/crash_verdict.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bilberrylead::policy
+{
+
+/// Requests that ran on upstreams when these ended, known to all hosts by
+/// exchanged records.
+///
+/// Load it answers: a request that crashes each upstream that runs it. It is
+/// tried again on other upstreams, and its caller repeats it at other entry
+/// hosts; without a memory over attempts and hosts it ends one upstream
+/// after the other, with everything that ran beside it. Most of the requests
+/// that run on an upstream when it ends are innocent, so that one crash
+/// restricts nothing, and a whole answer clears a request.
+class crash_history
+{
+public:
+    /// Makes an empty history.
+    explicit crash_history(crash_history_settings const& settings = {});
+
+    /// Whether the request may run.
+    crash_verdict verdict_of(std::uint64_t digest) const;
+
+    /// The upstream ended while it ran the request. Returns the record if it
+    /// changed.
+    std::optional<crash_record>
+    note_crash(std::uint64_t digest, upstream_id const& upstream, instant now);
+
+    /// The request got a whole answer. Returns the record if this cleared
+    /// it.
+    std::optional<crash_record> note_answer(std::uint64_t digest, instant now);
+
+    /// The request came again and was refused.
+    void note_repeat(std::uint64_t digest, instant now);
+
+    /// Takes another host's records.
+    crash_merge merge(std::vector<crash_record> const& records, instant now);
+
+    /// Forgets what is too old.
+    void expire(instant now);
+
+    /// All records, for a host that is linked.
+    std::vector<crash_record> all() const;
+
+    /// Requests that are refused now.
+    std::size_t refused() const;
+
+    /// Records held.
+    std::size_t size() const
+    {
+        return this->entries.size();
+    }
+
+    /// Records that were evicted, since there were too many.
+    std::uint64_t evicted() const
+    {
+        return this->evictions;
+    }
+
+private:
+    struct entry
+    {
+        crash_record record;
+        instant last_seen;
+    };
+
+    using entry_map = std::map<std::uint64_t, entry>;
+
+    crash_verdict verdict_of(crash_record const& record) const;
+    entry& entry_of(std::uint64_t digest, instant now);
+    entry_map::const_iterator least() const;
+    bool admits(crash_record const& said) const;
+
+    crash_history_settings settings;
+    entry_map entries;
+    instant expired_at{};
+    std::uint64_t evictions = 0;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -442,3 +442,38 @@
     host.give(control::peer_message{1, link::region_plan{4, {}}});
     cr_expect_eq(host.host->plan()->term, 4U);
 }
+
+// Guards against news of crashes that need a leader, or that end at the
+// control host which hears them.
+Test(control_reducer, crash_report_reaches_hosts_at_all_control_hosts_once)
+{
+    led_group group;
+    group.isolated.insert(group.leader);
+    std::size_t const other = (group.follower + 1) % control_group::hosts;
+    link::crash_report const report{{{9, 0, {upstream_id("u1")}}}};
+    group.say(group.follower, report);
+    std::vector<link::message> const& told =
+        group.told[{other, led_group::entry_link}];
+    std::size_t const said = told.size();
+    cr_expect(group.last_told<link::crash_report>(other).records ==
+              report.records);
+    group.say(group.follower, report);
+    cr_expect_eq(told.size(), said);
+}
+
+// Guards against entry hosts that start without knowing what crashes
+// upstreams.
+Test(control_reducer, crash_records_go_to_a_host_that_is_linked)
+{
+    led_group group;
+    group.say(group.follower,
+              link::crash_report{{{9, 0, {upstream_id("u1")}}}});
+    constexpr link::link_number second = led_group::entry_link + 1;
+    group.connect(group.leader, second, host_id("e2"), link::peer_role::entry);
+    bool found = false;
+    for (link::message const& each : group.told[{group.leader, second}])
+    {
+        found = found || std::holds_alternative<link::crash_report>(each);
+    }
+    cr_expect(found);
+}
--- /dev/null
+++ b/tests/unit/policy/crash_history_test.cpp
@@ -0,0 +1,127 @@
+#include "bilberrylead/policy/crash_history.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using policy::crash_history;
+using policy::crash_merge;
+using policy::crash_record;
+using policy::crash_verdict;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+constexpr std::uint64_t request = 7;
+
+upstream_id upstream(char const* name)
+{
+    return upstream_id(name);
+}
+
+/// A history in which upstreams ended under one request.
+crash_history history_of(std::vector<char const*> const& ended)
+{
+    crash_history history;
+    for (char const* const name : ended)
+    {
+        history.note_crash(request, upstream(name), start);
+    }
+    return history;
+}
+
+} // namespace
+
+Test(crash_history, requests_are_refused_after_three_upstreams)
+{
+    cr_expect(history_of({}).verdict_of(request) ==
+              crash_verdict::unrestricted);
+    cr_expect(history_of({"a"}).verdict_of(request) ==
+              crash_verdict::unrestricted);
+    cr_expect(history_of({"a", "b"}).verdict_of(request) ==
+              crash_verdict::restricted);
+    cr_expect(history_of({"a", "b", "c"}).verdict_of(request) ==
+              crash_verdict::refused);
+}
+
+// Guards against one crash that is counted as often as hosts saw it.
+Test(crash_history, one_upstream_counts_once)
+{
+    crash_history history = history_of({"a", "a", "a"});
+    history.merge({{request, 0, {upstream("a")}}}, start);
+    cr_expect(history.verdict_of(request) == crash_verdict::unrestricted);
+}
+
+// Guards against innocent requests that are refused since they ran beside
+// one that crashes upstreams.
+Test(crash_history, whole_answer_clears_on_all_hosts)
+{
+    crash_history here = history_of({"a", "b"});
+    crash_history there = history_of({"a", "b"});
+    std::optional<crash_record> const cleared =
+        here.note_answer(request, start);
+    cr_assert(cleared.has_value());
+    there.merge({*cleared}, start);
+    // What was said before the answer comes late.
+    there.merge({{request, 0, {upstream("c")}}}, start);
+    cr_expect(there.verdict_of(request) == crash_verdict::unrestricted);
+    cr_expect(!here.note_answer(request, start).has_value());
+}
+
+Test(crash_history, merged_histories_agree_whatever_the_order)
+{
+    crash_history one = history_of({"a", "d"});
+    crash_history other = history_of({"b", "c"});
+    crash_merge const merged = other.merge(one.all(), start);
+    cr_assert_eq(merged.missing_there.size(), 1U);
+    one.merge(merged.missing_there, start);
+    cr_expect(one.all() == other.all());
+    cr_expect(one.verdict_of(request) == crash_verdict::refused);
+    // Nothing more to tell: messages end.
+    cr_expect(one.merge(other.all(), start).learned.empty());
+    cr_expect(one.merge(other.all(), start).missing_there.empty());
+}
+
+Test(crash_history, refused_request_is_kept_while_it_comes_again)
+{
+    crash_history history = history_of({"a", "b", "c"});
+    instant now = start;
+    for (int hour = 0; hour < 4; ++hour)
+    {
+        now += 20min;
+        history.note_repeat(request, now);
+        history.expire(now);
+        cr_expect(history.verdict_of(request) == crash_verdict::refused);
+    }
+    history.expire(now + 30min);
+    cr_expect_eq(history.size(), 0U);
+}
+
+// Guards against a caller whose many requests push out the one that crashes
+// upstreams, and against hosts that hand evicted records round for ever.
+Test(crash_history, full_history_keeps_what_is_refused)
+{
+    policy::crash_history_settings settings;
+    settings.most_records = 4;
+    crash_history history(settings);
+    for (char const* const name : {"a", "b", "c"})
+    {
+        history.note_crash(request, upstream(name), start);
+    }
+    for (std::uint64_t other = 100; other < 200; ++other)
+    {
+        history.note_crash(other, upstream("a"), start + 1s);
+    }
+    cr_expect_eq(history.size(), 4U);
+    cr_expect_eq(history.evicted(), 97U);
+    cr_expect(history.verdict_of(request) == crash_verdict::refused);
+    crash_merge const merged =
+        history.merge({{300, 0, {upstream("a")}}}, start + 2s);
+    cr_expect(merged.learned.empty());
+    cr_expect_eq(history.size(), 4U);
+}
