A request under which three upstreams ended is refused at every entry host

Cause: nothing tied the attempts of one request together. Each repeat was a new request at a host that knew nothing of the others.

Fix: crash_history is asked before a request is placed and before a further try. One upstream that ended restricts nothing; after two the request runs once at a time on each host, without further tries; after three it is refused at once (503, not run, if this attempt was not sent; Retry-After 30 s), also where it pauses or waits. A lost connection counts only once a connection to the upstream was refused or the listing has it no more: a probe is one connection for each upstream that lost requests. A whole answer clears.

Why it works: the digest is the same in every repeat, the records are united over all hosts, and three distinct incarnations are needed, so that hosts that saw the same crash do not add up.

--- a/bilberrylead/daemon/control_metrics.cpp
+++ b/bilberrylead/daemon/control_metrics.cpp
@@ -43,6 +43,9 @@
     prometheus::Gauge& claims =
         add_gauge(this->registry, "bilberry_control_claims",
                   "Run-at-most-once records held.");
+    prometheus::Gauge& crash_records =
+        add_gauge(this->registry, "bilberry_control_crash_records",
+                  "Requests under which upstreams ended, held now.");
     prometheus::Gauge& journal_bytes =
         add_gauge(this->registry, "bilberry_control_journal_bytes",
                   "Size of the journal file, bytes.");
@@ -75,6 +78,8 @@
     this->impl->accepted.Set(
         static_cast<double>(state.configurations().current_revision()));
     this->impl->claims.Set(static_cast<double>(state.claims().size()));
+    this->impl->crash_records.Set(
+        static_cast<double>(reducer.crash_records().size()));
     this->impl->journal_bytes.Set(static_cast<double>(store.journal_bytes()));
     return prometheus::TextSerializer().Serialize(
         this->impl->registry.Collect());
--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/http/caller_server.hpp"
 #include "bilberrylead/http/http_counters.hpp"
+#include "bilberrylead/policy/crash_history.hpp"
 
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
@@ -200,6 +201,16 @@
     builder.gauge("bilberry_entry_waiting",
                   "Requests that wait for a slot now.",
                   static_cast<double>(counters.waiting));
+    policy::crash_history const& crashes = server.crash_history();
+    builder.gauge("bilberry_entry_crash_records",
+                  "Requests under which upstreams ended, held now.",
+                  static_cast<double>(crashes.size()));
+    builder.gauge("bilberry_entry_crashing_requests",
+                  "Those of them that are refused.",
+                  static_cast<double>(crashes.refused()));
+    builder.counter("bilberry_entry_crash_records_evicted_total",
+                    "Records that were evicted, since there were too many.",
+                    crashes.evicted());
     add_requests(builder, counters);
     add_latency(builder, counters);
     add_refusals(builder, counters);
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -11,6 +11,7 @@
 #include "bilberrylead/once/claim_key.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
+#include "bilberrylead/policy/crash_verdict.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -201,6 +202,37 @@
     duration answered_after{};
 };
 
+/// See whether an upstream takes connections; upstream_probed follows.
+struct probe_upstream
+{
+    /// The upstream.
+    upstream_id upstream;
+    /// Its address.
+    config::endpoint address;
+};
+
+/// Connections to an upstream were lost, and it is known now whether it
+/// ended. For the log.
+struct loss_settled
+{
+    /// The upstream.
+    upstream_id upstream;
+    /// True if it ended, false if it takes connections.
+    bool ended = false;
+};
+
+/// The record of a request under which upstreams ended has changed. For the
+/// log.
+struct crash_record_changed
+{
+    /// The record.
+    policy::crash_record record;
+    /// What follows from it.
+    policy::crash_verdict verdict{};
+    /// True if another host told it.
+    bool heard = false;
+};
+
 /// Tell other hosts what is known of requests under which upstreams ended.
 struct tell_crash_records
 {
@@ -223,12 +255,14 @@
 };
 
 /// Everything an entry host can be told to do.
-using effect = std::variant<
-    start_upstream, pass_answer_on, collect_answer, answer_collected,
-    answer_not_run, answer_unknown, answer_recorded, answer_problem,
-    request_claim, report_completion, report_release, report_unknown,
-    cancel_upstream, close_callers_after_answer, stop_taking_callers,
-    request_ended, drained, tell_crash_records>;
+using effect =
+    std::variant<start_upstream, pass_answer_on, collect_answer,
+                 answer_collected, answer_not_run, answer_unknown,
+                 answer_recorded, answer_problem, request_claim,
+                 report_completion, report_release, report_unknown,
+                 cancel_upstream, close_callers_after_answer,
+                 stop_taking_callers, request_ended, drained, probe_upstream,
+                 loss_settled, crash_record_changed, tell_crash_records>;
 
 /// Effects in the order in which they are to be carried out.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -12,6 +12,7 @@
 #include "bilberrylead/entry/service_state.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/upstream_losses.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -131,6 +132,7 @@
     void on(upstreams_listed const& happened);
     void on(entry_hosts_counted const& happened);
     void on(regions_planned const& happened);
+    void on(upstream_probed const& happened);
     void on(crash_records_heard const& happened);
 
     live_request* find(request_number number);
@@ -173,6 +175,14 @@
     policy::waiting_request waiting_form(live_request const& request) const;
     void note_failure(live_request const& request);
     void note_run(live_request const& request);
+    void note_loss(live_request const& request);
+    void note_whole_answer(live_request const& request);
+    void note_end(upstream_id const& upstream);
+    void note_crash(std::uint64_t digest, upstream_id const& upstream);
+    void find_ended();
+    void tell_own_record(policy::crash_record const& record);
+    void refuse_crashing(std::uint64_t digest);
+    std::optional<duration> crash_refusal(live_request const& request) const;
     void set_wake(live_request& request, instant when);
     void expire(live_request& request);
     void expire_run(live_request& request);
@@ -224,6 +234,7 @@
     instant last_work{};
     entry_counters counted;
     policy::crash_history crashes;
+    policy::upstream_losses losses;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -174,6 +174,7 @@
         this->freed.insert(service);
     }
     this->crashes.expire(this->now);
+    this->losses.expire(this->now);
     this->look_for_drain_end();
 }
 
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -46,6 +46,7 @@
 void entry_reducer::on(upstreams_listed const& happened)
 {
     this->listed = happened.upstreams;
+    this->find_ended();
     this->rebuild();
 }
 
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -127,6 +127,13 @@
 
 void entry_reducer::place(live_request& request)
 {
+    if (std::optional<duration> const retry_after =
+            this->crash_refusal(request))
+    {
+        this->crashes.note_repeat(request.digest, this->now);
+        this->refuse(request, refusal_reason::crashes_upstreams, *retry_after);
+        return;
+    }
     request.life.wait();
     this->set_wake(request, request.deadline);
     if (this->chosen.waiting == config::waiting_place::upstream)
@@ -234,6 +241,7 @@
     service_state& state = this->state_of(request.service);
     state.take_slot(upstream->id, this->now);
     request.tried.push_back(upstream->id);
+    request.sent_to = upstream->address;
     request.life.send();
     request.sent = this->now;
     bool const last_try = this->is_last_try(request);
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -106,6 +106,7 @@
     if (request->life.current() == request_state::passing)
     {
         state.note_held(request->tried.back(), this->now - request->sent);
+        this->note_whole_answer(*request);
         this->free_slot(*request);
         this->finish(*request);
         return;
@@ -115,6 +116,7 @@
     {
         return;
     }
+    this->note_whole_answer(*request);
     state.note_held(request->tried.back(), this->now - request->sent);
     this->free_slot(*request);
     this->out.push_back(report_completion{request->number, request->claim,
@@ -140,6 +142,11 @@
         return;
     }
     refusal_reason const reason = reason_of(happened.fault);
+    if (happened.fault == exchange_fault::connection_lost &&
+        happened.phase != exchange_phase::not_sent)
+    {
+        this->note_loss(*request);
+    }
     this->free_slot(*request);
     this->note_failure(*request);
     if (request->life.current() == request_state::passing)
@@ -230,7 +237,9 @@
                           : state.usual_answer();
     bool const tries_left = request.most_attempts == 0 ||
                             request.tried.size() < request.most_attempts;
-    if (!tries_left || !body_usable || request.answered ||
+    bool const may_run = this->crashes.verdict_of(request.digest) ==
+                         policy::crash_verdict::unrestricted;
+    if (!tries_left || !may_run || !body_usable || request.answered ||
         !state.takes_work(request.reached, this->now))
     {
         return std::nullopt;
--- a/bilberrylead/entry/entry_settings.hpp
+++ b/bilberrylead/entry/entry_settings.hpp
@@ -51,6 +51,9 @@
     policy::retry_budget_settings retry;
     /// What a caller that is turned away is told to wait.
     duration retry_after = std::chrono::seconds(1);
+    /// What the caller of a request that ended upstreams is told to wait:
+    /// until an operator may have replaced them.
+    duration crash_retry_after = std::chrono::seconds(30);
     /// How long a collected answer waits for its record to be durable
     /// before the caller gets it all the same. About three quorum round
     /// trips between regions 35 ms apart.
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -93,7 +93,7 @@
     /// Digest of method, target and body; 0 unless the service is guarded.
     std::uint64_t body_digest = 0;
     /// Digest of what a repeat of the same request has in common with it:
-    /// host, method, target, caller and body; 0 if unknown.
+    /// host, method, target, account and body; 0 if unknown.
     std::uint64_t digest = 0;
     /// True if the whole body is kept, so that it could be sent again.
     bool body_kept = true;
@@ -219,6 +219,26 @@
 {
 };
 
+/// Whether an upstream takes connections.
+enum class probe_outcome
+{
+    /// It took one.
+    taken,
+    /// It refused one: nothing listens at its address.
+    refused,
+    /// Nothing came.
+    silent,
+};
+
+/// A connection to an upstream was tried, to see whether it ended.
+struct upstream_probed
+{
+    /// The upstream.
+    upstream_id upstream;
+    /// What came of it.
+    probe_outcome outcome{};
+};
+
 /// Another host tells under which requests upstreams ended.
 struct crash_records_heard
 {
@@ -235,7 +255,7 @@
                  upstream_answer_finished, upstream_failed, caller_gone,
                  load_reported, tick, drain_requested, control_reachable,
                  control_unreachable, upstreams_listed, entry_hosts_counted,
-                 regions_planned, crash_records_heard>;
+                 regions_planned, upstream_probed, crash_records_heard>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_ENTRY_LIVE_REQUEST_HPP
 #define BILBERRYLEAD_ENTRY_LIVE_REQUEST_HPP
 
+#include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
@@ -84,6 +85,8 @@
     instant wake{};
     /// Upstreams it was sent to; the last one holds it while it runs.
     std::vector<upstream_id> tried;
+    /// Address of the last one.
+    config::endpoint sent_to;
     /// True once a byte may have reached an upstream that did not take it
     /// back.
     bool maybe_ran = false;
--- a/bilberrylead/entry/refusal_reason.hpp
+++ b/bilberrylead/entry/refusal_reason.hpp
@@ -42,11 +42,14 @@
     earlier_unknown,
     /// The entry host has no memory left for bodies.
     no_memory,
+    /// Upstreams ended while they ran this request, and each repeat may end
+    /// another one.
+    crashes_upstreams,
 };
 
 /// How many reasons there are, for counters.
 constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::no_memory) + 1;
+    static_cast<std::size_t>(refusal_reason::crashes_upstreams) + 1;
 
 /// The reason's name as problem bodies, metrics and logs show it.
 std::string_view to_string(refusal_reason reason);
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -108,7 +108,9 @@
     this->frame_request(*carried);
     arrival.body_kept = carried->complete;
     arrival.body_digest = rules.keep_whole ? content_digest(*carried) : 0;
-    arrival.digest = request_digest(*carried, arrival.host, arrival.caller);
+    arrival.digest = request_digest(
+        *carried, arrival.host,
+        header_of(this->parser->get(), this->core->settings().names.caller));
     carried->replied = [self = std::weak_ptr(this->shared_from_this())]
     {
         if (std::shared_ptr<caller_connection> const connection = self.lock())
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -56,6 +56,8 @@
         return "An earlier run ended without a known answer.";
     case refusal_reason::no_memory:
         return "This entry host is out of memory.";
+    case refusal_reason::crashes_upstreams:
+        return "Upstreams ended while they ran this request.";
     }
     return "";
 }
--- a/bilberrylead/http/request_digest.cpp
+++ b/bilberrylead/http/request_digest.cpp
@@ -43,12 +43,12 @@
 }
 
 std::uint64_t request_digest(carried_request const& carried,
-                             std::string_view host, caller_id const& caller)
+                             std::string_view host, std::string_view account)
 {
     std::string head;
     append_head(head, carried);
     append_line(head, host);
-    append_line(head, caller.text());
+    append_line(head, account);
     if (!carried.complete)
     {
         append_line(head, carried.message[beast::http::field::content_length]);
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -3,10 +3,13 @@
 #include "bilberrylead/core/log.hpp"
 #include "bilberrylead/core/log_line.hpp"
 #include "bilberrylead/http/caller_connection.hpp"
+#include "bilberrylead/http/upstream_probe.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -29,17 +32,56 @@
     { event.request } -> std::convertible_to<entry::request_number>;
 };
 
-/// All but the last, with commas between.
-std::string earlier_upstreams(std::vector<upstream_id> const& tried)
+std::string digest_text(std::uint64_t digest)
+{
+    return fmt::format("{:016x}", digest);
+}
+
+/// Their names, with commas between.
+template <class Iterator>
+std::string names_of(Iterator begin, Iterator end)
 {
     std::string names;
-    for (std::size_t place = 0; place + 1 < tried.size(); ++place)
+    for (Iterator each = begin; each != end; ++each)
     {
-        names += (place == 0 ? "" : ",") + tried[place].text();
+        names += (each == begin ? "" : ",") + each->text();
     }
     return names;
 }
 
+std::string earlier_upstreams(std::vector<upstream_id> const& tried)
+{
+    return tried.empty() ? std::string()
+                         : names_of(tried.begin(), std::prev(tried.end()));
+}
+
+std::string_view to_string(policy::crash_verdict verdict)
+{
+    switch (verdict)
+    {
+    case policy::crash_verdict::unrestricted:
+        return "unrestricted";
+    case policy::crash_verdict::restricted:
+        return "restricted";
+    case policy::crash_verdict::refused:
+        break;
+    }
+    return "refused";
+}
+
+void log_crash_record(entry::crash_record_changed const& changed)
+{
+    log_line("entry", "crash_record")
+        .text("digest", digest_text(changed.record.digest))
+        .number("generation",
+                static_cast<std::int64_t>(changed.record.generation))
+        .text("ended", names_of(changed.record.ended.begin(),
+                                changed.record.ended.end()))
+        .text("verdict", to_string(changed.verdict))
+        .text("source", changed.heard ? "heard" : "own")
+        .write();
+}
+
 } // namespace
 
 server_core::server_core(executor const& place, server_settings settings,
@@ -236,6 +278,24 @@
     {
         this->log_end(*end);
     }
+    else if (entry::probe_upstream const* wanted =
+                 std::get_if<entry::probe_upstream>(&decided))
+    {
+        this->probe(*wanted);
+    }
+    else if (entry::loss_settled const* settled =
+                 std::get_if<entry::loss_settled>(&decided))
+    {
+        log_line("entry", "upstream_lost")
+            .text("upstream", settled->upstream.text())
+            .text("verdict", settled->ended ? "ended" : "takes-connections")
+            .write();
+    }
+    else if (entry::crash_record_changed const* changed =
+                 std::get_if<entry::crash_record_changed>(&decided))
+    {
+        log_crash_record(*changed);
+    }
     else if (std::holds_alternative<entry::close_callers_after_answer>(decided))
     {
         logger.info("The drain has begun; answers end their connections.");
@@ -288,7 +348,7 @@
         .text("earlier", earlier_upstreams(end.tried))
         .text("region", end.region.text())
         .number("tries", static_cast<std::int64_t>(end.tried.size()))
-        .text("digest", fmt::format("{:016x}", end.digest))
+        .text("digest", digest_text(end.digest))
         .text("caller", end.caller.text())
         .time("expected_wait_ms", end.expected_wait)
         .real("run_factor", end.run_factor)
@@ -318,6 +378,21 @@
     found->second->exchange->begin();
 }
 
+void server_core::probe(entry::probe_upstream const& wanted)
+{
+    probe_upstream(
+        this->where, wanted.address, this->chosen.pool.connect_timeout,
+        [self = this->weak_from_this(),
+         upstream = wanted.upstream](entry::probe_outcome outcome)
+        {
+            std::shared_ptr<server_core> const core = self.lock();
+            if (core != nullptr && !core->stopped)
+            {
+                core->dispatch(entry::upstream_probed{upstream, outcome});
+            }
+        });
+}
+
 void server_core::answer(entry::request_number number, http::reply decided)
 {
     carried_request* request = this->find(number);
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -116,6 +116,7 @@
     void carry_out(entry::effect const& decided);
     void answer(entry::request_number number, http::reply decided);
     void start(entry::start_upstream const& order);
+    void probe(entry::probe_upstream const& wanted);
     void release_if_over(entry::request_number number);
     void log_end(entry::request_ended const& end);
     void end_drain();
--- a/bilberrylead/load/stand_in_connection.cpp
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdlib>
 #include <optional>
 #include <utility>
 
@@ -34,6 +35,8 @@
 
 constexpr std::uint64_t largest_body = std::uint64_t{1} << 30U;
 constexpr instant never = instant::max();
+/// Exit code of the process when a request ends it.
+constexpr int exit_crashed = 70;
 
 answered_request name_of(http::request<http::string_body> const& request)
 {
@@ -173,8 +176,12 @@
     this->stop_watching();
     bool const gone = this->is_cancelled();
     bool const expired = clock_now() < work_end;
-    bool const download =
-        split_target(from_beast(request.target())).path.ends_with("/download");
+    target_parts const target = split_target(from_beast(request.target()));
+    if (!gone && !expired && query_field(target.query, "crash") == "1")
+    {
+        std::_Exit(exit_crashed);
+    }
+    bool const download = target.path.ends_with("/download");
     if (gone || expired || !download)
     {
         this->upstream->release_slot(clock_now());
--- a/tests/unit/entry/crash_fleet.hpp
+++ b/tests/unit/entry/crash_fleet.hpp
@@ -72,6 +72,14 @@
         this->give(host, upstreams_listed{this->listing()});
         this->give(host, entry_hosts_counted{this->processes.size(),
                                              this->processes.size()});
+        // Whoever it links to tells what is known.
+        for (std::size_t other = 0; other < this->processes.size(); ++other)
+        {
+            if (other != host && this->processes[other] != nullptr)
+            {
+                this->exchange(other, host);
+            }
+        }
     }
 
     /// A request comes to an entry host. One with the digest of `crashing`
@@ -145,6 +153,25 @@
         }
     }
 
+    /// Cuts a host off from the others, or joins it to them again.
+    void set_cut(std::size_t host, bool cut)
+    {
+        if (cut)
+        {
+            this->cut_off.insert(host);
+            return;
+        }
+        this->cut_off.erase(host);
+        for (std::size_t other = 0; other < this->processes.size(); ++other)
+        {
+            if (other != host)
+            {
+                this->exchange(other, host);
+                this->exchange(host, other);
+            }
+        }
+    }
+
     /// Upstreams that ended so far.
     std::size_t ended() const
     {
@@ -180,10 +207,11 @@
         return this->arrived[digest];
     }
 
-    /// Requests that were refused since upstreams ended under them.
-    std::size_t refused_for_crashes() const
+    /// Requests with that digest that were refused since upstreams ended
+    /// under it.
+    std::size_t refused_for_crashes(std::uint64_t digest)
     {
-        return this->refusals;
+        return this->refusals[digest];
     }
 
     std::size_t hosts() const
@@ -272,6 +300,28 @@
         }
     }
 
+    bool is_cut(std::size_t one, std::size_t other) const
+    {
+        return this->cut_off.contains(one) != this->cut_off.contains(other);
+    }
+
+    /// One host tells another all that it knows.
+    void exchange(std::size_t from, std::size_t to)
+    {
+        this->tell(from, to, this->processes[from]->crash_records().all());
+    }
+
+    void tell(std::size_t from, std::size_t to,
+              std::vector<policy::crash_record> const& records)
+    {
+        if (records.empty() || this->is_cut(from, to))
+        {
+            return;
+        }
+        this->give_later(this->settings.news_lag, to, this->incarnations[to],
+                         crash_records_heard{from, records});
+    }
+
     template <class Other>
     void carry_out(std::size_t, Other const&)
     {
@@ -312,12 +362,32 @@
                     });
     }
 
+    void carry_out(std::size_t host, probe_upstream const& wanted)
+    {
+        bool const alive = this->places[wanted.address.port - 1U].alive;
+        this->give_later(
+            1ms, host, this->incarnations[host],
+            upstream_probed{wanted.upstream, alive ? probe_outcome::taken
+                                                   : probe_outcome::refused});
+    }
+
+    void carry_out(std::size_t host, tell_crash_records const& wanted)
+    {
+        for (std::size_t other = 0; other < this->processes.size(); ++other)
+        {
+            if (other != host &&
+                (!wanted.only_to.has_value() || other == *wanted.only_to))
+            {
+                this->tell(host, other, wanted.records);
+            }
+        }
+    }
+
     void carry_out(std::size_t, request_ended const& end)
     {
-        if (end.reason.has_value() &&
-            to_string(*end.reason) == "crashes-upstreams")
+        if (end.reason == refusal_reason::crashes_upstreams)
         {
-            ++this->refusals;
+            ++this->refusals[end.digest];
         }
     }
 
@@ -360,7 +430,8 @@
     std::vector<std::pair<instant, std::uint64_t>> sendings;
     std::vector<instant> crashes;
     std::size_t ended_count = 0;
-    std::size_t refusals = 0;
+    std::set<std::size_t> cut_off;
+    std::map<std::uint64_t, std::size_t> refusals;
     std::uint64_t last_request = 0;
 };
 
--- a/tests/unit/entry/crashing_request_test.cpp
+++ b/tests/unit/entry/crashing_request_test.cpp
@@ -16,6 +16,12 @@
 /// Runs that are allowed later than that after the third crash.
 constexpr std::size_t late_runs = 3;
 
+/// Digest of a request that comes once and crashes nothing.
+std::uint64_t innocent(std::uint64_t number)
+{
+    return (number << 32U) | 1U;
+}
+
 /// Repeats of a request that crashes its upstreams come to one entry host
 /// after the other, each so much later than the one before; beside them
 /// every host gets requests of its own.
@@ -29,8 +35,7 @@
         for (std::size_t other = 0; other < 4; ++other)
         {
             next_digest += 2;
-            fleet.arrive((host + other) % fleet.hosts(),
-                         (next_digest << 32U) | 1U);
+            fleet.arrive((host + other) % fleet.hosts(), innocent(next_digest));
         }
         ++host;
         fleet.run_for(pause);
@@ -64,3 +69,129 @@
         expect_budget_kept(fleet, "prompt news");
     }
 }
+
+// Guards against repeats that run until slow news have come: late, but not
+// later than hosts in contact may be.
+Test(crashing_request, repeats_stop_when_news_come_three_seconds_late)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        crash_fleet fleet({.hosts = hosts, .news_lag = 3s});
+        repeat_crashing(fleet, 200ms, 20s);
+        expect_budget_kept(fleet, "late news");
+    }
+}
+
+// Guards against repeats that go on in waves once upstreams are back.
+Test(crashing_request, repeats_with_prompt_news_end_few_upstreams)
+{
+    constexpr std::size_t most_ended = 6;
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        crash_fleet fleet({.hosts = hosts});
+        repeat_crashing(fleet, 200ms, 40s);
+        cr_expect_leq(fleet.ended(), most_ended, "%zu hosts: %zu ended", hosts,
+                      fleet.ended());
+    }
+}
+
+// Guards against entry hosts that start without knowing what crashes
+// upstreams.
+Test(crashing_request, restarted_hosts_refuse_what_others_know)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        crash_fleet fleet({.hosts = hosts});
+        repeat_crashing(fleet, 200ms, 8s);
+        // The first one goes on, the others restart together.
+        for (std::size_t host = 1; host < hosts; ++host)
+        {
+            fleet.start_host(host);
+        }
+        repeat_crashing(fleet, 200ms, 8s);
+        expect_budget_kept(fleet, "restart");
+    }
+}
+
+// Guards against a host that was cut off, and learns nothing of what the
+// others found meanwhile.
+Test(crashing_request, host_that_was_cut_off_learns_when_it_is_back)
+{
+    crash_fleet fleet({.hosts = 10});
+    fleet.set_cut(9, true);
+    repeat_crashing(fleet, 200ms, 8s);
+    fleet.set_cut(9, false);
+    fleet.run_for(contact_time);
+    std::size_t const before = fleet.ended();
+    repeat_crashing(fleet, 200ms, 10s);
+    cr_expect_eq(fleet.ended(), before);
+}
+
+// Guards against innocent requests that are refused since a whole zone ended
+// under them.
+Test(crashing_request, innocent_requests_of_an_ended_zone_are_not_refused)
+{
+    constexpr std::uint64_t requests = 40;
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        crash_fleet fleet({.hosts = hosts});
+        for (std::uint64_t number = 1; number <= requests; ++number)
+        {
+            fleet.arrive(number % hosts, innocent(number));
+        }
+        fleet.run_for(20ms);
+        for (std::size_t slot = 0; slot < 6; ++slot)
+        {
+            fleet.end_upstream(slot);
+        }
+        fleet.run_for(3s);
+        for (std::uint64_t number = 1; number <= requests; ++number)
+        {
+            fleet.arrive(number % hosts, innocent(number));
+        }
+        fleet.run_for(3s);
+        for (std::uint64_t number = 1; number <= requests; ++number)
+        {
+            cr_expect_eq(fleet.refused_for_crashes(innocent(number)), 0U);
+            cr_expect_geq(fleet.answered(innocent(number)), 1U);
+        }
+    }
+}
+
+// Guards against a popular request that is refused since upstreams end while
+// it runs, as something runs nearly always.
+Test(crashing_request, popular_request_beside_many_crashes_is_not_refused)
+{
+    constexpr std::uint64_t popular = 3;
+    crash_fleet fleet({.hosts = 10});
+    for (std::size_t step = 0; step < 200; ++step)
+    {
+        fleet.arrive(step % fleet.hosts(), popular);
+        fleet.arrive((step + 3) % fleet.hosts(), popular);
+        if (step % 10 == 9)
+        {
+            fleet.end_upstream(step / 10 % 18);
+        }
+        fleet.run_for(50ms);
+    }
+    cr_expect_gt(fleet.answered(popular), 300U);
+    cr_expect_eq(fleet.refused_for_crashes(popular), 0U);
+}
+
+// Guards against reset connections that are taken for crashes.
+Test(crashing_request, request_whose_connections_are_reset_is_not_refused)
+{
+    constexpr std::uint64_t unlucky = 3;
+    crash_fleet fleet({.hosts = 10});
+    for (std::size_t step = 0; step < 50; ++step)
+    {
+        fleet.arrive(step % fleet.hosts(), unlucky);
+        fleet.run_for(50ms);
+        for (std::size_t slot = 0; slot < 18; ++slot)
+        {
+            fleet.reset_upstream(slot);
+        }
+        fleet.run_for(150ms);
+    }
+    cr_expect_eq(fleet.refused_for_crashes(unlucky), 0U);
+}
