--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -211,6 +211,9 @@
     builder.counter("bilberry_entry_crash_records_evicted_total",
                     "Records that were evicted, since there were too many.",
                     crashes.evicted());
+    builder.counter("bilberry_entry_unreadable_limits_total",
+                    "Answers of upstreams with a limit that is no number.",
+                    counters.unreadable_limits);
     add_requests(builder, counters);
     add_latency(builder, counters);
     add_refusals(builder, counters);
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -221,6 +221,15 @@
     bool ended = false;
 };
 
+/// An upstream's limit has changed. For the log.
+struct upstream_limit_changed
+{
+    /// The upstream.
+    upstream_id upstream;
+    /// Requests a second from all entry hosts; nothing: no limit any more.
+    std::optional<double> per_second;
+};
+
 /// The record of a request under which upstreams ended has changed. For the
 /// log.
 struct crash_record_changed
@@ -255,14 +264,13 @@
 };
 
 /// Everything an entry host can be told to do.
-using effect =
-    std::variant<start_upstream, pass_answer_on, collect_answer,
-                 answer_collected, answer_not_run, answer_unknown,
-                 answer_recorded, answer_problem, request_claim,
-                 report_completion, report_release, report_unknown,
-                 cancel_upstream, close_callers_after_answer,
-                 stop_taking_callers, request_ended, drained, probe_upstream,
-                 loss_settled, crash_record_changed, tell_crash_records>;
+using effect = std::variant<
+    start_upstream, pass_answer_on, collect_answer, answer_collected,
+    answer_not_run, answer_unknown, answer_recorded, answer_problem,
+    request_claim, report_completion, report_release, report_unknown,
+    cancel_upstream, close_callers_after_answer, stop_taking_callers,
+    request_ended, drained, probe_upstream, loss_settled,
+    upstream_limit_changed, crash_record_changed, tell_crash_records>;
 
 /// Effects in the order in which they are to be carried out.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -49,6 +49,8 @@
     std::map<service_id, service_counters> services;
     /// Final answers that were not the upstream's, by reason.
     std::array<std::uint64_t, refusal_reason_count> refusals{};
+    /// Limits of upstreams that could not be read.
+    std::uint64_t unreadable_limits = 0;
     /// Gauge: requests that hold an upstream's slot now.
     std::size_t slots_in_use = 0;
     /// Gauge: requests that wait for a slot now.
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -176,6 +176,8 @@
     void note_failure(live_request const& request);
     void note_run(live_request const& request);
     void note_loss(live_request const& request);
+    void note_limit(live_request const& request,
+                    upstream_head_received const& head);
     void note_whole_answer(live_request const& request);
     void note_end(upstream_id const& upstream);
     void note_crash(std::uint64_t digest, upstream_id const& upstream);
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -33,6 +33,23 @@
 
 } // namespace
 
+void entry_reducer::note_limit(live_request const& request,
+                               upstream_head_received const& head)
+{
+    if (!head.limit_readable)
+    {
+        // A limit that cannot be read changes nothing.
+        ++this->counted.unreadable_limits;
+        return;
+    }
+    upstream_id const& upstream = request.tried.back();
+    if (!head.misdirected &&
+        this->state_of(request.service).note_limit(upstream, head.limit))
+    {
+        this->out.push_back(upstream_limit_changed{upstream, head.limit});
+    }
+}
+
 void entry_reducer::note_failure(live_request const& request)
 {
     this->state_of(request.service)
@@ -52,6 +69,7 @@
     {
         state.note_leaving(upstream, this->now + this->chosen.leaving_memory);
     }
+    this->note_limit(*request, happened);
     if (happened.not_run)
     {
         this->out.push_back(cancel_upstream{request->number});
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -135,6 +135,11 @@
     bool misdirected = false;
     /// Its load, if it tells that.
     std::optional<upstream_load> load;
+    /// Requests a second that it takes from all entry hosts, if it names a
+    /// limit.
+    std::optional<double> limit;
+    /// False if it names a limit that cannot be read.
+    bool limit_readable = true;
 };
 
 /// The upstream's answer has been read to its end.
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -335,6 +335,12 @@
     known.is_reported = true;
 }
 
+bool service_state::note_limit(upstream_id const& id,
+                               std::optional<double> limit)
+{
+    return std::exchange(this->record(id).limit, limit) != limit;
+}
+
 void service_state::note_leaving(upstream_id const& id, instant until)
 {
     this->record(id).leaving_until = until;
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -134,6 +134,10 @@
     void note_load(upstream_id const& id, upstream_load const& load,
                    instant now);
 
+    /// The limit that the upstream named in an answer; nothing if it named
+    /// none. True if it is another one than before.
+    bool note_limit(upstream_id const& id, std::optional<double> limit);
+
     /// The upstream worked on a request of this host's: so long as it would
     /// take where the object is known, 0 for none.
     void note_run(upstream_id const& id, duration time, std::uint64_t object,
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/policy/upstream_health.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace bilberrylead::entry
 {
@@ -47,6 +48,9 @@
     policy::object_memory objects;
     /// What this host may send it while it is cold.
     policy::rate_limit cold_tokens;
+    /// Requests a second that it takes from all entry hosts, by its own last
+    /// answer; nothing: it names no limit.
+    std::optional<double> limit;
     /// It is cold until then, by what it or its zone's return showed.
     instant cold_until{};
 };
--- a/bilberrylead/http/header_names.hpp
+++ b/bilberrylead/http/header_names.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_HTTP_HEADER_NAMES_HPP
 
 #include <string>
+#include <vector>
 
 namespace bilberrylead::http
 {
@@ -32,6 +33,10 @@
     std::string expected_upstream;
     /// An upstream's load: running, waiting, slots.
     std::string load;
+    /// Requests a second that an upstream takes from all entry hosts
+    /// together, for as long as its answers say so. The first of these that
+    /// an answer has counts.
+    std::vector<std::string> limit = {"Bilberry-Limit"};
     /// Stands in every successful answer of an upstream that is its own.
     std::string answer_mark;
     /// True if callers give each request its id; false if this system does.
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -69,6 +69,18 @@
     return "refused";
 }
 
+void log_limit(entry::upstream_limit_changed const& changed)
+{
+    log_line line("entry", "upstream_limit");
+    line.text("upstream", changed.upstream.text())
+        .text("verdict", changed.per_second.has_value() ? "limited" : "ended");
+    if (changed.per_second.has_value())
+    {
+        line.real("per_second", *changed.per_second);
+    }
+    line.write();
+}
+
 void log_crash_record(entry::crash_record_changed const& changed)
 {
     log_line("entry", "crash_record")
@@ -291,6 +303,11 @@
             .text("verdict", settled->ended ? "ended" : "takes-connections")
             .write();
     }
+    else if (entry::upstream_limit_changed const* limited =
+                 std::get_if<entry::upstream_limit_changed>(&decided))
+    {
+        log_limit(*limited);
+    }
     else if (entry::crash_record_changed const* changed =
                  std::get_if<entry::crash_record_changed>(&decided))
     {
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
+#include "bilberrylead/http/limit_header.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
 
@@ -79,6 +80,16 @@
         beast::string_view const load = this->parser->get()[this->names.load];
         head.load = read_load({load.data(), load.size()});
     }
+    for (std::string const& name : this->names.limit)
+    {
+        beast::string_view const limit = this->parser->get()[name];
+        if (!limit.empty())
+        {
+            head.limit = read_limit({limit.data(), limit.size()});
+            head.limit_readable = head.limit.has_value();
+            break;
+        }
+    }
     if (head.not_run && this->parser->content_length().value_or(
                             largest_refusal + 1) <= largest_refusal)
     {
