--- a/tests/unit/entry/crashing_request_test.cpp
+++ b/tests/unit/entry/crashing_request_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/unit/entry/crash_fleet.hpp"
+#include "tests/unit/entry/upstream_fleet.hpp"
 
 #include <criterion/criterion.h>
 
@@ -25,13 +25,13 @@
 /// Repeats of a request that crashes its upstreams come to one entry host
 /// after the other, each so much later than the one before; beside them
 /// every host gets requests of its own.
-void repeat_crashing(crash_fleet& fleet, duration pause, duration time)
+void repeat_crashing(upstream_fleet& fleet, duration pause, duration time)
 {
     std::uint64_t next_digest = 1;
     std::size_t host = 0;
     for (duration passed{}; passed < time; passed += pause)
     {
-        fleet.arrive(host % fleet.hosts(), crash_fleet::crashing);
+        fleet.arrive(host % fleet.hosts(), upstream_fleet::crashing);
         for (std::size_t other = 0; other < 4; ++other)
         {
             next_digest += 2;
@@ -42,12 +42,12 @@
     }
 }
 
-void expect_budget_kept(crash_fleet const& fleet, char const* what)
+void expect_budget_kept(upstream_fleet const& fleet, char const* what)
 {
     std::size_t const late =
         fleet.third_crash() == instant::max()
             ? 0
-            : fleet.runs_of(crash_fleet::crashing,
+            : fleet.runs_of(upstream_fleet::crashing,
                             fleet.third_crash() + contact_time);
     cr_expect_leq(late, late_runs,
                   "%s, %zu hosts: %zu late runs, %zu upstreams ended", what,
@@ -64,7 +64,7 @@
 {
     for (std::size_t const hosts : fleet_sizes)
     {
-        crash_fleet fleet({.hosts = hosts});
+        upstream_fleet fleet({.hosts = hosts});
         repeat_crashing(fleet, 200ms, 20s);
         expect_budget_kept(fleet, "prompt news");
     }
@@ -76,7 +76,7 @@
 {
     for (std::size_t const hosts : fleet_sizes)
     {
-        crash_fleet fleet({.hosts = hosts, .news_lag = 3s});
+        upstream_fleet fleet({.hosts = hosts, .news_lag = 3s});
         repeat_crashing(fleet, 200ms, 20s);
         expect_budget_kept(fleet, "late news");
     }
@@ -88,7 +88,7 @@
     constexpr std::size_t most_ended = 6;
     for (std::size_t const hosts : fleet_sizes)
     {
-        crash_fleet fleet({.hosts = hosts});
+        upstream_fleet fleet({.hosts = hosts});
         repeat_crashing(fleet, 200ms, 40s);
         cr_expect_leq(fleet.ended(), most_ended, "%zu hosts: %zu ended", hosts,
                       fleet.ended());
@@ -101,7 +101,7 @@
 {
     for (std::size_t const hosts : fleet_sizes)
     {
-        crash_fleet fleet({.hosts = hosts});
+        upstream_fleet fleet({.hosts = hosts});
         repeat_crashing(fleet, 200ms, 8s);
         // The first one goes on, the others restart together.
         for (std::size_t host = 1; host < hosts; ++host)
@@ -117,7 +117,7 @@
 // others found meanwhile.
 Test(crashing_request, host_that_was_cut_off_learns_when_it_is_back)
 {
-    crash_fleet fleet({.hosts = 10});
+    upstream_fleet fleet({.hosts = 10});
     fleet.set_cut(9, true);
     repeat_crashing(fleet, 200ms, 8s);
     fleet.set_cut(9, false);
@@ -134,7 +134,7 @@
     constexpr std::uint64_t requests = 40;
     for (std::size_t const hosts : fleet_sizes)
     {
-        crash_fleet fleet({.hosts = hosts});
+        upstream_fleet fleet({.hosts = hosts});
         for (std::uint64_t number = 1; number <= requests; ++number)
         {
             fleet.arrive(number % hosts, innocent(number));
@@ -163,7 +163,7 @@
 Test(crashing_request, popular_request_beside_many_crashes_is_not_refused)
 {
     constexpr std::uint64_t popular = 3;
-    crash_fleet fleet({.hosts = 10});
+    upstream_fleet fleet({.hosts = 10});
     for (std::size_t step = 0; step < 200; ++step)
     {
         fleet.arrive(step % fleet.hosts(), popular);
@@ -182,7 +182,7 @@
 Test(crashing_request, request_whose_connections_are_reset_is_not_refused)
 {
     constexpr std::uint64_t unlucky = 3;
-    crash_fleet fleet({.hosts = 10});
+    upstream_fleet fleet({.hosts = 10});
     for (std::size_t step = 0; step < 50; ++step)
     {
         fleet.arrive(step % fleet.hosts(), unlucky);
--- a/tests/unit/entry/crash_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -1,8 +1,9 @@
-#ifndef BILBERRYLEAD_TESTS_UNIT_ENTRY_CRASH_FLEET_HPP
-#define BILBERRYLEAD_TESTS_UNIT_ENTRY_CRASH_FLEET_HPP
+#ifndef BILBERRYLEAD_TESTS_UNIT_ENTRY_UPSTREAM_FLEET_HPP
+#define BILBERRYLEAD_TESTS_UNIT_ENTRY_UPSTREAM_FLEET_HPP
 
 #include "tests/unit/entry/entry_fleet.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,8 +17,8 @@
 namespace bilberrylead::entry
 {
 
-/// What a crash_fleet is made of.
-struct crash_fleet_settings
+/// What a upstream_fleet is made of.
+struct upstream_fleet_settings
 {
     std::size_t hosts = 10;
     std::size_t upstreams = 18;
@@ -29,14 +30,16 @@
     duration news_lag = 50ms;
     /// Time that a run takes.
     duration run = 100ms;
+    /// Requests a second that upstream 0 names as its limit; nothing: none.
+    std::optional<double> limit = std::nullopt;
 };
 
 /// Entry hosts and upstreams that run requests, end under some of them and
 /// come back. Time passes only within `run_for`.
-class crash_fleet
+class upstream_fleet
 {
 public:
-    explicit crash_fleet(crash_fleet_settings const& chosen)
+    explicit upstream_fleet(upstream_fleet_settings const& chosen)
         : settings(chosen), processes(chosen.hosts), incarnations(chosen.hosts)
     {
         for (std::size_t slot = 0; slot < chosen.upstreams; ++slot)
@@ -189,6 +192,46 @@
         return count;
     }
 
+    /// When upstream 0 first named its limit.
+    std::optional<instant> first_named() const
+    {
+        return this->named_at;
+    }
+
+    /// Changes what upstream 0 names from now on.
+    void set_limit(std::optional<double> limit)
+    {
+        this->settings.limit = limit;
+    }
+
+    /// Requests that reached upstream 0 since an instant.
+    std::size_t limited_since(instant since) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->limited_sendings.begin(), this->limited_sendings.end(),
+            [since](instant sent)
+            {
+                return sent >= since;
+            }));
+    }
+
+    /// Most requests that reached upstream 0 in any span of that length,
+    /// from an instant on.
+    std::size_t most_limited_within(duration span, instant from) const
+    {
+        std::size_t most = 0;
+        for (instant const& begin : this->limited_sendings)
+        {
+            if (begin >= from)
+            {
+                std::size_t const within = this->limited_since(begin) -
+                                           this->limited_since(begin + span);
+                most = std::max(most, within);
+            }
+        }
+        return most;
+    }
+
     /// When the request ended an upstream for the third time.
     instant third_crash() const
     {
@@ -354,6 +397,10 @@
             return;
         }
         this->sendings.emplace_back(this->now, digest);
+        if (slot == 0)
+        {
+            this->limited_sendings.push_back(this->now);
+        }
         upstream.running[order.request] = {host, incarnation};
         this->later(this->settings.run,
                     [this, slot, number = order.request, digest]
@@ -413,12 +460,17 @@
             upstream_head_received head;
             head.request = number;
             head.status = 200;
+            head.limit = slot == 0 ? this->settings.limit : std::nullopt;
+            if (head.limit.has_value() && !this->named_at.has_value())
+            {
+                this->named_at = this->now;
+            }
             this->give(done.host, head);
             this->give(done.host, upstream_answer_finished{number, {}});
         }
     }
 
-    crash_fleet_settings settings;
+    upstream_fleet_settings settings;
     std::shared_ptr<config::configuration> content;
     std::vector<std::unique_ptr<entry_reducer>> processes;
     std::vector<std::uint64_t> incarnations;
@@ -429,6 +481,8 @@
     std::map<std::uint64_t, std::size_t> answers;
     std::vector<std::pair<instant, std::uint64_t>> sendings;
     std::vector<instant> crashes;
+    std::vector<instant> limited_sendings;
+    std::optional<instant> named_at;
     std::size_t ended_count = 0;
     std::set<std::size_t> cut_off;
     std::map<std::uint64_t, std::size_t> refusals;
