Entry hosts keep an upstream's limit together

What callers saw: little; the upstream is harmed.

Cause: the limit was not read; and a bound that each host keeps by itself does not bind the sum over all hosts.

Fix: shared_limit, a bucket of tokens for each limited upstream that every entry host keeps alike, from its own requests and those that others report (limit_notice). Hosts that see one token wait for another part of a further one each. The newest word of the upstream counts on all hosts. Placement and slots pass over an upstream without a token, so that further tries count; where all are at their limits the caller is refused at once, with a Retry-After from the rate of the tokens.

Why it works: requests are counted over all hosts, so that neither saved tokens of many hosts nor unused shares matter.

--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -101,6 +101,7 @@
     void on_peer(link::link_number from, link::upstream_request const& said);
     void on_peer(link::link_number from, link::region_plan const& said);
     void on_peer(link::link_number from, link::crash_report const& said);
+    void on_peer(link::link_number from, link::limit_notice const& said);
     template <class Other>
     void on_peer(link::link_number from, Other const& said);
 
--- a/bilberrylead/control/control_reducer_crashes.cpp
+++ b/bilberrylead/control/control_reducer_relay.cpp
@@ -1,6 +1,6 @@
 #include "bilberrylead/control/control_reducer.hpp"
 
-/// Relay of what hosts know of requests under which upstreams ended.
+/// Relay of what entry hosts tell each other about upstreams.
 namespace bilberrylead::control
 {
 
@@ -34,4 +34,18 @@
     }
 }
 
+void control_reducer::on_peer(link::link_number from,
+                              link::limit_notice const& said)
+{
+    bool const from_entry = this->links.at(from).role == link::peer_role::entry;
+    for (auto const& [number, peer] : this->links)
+    {
+        bool const is_entry = peer.role == link::peer_role::entry;
+        if (number != from && (from_entry || is_entry))
+        {
+            this->send(number, said);
+        }
+    }
+}
+
 } // namespace bilberrylead::control
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -254,6 +254,11 @@
     {
         this->tell_crashes(*crashes);
     }
+    else if (entry::tell_limits const* const limits =
+                 std::get_if<entry::tell_limits>(&wanted))
+    {
+        this->tell_limits(*limits);
+    }
     else if (std::holds_alternative<entry::drained>(wanted))
     {
         log.info("Everything under way has ended.");
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -150,6 +150,15 @@
                 entry::crash_records_heard{this->number, held.records});
         }
 
+        void operator()(link::limit_notice const& held) const
+        {
+            if (held.sender != this->owner.settings.id)
+            {
+                this->owner.server->dispatch(
+                    entry::limits_heard{held.sender, held.reports});
+            }
+        }
+
         void operator()(link::entry_presence const&) const
         {
         }
@@ -288,6 +297,23 @@
     }
 }
 
+/// One control host passes it on; neighbours hear it directly.
+void entry_program::implementation::tell_limits(
+    entry::tell_limits const& wanted)
+{
+    link::limit_notice const notice{this->settings.id, wanted.reports};
+    bool told_control = false;
+    for (auto const& [number, peer] : this->links)
+    {
+        bool const is_control = peer.role == link::peer_role::control;
+        if (!is_control || !told_control)
+        {
+            this->send(number, notice);
+        }
+        told_control = told_control || is_control;
+    }
+}
+
 void entry_program::implementation::on_listing(
     link::link_number number, link::upstream_update const& said)
 {
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -12,6 +12,7 @@
 #include "bilberrylead/once/recorded_answer.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
 #include "bilberrylead/policy/crash_verdict.hpp"
+#include "bilberrylead/policy/limit_report.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -228,6 +229,8 @@
     upstream_id upstream;
     /// Requests a second from all entry hosts; nothing: no limit any more.
     std::optional<double> per_second;
+    /// True if another host told it.
+    bool heard = false;
 };
 
 /// The record of a request under which upstreams ended has changed. For the
@@ -251,6 +254,13 @@
     std::optional<std::uint64_t> only_to = std::nullopt;
 };
 
+/// Tell the other entry hosts what was sent to upstreams that name a limit.
+struct tell_limits
+{
+    /// An entry for each upstream to which something has changed.
+    std::vector<policy::limit_report> reports;
+};
+
 /// Take no new connections of callers from now on, and close those that
 /// are idle.
 struct stop_taking_callers
@@ -264,13 +274,15 @@
 };
 
 /// Everything an entry host can be told to do.
-using effect = std::variant<
-    start_upstream, pass_answer_on, collect_answer, answer_collected,
-    answer_not_run, answer_unknown, answer_recorded, answer_problem,
-    request_claim, report_completion, report_release, report_unknown,
-    cancel_upstream, close_callers_after_answer, stop_taking_callers,
-    request_ended, drained, probe_upstream, loss_settled,
-    upstream_limit_changed, crash_record_changed, tell_crash_records>;
+using effect =
+    std::variant<start_upstream, pass_answer_on, collect_answer,
+                 answer_collected, answer_not_run, answer_unknown,
+                 answer_recorded, answer_problem, request_claim,
+                 report_completion, report_release, report_unknown,
+                 cancel_upstream, close_callers_after_answer,
+                 stop_taking_callers, request_ended, drained, probe_upstream,
+                 loss_settled, upstream_limit_changed, crash_record_changed,
+                 tell_crash_records, tell_limits>;
 
 /// Effects in the order in which they are to be carried out.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -134,6 +134,7 @@
     void on(regions_planned const& happened);
     void on(upstream_probed const& happened);
     void on(crash_records_heard const& happened);
+    void on(limits_heard const& happened);
 
     live_request* find(request_number number);
     void admit(live_request request);
@@ -178,6 +179,8 @@
     void note_loss(live_request const& request);
     void note_limit(live_request const& request,
                     upstream_head_received const& head);
+    void report_limits();
+    void refuse_unplaced(live_request& request);
     void note_whole_answer(live_request const& request);
     void note_end(upstream_id const& upstream);
     void note_crash(std::uint64_t digest, upstream_id const& upstream);
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -173,6 +173,7 @@
         this->refuse_expired(state);
         this->freed.insert(service);
     }
+    this->report_limits();
     this->crashes.expire(this->now);
     this->losses.expire(this->now);
     this->look_for_drain_end();
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -166,7 +166,7 @@
     if (upstream == nullptr)
     {
         request.life.pause();
-        this->refuse(request, refusal_reason::no_upstream);
+        this->refuse_unplaced(request);
         return;
     }
     this->start_at(request, *upstream);
@@ -210,7 +210,7 @@
         this->refuse(request, refusal_reason::no_room, full->retry_after);
         return;
     }
-    this->refuse(request, refusal_reason::no_upstream);
+    this->refuse_unplaced(request);
 }
 
 policy::placement_verdict entry_reducer::find_place(live_request& request,
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -33,23 +33,6 @@
 
 } // namespace
 
-void entry_reducer::note_limit(live_request const& request,
-                               upstream_head_received const& head)
-{
-    if (!head.limit_readable)
-    {
-        // A limit that cannot be read changes nothing.
-        ++this->counted.unreadable_limits;
-        return;
-    }
-    upstream_id const& upstream = request.tried.back();
-    if (!head.misdirected &&
-        this->state_of(request.service).note_limit(upstream, head.limit))
-    {
-        this->out.push_back(upstream_limit_changed{upstream, head.limit});
-    }
-}
-
 void entry_reducer::note_failure(live_request const& request)
 {
     this->state_of(request.service)
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/once/claim_verdict.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
+#include "bilberrylead/policy/limit_report.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -253,14 +254,22 @@
     std::vector<policy::crash_record> records;
 };
 
+/// Another entry host tells what it sent to upstreams that name a limit.
+struct limits_heard
+{
+    /// That host.
+    host_id sender;
+    /// What it tells.
+    std::vector<policy::limit_report> reports;
+};
+
 /// Everything that can happen to an entry host.
-using event =
-    std::variant<configuration_received, request_arrived, claim_answered,
-                 completion_stored, upstream_head_received,
-                 upstream_answer_finished, upstream_failed, caller_gone,
-                 load_reported, tick, drain_requested, control_reachable,
-                 control_unreachable, upstreams_listed, entry_hosts_counted,
-                 regions_planned, upstream_probed, crash_records_heard>;
+using event = std::variant<
+    configuration_received, request_arrived, claim_answered, completion_stored,
+    upstream_head_received, upstream_answer_finished, upstream_failed,
+    caller_gone, load_reported, tick, drain_requested, control_reachable,
+    control_unreachable, upstreams_listed, entry_hosts_counted, regions_planned,
+    upstream_probed, crash_records_heard, limits_heard>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -141,7 +141,10 @@
         upstream_record const& known = *this->configured_records[place];
         std::uint32_t const usable = known.health.usable_slots();
         found.usable += usable;
-        found.free += usable - std::min(usable, known.in_flight);
+        if (known.limit.has_token(now))
+        {
+            found.free += usable - std::min(usable, known.in_flight);
+        }
     }
     found.brief_average = this->average_taken;
     found.brief_time = this->held.mean();
@@ -237,10 +240,11 @@
         view.leaving = !this->open(place, now);
         // What is beyond the slots would wait behind one, where it can be
         // neither moved nor refused in time.
-        view.allowed = this->reaches(reached, place) &&
-                       known.in_flight < view.usable_slots &&
-                       std::find(left_out.begin(), left_out.end(),
-                                 upstream.id) == left_out.end();
+        view.allowed =
+            this->reaches(reached, place) && known.limit.has_token(now) &&
+            known.in_flight < view.usable_slots &&
+            std::find(left_out.begin(), left_out.end(), upstream.id) ==
+                left_out.end();
     }
 }
 
@@ -273,6 +277,11 @@
     {
         known.cold_tokens.take(this->cold.requests_per_second, now);
     }
+    if (known.limit.limits(now))
+    {
+        known.limit.take(now, this->random);
+        this->untold_limits.insert(id);
+    }
     ++known.in_flight;
     ++this->taken;
 }
@@ -335,12 +344,6 @@
     known.is_reported = true;
 }
 
-bool service_state::note_limit(upstream_id const& id,
-                               std::optional<double> limit)
-{
-    return std::exchange(this->record(id).limit, limit) != limit;
-}
-
 void service_state::note_leaving(upstream_id const& id, instant until)
 {
     this->record(id).leaving_until = until;
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -12,6 +12,7 @@
 #include "bilberrylead/policy/cold_share.hpp"
 #include "bilberrylead/policy/completion_choice.hpp"
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/limit_report.hpp"
 #include "bilberrylead/policy/placement_candidate.hpp"
 #include "bilberrylead/policy/placement_question.hpp"
 #include "bilberrylead/policy/placement_verdict.hpp"
@@ -29,6 +30,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -136,7 +138,20 @@
 
     /// The limit that the upstream named in an answer; nothing if it named
     /// none. True if it is another one than before.
-    bool note_limit(upstream_id const& id, std::optional<double> limit);
+    bool note_limit(upstream_id const& id, std::optional<double> limit,
+                    instant now);
+
+    /// What another entry host tells of an upstream's limit. True if the
+    /// limit is another one by it.
+    bool hear_limit(host_id const& sender, policy::limit_report const& report,
+                    instant now);
+
+    /// What has to be told of limits since the last call.
+    std::vector<policy::limit_report> take_limit_reports(instant now);
+
+    /// Time until one of the upstreams within reach that are at their limits
+    /// may get a request; nothing if there is none.
+    std::optional<duration> limit_wait(reach const& reached, instant now) const;
 
     /// The upstream worked on a request of this host's: so long as it would
     /// take where the object is known, 0 for none.
@@ -258,6 +273,8 @@
     policy::arrival_rate arrivals{demand_memory};
     policy::region_shares shares{region_pace};
     std::unordered_map<upstream_id, upstream_record> records;
+    // Upstreams whose limits or counts the other entry hosts don't know yet.
+    std::set<upstream_id> untold_limits;
     std::map<reach, policy::admission_queue> queues;
     policy::completion_choice choice;
     policy::service_time_estimate held;
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -122,6 +122,7 @@
         candidate.familiar = object != 0 && known.objects.knows(object);
         candidate.allowed =
             this->reaches(reached, place) && this->open(place, now) &&
+            known.limit.has_token(now) &&
             (!is_cold ||
              (this->sends_cold_to(candidate.hash, candidate.region) &&
               known.cold_tokens.has_token(this->cold.requests_per_second,
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -5,11 +5,11 @@
 #include "bilberrylead/policy/object_memory.hpp"
 #include "bilberrylead/policy/rate_limit.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
+#include "bilberrylead/policy/shared_limit.hpp"
 #include "bilberrylead/policy/upstream_estimate.hpp"
 #include "bilberrylead/policy/upstream_health.hpp"
 
 #include <cstdint>
-#include <optional>
 
 namespace bilberrylead::entry
 {
@@ -48,9 +48,10 @@
     policy::object_memory objects;
     /// What this host may send it while it is cold.
     policy::rate_limit cold_tokens;
-    /// Requests a second that it takes from all entry hosts, by its own last
-    /// answer; nothing: it names no limit.
-    std::optional<double> limit;
+    /// What it takes from all entry hosts together.
+    policy::shared_limit limit;
+    /// Answer by which the limit was told to the other entry hosts last.
+    instant limit_told{};
     /// It is cold until then, by what it or its zone's return showed.
     instant cold_until{};
 };
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -73,7 +73,8 @@
 {
     log_line line("entry", "upstream_limit");
     line.text("upstream", changed.upstream.text())
-        .text("verdict", changed.per_second.has_value() ? "limited" : "ended");
+        .text("verdict", changed.per_second.has_value() ? "limited" : "ended")
+        .text("source", changed.heard ? "heard" : "own");
     if (changed.per_second.has_value())
     {
         line.real("per_second", *changed.per_second);
--- a/bilberrylead/link/message.hpp
+++ b/bilberrylead/link/message.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/link/messages/group_news.hpp"
 #include "bilberrylead/link/messages/host_place.hpp"
 #include "bilberrylead/link/messages/leader_notice.hpp"
+#include "bilberrylead/link/messages/limit_notice.hpp"
 #include "bilberrylead/link/messages/once_request.hpp"
 #include "bilberrylead/link/messages/region_plan.hpp"
 #include "bilberrylead/link/messages/registration_reply.hpp"
@@ -33,7 +34,7 @@
                  configuration_update, registration_request, registration_reply,
                  once_request, claim_reply, settle_reply, leader_notice,
                  entry_presence, host_place, group_news, upstream_update,
-                 upstream_request, region_plan, crash_report>;
+                 upstream_request, region_plan, crash_report, limit_notice>;
 
 /// The message as CBOR; long documents and listings are packed, since entry
 /// hosts may stand behind a link of a few Mbit/s.
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/catalog/replicated_command.hpp"
 #include "bilberrylead/core/error.hpp"
 #include "bilberrylead/link/message_tag.hpp"
+#include "bilberrylead/link/thousandths.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -137,6 +138,29 @@
     return content;
 }
 
+limit_notice take_limit_notice(cbor_fields& fields)
+{
+    limit_notice content;
+    content.sender = host_id(fields.take_text(longest_text));
+    content.reports = take_list(
+        fields,
+        [&fields]()
+        {
+            policy::limit_report report;
+            report.upstream = upstream_id(fields.take_text(longest_text));
+            bool const is_limited = fields.take_bool();
+            double const rate = from_thousandths(fields.take_unsigned_32());
+            if (is_limited)
+            {
+                report.per_second = rate;
+            }
+            report.age = duration(fields.take_signed());
+            report.sent = fields.take_unsigned();
+            return report;
+        });
+    return content;
+}
+
 discovery::told_upstream take_upstream(cbor_fields& fields)
 {
     discovery::told_upstream told;
@@ -355,6 +379,8 @@
         return take_region_plan(fields);
     case message_tag::crash_report:
         return take_crash_report(fields);
+    case message_tag::limit_notice:
+        return take_limit_notice(fields);
     }
     return unknown_value("kind");
 }
--- a/bilberrylead/link/message_tag.hpp
+++ b/bilberrylead/link/message_tag.hpp
@@ -26,6 +26,7 @@
     upstream_request = 15,
     region_plan = 16,
     crash_report = 17,
+    limit_notice = 18,
 };
 
 /// First field of a claim_reply's verdict.
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -2,7 +2,9 @@
 
 #include "bilberrylead/catalog/replicated_command.hpp"
 #include "bilberrylead/link/message_tag.hpp"
+#include "bilberrylead/link/thousandths.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bilberrylead::link
@@ -13,6 +15,9 @@
 
 using json = nlohmann::json;
 
+/// A larger limit of an upstream is told as this one, requests a second.
+constexpr double largest_told_limit = 1e6;
+
 json with_tag(message_tag kind)
 {
     return json::array({static_cast<std::uint64_t>(kind)});
@@ -253,6 +258,23 @@
         return record;
     }
 
+    json operator()(limit_notice const& content) const
+    {
+        json record = with_tag(message_tag::limit_notice);
+        record.push_back(content.sender.text());
+        record.push_back(content.reports.size());
+        for (policy::limit_report const& each : content.reports)
+        {
+            record.push_back(each.upstream.text());
+            record.push_back(each.per_second.has_value());
+            record.push_back(to_thousandths(
+                std::min(each.per_second.value_or(0), largest_told_limit)));
+            record.push_back(each.age.count());
+            record.push_back(each.sent);
+        }
+        return record;
+    }
+
     static void put_position(discovery::list_position const& position,
                              json& record)
     {
--- /dev/null
+++ b/bilberrylead/policy/shared_limit.cpp
@@ -0,0 +1,119 @@
+#include "bilberrylead/policy/shared_limit.hpp"
+
+#include "bilberrylead/policy/generator.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace bilberrylead::policy
+{
+
+shared_limit::shared_limit(shared_limit_settings const& chosen)
+    : settings(chosen)
+{
+}
+
+double shared_limit::fill_rate() const
+{
+    return std::max(this->rate.value_or(0), this->settings.least_rate);
+}
+
+double shared_limit::most_saved() const
+{
+    return std::min(this->settings.most_saved, this->fill_rate());
+}
+
+/// Tokens that must be there before this host sends a request.
+double shared_limit::wanted() const
+{
+    return 1 + this->most_saved() * this->reserve_part;
+}
+
+double shared_limit::level(instant now) const
+{
+    std::chrono::duration<double> const passed = now - this->counted_at;
+    return std::min(this->tokens + passed.count() * this->fill_rate(),
+                    1 + this->most_saved());
+}
+
+bool shared_limit::limits(instant now) const
+{
+    return this->rate.has_value() &&
+           now - this->seen_at < this->settings.memory;
+}
+
+bool shared_limit::observe(std::optional<double> per_second, instant seen)
+{
+    if (seen < this->seen_at)
+    {
+        return false;
+    }
+    bool const is_new = !this->limits(seen);
+    bool const changed = this->rate != per_second;
+    if (changed && !is_new)
+    {
+        // What was saved so far was saved by the old limit.
+        this->tokens = this->level(seen);
+        this->counted_at = seen;
+    }
+    this->rate = per_second;
+    this->seen_at = seen;
+    if (!per_second.has_value())
+    {
+        this->sent_by.clear();
+    }
+    else if (is_new)
+    {
+        this->tokens = 0;
+        this->counted_at = seen;
+    }
+    return changed;
+}
+
+void shared_limit::spend(double spent, instant now, generator& random)
+{
+    double const least =
+        -std::max(1.0, this->settings.most_owed_seconds * this->fill_rate());
+    this->tokens = std::max(this->level(now) - spent, least);
+    this->counted_at = std::max(this->counted_at, now);
+    this->reserve_part = random.unit();
+}
+
+void shared_limit::take(instant now, generator& random)
+{
+    ++this->own_sent;
+    this->spend(1, now, random);
+}
+
+void shared_limit::hear(host_id const& host, std::uint64_t sent, instant now,
+                        generator& random)
+{
+    auto const [known, is_first] = this->sent_by.try_emplace(host, sent);
+    std::uint64_t const before = std::exchange(known->second, sent);
+    // Of a host that is heard for the first time, or has started anew, what
+    // it sent before is not known.
+    std::uint64_t const spent = is_first || sent < before ? 1 : sent - before;
+    if (spent > 0 && this->limits(now))
+    {
+        this->spend(static_cast<double>(spent), now, random);
+    }
+}
+
+bool shared_limit::has_token(instant now) const
+{
+    return !this->limits(now) || this->level(now) >= this->wanted();
+}
+
+duration shared_limit::until_token(instant now) const
+{
+    if (this->has_token(now))
+    {
+        return duration::zero();
+    }
+    double const missing = this->wanted() - this->level(now);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(missing / this->fill_rate()));
+}
+
+} // namespace bilberrylead::policy
--- /dev/null
+++ b/bilberrylead/policy/shared_limit_settings.hpp
@@ -0,0 +1,28 @@
+#ifndef BILBERRYLEAD_POLICY_SHARED_LIMIT_SETTINGS_HPP
+#define BILBERRYLEAD_POLICY_SHARED_LIMIT_SETTINGS_HPP
+
+#include "bilberrylead/core/time.hpp"
+
+#include <chrono>
+
+namespace bilberrylead::policy
+{
+
+/// Settings of shared_limit.
+struct shared_limit_settings
+{
+    /// A limit that no answer has confirmed for so long is forgotten.
+    duration memory = std::chrono::minutes(5);
+    /// Requests a second that are sent whatever the limit: without any,
+    /// nobody would hear its end.
+    double least_rate = 0.2;
+    /// Most tokens that may be saved beyond one; never more than a second's.
+    double most_saved = 2;
+    /// Least that the tokens may fall to, in seconds of the limit: what was
+    /// sent before the hosts knew of it is not made up for beyond that.
+    double most_owed_seconds = 4;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -477,3 +477,24 @@
     }
     cr_expect(found);
 }
+
+// Guards against counts of a limited upstream that some entry hosts do not
+// hear, or that control hosts hand round for ever.
+Test(control_reducer, limit_notice_reaches_entry_hosts_of_all_control_hosts)
+{
+    led_group group;
+    link::limit_notice const notice{
+        host_id("e1"),
+        {{upstream_id("u1"), 2.5, std::chrono::milliseconds(3), 4}}};
+    group.say(group.follower, notice);
+    for (std::size_t place = 0; place < control_group::hosts; ++place)
+    {
+        std::size_t heard = 0;
+        for (link::message const& each :
+             group.told[{place, led_group::entry_link}])
+        {
+            heard += std::holds_alternative<link::limit_notice>(each) ? 1U : 0U;
+        }
+        cr_expect_eq(heard, place == group.follower ? 0U : 1U);
+    }
+}
--- a/tests/unit/entry/limited_upstream_test.cpp
+++ b/tests/unit/entry/limited_upstream_test.cpp
@@ -63,3 +63,114 @@
         }
     }
 }
+
+// Guards against a limit that is kept by sending nothing.
+Test(limited_upstream, limit_is_used)
+{
+    constexpr double least_use = 0.7;
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        for (double const limit : limits)
+        {
+            upstream_fleet fleet(
+                {.hosts = hosts, .upstreams = 3, .limit = limit});
+            send_requests(fleet, 40, 10s);
+            instant const begin = fleet.now;
+            send_requests(fleet, 40, 30s);
+            double const sent = static_cast<double>(fleet.limited_since(begin));
+            cr_expect_geq(sent, least_use * limit * 30,
+                          "%zu hosts, limit %.1f: %.0f in 30 s", hosts, limit,
+                          sent);
+        }
+    }
+}
+
+// Guards against tokens that all hosts save while few requests come, and
+// spend together.
+Test(limited_upstream, burst_after_a_lull_keeps_the_limit)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        for (double const limit : limits)
+        {
+            upstream_fleet fleet(
+                {.hosts = hosts, .upstreams = 3, .limit = limit});
+            send_requests(fleet, 40, 6s);
+            send_requests(fleet, 1, 20s);
+            send_requests(fleet, 90, 6s);
+            std::size_t const most = fleet.most_limited_within(
+                contact_time, *fleet.first_named() + contact_time);
+            cr_expect_leq(static_cast<double>(most), allowed(limit),
+                          "%zu hosts, limit %.1f: %zu in 4 s", hosts, limit,
+                          most);
+        }
+    }
+}
+
+// Guards against hosts that start without knowing a limit, all together.
+Test(limited_upstream, restarted_hosts_keep_the_limit)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        constexpr double limit = 2.7;
+        upstream_fleet fleet({.hosts = hosts, .upstreams = 3, .limit = limit});
+        send_requests(fleet, 40, 8s);
+        for (std::size_t host = 1; host < hosts; ++host)
+        {
+            fleet.start_host(host);
+        }
+        send_requests(fleet, 40, 15s);
+        std::size_t const most = fleet.most_limited_within(
+            contact_time, *fleet.first_named() + contact_time);
+        cr_expect_leq(static_cast<double>(most), allowed(limit),
+                      "%zu hosts: %zu in 4 s", hosts, most);
+    }
+}
+
+// Guards against a limit that outlives the upstream's need.
+Test(limited_upstream, limit_ends_on_all_hosts_once_one_hears_its_end)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        for (double const limit : {0.0, 1.7})
+        {
+            upstream_fleet fleet(
+                {.hosts = hosts, .upstreams = 3, .limit = limit});
+            send_requests(fleet, 40, 8s);
+            fleet.set_limit(std::nullopt);
+            send_requests(fleet, 40, 10s);
+            instant const begin = fleet.now;
+            send_requests(fleet, 40, 4s);
+            cr_expect_gt(fleet.limited_since(begin), 30U,
+                         "%zu hosts, limit %.1f: %zu in 4 s", hosts, limit,
+                         fleet.limited_since(begin));
+        }
+    }
+}
+
+// Guards against a changed limit that is kept at its old value.
+Test(limited_upstream, lower_limit_replaces_the_first_one)
+{
+    upstream_fleet fleet({.hosts = 10, .upstreams = 3, .limit = 10});
+    send_requests(fleet, 40, 8s);
+    constexpr double lower = 1.7;
+    fleet.set_limit(lower);
+    instant const changed = fleet.now;
+    send_requests(fleet, 40, 15s);
+    std::size_t const most =
+        fleet.most_limited_within(contact_time, changed + contact_time);
+    cr_expect_leq(static_cast<double>(most), allowed(lower), "%zu in 4 s",
+                  most);
+}
+
+// Guards against callers that wait in vain where all upstreams are at their
+// limits.
+Test(limited_upstream, requests_are_refused_at_once_where_all_are_limited)
+{
+    upstream_fleet fleet({.hosts = 10, .upstreams = 1, .limit = 2});
+    send_requests(fleet, 40, 10s);
+    instant const begin = fleet.now;
+    send_requests(fleet, 40, 10s);
+    cr_expect_leq(fleet.limited_since(begin), 40U);
+    cr_expect_geq(fleet.limited_since(begin), 14U);
+}
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -430,6 +430,20 @@
         }
     }
 
+    void carry_out(std::size_t host, tell_limits const& wanted)
+    {
+        host_id const sender(fmt::format("edge-{}", host));
+        for (std::size_t other = 0; other < this->processes.size(); ++other)
+        {
+            if (other != host && !this->is_cut(host, other))
+            {
+                this->give_later(this->settings.news_lag, other,
+                                 this->incarnations[other],
+                                 limits_heard{sender, wanted.reports});
+            }
+        }
+    }
+
     void carry_out(std::size_t, request_ended const& end)
     {
         if (end.reason == refusal_reason::crashes_upstreams)
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -89,6 +89,10 @@
         link::upstream_update{listing_changes()},
         link::upstream_request{{3, 4}},
         link::region_plan{7, {{service_id("s"), region_id("r"), 400}}},
+        link::limit_notice{
+            host_id("e1"),
+            {{upstream_id("i-1"), 2.5, std::chrono::milliseconds(30), 12},
+             {upstream_id("i-2"), std::nullopt, duration::zero(), 0}}},
         link::crash_report{
             {{9, 1, {upstream_id("i-1"), upstream_id("i-2")}}, {8, 0, {}}}},
     };
--- /dev/null
+++ b/tests/unit/policy/shared_limit_test.cpp
@@ -0,0 +1,100 @@
+#include "bilberrylead/policy/shared_limit.hpp"
+
+#include "bilberrylead/policy/generator.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using policy::shared_limit;
+
+namespace
+{
+
+instant const start = instant{} + 1h;
+host_id const other("e2");
+
+/// Requests that one host sends in a time, one whenever it may.
+int sent_within(shared_limit& limit, duration time, instant from)
+{
+    policy::generator random(1);
+    int sent = 0;
+    for (instant now = from; now < from + time; now += 10ms)
+    {
+        if (limit.has_token(now))
+        {
+            limit.take(now, random);
+            ++sent;
+        }
+    }
+    return sent;
+}
+
+} // namespace
+
+Test(shared_limit, without_a_limit_every_request_is_sent)
+{
+    shared_limit limit;
+    cr_expect(limit.has_token(start));
+    cr_expect_eq(limit.until_token(start).count(), 0);
+    limit.observe(std::nullopt, start);
+    cr_expect(limit.has_token(start));
+}
+
+Test(shared_limit, rate_of_the_limit_is_sent)
+{
+    shared_limit limit;
+    cr_expect(limit.observe(2.0, start));
+    cr_expect_not(limit.observe(2.0, start));
+    int const sent = sent_within(limit, 20s, start);
+    cr_expect_leq(sent, 40);
+    cr_expect_geq(sent, 36);
+}
+
+Test(shared_limit, what_others_send_counts)
+{
+    policy::generator random(1);
+    shared_limit limit;
+    limit.observe(2.0, start);
+    limit.hear(other, 5, start, random);
+    cr_expect_not(limit.has_token(start + 500ms));
+    // The same sum twice counts once.
+    for (int time = 0; time < 10; ++time)
+    {
+        limit.hear(other, 5, start + 1s, random);
+    }
+    cr_expect(limit.has_token(start + 3s));
+    limit.hear(other, 9, start + 3s, random);
+    cr_expect_not(limit.has_token(start + 4s));
+}
+
+// Guards against news that come late and bring an ended limit back.
+Test(shared_limit, older_words_of_the_upstream_change_nothing)
+{
+    shared_limit limit;
+    limit.observe(std::nullopt, start + 1s);
+    cr_expect_not(limit.observe(2.0, start));
+    cr_expect(limit.has_token(start + 1s));
+}
+
+Test(shared_limit, limit_that_nothing_confirms_is_forgotten)
+{
+    shared_limit limit;
+    limit.observe(2.0, start);
+    cr_expect_not(limit.has_token(start));
+    cr_expect(limit.has_token(start + 10min));
+    cr_expect_not(limit.limits(start + 10min));
+}
+
+// Guards against a limit of 0 whose end nobody would hear.
+Test(shared_limit, limit_of_zero_lets_few_requests_through)
+{
+    shared_limit limit;
+    limit.observe(0.0, start);
+    int const sent = sent_within(limit, 20s, start);
+    cr_expect_geq(sent, 2);
+    cr_expect_leq(sent, 5);
+    cr_expect_gt(limit.until_token(start + 20s).count(), 0);
+}
