Operators see and lift refusals of requests that ended upstreams

Cause: a request that is refused since three upstreams ended under it stayed so for 30 minutes after its last repeat, whatever operators did.

bilberryctl crashes shows what a control host knows, bilberryctl lift DIGEST clears the record with its next generation, which all hosts take over as they take a whole answer. Any control host does it, without a leader; who asked stands in its log. Not in the audit trail, which needs a quorum.

--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -16,6 +16,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -88,6 +89,15 @@
     agreement::membership_change_requested change;
 };
 
+/// An operator lets a request run again: for the log.
+struct crash_record_lifted
+{
+    /// The request's digest.
+    std::uint64_t digest = 0;
+    /// Who asked.
+    std::string operator_name;
+};
+
 /// What a control host wants done, strictly in order: nothing after a sync
 /// before the sync is through.
 using control_effect =
@@ -95,7 +105,7 @@
                  agreement::persist_snapshot, agreement::sync,
                  agreement::role_changed, send_to_peer, answer_operator,
                  link_members, call_upstream_list, listing_changed,
-                 orders_changed, membership_planned>;
+                 orders_changed, membership_planned, crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -114,6 +114,8 @@
     void ask(operator_asked const& asked, submit_orders const& request);
     void ask(operator_asked const& asked, submit_zone_order const& request);
     void ask(operator_asked const& asked, read_orders const& request);
+    void ask(operator_asked const& asked, read_crash_records const& request);
+    void ask(operator_asked const& asked, lift_crash_record const& request);
 
     void run_replica();
     void carry_out(agreement::persist_hard_state const& effect);
--- a/bilberrylead/control/control_reducer_relay.cpp
+++ b/bilberrylead/control/control_reducer_relay.cpp
@@ -1,5 +1,10 @@
 #include "bilberrylead/control/control_reducer.hpp"
 
+#include "bilberrylead/core/error.hpp"
+
+#include <optional>
+#include <utility>
+
 /// Relay of what entry hosts tell each other about upstreams.
 namespace bilberrylead::control
 {
@@ -34,6 +39,40 @@
     }
 }
 
+void control_reducer::ask(operator_asked const& asked,
+                          read_crash_records const&)
+{
+    crash_records_reply reply;
+    for (policy::crash_record& record : this->crashes.all())
+    {
+        policy::crash_verdict const verdict = this->crashes.verdict_of(record);
+        reply.rows.push_back({std::move(record), verdict});
+    }
+    this->answer(asked.number, std::move(reply));
+}
+
+void control_reducer::ask(operator_asked const& asked,
+                          lift_crash_record const& request)
+{
+    std::optional<policy::crash_record> const cleared =
+        this->crashes.clear(request.digest, this->time);
+    if (!cleared.has_value())
+    {
+        this->answer(asked.number,
+                     make_error(error_kind::unknown_name,
+                                "No upstream ended under such a request.",
+                                "Take the digest from bilberryctl crashes."));
+        return;
+    }
+    this->effects.emplace_back(
+        crash_record_lifted{request.digest, request.operator_name});
+    for (auto const& [number, peer] : this->links)
+    {
+        this->send(number, link::crash_report{{*cleared}});
+    }
+    this->answer(asked.number, done_reply{});
+}
+
 void control_reducer::on_peer(link::link_number from,
                               link::limit_notice const& said)
 {
--- a/bilberrylead/control/operator_reply.hpp
+++ b/bilberrylead/control/operator_reply.hpp
@@ -8,6 +8,8 @@
 #include "bilberrylead/catalog/order_outcome.hpp"
 #include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/policy/crash_record.hpp"
+#include "bilberrylead/policy/crash_verdict.hpp"
 
 #include <absl/status/status.h>
 
@@ -77,11 +79,27 @@
     bytes document;
 };
 
+/// A request under which upstreams ended.
+struct crash_record_row
+{
+    /// What is known of it.
+    policy::crash_record record;
+    /// What follows from it.
+    policy::crash_verdict verdict{};
+};
+
+/// Requests under which upstreams ended.
+struct crash_records_reply
+{
+    /// All that this host knows.
+    std::vector<crash_record_row> rows;
+};
+
 /// What a control host answers an operator; a Status says why it could not.
 using operator_reply =
     std::variant<catalog::change_outcome, configuration_reply, audit_reply,
                  status_reply, done_reply, catalog::order_outcome, orders_reply,
-                 absl::Status>;
+                 crash_records_reply, absl::Status>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/operator_request.hpp
+++ b/bilberrylead/control/operator_request.hpp
@@ -5,6 +5,8 @@
 #include "bilberrylead/catalog/change_command.hpp"
 #include "bilberrylead/catalog/order_command.hpp"
 
+#include <cstdint>
+#include <string>
 #include <variant>
 
 namespace bilberrylead::control
@@ -69,11 +71,26 @@
 {
 };
 
+/// Read which requests ended upstreams, as this host knows them. Needs no
+/// quorum.
+struct read_crash_records
+{
+};
+
+/// Let a request run again under which upstreams ended.
+struct lift_crash_record
+{
+    /// The request's digest.
+    std::uint64_t digest = 0;
+    /// Who asks.
+    std::string operator_name;
+};
+
 /// What operators ask of a control host.
 using operator_request =
     std::variant<submit_change, read_configuration, read_audit, read_status,
                  change_membership, hand_over, submit_orders, submit_zone_order,
-                 read_orders>;
+                 read_orders, read_crash_records, lift_crash_record>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/ctl/group_commands.cpp
+++ b/bilberrylead/ctl/group_commands.cpp
@@ -109,6 +109,13 @@
     return change_member(line, "remove", "The host is taken out.");
 }
 
+exit_code run_lift(command_line const& line)
+{
+    nlohmann::json const body = {{"digest", line.subject}};
+    return ask_and_report(line, "/v1/crashes/lift", body.dump(),
+                          "The request may run again.");
+}
+
 exit_code run_handover(command_line const& line)
 {
     return ask_and_report(line, "/v1/handover", "",
--- a/bilberrylead/ctl/group_commands.hpp
+++ b/bilberrylead/ctl/group_commands.hpp
@@ -15,6 +15,9 @@
 /// Takes a control host out of the group.
 exit_code run_remove_member(command_line const& line);
 
+/// Lets a request run again under which upstreams ended.
+exit_code run_lift(command_line const& line);
+
 /// Lets the leader hand its office over.
 exit_code run_handover(command_line const& line);
 
--- a/bilberrylead/ctl/view_commands.cpp
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -165,6 +165,23 @@
     return exit_code::done;
 }
 
+void print_crashes(nlohmann::json const& body)
+{
+    std::vector<std::vector<std::string>> rows = {
+        {"DIGEST", "VERDICT", "ENDED UNDER IT"}};
+    for (nlohmann::json const& request :
+         body.value("requests", nlohmann::json::array()))
+    {
+        rows.push_back(
+            {request.value("digest", "?"), request.value("verdict", "?"),
+             fmt::format(
+                 "{}",
+                 fmt::join(request.value("ended", std::vector<std::string>()),
+                           " "))});
+    }
+    print_table(rows);
+}
+
 } // namespace
 
 exit_code run_get(command_line const& line)
@@ -229,6 +246,11 @@
                         print_audit);
 }
 
+exit_code run_crashes(command_line const& line)
+{
+    return ask_and_show(line, "/v1/crashes", print_crashes);
+}
+
 exit_code run_wait(command_line const& line)
 {
     std::uint64_t wanted = 0;
--- a/bilberrylead/ctl/view_commands.hpp
+++ b/bilberrylead/ctl/view_commands.hpp
@@ -15,6 +15,9 @@
 /// Shows the audit trail, newest first.
 exit_code run_audit(command_line const& line);
 
+/// Shows which requests ended upstreams.
+exit_code run_crashes(command_line const& line);
+
 /// Waits until a revision is in force at every entry host.
 exit_code run_wait(command_line const& line);
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -410,6 +410,12 @@
                      wanted.change.host.text(), wanted.change.incarnation);
         }
 
+        void operator()(control::crash_record_lifted const& wanted) const
+        {
+            log.info("Request {:016x} may run again: operator {}.",
+                     wanted.digest, wanted.operator_name);
+        }
+
         implementation& owner;
     };
     std::visit(carrier{*this}, effect);
--- a/bilberrylead/daemon/operator_api.cpp
+++ b/bilberrylead/daemon/operator_api.cpp
@@ -142,6 +142,22 @@
     return request;
 }
 
+absl::StatusOr<control::operator_request>
+read_lift(json const& body, std::string const& operator_name)
+{
+    constexpr int hexadecimal = 16;
+    std::string const text = text_of(body, "digest").value_or("");
+    control::lift_crash_record request;
+    std::from_chars_result const read = std::from_chars(
+        text.data(), text.data() + text.size(), request.digest, hexadecimal);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
+    {
+        return bad_body("'digest' must be a hexadecimal number, as a text.");
+    }
+    request.operator_name = operator_name;
+    return request;
+}
+
 } // namespace
 
 absl::StatusOr<std::string>
@@ -208,6 +224,15 @@
         return control::read_audit{
             std::min<std::size_t>(*most, most_audit_entries)};
     }
+    if (request.method == "GET" && target.path() == "/v1/crashes")
+    {
+        return control::read_crash_records{};
+    }
+    if (request.method == "POST" && target.path() == "/v1/crashes/lift")
+    {
+        absl::StatusOr<json> const body = read_body(request.body);
+        return body.ok() ? read_lift(*body, operator_name) : body.status();
+    }
     if (request.method == "POST" && target.path() == "/v1/handover")
     {
         return control::hand_over{};
--- a/bilberrylead/daemon/operator_replies.cpp
+++ b/bilberrylead/daemon/operator_replies.cpp
@@ -171,6 +171,24 @@
                                                         held.document.end())}});
     }
 
+    link::http_answer operator()(control::crash_records_reply const& held) const
+    {
+        json requests = json::array();
+        for (control::crash_record_row const& row : held.rows)
+        {
+            json ended = json::array();
+            for (upstream_id const& upstream : row.record.ended)
+            {
+                ended.push_back(upstream.text());
+            }
+            requests.push_back(
+                {{"digest", fmt::format("{:016x}", row.record.digest)},
+                 {"verdict", policy::to_string(row.verdict)},
+                 {"ended", ended}});
+        }
+        return as_answer(200, {{"requests", requests}});
+    }
+
     link::http_answer operator()(absl::Status const& status) const
     {
         std::string const kind(
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -25,7 +25,8 @@
         this->live.begin(), this->live.end(),
         [&request](auto const& each)
         {
-            return each.second.digest == request.digest &&
+            return each.first != request.number &&
+                   each.second.digest == request.digest &&
                    each.second.life.current() == request_state::running;
         });
     return runs_already || request.maybe_ran
@@ -117,7 +118,7 @@
 void entry_reducer::note_whole_answer(live_request const& request)
 {
     std::optional<policy::crash_record> const cleared =
-        this->crashes.note_answer(request.digest, this->now);
+        this->crashes.clear(request.digest, this->now);
     if (cleared.has_value())
     {
         this->tell_own_record(*cleared);
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -55,20 +55,6 @@
                          : names_of(tried.begin(), std::prev(tried.end()));
 }
 
-std::string_view to_string(policy::crash_verdict verdict)
-{
-    switch (verdict)
-    {
-    case policy::crash_verdict::unrestricted:
-        return "unrestricted";
-    case policy::crash_verdict::restricted:
-        return "restricted";
-    case policy::crash_verdict::refused:
-        break;
-    }
-    return "refused";
-}
-
 void log_limit(entry::upstream_limit_changed const& changed)
 {
     log_line line("entry", "upstream_limit");
@@ -90,7 +76,7 @@
                 static_cast<std::int64_t>(changed.record.generation))
         .text("ended", names_of(changed.record.ended.begin(),
                                 changed.record.ended.end()))
-        .text("verdict", to_string(changed.verdict))
+        .text("verdict", policy::to_string(changed.verdict))
         .text("source", changed.heard ? "heard" : "own")
         .write();
 }
--- a/bilberrylead/policy/crash_history.cpp
+++ b/bilberrylead/policy/crash_history.cpp
@@ -101,8 +101,8 @@
     return known.record;
 }
 
-std::optional<crash_record> crash_history::note_answer(std::uint64_t digest,
-                                                       instant now)
+std::optional<crash_record> crash_history::clear(std::uint64_t digest,
+                                                 instant now)
 {
     auto const found = this->entries.find(digest);
     if (found == this->entries.end() || found->second.record.ended.empty())
--- a/bilberrylead/policy/crash_history.hpp
+++ b/bilberrylead/policy/crash_history.hpp
@@ -40,9 +40,9 @@
     std::optional<crash_record>
     note_crash(std::uint64_t digest, upstream_id const& upstream, instant now);
 
-    /// The request got a whole answer. Returns the record if this cleared
-    /// it.
-    std::optional<crash_record> note_answer(std::uint64_t digest, instant now);
+    /// The request got a whole answer, or an operator lets it run again.
+    /// Returns the record if upstreams had ended under it.
+    std::optional<crash_record> clear(std::uint64_t digest, instant now);
 
     /// The request came again and was refused.
     void note_repeat(std::uint64_t digest, instant now);
@@ -56,6 +56,9 @@
     /// All records, for a host that is linked.
     std::vector<crash_record> all() const;
 
+    /// Whether a request with that record may run.
+    crash_verdict verdict_of(crash_record const& record) const;
+
     /// Requests that are refused now.
     std::size_t refused() const;
 
@@ -80,7 +83,6 @@
 
     using entry_map = std::map<std::uint64_t, entry>;
 
-    crash_verdict verdict_of(crash_record const& record) const;
     entry& entry_of(std::uint64_t digest, instant now);
     entry_map::const_iterator least() const;
     bool admits(crash_record const& said) const;
--- a/bilberrylead/policy/crash_verdict.hpp
+++ b/bilberrylead/policy/crash_verdict.hpp
@@ -1,6 +1,8 @@
 #ifndef BILBERRYLEAD_POLICY_CRASH_VERDICT_HPP
 #define BILBERRYLEAD_POLICY_CRASH_VERDICT_HPP
 
+#include <string_view>
+
 namespace bilberrylead::policy
 {
 
@@ -15,6 +17,9 @@
     refused,
 };
 
+/// The verdict's name as logs and operators see it.
+std::string_view to_string(crash_verdict verdict);
+
 } // namespace bilberrylead::policy
 
 #endif
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -498,3 +498,25 @@
         cr_expect_eq(heard, place == group.follower ? 0U : 1U);
     }
 }
+
+// Guards against a refusal that no operator can end.
+Test(control_reducer, lifted_crash_record_is_cleared_on_all_hosts)
+{
+    led_group group;
+    link::crash_report const report{
+        {{9, 0, {upstream_id("u1"), upstream_id("u2"), upstream_id("u3")}}}};
+    group.say(group.follower, report);
+    group.ask(group.leader, 1, control::lift_crash_record{9, "alba"});
+    group.deliver();
+    cr_expect(std::holds_alternative<control::done_reply>(group.answer_to(1)));
+    for (std::size_t place = 0; place < control_group::hosts; ++place)
+    {
+        std::vector<policy::crash_record> const held =
+            group.nodes.at(place)->crash_records().all();
+        cr_assert_eq(held.size(), 1U);
+        cr_expect(held.front().ended.empty());
+    }
+    group.ask(group.leader, 2, control::lift_crash_record{9, "alba"});
+    cr_expect(kind_of(refusal_of(group.answer_to(2))) ==
+              error_kind::unknown_name);
+}
--- a/tests/unit/daemon/operator_api_test.cpp
+++ b/tests/unit/daemon/operator_api_test.cpp
@@ -372,3 +372,28 @@
     cr_expect_eq(
         daemon::write_operator_reply(absl::UnknownError("other")).status, 503U);
 }
+
+Test(operator_api, lift_names_the_request_and_who_asks)
+{
+    absl::StatusOr<control::operator_request> const request =
+        read("POST", "/v1/crashes/lift", R"({"digest":"00000000000000ff"})");
+    cr_assert(request.ok());
+    control::lift_crash_record const* const lift =
+        std::get_if<control::lift_crash_record>(&*request);
+    cr_assert_not_null(lift);
+    cr_expect_eq(lift->digest, 255U);
+    cr_expect(lift->operator_name == "alba");
+}
+
+Test(operator_api, lift_without_a_digest_is_a_bad_value)
+{
+    for (std::string const body :
+         {R"({})", R"({"digest":5})", R"({"digest":""})", R"({"digest":"x"})",
+          R"({"digest":"12345678901234567"})", R"({"digest":"ff "})"})
+    {
+        absl::StatusOr<control::operator_request> const request =
+            read("POST", "/v1/crashes/lift", body);
+        cr_expect(kind_of(request.status()) == error_kind::bad_value, "%s",
+                  body.c_str());
+    }
+}
--- a/tests/unit/policy/crash_history_test.cpp
+++ b/tests/unit/policy/crash_history_test.cpp
@@ -63,14 +63,13 @@
 {
     crash_history here = history_of({"a", "b"});
     crash_history there = history_of({"a", "b"});
-    std::optional<crash_record> const cleared =
-        here.note_answer(request, start);
+    std::optional<crash_record> const cleared = here.clear(request, start);
     cr_assert(cleared.has_value());
     there.merge({*cleared}, start);
     // What was said before the answer comes late.
     there.merge({{request, 0, {upstream("c")}}}, start);
     cr_expect(there.verdict_of(request) == crash_verdict::unrestricted);
-    cr_expect(!here.note_answer(request, start).has_value());
+    cr_expect(!here.clear(request, start).has_value());
 }
 
 Test(crash_history, merged_histories_agree_whatever_the_order)
