A request that is restricted is tried on where nothing of it ran

Nothing of it had run.

Cause: a further try was denied from two crashes on, whatever had become of the first. Now it is asked whether the request may run, as before a first try: denied are a second run of one attempt and a run beside another one.

--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -238,8 +238,7 @@
                           : state.usual_answer();
     bool const tries_left = request.most_attempts == 0 ||
                             request.tried.size() < request.most_attempts;
-    bool const may_run = this->crashes.verdict_of(request.digest) ==
-                         policy::crash_verdict::unrestricted;
+    bool const may_run = !this->crash_refusal(request).has_value();
     if (!tries_left || !may_run || !body_usable || request.answered ||
         !state.takes_work(request.reached, this->now))
     {
--- a/bilberrylead/policy/crash_verdict.hpp
+++ b/bilberrylead/policy/crash_verdict.hpp
@@ -11,7 +11,8 @@
 {
     /// It may run like any other.
     unrestricted,
-    /// It may run once at a time and is not tried again.
+    /// It may run once at a time, and is not tried again once it may have
+    /// run.
     restricted,
     /// It must not run.
     refused,
