--- a/tests/scenario_runner/scenario_operator_steps.cpp
+++ b/tests/scenario_runner/scenario_operator_steps.cpp
@@ -63,7 +63,8 @@
                "the outcome is '" + outcome + "'");
 }
 
-// ctl ARGUMENTS...: bilberryctl, which has to succeed
+// ctl ARGUMENTS...: bilberryctl, which has to succeed. A drain or undrain
+// becomes part of what is declared, so that later changes keep it.
 void scenario_steps::ctl(scenario_line const& line)
 {
     std::vector<std::string> arguments(line.words.begin() + 1,
@@ -72,6 +73,11 @@
     int const code = this->world.ctl(arguments);
     this->need(code == 0, fmt::format("bilberryctl ended with {}: {}", code,
                                       this->world.last_output()));
+    bool const drains = arguments.front() == "drain";
+    if (drains || arguments.front() == "undrain")
+    {
+        this->declare_leaving(arguments.at(1), drains);
+    }
     json const answer = json::parse(this->world.last_output(), nullptr, false);
     if (answer.is_object() && answer.contains("revision"))
     {
@@ -79,6 +85,19 @@
     }
 }
 
+void scenario_steps::declare_leaving(std::string const& name, bool leaving)
+{
+    for (config::entry_host& host : this->world.declared().entry_hosts)
+    {
+        host.leaving = host.id.text() == name ? leaving : host.leaving;
+    }
+    for (config::upstream& upstream : this->world.declared().upstreams)
+    {
+        upstream.leaving =
+            upstream.id.text() == name ? leaving : upstream.leaving;
+    }
+}
+
 // leads as WORD | leads other-than WORD as WORD: waits for a leader, and
 // remembers who it is
 void scenario_steps::leads(scenario_line const& line)
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -67,10 +67,13 @@
     void wait_caught_up(scenario_line const& line);
     void change(scenario_line const& line);
     void idle(scenario_line const& line);
+    void arrived(scenario_line const& line);
     void post_entry(scenario_line const& line);
     void call_entry(scenario_line const& line);
     void report(scenario_line const& line);
 
+    nlohmann::json counts_of(std::string const& upstream);
+    void declare_leaving(std::string const& name, bool leaving);
     std::string host_of(std::string const& word);
     /// A control host's own status; an empty object if it gives none.
     nlohmann::json status_of(std::string const& control);
