--- a/bilberrylead/load/stand_in_behaviour.cpp
+++ b/bilberrylead/load/stand_in_behaviour.cpp
@@ -64,6 +64,7 @@
     visitor.optional("load_answers", value.load_answers);
     visitor.optional("healthy", value.healthy);
     visitor.optional("leaving", value.leaving);
+    visitor.number("limit_per_s", value.limit_per_s, {0, 1'000'000});
     visitor.number("answer_bytes", value.answer_bytes, {0, 1U << 30U});
     visitor.number("download_bytes_per_s", value.download_bytes_per_s,
                    {0, 1'000'000'000'000});
--- a/bilberrylead/load/stand_in_behaviour.hpp
+++ b/bilberrylead/load/stand_in_behaviour.hpp
@@ -44,6 +44,8 @@
     bool healthy = true;
     /// True: every answer says so and closes its connection.
     bool leaving = false;
+    /// Requests a second that every answer names as its limit; 0: none.
+    std::uint32_t limit_per_s = 0;
     /// Share that is shed: 503, not run.
     std::uint32_t shed_percent = 0;
     /// Share whose answer comes `late` after the work is done.
--- a/bilberrylead/load/stand_in_connection_write.cpp
+++ b/bilberrylead/load/stand_in_connection_write.cpp
@@ -99,6 +99,11 @@
         response.set(to_beast(not_run_header), "1");
         response.set(to_beast(retry_after_header), to_beast(come_back_seconds));
     }
+    std::uint32_t const limit = this->upstream->model.behaviour.limit_per_s;
+    if (limit > 0)
+    {
+        response.set(to_beast(limit_header), std::to_string(limit));
+    }
     bool const leaving = this->upstream->model.behaviour.leaving;
     if (leaving)
     {
--- a/bilberrylead/load/wire.hpp
+++ b/bilberrylead/load/wire.hpp
@@ -20,6 +20,8 @@
 inline constexpr std::string_view not_run_header = "Bilberry-Not-Run";
 /// On any answer of an upstream: it takes no new work.
 inline constexpr std::string_view leaving_header = "Bilberry-Leaving";
+/// On any answer of an upstream: requests a second that it takes.
+inline constexpr std::string_view limit_header = "Bilberry-Limit";
 /// XXH3 of an answer's body in hexadecimal.
 inline constexpr std::string_view digest_header = "Bilberry-Digest";
 /// On a final answer of an entry host: done, not-run or unknown.
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -95,6 +95,7 @@
         {"change", &scenario_steps::change},
         {"post", &scenario_steps::post_entry},
         {"idle", &scenario_steps::idle},
+        {"arrived", &scenario_steps::arrived},
         {"pause", &scenario_steps::pause},
         {"expect", &scenario_steps::expect},
         {"call", &scenario_steps::call_entry},
@@ -212,37 +213,52 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(line.count(1)));
 }
 
-// call ENTRY TARGET expect STATUS: one request of a caller
+// call ENTRY TARGET expect STATUS|any: one request of a caller
 void scenario_steps::call_entry(scenario_line const& line)
 {
     call_result const answer =
         call(this->world.caller_port(line.word(1)), "GET", line.word(2));
-    this->need(fmt::to_string(answer.status) == line.after("expect"),
+    std::string const wanted = line.after("expect");
+    this->need(wanted == "any" || fmt::to_string(answer.status) == wanted,
                fmt::format("status {}: {}", answer.status, answer.body));
 }
 
+/// What an upstream has counted since its start.
+json scenario_steps::counts_of(std::string const& upstream)
+{
+    std::size_t const dash = upstream.rfind('-');
+    std::uint16_t const admin =
+        this->world.admin_port(upstream.substr(0, dash));
+    std::string const target = fmt::format("/stand-in/requests?port={}",
+                                           this->world.upstream_port(upstream));
+    json const counts =
+        json::parse(call(admin, "GET", target).body, nullptr, false);
+    this->need(counts.is_object() && counts.contains("started"),
+               "no such count: " + counts.dump());
+    return counts;
+}
+
 // idle UPSTREAM: from here on it gets no new work, seen over a second
 void scenario_steps::idle(scenario_line const& line)
 {
-    std::string const& name = line.word(1);
-    std::size_t const dash = name.rfind('-');
-    std::uint16_t const admin = this->world.admin_port(name.substr(0, dash));
-    std::uint16_t const port = this->world.upstream_port(name);
-    std::string const target = fmt::format("/stand-in/requests?port={}", port);
-    json const before =
-        json::parse(call(admin, "GET", target).body, nullptr, false);
-    this->need(before.is_object(), "the stand-in does not answer");
+    json const before = this->counts_of(line.word(1));
     std::this_thread::sleep_for(std::chrono::seconds(1));
-    json const after =
-        json::parse(call(admin, "GET", target).body, nullptr, false);
-    this->need(before.dump().find("started") != std::string::npos,
-               "no such count: " + before.dump());
+    json const after = this->counts_of(line.word(1));
     this->need(before.at("started") == after.at("started"),
                fmt::format("it got new work: {} then {}",
                            before.at("started").dump(),
                            after.at("started").dump()));
 }
 
+// arrived UPSTREAM ==|>=|<= N: requests since its start
+void scenario_steps::arrived(scenario_line const& line)
+{
+    std::int64_t const count =
+        this->counts_of(line.word(1)).at("arrived").get<std::int64_t>();
+    this->need(compare(count, line.word(2), line.count(3)),
+               fmt::format("it got {}", count));
+}
+
 // post ENTRY TARGET key KEY expect STATUS: a caller's guarded request, sent
 // again while it hears that it was not run and another answer is wanted
 void scenario_steps::post_entry(scenario_line const& line)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -43,12 +43,15 @@
     TCLAP::ValueArg<std::uint32_t> entries("", "entry-hosts", "Entry hosts",
                                            false, asked.settings.entry_hosts,
                                            "number", line);
+    TCLAP::SwitchArg upstreams("", "upstream-faults",
+                               "Draws faults of single upstreams, too", line);
     TCLAP::SwitchArg plan("", "plan", "Prints the plan and ends", line);
     line.parse(count, values);
     asked.binaries = binaries.getValue();
     asked.settings.seed = seed.getValue();
     asked.settings.faults = faults.getValue();
     asked.settings.entry_hosts = entries.getValue();
+    asked.settings.upstream_faults = upstreams.getValue();
     asked.shows_plan_only = plan.getValue();
     return asked;
 }
@@ -74,9 +77,10 @@
     if (!held)
     {
         fmt::print("again: soak_runner {} --seed {} --faults {} "
-                   "--entry-hosts {}\n",
+                   "--entry-hosts {}{}\n",
                    asked.binaries, asked.settings.seed, asked.settings.faults,
-                   asked.settings.entry_hosts);
+                   asked.settings.entry_hosts,
+                   asked.settings.upstream_faults ? " --upstream-faults" : "");
     }
     return held ? 0 : 1;
 }
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -69,6 +69,14 @@
         }
     }
     this->say("upstreams bundle 2 in north {\"download_bytes_per_s\":2000000}");
+    if (this->settings.upstream_faults)
+    {
+        this->say("service fragile lookups");
+        for (std::string const& zone : zones)
+        {
+            this->say("upstreams fragile 1 in " + zone);
+        }
+    }
     this->say("start all");
     this->say("found");
     this->say("apply");
@@ -88,13 +96,18 @@
 
 void soak_plan::play_fault()
 {
-    static std::vector<fault> const kinds = {
+    std::vector<fault> kinds = {
         &soak_plan::kill_entry,          &soak_plan::stop_entry,
         &soak_plan::freeze_entry,        &soak_plan::cut_entry,
         &soak_plan::kill_control,        &soak_plan::stop_control,
         &soak_plan::freeze_control,      &soak_plan::cut_control,
         &soak_plan::lose_disk,           &soak_plan::harm_upstreams,
         &soak_plan::change_configuration};
+    if (this->settings.upstream_faults)
+    {
+        kinds.push_back(&soak_plan::crash_by_request);
+        kinds.push_back(&soak_plan::limit_upstreams);
+    }
     if (this->open.size() >= most_open)
     {
         this->end_fault(0);
@@ -234,6 +247,34 @@
     this->begin("change", {}, {"leads as somebody", "change 1"}, {});
 }
 
+/// Whatever ran of it is repeated at other entry hosts, until the upstreams
+/// are started again.
+void soak_plan::crash_by_request()
+{
+    std::vector<std::string> ending;
+    for (std::string const& zone : zones)
+    {
+        ending.push_back("kill fragile-" + zone);
+        ending.push_back("start fragile-" + zone);
+    }
+    std::string const call =
+        fmt::format(" /fragile/{}?crash=1 expect any", this->random.next());
+    this->begin("crash by request", "fragile",
+                {"call " + this->draw_entry() + call,
+                 "call " + this->draw_entry() + call},
+                std::move(ending));
+}
+
+void soak_plan::limit_upstreams()
+{
+    std::string const stand_in =
+        "lookup-" +
+        zones[this->random.below(static_cast<std::uint32_t>(std::size(zones)))];
+    this->begin("limited upstreams", stand_in,
+                {"set " + stand_in + " {\"limit_per_s\":5}"},
+                {"set " + stand_in + " {\"limit_per_s\":0}"});
+}
+
 void soak_plan::say(std::string line)
 {
     this->steps.push_back(std::move(line));
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -64,6 +64,8 @@
     void lose_disk();
     void harm_upstreams();
     void change_configuration();
+    void crash_by_request();
+    void limit_upstreams();
 
     void say(std::string line);
     void begin(std::string const& kind, std::string const& host,
--- a/tests/soak/soak_settings.hpp
+++ b/tests/soak/soak_settings.hpp
@@ -17,6 +17,10 @@
     std::uint32_t entry_hosts = 4;
     /// Look-ups a second, over all entry hosts.
     std::uint32_t lookups_per_s = 60;
+    /// True to draw faults of single upstreams as well: one that ends under
+    /// a request, one that names a limit. Plans without them stay as they
+    /// were.
+    bool upstream_faults = false;
 };
 
 } // namespace bilberrylead::soak
