--- a/tests/unit/http/limit_header_test.cpp
+++ b/tests/unit/http/limit_header_test.cpp
@@ -18,9 +18,8 @@
 // text is no number.
 Test(limit_header, what_is_no_decimal_number_is_no_limit)
 {
-    for (std::string const text :
-         {"", "-1", "nan", "inf", "1e3", "2.7 ", " 2.7", "2,7", "0x10", "many",
-          "1.7;q=1"})
+    for (std::string const text : {"", "-1", "nan", "inf", "1e3", "2.7 ",
+                                   " 2.7", "2,7", "0x10", "many", "1.7;q=1"})
     {
         cr_expect(!http::read_limit(text).has_value(), "\"%s\"", text.c_str());
     }
