One function says when a refused caller comes back

Found on the last reading: the refusal where all upstreams are at their limits wrote again what upstream_placement does where there is no room (least pause, a time drawn between soonest and latest return). Both call policy::return_time now; the same draws in the same order, so no behaviour changed. Also a comment of the soak that said more than its code does.

--- a/bilberrylead/entry/entry_reducer_limits.cpp
+++ b/bilberrylead/entry/entry_reducer_limits.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/entry/entry_reducer.hpp"
 
-#include <algorithm>
+#include "bilberrylead/policy/return_time.hpp"
+
 #include <utility>
 
 /// Limits that upstreams name for all entry hosts together.
@@ -68,12 +69,9 @@
         this->refuse(request, refusal_reason::no_upstream);
         return;
     }
-    policy::placement_settings const& settings = this->chosen.placement;
-    double const spread = settings.latest_return - settings.soonest_return;
     this->refuse(
         request, refusal_reason::no_room,
-        scaled(std::max(*wait, settings.least_retry_after),
-               settings.soonest_return + spread * state.random.unit()));
+        policy::return_time(*wait, this->chosen.placement, state.random));
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/policy/upstream_placement.cpp
+++ b/bilberrylead/policy/upstream_placement.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/policy/upstream_placement.hpp"
 
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/return_time.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -147,13 +148,8 @@
     {
         return *best;
     }
-    duration const until_room =
-        std::max(best->wait - borne, this->settings.least_retry_after);
-    double const spread =
-        this->settings.latest_return - this->settings.soonest_return;
-    return no_room_to_place{best->wait,
-                            scaled(until_room, this->settings.soonest_return +
-                                                   spread * random.unit())};
+    return no_room_to_place{
+        best->wait, return_time(best->wait - borne, this->settings, random)};
 }
 
 } // namespace bilberrylead::policy
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -247,8 +247,8 @@
     this->begin("change", {}, {"leads as somebody", "change 1"}, {});
 }
 
-/// Whatever ran of it is repeated at other entry hosts, until the upstreams
-/// are started again.
+/// One request is sent twice, and ends upstreams that are there for nothing
+/// else.
 void soak_plan::crash_by_request()
 {
     std::vector<std::string> ending;
