Customers in the configuration: keys, identity, homes

Now a configuration holds customers (name, keys, limit, priority, regions) with their own checks; the platform's adapter only translates. The http side reads one key, never passes a key or a claimed identity on, and sets the customer's name. Errors, diffs and syntax messages show no key. Ruled out: keys as labels of callers (a caller's address says nothing of its customer).

--- a/bilberrylead/config/check.cpp
+++ b/bilberrylead/config/check.cpp
@@ -16,6 +16,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
+#include <unordered_map>
 
 namespace bilberrylead::config
 {
@@ -85,7 +87,8 @@
         : config(&value), errors(&list), services("services", list),
           zones("places", list), regions("regions of places", list),
           entry_hosts("entry_hosts", list), upstreams("upstreams", list),
-          selectors("selectors", list), addresses("addresses", list)
+          selectors("selectors", list), addresses("addresses", list),
+          customers("customers", list)
     {
     }
 
@@ -98,6 +101,7 @@
         this->check_selectors();
         this->check_callers();
         this->check_routes();
+        this->check_customers();
     }
 
 private:
@@ -287,6 +291,53 @@
         }
     }
 
+    void check_customers()
+    {
+        if (!this->config->customers.empty() &&
+            this->config->request_routes.empty())
+        {
+            this->errors->add(error_kind::missing_field, "request_routes",
+                              "There are customers and no request routes, so "
+                              "that no request would need a key.",
+                              "Define the routes of the customers' requests.");
+        }
+        std::unordered_map<std::string_view, customer const*> holders;
+        for (customer const& each : this->config->customers)
+        {
+            std::string const place = place_of("customers", each.id.text());
+            this->customers.define(each.id.text());
+            this->check_regions(each.regions, place);
+            for (std::string const& key : each.keys)
+            {
+                customer const* const holder =
+                    holders.try_emplace(key, &each).first->second;
+                if (holder != &each)
+                {
+                    this->errors->add(
+                        error_kind::duplicate_name, place + ".keys",
+                        fmt::format("Customer \"{}\" holds one of its keys.",
+                                    holder->id.text()),
+                        "Give each customer keys of its own.");
+                }
+            }
+        }
+    }
+
+    /// Without places in the configuration, the settings of the hosts name
+    /// the regions.
+    void check_regions(std::vector<region_id> const& used,
+                       std::string const& place)
+    {
+        if (this->config->places.empty())
+        {
+            return;
+        }
+        for (region_id const& region : used)
+        {
+            this->regions.resolve(region.text(), place + ".regions");
+        }
+    }
+
     configuration const* config;
     error_list* errors;
     name_table services;
@@ -296,6 +347,7 @@
     name_table upstreams;
     name_table selectors;
     name_table addresses;
+    name_table customers;
 };
 
 bool has_new_work_upstream(configuration const& value, service_id const& id)
--- a/bilberrylead/config/configuration.hpp
+++ b/bilberrylead/config/configuration.hpp
@@ -3,6 +3,7 @@
 
 #include "bilberrylead/config/caller_block.hpp"
 #include "bilberrylead/config/caller_limits.hpp"
+#include "bilberrylead/config/customer.hpp"
 #include "bilberrylead/config/entry_host.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/region_link.hpp"
@@ -38,6 +39,8 @@
     /// Which requests go where, by host and path prefix. Empty: the first
     /// segment of a path names the service.
     std::vector<request_route> request_routes;
+    /// All customers, by name. Empty: requests need no key.
+    std::vector<customer> customers;
     /// What callers may send.
     caller_limits limits;
     /// Largest share of a region's callers that may move in one interval,
--- a/bilberrylead/config/configuration_fields.hpp
+++ b/bilberrylead/config/configuration_fields.hpp
@@ -72,6 +72,19 @@
     visitor.number("most_attempts", value.most_attempts, {1, 1000});
     visitor.number("priority", value.priority, {0, 1000});
     visitor.optional("object_affinity", value.object_affinity);
+    visitor.optional("public", value.is_public);
+    visitor.optional("regions", value.regions);
+}
+
+/// Fields of a customer.
+template <class Visitor, maybe_const<customer> Value>
+void visit_fields(Visitor& visitor, Value& value)
+{
+    visitor.required("name", value.id);
+    visitor.secrets("keys", value.keys);
+    visitor.number("requests_in_1000_s", value.rate, {0, 1'000'000'000'000});
+    visitor.number("burst", value.burst, {0, 1'000'000'000});
+    visitor.number("priority", value.priority, {0, 1000});
     visitor.optional("regions", value.regions);
 }
 
@@ -170,6 +183,7 @@
     visitor.list("selectors", value.selectors);
     visitor.list("callers", value.callers);
     visitor.list("request_routes", value.request_routes);
+    visitor.list("customers", value.customers);
     visitor.section("limits", value.limits);
 }
 
--- a/bilberrylead/config/configuration_lists.hpp
+++ b/bilberrylead/config/configuration_lists.hpp
@@ -52,6 +52,12 @@
     return {value.block, {}};
 }
 
+/// @copydoc key_of
+inline element_key key_of(customer const& value)
+{
+    return {value.id.text(), {}};
+}
+
 /// @copydoc key_of
 inline element_key key_of(request_route const& value)
 {
@@ -71,6 +77,7 @@
     visit("selectors", &configuration::selectors);
     visit("callers", &configuration::callers);
     visit("request_routes", &configuration::request_routes);
+    visit("customers", &configuration::customers);
 }
 
 /// Walks two sorted lists side by side and calls see(before, after) for
--- a/bilberrylead/config/diff.cpp
+++ b/bilberrylead/config/diff.cpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/config/configuration_lists.hpp"
 #include "bilberrylead/config/field_writer.hpp"
 #include "bilberrylead/config/parse_configuration.hpp"
+#include "bilberrylead/config/secret_digest.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -26,6 +27,18 @@
     return json;
 }
 
+/// A customer with a digest in the place of each key, since operators' reports
+/// and the audit trail show what differs.
+nlohmann::ordered_json to_json(customer const& element)
+{
+    nlohmann::ordered_json json = to_json<customer>(element);
+    for (nlohmann::ordered_json& key : json.at("keys"))
+    {
+        key = secret_digest(key.get_ref<std::string const&>());
+    }
+    return json;
+}
+
 std::string to_string(nlohmann::ordered_json const& value)
 {
     return value.dump(-1, ' ', false,
--- a/bilberrylead/config/field_checker.cpp
+++ b/bilberrylead/config/field_checker.cpp
@@ -32,6 +32,16 @@
     this->report(name, endpoint_fault(value));
 }
 
+void field_checker::secrets(std::string_view name,
+                            std::vector<std::string> const& values)
+{
+    for (std::size_t index = 0; index < values.size(); ++index)
+    {
+        this->report(fmt::format("{}[{}]", name, index),
+                     secret_fault(values[index]));
+    }
+}
+
 void field_checker::optional(std::string_view name, labels const& value)
 {
     this->report(name, labels_fault(value));
--- a/bilberrylead/config/field_checker.hpp
+++ b/bilberrylead/config/field_checker.hpp
@@ -65,6 +65,9 @@
     /// Checks labels.
     void optional(std::string_view name, labels const& value);
 
+    /// Checks a list of secrets.
+    void secrets(std::string_view name, std::vector<std::string> const& values);
+
     /// Nothing can be wrong with an enum's value.
     template <class Enum>
     void choice(std::string_view /*name*/, Enum /*value*/,
--- a/bilberrylead/config/field_reader.cpp
+++ b/bilberrylead/config/field_reader.cpp
@@ -330,6 +330,38 @@
     }
 }
 
+void field_reader::secrets(std::string_view name,
+                           std::vector<std::string>& values)
+{
+    nlohmann::json const* const found = this->find(name);
+    if (found == nullptr)
+    {
+        return;
+    }
+    if (!found->is_array())
+    {
+        this->fail_type(name, "a list of keys in quotes");
+        return;
+    }
+    for (nlohmann::json const& item : *found)
+    {
+        std::string const place = fmt::format("{}[{}]", name, values.size());
+        if (!item.is_string())
+        {
+            this->fail(place,
+                       field_fault{fmt::format("This is {}.", type_of(item)),
+                                   "Write a key in quotes."});
+            return;
+        }
+        values.push_back(item.get<std::string>());
+        std::optional<field_fault> const fault = secret_fault(values.back());
+        if (fault.has_value())
+        {
+            this->fail(place, *fault);
+        }
+    }
+}
+
 void field_reader::secret(std::string_view name, std::string& value)
 {
     nlohmann::json const* const found = this->find_required(name);
--- a/bilberrylead/config/field_reader.hpp
+++ b/bilberrylead/config/field_reader.hpp
@@ -79,6 +79,10 @@
     /// it.
     void secret(std::string_view name, std::string& value);
 
+    /// Reads a list of secrets, each 1 to 1024 characters that a header may
+    /// hold; a missing one stays as it is. Errors never show them.
+    void secrets(std::string_view name, std::vector<std::string>& values);
+
     /// Reads one of an enum's values by its name; a missing one stays.
     template <class Enum>
     void choice(std::string_view name, Enum& value,
--- a/bilberrylead/config/field_rules.cpp
+++ b/bilberrylead/config/field_rules.cpp
@@ -14,6 +14,7 @@
 /// As long as a DNS label; metrics and logs stay readable.
 constexpr std::size_t longest_name = 63;
 constexpr std::size_t longest_label_value = 253;
+constexpr std::size_t longest_secret = 1024;
 
 /// Enough of a wrong value to find it; a megabyte of it helps nobody.
 constexpr std::size_t longest_quoted = 40;
@@ -49,6 +50,24 @@
                     longest_name)};
 }
 
+std::optional<field_fault> secret_fault(std::string_view text)
+{
+    bool const visible = std::all_of(text.begin(), text.end(),
+                                     [](char letter)
+                                     {
+                                         return letter > ' ' && letter <= '~';
+                                     });
+    if (!text.empty() && text.size() <= longest_secret && visible)
+    {
+        return std::nullopt;
+    }
+    return field_fault{
+        visible ? fmt::format("The key has {} characters.", text.size())
+                : "The key has characters that no header may hold.",
+        fmt::format("Use 1 to {} visible ASCII characters, no space.",
+                    longest_secret)};
+}
+
 std::optional<field_fault> range_fault(std::uint64_t value,
                                        number_range const& range)
 {
--- a/bilberrylead/config/field_rules.hpp
+++ b/bilberrylead/config/field_rules.hpp
@@ -34,6 +34,10 @@
 /// letters, digits, point, hyphen and underscore.
 std::optional<field_fault> name_fault(std::string_view text);
 
+/// Secrets stand in headers of callers: 1 to 1024 visible characters. Never
+/// shows the text.
+std::optional<field_fault> secret_fault(std::string_view text);
+
 /// A number outside its range.
 std::optional<field_fault> range_fault(std::uint64_t value,
                                        number_range const& range);
--- a/bilberrylead/config/field_writer.hpp
+++ b/bilberrylead/config/field_writer.hpp
@@ -59,6 +59,12 @@
     /// Writes labels.
     void optional(std::string_view name, labels const& value);
 
+    /// Writes a list of secrets.
+    void secrets(std::string_view name, std::vector<std::string> const& values)
+    {
+        this->write_names(name, values);
+    }
+
     /// Writes one of an enum's values by its name.
     template <class Enum>
     void choice(std::string_view name, Enum value,
--- a/bilberrylead/config/json_text.cpp
+++ b/bilberrylead/config/json_text.cpp
@@ -21,12 +21,15 @@
 /// the reader hold a frame for each of them.
 constexpr std::size_t deepest_nesting = 32;
 
-/// The library's message without its bracketed code.
+/// The library's message without its bracketed code, and without the text
+/// that it read last, which may be a secret.
 std::string message_of(nlohmann::json::exception const& error)
 {
     std::string const text = error.what();
     std::size_t const end = text.find("] ");
-    return end == std::string::npos ? text : text.substr(end + 2);
+    std::string const message =
+        end == std::string::npos ? text : text.substr(end + 2);
+    return message.substr(0, message.find("; last read: "));
 }
 
 /// Goes through a text before its value is built, and finds what the
--- a/bilberrylead/config/parse_configuration.cpp
+++ b/bilberrylead/config/parse_configuration.cpp
@@ -47,6 +47,7 @@
     sort_list(value.upstreams, &upstream::id);
     sort_list(value.selectors, &selector::name);
     sort_list(value.callers, &caller_block::block);
+    sort_list(value.customers, &customer::id);
     sort_list(value.request_routes,
               [](request_route const& route)
               {
--- a/bilberrylead/config/request_route.hpp
+++ b/bilberrylead/config/request_route.hpp
@@ -40,6 +40,8 @@
     std::uint32_t priority = 0;
     /// True if an upstream that handled an object lately is faster with it.
     bool object_affinity = false;
+    /// True if its requests need no customer's key.
+    bool is_public = false;
     /// Regions that its requests may be served in; empty is everywhere.
     std::vector<region_id> regions;
 
--- a/bilberrylead/core/ids.hpp
+++ b/bilberrylead/core/ids.hpp
@@ -21,6 +21,8 @@
 using upstream_id = strong_id<struct upstream_id_tag>;
 /// A sender of requests: an account of the user, or an address block.
 using caller_id = strong_id<struct caller_id_tag>;
+/// A party that callers send requests for, known by its keys.
+using customer_id = strong_id<struct customer_id_tag>;
 /// Identifies one change made by an operator. A resend carries the same id.
 using change_id = strong_id<struct change_id_tag>;
 /// Identifies one request through one entry host, in logs and to upstreams.
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -52,6 +52,21 @@
     return name.empty() ? beast::string_view() : head[name];
 }
 
+/// Longest key that a configuration may hold.
+constexpr std::size_t longest_customer_key = 1024;
+
+/// The key if there is exactly one; two could be of different customers.
+std::string customer_key_of(request_message const& head,
+                            std::string const& name)
+{
+    if (name.empty() || head.count(name) != 1)
+    {
+        return {};
+    }
+    beast::string_view const key = head[name];
+    return key.size() > longest_customer_key ? std::string() : std::string(key);
+}
+
 service_id first_segment(std::string_view target)
 {
     std::string_view const path = target.substr(1, target.find('?') - 1);
@@ -82,8 +97,10 @@
     arrival.service = first_segment(this->parser->get().target());
     arrival.host = host_without_port(this->parser->get()[field::host]);
     arrival.path = path_of(this->parser->get().target());
+    arrival.customer_key = customer_key_of(
+        this->parser->get(), this->core->settings().names.customer_key);
     entry::body_rules const rules = this->core->decisions().body_rules_for(
-        arrival.service, arrival.host, arrival.path);
+        arrival.service, arrival.host, arrival.path, arrival.customer_key);
     if (!this->fill_request(*carried, arrival, rules))
     {
         co_return co_await this->refuse(status::bad_request,
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -56,11 +56,21 @@
         .number("tries", static_cast<std::int64_t>(end.tried.size()))
         .text("digest", digest_text(end.digest))
         .text("caller", end.caller.text())
+        .text("customer", end.customer.text())
         .time("expected_wait_ms", end.expected_wait)
         .real("run_factor", end.run_factor)
         .time("usual_run_ms", end.usual_run)
         .time("answered_after_ms", end.time_to_head)
         .time("took_ms", end.took);
+    if (!end.customer.empty() &&
+        end.reason == entry::refusal_reason::over_limit)
+    {
+        line.number("limit_share", end.limit_share);
+    }
+    if (end.limit_age.has_value())
+    {
+        line.time("limit_age_ms", *end.limit_age);
+    }
     if (end.split.has_value())
     {
         line.number("split_drawn", end.split->drawn)
--- a/bilberrylead/http/header_names.hpp
+++ b/bilberrylead/http/header_names.hpp
@@ -37,6 +37,10 @@
     /// together, for as long as its answers say so. The first of these that
     /// an answer has counts.
     std::vector<std::string> limit = {"Bilberry-Limit"};
+    /// The key that identifies the customer; never sent to an upstream.
+    std::string customer_key = "Bilberry-Key";
+    /// To the upstream: name of the customer that the key identifies.
+    std::string customer = "Bilberry-Customer";
     /// Stands in every successful answer of an upstream that is its own.
     std::string answer_mark;
     /// True if callers give each request its id; false if this system does.
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -58,6 +58,12 @@
         return "This entry host is out of memory.";
     case refusal_reason::crashes_upstreams:
         return "Upstreams ended while they ran this request.";
+    case refusal_reason::unknown_customer:
+        return "The request carries no key of a customer.";
+    case refusal_reason::over_limit:
+        return "The customer's limit is used up.";
+    case refusal_reason::no_common_region:
+        return "The route and the customer share no region.";
     }
     return "";
 }
@@ -72,6 +78,10 @@
         return "Send one key for each piece of work.";
     case refusal_reason::key_mismatch:
         return "Send a new key for new work.";
+    case refusal_reason::unknown_customer:
+        return "Send exactly one valid key.";
+    case refusal_reason::over_limit:
+        return "It was not run. Send it again after Retry-After.";
     default:
         return "";
     }
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -130,6 +130,10 @@
     {
         message.set(this->names.expected_upstream, this->order.upstream.text());
     }
+    if (!this->order.customer.empty() && !this->names.customer.empty())
+    {
+        message.set(this->names.customer, this->order.customer.text());
+    }
     message.body().data = this->request->kept.data();
     message.body().size = this->request->kept.size();
     message.body().more = !this->request->complete;
--- a/tests/unit/http/http_fixture.hpp
+++ b/tests/unit/http/http_fixture.hpp
@@ -277,6 +277,10 @@
             upstream.address = {"127.0.0.1", port};
             made->upstreams.push_back(upstream);
         }
+        if (this->adjust)
+        {
+            this->adjust(*made);
+        }
         this->dispatch(entry::configuration_received{++this->revision, made});
     }
 
@@ -296,6 +300,8 @@
         return caller.answer();
     }
 
+    /// Changes each configuration before it is brought into force.
+    std::function<void(config::configuration&)> adjust;
     std::function<void(entry::effect const&)> outside;
     std::unique_ptr<caller_server> server;
 
--- a/tests/unit/platform/platform_adapter_test.cpp
+++ b/tests/unit/platform/platform_adapter_test.cpp
@@ -109,6 +109,57 @@
     cr_expect_eq(targets[0].weight * 3, targets[1].weight);
 }
 
+std::string configuration_with_tenants(std::string const& tenants)
+{
+    return replaced(configuration_with(rule), R"("listeners")",
+                    R"("tenants":)" + tenants + R"(,"listeners")");
+}
+
+Test(platform_configuration, tenants_when_read_are_customers)
+{
+    absl::StatusOr<platform::versioned_configuration> const read =
+        read_configuration(configuration_with_tenants(
+            R"([{"name":"t1","api_keys":["k1","k2"],"priority":1,)"
+            R"("rate_per_s":2.5,"burst":9.5,"allowed_regions":["north"]},)"
+            R"({"name":"t2","api_keys":[]}])"));
+    cr_assert(read.ok());
+    std::vector<config::customer> const& customers = read->content.customers;
+    cr_assert_eq(customers.size(), 2U);
+    cr_expect(customers[0].id == customer_id("t1"));
+    cr_expect_eq(customers[0].keys.size(), 2U);
+    cr_expect_eq(customers[0].rate, 2500U);
+    cr_expect_eq(customers[0].burst, 9U);
+    cr_expect_eq(customers[0].priority, 1U);
+    cr_expect(customers[0].regions == std::vector{region_id("north")});
+    cr_expect_eq(customers[1].rate, 0U);
+    cr_expect_not(read->content.request_routes.front().is_public);
+    cr_expect(
+        read_configuration(configuration_with(replaced(
+                               rule, R"("kind")", R"("public":true,"kind")")))
+            ->content.request_routes.front()
+            .is_public);
+}
+
+// Guards against a key that identifies two customers, and against a request
+// that is counted for none.
+Test(platform_operator, invalid_tenants_are_refused)
+{
+    for (std::string const tenants :
+         {R"([{"name":"t1","api_keys":["k"]},{"name":"t2","api_keys":["k"]}])",
+          R"([{"name":"t1","api_keys":["k"]},{"name":"t1","api_keys":["l"]}])",
+          R"([{"api_keys":["k"]}])", R"([{"name":"","api_keys":["k"]}])",
+          R"([{"name":"t1","api_keys":[""]}])",
+          R"([{"name":"t1","api_keys":["a b"]}])",
+          R"([{"name":"t1","api_keys":"k"}])",
+          R"([{"name":"t1","api_keys":["k"],"rate_per_s":-1}])",
+          R"([{"name":"t1","api_keys":["k"],"rate_per_s":"fast"}])",
+          R"([{"name":"t1","api_keys":["k"],"burst":1e10}])", R"({"t1":1})"})
+    {
+        cr_expect_not(answer_to_put(configuration_with_tenants(tenants)).ok(),
+                      "%s", tenants.c_str());
+    }
+}
+
 // What is acknowledged is in force: each of these would leave callers
 // without a way, or with two.
 Test(platform_operator, invalid_configurations_are_refused)
