Limits of customers over all entry hosts: leased shares

Cause: nothing bound a customer's requests; 73 hosts see less than one request a second of most customers, and callers change hosts every few seconds. Also: bilberryctl customers, a bounded metric, log fields of 401 and 429.

--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 
 #include "bilberrylead/config/cold_bounds.hpp"
+#include "bilberrylead/config/customer_limit_bounds.hpp"
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/entry_limits.hpp"
 #include "bilberrylead/config/host_address.hpp"
@@ -68,6 +69,8 @@
     retry_bounds retries;
     /// What all entry hosts together may send to a cold upstream.
     cold_bounds cold;
+    /// What all entry hosts together may accept of a customer.
+    customer_limit_bounds customer_limits;
     /// Rate of the host's link each way, Mbit/s; long answers are paced so
     /// that they do not fill it. 0: not known, nothing is paced.
     double link_rate = 0;
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -87,6 +87,17 @@
     visitor.fraction("slack", value.slack, 0, most_bound);
 }
 
+/// Fields of what may be accepted of a customer.
+template <class Visitor>
+void visit_fields(Visitor& visitor, customer_limit_bounds& value)
+{
+    visitor.seconds(
+        "window_s", value.window,
+        std::chrono::duration_cast<duration>(std::chrono::hours(1)));
+    visitor.fraction("overshoot", value.overshoot, 0, most_bound);
+    visitor.fraction("slack", value.slack, 0, most_bound);
+}
+
 /// Fields of what the group of control hosts must bear.
 template <class Visitor>
 void visit_fields(Visitor& visitor, group_losses& value)
@@ -145,6 +156,7 @@
     visitor.seconds("stop_time_s", value.stop_time, longest_setting);
     visitor.seconds("steering_ttl_s", value.steering_ttl, longest_setting);
     visitor.section("retries", value.retries);
+    visitor.section("customer_limits", value.customer_limits);
     visitor.section("cold", value.cold);
     visitor.fraction("link_mbit_per_s", value.link_rate, 0, most_bound);
     visitor.choice("waiting", value.waiting, waiting_place_names);
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -28,7 +28,8 @@
       replica(settings.self, settings.incarnation, settings.replica,
               seed.of(random_sequence::election)),
       replicated(settings.catalog, settings.once), exchange(source_settings()),
-      entry_hosts(settings.entries, seed)
+      entry_hosts(settings.entries, seed), limits(settings.customer_limits),
+      known_entry_hosts(settings.customer_limits.lease_time)
 {
     if (settings.list.has_value())
     {
@@ -168,6 +169,7 @@
     this->read_list();
     this->request_listing();
     this->plan_regions();
+    this->allocate_limits();
     this->crashes.expire(this->time);
 
     // Only the leader measures the log's time. Time without a leader does
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -14,6 +14,8 @@
 #include "bilberrylead/distribution/revision_exchange.hpp"
 #include "bilberrylead/membership/planned_host.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
+#include "bilberrylead/policy/limit_allocator.hpp"
+#include "bilberrylead/policy/recent_peak.hpp"
 #include "bilberrylead/presence/entry_table.hpp"
 
 #include <cstdint>
@@ -102,6 +104,8 @@
     void on_peer(link::link_number from, link::region_plan const& message);
     void on_peer(link::link_number from, link::crash_report const& message);
     void on_peer(link::link_number from, link::limit_notice const& message);
+    void on_peer(link::link_number from,
+                 link::customer_usage_report const& message);
     template <class Other>
     void on_peer(link::link_number from, Other const& message);
 
@@ -127,6 +131,8 @@
                         read_crash_records const& request);
     void handle_request(operator_request_received const& received,
                         lift_crash_record const& request);
+    void handle_request(operator_request_received const& received,
+                        read_customers const& request);
 
     void run_replica();
     void carry_out(agreement::persist_hard_state const& effect);
@@ -156,6 +162,7 @@
     void record_listing_change(discovery::list_changes const& changes);
     void plan_regions();
     void send_crash_records(link::link_number to);
+    void allocate_limits();
 
     void propose(waiter requester, catalog::replicated_command const& command);
     void publish();
@@ -202,6 +209,9 @@
     std::optional<link::region_plan> current_plan;
     instant leader_since{};
     policy::crash_history crashes;
+    policy::limit_allocator limits;
+    policy::recent_peak known_entry_hosts;
+    std::uint64_t peak_entry_hosts = 0;
 };
 
 } // namespace bilberrylead::control
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -192,6 +192,7 @@
     }
     this->known_leader = effect.leader;
     this->leader_since = this->time;
+    this->limits.start(this->time);
     for (std::pair<link::link_number const, link::peer_identity> const& row :
          this->links)
     {
--- a/bilberrylead/control/control_reducer_regions.cpp
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -143,9 +143,11 @@
     auto const plan_of = [this, &plans](region_id const& region)
     {
         auto const plan = plans.find(region);
-        return plan != plans.end()
-                   ? plan->second
-                   : link::region_plan{this->replica.term(), {}};
+        link::region_plan content =
+            plan != plans.end() ? plan->second
+                                : link::region_plan{this->replica.term(), {}};
+        content.entry_hosts = this->peak_entry_hosts;
+        return content;
     };
     this->current_plan = plan_of(this->settings.region);
     for (auto const& [host, row] : this->entry_hosts.hosts())
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/discovery/list_reader_settings.hpp"
 #include "bilberrylead/membership/member_planner_settings.hpp"
 #include "bilberrylead/once/once_settings.hpp"
+#include "bilberrylead/policy/customer_limit_settings.hpp"
 #include "bilberrylead/policy/region_plan_settings.hpp"
 #include "bilberrylead/presence/entry_table_settings.hpp"
 
@@ -67,6 +68,8 @@
     /// Interval at which the leader plans regions. Demand arrives with the
     /// heartbeats, two a second.
     duration region_plan_interval = std::chrono::seconds(1);
+    /// How customers' limits are divided among entry hosts.
+    policy::customer_limit_settings customer_limits;
     /// The zones and their regions; if empty, no regions are planned.
     std::vector<config::place> places;
     /// How entry hosts are tracked and selected for callers.
--- a/bilberrylead/control/operator_reply.hpp
+++ b/bilberrylead/control/operator_reply.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
 #include "bilberrylead/policy/crash_verdict.hpp"
+#include "bilberrylead/policy/customer_limit_status.hpp"
 
 #include <absl/status/status.h>
 
@@ -95,12 +96,20 @@
     std::vector<crash_record_row> rows;
 };
 
+/// Reply with the customers that use most of their limits.
+struct customers_reply
+{
+    std::vector<policy::customer_limit_status> rows;
+    /// Further customers whose limits are in use.
+    std::size_t omitted = 0;
+};
+
 /// A control host's reply to an operator. A Status is an error that explains
 /// why the request was not carried out.
 using operator_reply =
     std::variant<catalog::change_outcome, configuration_reply, audit_reply,
                  status_reply, done_reply, catalog::order_outcome, orders_reply,
-                 crash_records_reply, absl::Status>;
+                 crash_records_reply, customers_reply, absl::Status>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/operator_request.hpp
+++ b/bilberrylead/control/operator_request.hpp
@@ -86,11 +86,17 @@
     std::string operator_name;
 };
 
+/// Read how much of their limits the customers use. Answered by the leader.
+struct read_customers
+{
+};
+
 /// An operator's request to a control host.
 using operator_request =
     std::variant<submit_change, read_configuration, read_audit, read_status,
                  change_membership, hand_over, submit_orders, submit_zone_order,
-                 read_orders, read_crash_records, lift_crash_record>;
+                 read_orders, read_crash_records, lift_crash_record,
+                 read_customers>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/core/process_seed.hpp
+++ b/bilberrylead/core/process_seed.hpp
@@ -24,6 +24,8 @@
     redial,
     /// Phase of the heartbeat interval.
     heartbeat,
+    /// Retry times of callers of customers over their limit.
+    customer_limit,
 };
 
 /// Seed of all random sequences of one incarnation of a process.
--- a/bilberrylead/ctl/view_commands.cpp
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -182,6 +182,32 @@
     print_table(rows);
 }
 
+void print_customers(nlohmann::json const& body)
+{
+    std::vector<std::vector<std::string>> rows = {
+        {"CUSTOMER", "LIMIT/S", "BURST", "SAVED", "DEMAND/S", "ARRIVED",
+         "REFUSED", "HOSTS"}};
+    for (nlohmann::json const& row :
+         body.value("customers", nlohmann::json::array()))
+    {
+        rows.push_back(
+            {row.value("name", "?"),
+             fmt::format("{:.1f}", row.value("per_second", 0.0)),
+             fmt::format("{:.0f}", row.value("burst", 0.0)),
+             fmt::format("{:.0f}", row.value("saved", 0.0)),
+             fmt::format("{:.1f}", row.value("demand_per_second", 0.0)),
+             std::to_string(row.value("arrived", std::uint64_t{0})),
+             std::to_string(row.value("refused", std::uint64_t{0})),
+             std::to_string(row.value("share_holders", std::uint64_t{0}))});
+    }
+    print_table(rows);
+    std::uint64_t const omitted = body.value("omitted", std::uint64_t{0});
+    if (omitted > 0)
+    {
+        fmt::print("{} more customers use less of their limits.\n", omitted);
+    }
+}
+
 } // namespace
 
 exit_code run_get(command_line const& line)
@@ -251,6 +277,11 @@
     return ask_and_show(line, "/v1/crashes", print_crashes);
 }
 
+exit_code run_customers(command_line const& line)
+{
+    return ask_and_show(line, "/v1/customers", print_customers);
+}
+
 exit_code run_wait(command_line const& line)
 {
     std::uint64_t wanted = 0;
--- a/bilberrylead/ctl/view_commands.hpp
+++ b/bilberrylead/ctl/view_commands.hpp
@@ -18,6 +18,9 @@
 /// Shows which requests ended upstreams.
 exit_code run_crashes(command_line const& line);
 
+/// Shows how much of their limits the customers use.
+exit_code run_customers(command_line const& line);
+
 /// Waits until a revision is in force at every entry host.
 exit_code run_wait(command_line const& line);
 
--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -9,8 +9,10 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -134,6 +136,37 @@
     }
 }
 
+/// Customers with a label of their own; all others share one, so that the
+/// number of series stays small.
+constexpr std::size_t max_labelled_customers = 10;
+
+void add_over_limit(family_builder& builder,
+                    entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_over_limit_total",
+                  "Requests refused because their customer was over its "
+                  "limit; \"\" stands for all customers but the largest.",
+                  prometheus::MetricType::Counter);
+    std::vector<std::pair<std::uint64_t, customer_id>> rows;
+    for (auto const& [customer, refused] : counters.over_limit)
+    {
+        rows.emplace_back(refused, customer);
+    }
+    std::sort(rows.begin(), rows.end(), std::greater<>());
+    std::uint64_t rest = 0;
+    for (std::size_t place = 0; place < rows.size(); ++place)
+    {
+        if (place >= max_labelled_customers)
+        {
+            rest += rows[place].first;
+            continue;
+        }
+        builder.add({{"customer", rows[place].second.text()}}).counter.value =
+            static_cast<double>(rows[place].first);
+    }
+    builder.add({{"customer", ""}}).counter.value = static_cast<double>(rest);
+}
+
 void add_connections(family_builder& builder,
                      http::http_counters const& counters)
 {
@@ -217,6 +250,7 @@
     add_requests(builder, counters);
     add_latency(builder, counters);
     add_refusals(builder, counters);
+    add_over_limit(builder, counters);
     add_connections(builder, server.connection_counters());
     return this->impl->serializer.Serialize(builder.families);
 }
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -104,6 +104,7 @@
     wanted.entry.waiting = this->settings.waiting;
     wanted.entry.retries = this->settings.retries;
     wanted.entry.cold = this->settings.cold;
+    wanted.entry.customer_limits.bounds = this->settings.customer_limits;
     wanted.entry.stop_time = this->settings.stop_time;
     wanted.entry.steering_ttl = this->settings.steering_ttl;
     if (this->settings.waiting == config::waiting_place::upstream)
@@ -259,6 +260,11 @@
     {
         this->tell_limits(*limits);
     }
+    else if (entry::send_customer_report const* const report =
+                 std::get_if<entry::send_customer_report>(&wanted))
+    {
+        this->send_customer_report(*report);
+    }
     else if (std::holds_alternative<entry::drained>(wanted))
     {
         log.info("Everything under way has ended.");
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -58,6 +58,8 @@
     void on_plan(link::region_plan const& said);
     void tell_crashes(entry::send_crash_records const& wanted);
     void tell_limits(entry::send_limits const& wanted);
+    void on_leader(host_id const& reported);
+    void send_customer_report(entry::send_customer_report const& effect);
     void start_heartbeats();
     void send_heartbeats_after(duration pause);
     void tell_presence(link::link_number to);
@@ -103,6 +105,7 @@
     instant listing_asked_at{};
     link::link_number last_asked = 0;
     std::uint64_t plan_term = 0;
+    host_id leader;
     bool told_ready = false;
     bool stopping = false;
     entry_metrics metrics;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -107,6 +107,7 @@
 
         void operator()(link::leader_notice const& held) const
         {
+            this->owner.on_leader(held.leader);
             this->owner.control_links.leader_received(this->number, held.leader,
                                                       clock_now());
             this->owner.link_control_hosts();
@@ -160,6 +161,16 @@
             }
         }
 
+        void operator()(link::customer_shares const& message) const
+        {
+            this->owner.server->dispatch(
+                entry::limits_allocated{message.content});
+        }
+
+        void operator()(link::customer_usage_report const&) const
+        {
+        }
+
         void operator()(link::entry_presence const&) const
         {
         }
@@ -278,6 +289,7 @@
     }
     this->plan_term = said.term;
     entry::regions_planned plan;
+    plan.entry_hosts = said.entry_hosts;
     for (link::region_share const& each : said.shares)
     {
         plan.shares.push_back(
@@ -316,6 +328,28 @@
     }
 }
 
+void entry_program::implementation::on_leader(host_id const& reported)
+{
+    if (!reported.empty() && reported != this->leader)
+    {
+        this->leader = reported;
+        this->server->dispatch(entry::leader_changed{});
+    }
+}
+
+void entry_program::implementation::send_customer_report(
+    entry::send_customer_report const& effect)
+{
+    for (auto const& [number, peer] : this->links)
+    {
+        if (peer.role == link::peer_role::control && peer.id == this->leader)
+        {
+            this->send(number, link::customer_usage_report{effect.report});
+            return;
+        }
+    }
+}
+
 void entry_program::implementation::on_listing(
     link::link_number number, link::upstream_update const& said)
 {
--- a/bilberrylead/daemon/operator_replies.cpp
+++ b/bilberrylead/daemon/operator_replies.cpp
@@ -189,6 +189,24 @@
         return as_answer(200, {{"requests", requests}});
     }
 
+    link::http_answer operator()(control::customers_reply const& held) const
+    {
+        json customers = json::array();
+        for (policy::customer_limit_status const& row : held.rows)
+        {
+            customers.push_back({{"name", row.customer.text()},
+                                 {"per_second", row.rate},
+                                 {"burst", row.burst},
+                                 {"saved", row.saved},
+                                 {"demand_per_second", row.demand},
+                                 {"arrived", row.arrived},
+                                 {"refused", row.refused},
+                                 {"share_holders", row.share_holders}});
+        }
+        return as_answer(200,
+                         {{"customers", customers}, {"omitted", held.omitted}});
+    }
+
     link::http_answer operator()(absl::Status const& status) const
     {
         std::string const kind(
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -12,6 +12,7 @@
 #include "bilberrylead/once/recorded_answer.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
 #include "bilberrylead/policy/crash_verdict.hpp"
+#include "bilberrylead/policy/customer_report.hpp"
 #include "bilberrylead/policy/limit_report.hpp"
 
 #include <cstddef>
@@ -31,6 +32,9 @@
     /// Target upstream.
     upstream_id upstream;
     config::endpoint address;
+    /// Customer of the request, which is sent to the upstream; empty if its
+    /// route is public.
+    customer_id customer;
     /// End of the caller's wait; sent to the upstream as the remaining time.
     instant deadline{};
     /// Longest time without progress within the answer.
@@ -177,6 +181,12 @@
     std::uint64_t digest = 0;
     /// The caller that sent the request.
     caller_id caller;
+    /// Customer that the caller's key identified; empty if none.
+    customer_id customer;
+    /// Share of the customer's limit that this host held, in millionths.
+    std::uint32_t limit_share = 0;
+    /// Time since the report that this share answers; empty if there is none.
+    std::optional<duration> limit_age;
     /// Attempted upstreams, in order.
     std::vector<upstream_id> tried;
     /// Region that the region plan selected; empty if there was no plan.
@@ -249,6 +259,12 @@
     std::vector<policy::limit_report> reports;
 };
 
+/// Sends the report about customers with limits to the leader.
+struct send_customer_report
+{
+    policy::customer_report report;
+};
+
 /// Stops accepting caller connections and closes those that are idle.
 struct stop_accepting_connections
 {
@@ -268,7 +284,7 @@
     cancel_upstream, close_connections_after_answer, stop_accepting_connections,
     request_ended, drained, probe_upstream, connection_loss_resolved,
     upstream_limit_changed, crash_record_changed, send_crash_records,
-    send_limits>;
+    send_limits, send_customer_report>;
 
 /// Effects in the order in which they must be performed.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -50,6 +50,9 @@
     std::map<service_id, service_counters> services;
     /// Final answers other than those of upstreams, by reason.
     std::array<std::uint64_t, refusal_reason_count> refusals{};
+    /// Requests refused because their customer was over its limit, by customer.
+    /// Removed with the customer.
+    std::map<customer_id, std::uint64_t> over_limit;
     /// Rate limits in upstream answers that could not be parsed.
     std::uint64_t unreadable_limits = 0;
     /// Gauge: requests that hold an upstream slot.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -26,7 +26,10 @@
 entry_reducer::entry_reducer(entry_settings settings, process_seed const& seed)
     : host_settings(std::move(settings)),
       split_random(seed.of(random_sequence::route_split)),
-      placement_seed(seed.of(random_sequence::placement))
+      customer_random(seed.of(random_sequence::customer_limit)),
+      placement_seed(seed.of(random_sequence::placement)),
+      customer_limits(this->host_settings.self,
+                      this->host_settings.customer_limits)
 {
 }
 
@@ -103,6 +106,10 @@
     {
         config::request_route const* const route =
             this->routing->find_route(event.host, event.path);
+        if (route != nullptr && !this->admit_customer(request, *route, event))
+        {
+            return;
+        }
         is_routed =
             route != nullptr && this->fill_from_route(request, *route, event);
     }
@@ -112,6 +119,7 @@
     }
     if (!is_routed)
     {
+        this->return_token(request);
         this->answer_with_problem(event.request, {}, status_not_found,
                                   refusal_reason::unknown_service,
                                   duration::zero());
@@ -134,6 +142,7 @@
                            : requested_deadline;
     if (request.deadline <= this->now)
     {
+        this->return_token(request);
         this->refuse_arrival(event, refusal_reason::deadline);
         return;
     }
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -12,6 +12,7 @@
 #include "bilberrylead/entry/service_state.hpp"
 #include "bilberrylead/policy/connection_losses.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
+#include "bilberrylead/policy/customer_limits.hpp"
 #include "bilberrylead/policy/generator.hpp"
 
 #include <cstddef>
@@ -66,8 +67,8 @@
     /// Rules for the body of a request; `service` is the first path segment,
     /// which is used by configurations without routes.
     body_rules body_rules_for(service_id const& service,
-                              std::string const& host,
-                              std::string_view path) const;
+                              std::string const& host, std::string_view path,
+                              std::string_view customer_key = {}) const;
 
     /// Limits for callers from the configuration in force; null if the settings
     /// apply.
@@ -137,6 +138,8 @@
     void on(upstream_probed const& event);
     void on(crash_records_received const& event);
     void on(limits_received const& event);
+    void on(limits_allocated const& event);
+    void on(leader_changed const& event);
 
     live_request* find(request_number number);
     void admit(live_request request);
@@ -152,9 +155,20 @@
     bool fill_from_route(live_request& request,
                          config::request_route const& route,
                          request_arrived const& event);
+    bool admit_customer(live_request& request,
+                        config::request_route const& route,
+                        request_arrived const& event);
+    bool accept_within_limit(live_request& request,
+                             request_arrived const& event);
+    void refuse_customer(live_request const& request,
+                         request_arrived const& event, std::uint16_t status,
+                         refusal_reason reason, duration retry_after);
     bool fill_from_service(live_request& request, request_arrived const& event);
     void place(live_request& request);
     void place_at_upstream(live_request& request);
+    bool is_allowed_region(live_request const& request,
+                           std::uint32_t region) const;
+    std::vector<std::uint32_t> regions_to_try(live_request const& request);
     policy::placement_verdict find_placement(live_request& request,
                                              std::uint32_t region);
     void start(live_request& request);
@@ -182,6 +196,9 @@
     void record_limit(live_request const& request,
                       upstream_head_received const& head);
     void report_limits();
+    void configure_customer_limits();
+    void report_customers();
+    void return_token(live_request& request);
     void refuse_unplaced(live_request& request);
     void record_complete_answer(live_request const& request);
     void record_upstream_end(upstream_id const& upstream);
@@ -223,6 +240,7 @@
     entry_hosts_counted entry_hosts;
     regions_planned region_plan;
     policy::generator split_random;
+    policy::generator customer_random;
     std::uint64_t placement_seed;
     std::uint64_t split_draw_count = 0;
     std::map<region_id, std::uint32_t> region_numbers;
@@ -245,6 +263,7 @@
     entry_counters current_counters;
     policy::crash_history crashes;
     policy::connection_losses losses;
+    policy::customer_limits customer_limits;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -180,6 +180,7 @@
         this->services_to_dispatch.insert(service);
     }
     this->report_limits();
+    this->report_customers();
     this->crashes.expire(this->now);
     this->losses.expire(this->now);
     this->check_drain_progress();
@@ -226,6 +227,7 @@
         return;
     }
     this->release_claim(request);
+    this->return_token(request);
     if (!request.caller_done && request.earlier_may_have_run)
     {
         request.outcome = request_outcome::unknown;
@@ -322,6 +324,7 @@
     end.status = request.status;
     end.digest = request.digest;
     end.caller = request.caller;
+    end.customer = request.customer;
     end.tried = request.tried;
     end.region = this->region_name_of(request.region);
     end.expected_wait = request.expected_wait;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -61,6 +61,7 @@
 void entry_reducer::on(regions_planned const& event)
 {
     this->region_plan = event;
+    this->customer_limits.set_hosts(event.entry_hosts, this->now);
     this->apply_region_plan();
 }
 
@@ -139,6 +140,7 @@
     {
         this->state_of(service.id);
     }
+    this->configure_customer_limits();
     this->apply_region_plan();
     this->reconfigure_services();
     this->update_host_shares();
@@ -195,7 +197,8 @@
 
 body_rules entry_reducer::body_rules_for(service_id const& service,
                                          std::string const& host,
-                                         std::string_view path) const
+                                         std::string_view path,
+                                         std::string_view customer_key) const
 {
     if (this->routing == nullptr)
     {
@@ -203,7 +206,11 @@
     }
     if (this->routing->has_routes())
     {
-        bool const is_served = this->routing->find_route(host, path) != nullptr;
+        config::request_route const* const route =
+            this->routing->find_route(host, path);
+        bool const is_served =
+            route != nullptr &&
+            !this->routing->lacks_customer(*route, customer_key);
         return {is_served, this->content->limits.body_bytes, false};
     }
     config::service const* const found = this->find_service(service);
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -87,7 +87,6 @@
     this->state_of(service->id).record_arrival(this->now);
     request.repeatable = route.idempotent;
     request.max_attempts = route.most_attempts;
-    request.regions = route.regions;
     request.latency_target = this->now + route.aim;
     request.deadline = this->now + route.timeout;
     request.object =
@@ -177,7 +176,6 @@
 void entry_reducer::place_at_upstream(live_request& request)
 {
     service_state& state = this->state_of(request.service);
-    std::uint32_t const own_region = this->region_number_of(this->own_region());
     if (!request.region.has_value())
     {
         bool const planned = !state.region_shares().current().empty();
@@ -185,17 +183,16 @@
             planned
                 ? static_cast<std::uint32_t>(state.region_shares().next_region(
                       request.object, this->now, state.random))
-                : own_region;
+                : this->region_number_of(this->own_region());
     }
-    policy::placement_verdict verdict =
-        this->find_placement(request, *request.region);
-    if (!std::holds_alternative<policy::placed>(verdict) &&
-        request.region != own_region)
+    policy::placement_verdict verdict = policy::no_upstream_allowed{};
+    for (std::uint32_t const region : this->regions_to_try(request))
     {
-        // The plan may be some seconds old and the local region may have free
-        // capacity by now. Requests move to other regions only by the plan, at
-        // its bounded pace.
-        verdict = this->find_placement(request, own_region);
+        verdict = this->find_placement(request, region);
+        if (std::holds_alternative<policy::placed>(verdict))
+        {
+            break;
+        }
     }
     if (policy::placed const* const found =
             std::get_if<policy::placed>(&verdict))
@@ -217,6 +214,54 @@
     this->refuse_unplaced(request);
 }
 
+bool entry_reducer::is_allowed_region(live_request const& request,
+                                      std::uint32_t region) const
+{
+    return request.regions.empty() ||
+           std::any_of(request.regions.begin(), request.regions.end(),
+                       [this, region](region_id const& allowed)
+                       {
+                           auto const found =
+                               this->region_numbers.find(allowed);
+                           return found != this->region_numbers.end() &&
+                                  found->second == region;
+                       });
+}
+
+/// The planned region, then the local one: the plan may be some seconds old
+/// and the local region may have free capacity by now. Requests move to other
+/// regions only by the plan, at its bounded pace, or if they may run in neither
+/// of the two.
+std::vector<std::uint32_t>
+entry_reducer::regions_to_try(live_request const& request)
+{
+    std::vector<std::uint32_t> regions;
+    std::uint32_t const own_region = this->region_number_of(this->own_region());
+    if (this->is_allowed_region(request, *request.region))
+    {
+        regions.push_back(*request.region);
+    }
+    if (request.region != own_region &&
+        this->is_allowed_region(request, own_region))
+    {
+        regions.push_back(own_region);
+    }
+    if (!regions.empty())
+    {
+        return regions;
+    }
+    for (region_id const& allowed : request.regions)
+    {
+        regions.push_back(this->region_number_of(allowed));
+    }
+    // Requests for one object meet in one region.
+    std::rotate(regions.begin(),
+                regions.begin() + static_cast<std::ptrdiff_t>(request.object %
+                                                              regions.size()),
+                regions.end());
+    return regions;
+}
+
 policy::placement_verdict entry_reducer::find_placement(live_request& request,
                                                         std::uint32_t region)
 {
@@ -253,10 +298,10 @@
                            this->host_settings.attempt_share;
     this->set_timer(request,
                     last_attempt ? request.deadline : this->now + share);
-    this->pending_effects.push_back(
-        start_upstream{request.number, upstream->id, upstream->address,
-                       request.deadline, request.progress_timeout,
-                       !request.repeatable, request.tried.size() > 1});
+    this->pending_effects.push_back(start_upstream{
+        request.number, upstream->id, upstream->address, request.customer,
+        request.deadline, request.progress_timeout, !request.repeatable,
+        request.tried.size() > 1});
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_settings.hpp
+++ b/bilberrylead/entry/entry_settings.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/config/waiting_place.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/customer_limit_settings.hpp"
 #include "bilberrylead/policy/placement_settings.hpp"
 #include "bilberrylead/policy/retry_budget_settings.hpp"
 
@@ -42,6 +43,8 @@
     config::retry_bounds retries;
     /// Bounds on requests to cold upstreams, over all entry hosts.
     config::cold_bounds cold;
+    /// How the limits of customers are kept over all entry hosts.
+    policy::customer_limit_settings customer_limits;
     /// Longest time between two ticks, and so the precision of deadlines.
     duration tick = std::chrono::milliseconds(10);
     /// Share of the remaining time, in thousandths, that an attempt of an
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/once/claim_verdict.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
+#include "bilberrylead/policy/customer_allocation.hpp"
 #include "bilberrylead/policy/limit_report.hpp"
 
 #include <cstdint>
@@ -57,6 +58,8 @@
 {
     /// All shares above 0; a service without any runs in the local region.
     std::vector<planned_share> shares;
+    /// Number of entry hosts that the leader knew of; 0 if unknown.
+    std::uint64_t entry_hosts = 0;
 };
 
 /// Number of ready entry hosts, including this one. Bounds over all entry hosts
@@ -87,6 +90,9 @@
     caller_id caller;
     /// Address from which the request was sent.
     std::string caller_address;
+    /// Key that identifies the customer; empty if none, several or one of
+    /// excessive length was sent. Secret.
+    std::string customer_key;
     /// Idempotency-Key header; empty if none was sent.
     std::string idempotency_key;
     /// Digest of method, target and body; 0 unless the service is guarded.
@@ -257,13 +263,26 @@
     std::vector<policy::limit_report> reports;
 };
 
+/// The leader sent this host's shares of the customers' limits.
+struct limits_allocated
+{
+    policy::customer_allocation allocation;
+};
+
+/// A host became the leader, or this host learnt of it.
+struct leader_changed
+{
+};
+
 /// Any event that an entry host handles.
-using event = std::variant<
-    configuration_received, request_arrived, claim_answered, completion_stored,
-    upstream_head_received, upstream_answer_finished, upstream_failed,
-    caller_gone, load_reported, tick, drain_requested, control_reachable,
-    control_unreachable, upstreams_listed, entry_hosts_counted, regions_planned,
-    upstream_probed, crash_records_received, limits_received>;
+using event =
+    std::variant<configuration_received, request_arrived, claim_answered,
+                 completion_stored, upstream_head_received,
+                 upstream_answer_finished, upstream_failed, caller_gone,
+                 load_reported, tick, drain_requested, control_reachable,
+                 control_unreachable, upstreams_listed, entry_hosts_counted,
+                 regions_planned, upstream_probed, crash_records_received,
+                 limits_received, limits_allocated, leader_changed>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -65,6 +65,10 @@
     duration progress_timeout{};
     /// The caller that sent the request.
     caller_id caller;
+    /// Customer that the caller's key identified; empty if none.
+    customer_id customer;
+    /// True while the request counts toward the customer's limit.
+    bool holds_token = false;
     /// Address of the caller.
     std::string caller_address;
     /// Claim key, if guarded.
--- a/bilberrylead/entry/refusal_reason.hpp
+++ b/bilberrylead/entry/refusal_reason.hpp
@@ -45,11 +45,17 @@
     /// Upstreams ended while they ran this request, and each repeat may end
     /// another one.
     crashes_upstreams,
+    /// The request carried no key of a customer.
+    unknown_customer,
+    /// The customer has used up its limit.
+    over_limit,
+    /// No region is allowed by both the route and the customer.
+    no_common_region,
 };
 
 /// Number of reasons, for counters.
 constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::crashes_upstreams) + 1;
+    static_cast<std::size_t>(refusal_reason::no_common_region) + 1;
 
 /// Name of the reason in problem bodies, metrics and logs.
 std::string_view to_string(refusal_reason reason);
--- a/bilberrylead/link/message.hpp
+++ b/bilberrylead/link/message.hpp
@@ -5,6 +5,8 @@
 #include "bilberrylead/link/messages/claim_reply.hpp"
 #include "bilberrylead/link/messages/configuration_update.hpp"
 #include "bilberrylead/link/messages/crash_report.hpp"
+#include "bilberrylead/link/messages/customer_shares.hpp"
+#include "bilberrylead/link/messages/customer_usage_report.hpp"
 #include "bilberrylead/link/messages/entry_presence.hpp"
 #include "bilberrylead/link/messages/group_news.hpp"
 #include "bilberrylead/link/messages/host_place.hpp"
@@ -34,7 +36,8 @@
                  configuration_update, registration_request, registration_reply,
                  once_request, claim_reply, settle_reply, leader_notice,
                  entry_presence, host_place, group_news, upstream_update,
-                 upstream_request, region_plan, crash_report, limit_notice>;
+                 upstream_request, region_plan, crash_report, limit_notice,
+                 customer_usage_report, customer_shares>;
 
 /// The message as CBOR; long documents and listings are packed, since entry
 /// hosts may stand behind a link of a few Mbit/s.
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -117,6 +117,11 @@
                       share.share = fields.take_unsigned_32();
                       return share;
                   });
+    // Plans that were stored by earlier versions end here.
+    if (fields.intact() && !fields.complete())
+    {
+        content.entry_hosts = fields.take_unsigned();
+    }
     return content;
 }
 
@@ -161,6 +166,46 @@
     return content;
 }
 
+customer_usage_report take_usage_report(cbor_fields& fields)
+{
+    customer_usage_report message;
+    message.content.number = fields.take_unsigned();
+    message.content.configuration = fields.take_unsigned();
+    message.content.rows = take_list(
+        fields,
+        [&fields]()
+        {
+            policy::customer_usage usage;
+            usage.customer = customer_id(fields.take_text(longest_text));
+            usage.rate = fields.take_unsigned();
+            usage.burst = fields.take_unsigned();
+            usage.arrived = fields.take_unsigned_32();
+            usage.accepted = static_cast<std::int32_t>(fields.take_signed());
+            usage.share = fields.take_unsigned_32();
+            return usage;
+        });
+    return message;
+}
+
+customer_shares take_customer_shares(cbor_fields& fields)
+{
+    customer_shares message;
+    message.content.report = fields.take_unsigned();
+    message.content.default_starters = fields.take_unsigned_32();
+    message.content.rows =
+        take_list(fields,
+                  [&fields]()
+                  {
+                      policy::customer_share share;
+                      share.customer =
+                          customer_id(fields.take_text(longest_text));
+                      share.share = fields.take_unsigned_32();
+                      share.starters = fields.take_unsigned_32();
+                      return share;
+                  });
+    return message;
+}
+
 discovery::reported_upstream take_upstream(cbor_fields& fields)
 {
     discovery::reported_upstream told;
@@ -381,6 +426,10 @@
         return take_crash_report(fields);
     case message_tag::limit_notice:
         return take_limit_notice(fields);
+    case message_tag::customer_usage_report:
+        return take_usage_report(fields);
+    case message_tag::customer_shares:
+        return take_customer_shares(fields);
     }
     return unknown_value("kind");
 }
--- a/bilberrylead/link/message_tag.hpp
+++ b/bilberrylead/link/message_tag.hpp
@@ -27,6 +27,8 @@
     region_plan = 16,
     crash_report = 17,
     limit_notice = 18,
+    customer_usage_report = 19,
+    customer_shares = 20,
 };
 
 /// First field of a claim_reply's verdict.
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/link/thousandths.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace bilberrylead::link
@@ -238,6 +239,10 @@
             record.push_back(each.region.text());
             record.push_back(each.share);
         }
+        if (content.entry_hosts > 0)
+        {
+            record.push_back(content.entry_hosts);
+        }
         return record;
     }
 
@@ -275,6 +280,39 @@
         return record;
     }
 
+    json operator()(customer_usage_report const& content) const
+    {
+        json record = with_tag(message_tag::customer_usage_report);
+        record.push_back(content.content.number);
+        record.push_back(content.content.configuration);
+        record.push_back(content.content.rows.size());
+        for (policy::customer_usage const& each : content.content.rows)
+        {
+            record.push_back(each.customer.text());
+            record.push_back(each.rate);
+            record.push_back(each.burst);
+            record.push_back(each.arrived);
+            record.push_back(std::int64_t{each.accepted});
+            record.push_back(each.share);
+        }
+        return record;
+    }
+
+    json operator()(customer_shares const& content) const
+    {
+        json record = with_tag(message_tag::customer_shares);
+        record.push_back(content.content.report);
+        record.push_back(content.content.default_starters);
+        record.push_back(content.content.rows.size());
+        for (policy::customer_share const& each : content.content.rows)
+        {
+            record.push_back(each.customer.text());
+            record.push_back(each.share);
+            record.push_back(each.starters);
+        }
+        return record;
+    }
+
     static void put_position(discovery::list_position const& position,
                              json& record)
     {
--- a/bilberrylead/link/messages/region_plan.hpp
+++ b/bilberrylead/link/messages/region_plan.hpp
@@ -32,6 +32,8 @@
     std::uint64_t term = 0;
     /// All shares that are over 0.
     std::vector<region_share> shares;
+    /// Entry hosts that the leader recently knew of; 0 if it did not say.
+    std::uint64_t entry_hosts = 0;
 
     friend bool operator==(region_plan const&, region_plan const&) = default;
 };
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -93,6 +93,9 @@
             host_id("e1"),
             {{upstream_id("i-1"), 2.5, std::chrono::milliseconds(30), 12},
              {upstream_id("i-2"), std::nullopt, duration::zero(), 0}}},
+        link::customer_usage_report{
+            {7, 3, {{customer_id("a"), 5000, 4, 3, -2, 1000}}}},
+        link::customer_shares{{7, 2, {{customer_id("a"), 250'000, 1}}}},
         link::crash_report{
             {{9, 1, {upstream_id("i-1"), upstream_id("i-2")}}, {8, 0, {}}}},
     };
