--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -148,6 +148,7 @@
                   "limit; \"\" stands for all customers but the largest.",
                   prometheus::MetricType::Counter);
     std::vector<std::pair<std::uint64_t, customer_id>> rows;
+    rows.reserve(counters.over_limit.size());
     for (auto const& [customer, refused] : counters.over_limit)
     {
         rows.emplace_back(refused, customer);
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -529,3 +529,60 @@
     cr_expect(kind_of(refusal_of(group.answer_to(2))) ==
               error_kind::unknown_name);
 }
+
+namespace
+{
+
+link::customer_usage_report usage_of(char const* customer)
+{
+    return {{1, 1, {{customer_id(customer), 10'000, 10, 4, 4, 0}}}};
+}
+
+std::size_t allocations_sent(led_group& group, std::size_t host)
+{
+    std::size_t count = 0;
+    for (link::message const& sent :
+         group.sent_to_entry_hosts[{host, led_group::entry_link}])
+    {
+        count += std::holds_alternative<link::customer_shares>(sent) ? 1U : 0U;
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against limits that are divided by two hosts at once.
+Test(control_reducer, customers_limits_are_divided_by_the_leader_only)
+{
+    led_group group;
+    group.send_from_entry_host(group.follower, usage_of("c"));
+    group.send_from_entry_host(group.leader, usage_of("c"));
+    group.advance(100);
+    cr_expect_eq(allocations_sent(group, group.follower), 0U);
+    cr_assert_geq(allocations_sent(group, group.leader), 1U);
+    policy::customer_allocation const allocation =
+        group.last_sent<link::customer_shares>(group.leader).content;
+    cr_expect_eq(allocation.report, 1U);
+    cr_assert_eq(allocation.rows.size(), 1U);
+    cr_expect(allocation.rows.front().customer == customer_id("c"));
+    cr_expect_gt(allocation.rows.front().share, 0U);
+}
+
+Test(control_reducer, customers_are_reported_to_operators_by_the_leader)
+{
+    led_group group;
+    group.send_from_entry_host(group.leader, usage_of("c"));
+    group.request(group.leader, 1, control::read_customers{});
+    group.request(group.follower, 2, control::read_customers{});
+    group.deliver();
+    control::customers_reply const* const reply =
+        std::get_if<control::customers_reply>(&group.answer_to(1));
+    cr_assert_not_null(reply);
+    cr_assert_eq(reply->rows.size(), 1U);
+    cr_expect_eq(reply->omitted, 0U);
+    cr_expect(reply->rows.front().customer == customer_id("c"));
+    cr_expect_eq(reply->rows.front().arrived, 4U);
+    cr_expect_eq(reply->rows.front().refused, 0U);
+    cr_expect(kind_of(refusal_of(group.answer_to(2))) ==
+              error_kind::not_leader);
+}
--- a/tests/unit/daemon/operator_api_test.cpp
+++ b/tests/unit/daemon/operator_api_test.cpp
@@ -398,3 +398,25 @@
                   body.c_str());
     }
 }
+
+Test(operator_api, customers_are_written_with_their_limits)
+{
+    absl::StatusOr<control::operator_request> const request =
+        read("GET", "/v1/customers");
+    cr_assert(request.ok());
+    cr_expect(std::holds_alternative<control::read_customers>(*request));
+    expect_reply(
+        control::customers_reply{{{customer_id("c"), 2.5, 4, 1.5, 3, 10, 2, 1}},
+                                 7},
+        200U,
+        {{"customers",
+          {{{"name", "c"},
+            {"per_second", 2.5},
+            {"burst", 4.0},
+            {"saved", 1.5},
+            {"demand_per_second", 3.0},
+            {"arrived", 10U},
+            {"refused", 2U},
+            {"share_holders", 1U}}}},
+         {"omitted", 7U}});
+}
--- a/tests/unit/policy/customer_fleet.hpp
+++ b/tests/unit/policy/customer_fleet.hpp
@@ -226,7 +226,7 @@
         }
     }
 
-    void send_message(std::function<void()> deliver_it)
+    void send_message(std::function<void()> const& deliver_it)
     {
         if (this->unit() < this->settings.lost)
         {
@@ -308,10 +308,9 @@
                 host->pop_report(this->now);
             if (report.has_value())
             {
-                host->apply({report->number,
-                             0,
-                             {{this->customer, 1'000'000, 1'000'000}}},
-                            this->now);
+                host->apply(
+                    {report->number, 0, {{this->customer, 1'000'000, 0}}},
+                    this->now);
             }
         }
     }
