Index customers once for each configuration

Cause: the index of the keys stood in the routing table, which is made anew with each listing of upstreams, several times a second; with 10,000 customers that is 30,000 insertions each time. The allocator added up the demand of all hosts for each row of a report, which grows with the square of the hosts. Ruled out: sharing the routing table's index between tables (it would have to know which of its sources changed).

--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_ENTRY_ENTRY_REDUCER_HPP
 
 #include "bilberrylead/entry/body_rules.hpp"
+#include "bilberrylead/entry/customer_index.hpp"
 #include "bilberrylead/entry/drain_life_cycle.hpp"
 #include "bilberrylead/entry/effect.hpp"
 #include "bilberrylead/entry/entry_counters.hpp"
@@ -245,6 +246,7 @@
     std::uint64_t split_draw_count = 0;
     std::map<region_id, std::uint32_t> region_numbers;
     std::unique_ptr<routing_table const> routing;
+    std::unique_ptr<customer_index const> customers;
     std::map<service_id, service_state> service_states;
     std::unordered_map<request_number, live_request> live_requests;
     std::set<timer_entry> timers;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -39,6 +39,8 @@
     if (event.content != nullptr)
     {
         this->content = event.content;
+        this->customers = std::make_unique<customer_index const>(event.content);
+        this->configure_customer_limits();
     }
     this->rebuild();
 }
@@ -140,7 +142,6 @@
     {
         this->state_of(service.id);
     }
-    this->configure_customer_limits();
     this->apply_region_plan();
     this->reconfigure_services();
     this->update_host_shares();
@@ -210,7 +211,7 @@
             this->routing->find_route(host, path);
         bool const is_served =
             route != nullptr &&
-            !this->routing->lacks_customer(*route, customer_key);
+            !this->customers->lacks_customer(*route, customer_key);
         return {is_served, this->content->limits.body_bytes, false};
     }
     config::service const* const found = this->find_service(service);
--- a/bilberrylead/entry/entry_reducer_customers.cpp
+++ b/bilberrylead/entry/entry_reducer_customers.cpp
@@ -41,7 +41,7 @@
                                    config::request_route const& route,
                                    request_arrived const& event)
 {
-    if (this->routing->lacks_customer(route, event.customer_key))
+    if (this->customers->lacks_customer(route, event.customer_key))
     {
         this->refuse_customer(request, event, status_unauthorized,
                               refusal_reason::unknown_customer,
@@ -50,8 +50,7 @@
     }
     request.regions = route.regions;
     config::customer const* const customer =
-        route.is_public ? nullptr
-                        : this->routing->find_customer(event.customer_key);
+        route.is_public ? nullptr : this->customers->find(event.customer_key);
     if (customer == nullptr)
     {
         return true;
--- a/bilberrylead/entry/routing_table.cpp
+++ b/bilberrylead/entry/routing_table.cpp
@@ -54,7 +54,6 @@
         this->default_latency = settings.default_region_latency;
     }
     this->index_routes();
-    this->index_customers();
     this->index_listed_upstreams();
     for (config::service const& service : this->content->services)
     {
@@ -89,30 +88,6 @@
     }
 }
 
-void routing_table::index_customers()
-{
-    for (config::customer const& customer : this->content->customers)
-    {
-        for (std::string const& key : customer.keys)
-        {
-            this->customers_by_key.emplace(key, &customer);
-        }
-    }
-}
-
-config::customer const* routing_table::find_customer(std::string_view key) const
-{
-    auto const found = this->customers_by_key.find(key);
-    return found == this->customers_by_key.end() ? nullptr : found->second;
-}
-
-bool routing_table::lacks_customer(config::request_route const& route,
-                                   std::string_view key) const
-{
-    return this->has_customers() && !route.is_public &&
-           this->find_customer(key) == nullptr;
-}
-
 void routing_table::index_listed_upstreams()
 {
     if (this->upstream_list == nullptr)
--- a/bilberrylead/entry/routing_table.hpp
+++ b/bilberrylead/entry/routing_table.hpp
@@ -51,21 +51,6 @@
     config::request_route const* find_route(std::string const& host,
                                             std::string_view path) const;
 
-    /// True if requests need the key of a customer, unless their route is
-    /// public.
-    bool has_customers() const
-    {
-        return !this->content->customers.empty();
-    }
-
-    /// Customer that a key identifies; null if there is none.
-    config::customer const* find_customer(std::string_view key) const;
-
-    /// True if a request on this route with this key has to be refused because
-    /// it identifies no customer.
-    bool lacks_customer(config::request_route const& route,
-                        std::string_view key) const;
-
     /// Entry of the upstream list for an upstream; null if it is not from the
     /// list.
     discovery::listed_upstream const*
@@ -114,7 +99,6 @@
 
 private:
     void index_routes();
-    void index_customers();
     void index_listed_upstreams();
     void index_blocks();
     duration latency_between(region_id const& one,
@@ -128,9 +112,6 @@
     // Routes of each host, longest prefix first.
     std::unordered_map<std::string, std::vector<config::request_route const*>>
         routes;
-    // The keys are owned by the configuration.
-    std::unordered_map<std::string_view, config::customer const*>
-        customers_by_key;
     std::unordered_map<upstream_id, discovery::listed_upstream const*>
         listed_by_id;
     std::unordered_map<service_id, config::service const*> services;
--- a/bilberrylead/policy/limit_allocator.cpp
+++ b/bilberrylead/policy/limit_allocator.cpp
@@ -120,11 +120,11 @@
         this->set_limit(state, usage, report.configuration, now);
         state.arrived += usage.arrived;
         state.accepted += usage.accepted;
-        bool const had_reserve = this->starters(state, now) > 0;
+        bool const had_reserve = this->has_reserve(state, now);
         state.tokens = std::max(state.tokens - usage.accepted,
                                 -max_debt_seconds * state.rate);
         this->is_urgent =
-            this->is_urgent || (had_reserve && this->starters(state, now) == 0);
+            this->is_urgent || (had_reserve && !this->has_reserve(state, now));
         holding& held = state.holdings[host];
         held.demand = this->demand(held, now) +
                       usage.arrived / seconds_of(this->settings.demand_time);
@@ -182,16 +182,23 @@
     return sum;
 }
 
+bool limit_allocator::has_reserve(customer_state const& state,
+                                  instant now) const
+{
+    return this->level(state, now) * 2 >= std::max(state.burst, 1.0);
+}
+
 std::uint32_t limit_allocator::starters(customer_state const& state,
                                         instant now) const
 {
-    bool const has_reserve =
-        this->total_demand(state, now) <= state.rate &&
-        this->level(state, now) * 2 >= std::max(state.burst, 1.0);
+    if (!this->has_reserve(state, now) ||
+        this->total_demand(state, now) > state.rate)
+    {
+        return 0;
+    }
     std::uint32_t const starters = static_cast<std::uint32_t>(
         state.burst / this->settings.burst_per_starter);
-    return has_reserve ? std::clamp(starters, 1U, this->settings.max_starters)
-                       : 0;
+    return std::clamp(starters, 1U, this->settings.max_starters);
 }
 
 /// Hosts that receive one starter each although the customer presses. It would
--- a/bilberrylead/policy/limit_allocator.hpp
+++ b/bilberrylead/policy/limit_allocator.hpp
@@ -104,6 +104,7 @@
     double available_part(customer_state const& state, std::size_t known_hosts,
                           instant now) const;
     double total_demand(customer_state const& state, instant now) const;
+    bool has_reserve(customer_state const& state, instant now) const;
     std::uint32_t starters(customer_state const& state, instant now) const;
     std::set<host_id> starting_hosts(customer_state const& state,
                                      instant now) const;
