No reserve of a customer's limit without a window

Cause: setting customer_limits.window_s of 0 is read; the reserve then divided 0 by 0. Found on reading. Ruled out: refusing 0 when settings are read (the platform's pages allow any number). Test: customer_limit/without_a_window_there_is_no_reserve.

--- a/bilberrylead/policy/customer_limit.cpp
+++ b/bilberrylead/policy/customer_limit.cpp
@@ -38,7 +38,7 @@
 /// Whole requests: a host that may save up a part of one accepts nothing.
 double customer_limit::max_reserve() const
 {
-    if (this->hosts == 0)
+    if (this->hosts == 0 || this->settings.bounds.window <= duration::zero())
     {
         return 0;
     }
@@ -54,11 +54,16 @@
 
 double customer_limit::reserve(instant now) const
 {
+    double const most = this->max_reserve();
+    if (most == 0)
+    {
+        return 0;
+    }
     double const fill_time = seconds_of(this->settings.bounds.window) *
                              this->settings.reserve_windows;
-    double const filled = seconds_of(now - this->reserve_updated_at) *
-                          this->max_reserve() / fill_time;
-    return std::min(this->reserve_tokens + filled, this->max_reserve());
+    double const filled =
+        seconds_of(now - this->reserve_updated_at) * most / fill_time;
+    return std::min(this->reserve_tokens + filled, most);
 }
 
 bool customer_limit::accept_from_reserve(instant now)
--- a/tests/unit/policy/customer_limit_test.cpp
+++ b/tests/unit/policy/customer_limit_test.cpp
@@ -296,3 +296,19 @@
     limits.end_configuration();
     cr_expect_not(limits.accept(customer, now));
 }
+
+// Guards against a setting that makes the reserve no number.
+Test(customer_limit, without_a_window_there_is_no_reserve)
+{
+    instant const now = instant{} + 1h;
+    customer_id const customer("c");
+    customer_limit_settings settings;
+    settings.bounds.window = duration::zero();
+    customer_limits limits(host_id("e1"), settings);
+    limits.begin_configuration(1);
+    limits.set_limit(customer, 200'000, 200, now);
+    limits.end_configuration();
+    limits.set_hosts(1, now);
+    cr_expect_not(limits.accept(customer, now));
+    cr_expect_not(limits.accept(customer, now + 1s));
+}
