Leave upstreams alone for as long as they ask for

The class: what an upstream tells in an answer is read on one path and not on the others.

Change: upstream_rest for each host and incarnation. A rest counts from the head of any answer 503, whatever became of the request; it keeps back first and further tries, sticky choices, waiting requests, probes, and requests whose connection was still being made (withdrawn before a byte is sent, no attempt). A shorter rest does not shorten a longer one; 0 changes nothing; what is no number of seconds is logged and counted; more than an hour is an hour. The end is spread over a quarter of the rest, 2 s at most, and the host returns with one request in progress and one more for each answer. While all upstreams rest, requests are refused at once (upstreams-resting) with a Retry-After between the earliest end and half as long again. A region whose upstreams rest keeps its requests: only the region plan moves them.

Why it works: decisions on every path pass service_state, which knows the rest; the check before sending closes the gap while a connection is made.

--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -249,12 +249,18 @@
                     "Answers of upstreams with a limit that is no number.",
                     counters.unreadable_limits);
     builder.counter("bilberry_entry_upstream_rests_total",
-                    "Answers 503 of upstreams that asked for a rest.",
+                    "Rests of upstreams that began or were extended.",
                     counters.rests);
     builder.counter("bilberry_entry_unreadable_rests_total",
                     "Answers 503 of upstreams whose Retry-After is no number "
                     "of seconds.",
                     counters.unreadable_rests);
+    builder.gauge("bilberry_entry_resting_upstreams",
+                  "Upstreams that get no requests since they asked for a rest.",
+                  static_cast<double>(counters.resting_upstreams));
+    builder.gauge("bilberry_entry_leaving_upstreams",
+                  "Upstreams that get no new requests since they leave.",
+                  static_cast<double>(counters.leaving_upstreams));
     add_requests(builder, counters);
     add_latency(builder, counters);
     add_refusals(builder, counters);
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -242,6 +242,8 @@
     request_number request{};
     /// Requested rest; empty if it could not be parsed.
     std::optional<duration> requested;
+    /// Time until this host sends requests again, with the random extension.
+    duration remaining{};
 };
 
 /// Reports that an upstream receives no new requests, since it announced that
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -55,10 +55,14 @@
     std::map<customer_id, std::uint64_t> over_limit;
     /// Rate limits in upstream answers that could not be parsed.
     std::uint64_t unreadable_limits = 0;
-    /// Answers in which upstreams asked for a rest.
+    /// Rests of upstreams that began or were extended.
     std::uint64_t rests = 0;
     /// Requests for a rest in upstream answers that could not be parsed.
     std::uint64_t unreadable_rests = 0;
+    /// Gauge: upstreams that rest.
+    std::size_t resting_upstreams = 0;
+    /// Gauge: upstreams that announced that they are leaving.
+    std::size_t leaving_upstreams = 0;
     /// Gauge: requests that hold an upstream slot.
     std::size_t slots_in_use = 0;
     /// Gauge: requests that wait for a slot.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -64,14 +64,28 @@
 {
     this->current_counters.slots_in_use = 0;
     this->current_counters.waiting = 0;
+    this->current_counters.resting_upstreams = 0;
+    this->current_counters.leaving_upstreams = 0;
     for (auto const& [service, state] : this->service_states)
     {
+        this->current_counters.resting_upstreams +=
+            state.resting_upstreams(this->now);
+        this->current_counters.leaving_upstreams +=
+            state.leaving_upstreams(this->now);
         this->current_counters.slots_in_use += state.in_use();
         this->current_counters.waiting += state.waiting();
     }
     return this->current_counters;
 }
 
+bool entry_reducer::accepts_requests(service_id const& service,
+                                     upstream_id const& upstream) const
+{
+    auto const state = this->service_states.find(service);
+    return state != this->service_states.end() &&
+           !state->second.is_withheld(upstream, this->now);
+}
+
 service_state& entry_reducer::state_of(service_id const& service)
 {
     auto const found = this->service_states.find(service);
@@ -184,7 +198,7 @@
     if (!this->state_of(request.service)
              .accepts_work(request.reachable, this->now))
     {
-        this->refuse(request, refusal_reason::no_upstream);
+        this->refuse_unplaced(request);
         return;
     }
     if (!this->can_meet_deadline(request))
@@ -257,9 +271,9 @@
         state.record_load_report(event.upstream, event.slots_in_use, this->now);
         if (event.leaving)
         {
-            state.record_leaving(event.upstream,
-                                 this->now +
-                                     this->host_settings.leaving_retention);
+            state.record_leaving(
+                event.upstream,
+                this->now + this->host_settings.leaving_retention, this->now);
         }
     }
 }
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -108,6 +108,11 @@
         return this->crashes;
     }
 
+    /// False if the upstream receives no requests from this host now, because
+    /// it leaves, rests or is no longer there.
+    bool accepts_requests(service_id const& service,
+                          upstream_id const& upstream) const;
+
     /// Current counter values.
     entry_counters const& counters();
 
@@ -177,6 +182,7 @@
     void start_at(live_request& request, config::upstream const& upstream);
     bool is_last_attempt(live_request const& request) const;
     bool retry_failed_answer(live_request& request);
+    void place_elsewhere(live_request& request);
     void retry_or_end(live_request& request, refusal_reason reason,
                       bool body_usable);
     std::optional<duration> acquire_retry(live_request& request,
@@ -198,6 +204,7 @@
     void record_limit(upstream_signals_received const& event);
     void record_leaving(upstream_signals_received const& event);
     void record_rest(upstream_signals_received const& event);
+    void place_stranded(service_id const& service);
     void report_limits();
     void configure_customer_limits();
     void report_customers();
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -261,7 +261,7 @@
                 return std::tie(one.region, one.upstream->id) <
                        std::tie(other.region, other.upstream->id);
             });
-        state.configure(std::move(upstreams));
+        state.configure(std::move(upstreams), this->now);
     }
     for (auto& [number, request] : this->live_requests)
     {
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -44,8 +44,13 @@
     switch (this->losses.record_loss(upstream, request.digest, this->now))
     {
     case policy::connection_loss_action::probe:
-        this->pending_effects.push_back(
-            probe_upstream{upstream, request.sent_to});
+        // An upstream that rests or leaves is left alone; the upstream list
+        // shows whether it ended.
+        if (this->accepts_requests(request.service, upstream))
+        {
+            this->pending_effects.push_back(
+                probe_upstream{upstream, request.sent_to});
+        }
         return;
     case policy::connection_loss_action::wait:
         return;
--- a/bilberrylead/entry/entry_reducer_limits.cpp
+++ b/bilberrylead/entry/entry_reducer_limits.cpp
@@ -57,20 +57,29 @@
 }
 
 /// Refuses a request that no upstream can accept now. If some upstreams only
-/// wait for their next token, the retry delay covers that wait.
+/// rest or wait for their next token, the retry delay covers that time.
 void entry_reducer::refuse_unplaced(live_request& request)
 {
     service_state& state = this->state_of(request.service);
-    std::optional<duration> const wait =
+    std::optional<duration> const token =
         state.time_to_next_token(request.reachable, this->now);
-    if (!wait.has_value())
+    std::optional<duration> const rest =
+        state.time_to_end_of_rest(request.reachable, this->now);
+    if (rest.has_value() && (!token.has_value() || *rest <= *token))
+    {
+        this->refuse(request, refusal_reason::upstreams_resting,
+                     policy::retry_time_after_rest(
+                         *rest, this->host_settings.placement, state.random));
+        return;
+    }
+    if (!token.has_value())
     {
         this->refuse(request, refusal_reason::no_upstream);
         return;
     }
-    this->refuse(
-        request, refusal_reason::no_room,
-        policy::retry_time(*wait, this->host_settings.placement, state.random));
+    this->refuse(request, refusal_reason::no_room,
+                 policy::retry_time(*token, this->host_settings.placement,
+                                    state.random));
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -149,6 +149,11 @@
     {
         // The request is in no queue, so it must not be removed from one.
         request.life_cycle.pause();
+        if (refused->reason == policy::refusal_reason::no_upstream)
+        {
+            this->refuse_unplaced(request);
+            return;
+        }
         this->refuse(request, reason_of(refused->reason), refused->retry_after);
         return;
     }
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -1,5 +1,8 @@
 #include "bilberrylead/entry/entry_reducer.hpp"
 
+#include <algorithm>
+#include <vector>
+
 /// What upstreams state about themselves with their answers.
 namespace bilberrylead::entry
 {
@@ -24,19 +27,49 @@
 
 void entry_reducer::record_leaving(upstream_signals_received const& event)
 {
-    this->state_of(event.service)
-        .record_leaving(event.upstream,
-                        this->now + this->host_settings.leaving_retention);
+    instant const until = this->now + this->host_settings.leaving_retention;
+    service_state& state = this->state_of(event.service);
+    bool const is_new = state.record_leaving(event.upstream, until, this->now);
+    if (!is_new)
+    {
+        return;
+    }
     this->pending_effects.push_back(upstream_leaving_noticed{
         event.upstream, event.request, event.misdirected});
+    this->place_stranded(event.service);
 }
 
 void entry_reducer::record_rest(upstream_signals_received const& event)
 {
-    ++(event.rest_readable ? this->current_counters.rests
-                           : this->current_counters.unreadable_rests);
-    this->pending_effects.push_back(
-        upstream_rest_requested{event.upstream, event.request, event.rest});
+    if (!event.rest_readable)
+    {
+        ++this->current_counters.unreadable_rests;
+        this->pending_effects.push_back(upstream_rest_requested{
+            event.upstream, event.request, std::nullopt, {}});
+        return;
+    }
+    service_state& state = this->state_of(event.service);
+    if (!state.record_rest(event.upstream, *event.rest, this->now))
+    {
+        return;
+    }
+    ++this->current_counters.rests;
+    this->pending_effects.push_back(upstream_rest_requested{
+        event.upstream, event.request, event.rest,
+        state.rest_remaining(event.upstream, this->now)});
+    this->place_stranded(event.service);
+}
+
+/// Decides again on the waiting requests that no upstream accepts any more, so
+/// that they are refused now rather than at their deadlines.
+void entry_reducer::place_stranded(service_id const& service)
+{
+    std::vector<std::uint64_t> const stranded =
+        this->state_of(service).remove_stranded(this->now);
+    for (std::uint64_t const ticket : stranded)
+    {
+        this->place(*this->find(static_cast<request_number>(ticket)));
+    }
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/entry/entry_reducer.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <optional>
 #include <utility>
 
@@ -26,6 +27,7 @@
         return refusal_reason::upstream_silent;
     case exchange_fault::connection_lost:
     case exchange_fault::bad_answer:
+    case exchange_fault::withdrawn:
         break;
     }
     return refusal_reason::connection_lost;
@@ -140,6 +142,11 @@
     {
         return;
     }
+    if (event.fault == exchange_fault::withdrawn)
+    {
+        this->place_elsewhere(*request);
+        return;
+    }
     refusal_reason const reason = reason_of(event.fault);
     if (event.fault == exchange_fault::connection_lost &&
         event.phase != exchange_phase::not_sent)
@@ -164,6 +171,17 @@
                            event.phase == exchange_phase::not_sent);
 }
 
+/// Selects another upstream for a request that was withdrawn from one before
+/// anything was sent, which is no attempt.
+void entry_reducer::place_elsewhere(live_request& request)
+{
+    assert(request.life_cycle.current() == request_state::running);
+    this->release_slot(request);
+    request.tried.pop_back();
+    request.life_cycle.pause();
+    this->place(request);
+}
+
 void entry_reducer::retry_or_end(live_request& request, refusal_reason reason,
                                  bool body_usable)
 {
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -198,6 +198,9 @@
     no_response,
     /// The received data was not a valid answer.
     bad_answer,
+    /// The upstream no longer accepts requests from this host; the request was
+    /// withdrawn before any byte was sent.
+    withdrawn,
 };
 
 /// An exchange with an upstream failed.
--- a/bilberrylead/entry/refusal_reason.cpp
+++ b/bilberrylead/entry/refusal_reason.cpp
@@ -15,7 +15,7 @@
     "claim-refused",   "connect-failed",    "upstream-refused",
     "connection-lost", "upstream-silent",   "earlier-unknown",
     "no-memory",       "crashes-upstreams", "unknown-customer",
-    "over-limit",      "no-common-region"};
+    "over-limit",      "no-common-region",  "upstreams-resting"};
 
 } // namespace
 
--- a/bilberrylead/entry/refusal_reason.hpp
+++ b/bilberrylead/entry/refusal_reason.hpp
@@ -51,11 +51,13 @@
     over_limit,
     /// No region is allowed by both the route and the customer.
     no_common_region,
+    /// Every upstream that could run the request has asked for a rest.
+    upstreams_resting,
 };
 
 /// Number of reasons, for counters.
 constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::no_common_region) + 1;
+    static_cast<std::size_t>(refusal_reason::upstreams_resting) + 1;
 
 /// Name of the reason in problem bodies, metrics and logs.
 std::string_view to_string(refusal_reason reason);
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -25,6 +25,39 @@
 /// one second.
 constexpr double average_weight = 0.01;
 
+/// How long the record of a resting upstream is kept after it
+/// vanished: a list that lags may still contain the upstream later.
+constexpr duration absent_retention = std::chrono::minutes(10);
+
+bool is_withheld_by(upstream_record const& record, instant now)
+{
+    return record.leaving_until > now || record.rest.is_resting(now);
+}
+
+/// True if the record of an upstream that is not configured any more can be
+/// discarded.
+bool is_obsolete(upstream_record const& record, instant now)
+{
+    bool const is_retained = record.rest.is_resting(now) &&
+                             (!record.absent_since.has_value() ||
+                              now - *record.absent_since < absent_retention);
+    return record.in_flight == 0 && !is_retained;
+}
+
+/// Removes all requests from the queue and appends their tickets to `removed`.
+void empty_queue(policy::admission_queue& queue,
+                 std::vector<std::uint64_t>& removed, instant now)
+{
+    policy::slot_pool unlimited_pool;
+    unlimited_pool.usable = 1;
+    unlimited_pool.free = 1;
+    while (std::optional<policy::waiting_request> const each =
+               queue.pop(unlimited_pool, now))
+    {
+        removed.push_back(each->ticket);
+    }
+}
+
 /// The upstreams of a service are its own, so its extended work never competes
 /// with brief work: it is queued like brief work with longer permitted waits.
 policy::admission_queue_settings settings_for(config::work_length length)
@@ -52,7 +85,8 @@
 {
 }
 
-void service_state::configure(std::vector<configured_upstream> upstreams)
+void service_state::configure(std::vector<configured_upstream> upstreams,
+                              instant now)
 {
     assert(this->waiting() == 0);
     this->queues.clear();
@@ -64,11 +98,18 @@
         present.insert(each.upstream->id);
     }
     std::erase_if(this->records,
-                  [&present](auto const& record)
+                  [&present, now](auto const& entry)
                   {
-                      return record.second.in_flight == 0 &&
-                             !present.contains(record.first);
+                      return !present.contains(entry.first) &&
+                             is_obsolete(entry.second, now);
                   });
+    for (auto& [id, record] : this->records)
+    {
+        record.absent_since =
+            present.contains(id)
+                ? std::nullopt
+                : std::optional(record.absent_since.value_or(now));
+    }
     this->upstream_records.clear();
     for (configured_upstream const& each : this->configured_upstreams)
     {
@@ -85,16 +126,23 @@
 
 std::vector<std::uint64_t> service_state::remove_waiting(instant now)
 {
-    policy::slot_pool unlimited_pool;
-    unlimited_pool.usable = 1;
-    unlimited_pool.free = 1;
     std::vector<std::uint64_t> removed;
     for (auto& [reachable, queue] : this->queues)
     {
-        while (std::optional<policy::waiting_request> const each =
-                   queue.pop(unlimited_pool, now))
+        empty_queue(queue, removed, now);
+    }
+    std::sort(removed.begin(), removed.end());
+    return removed;
+}
+
+std::vector<std::uint64_t> service_state::remove_stranded(instant now)
+{
+    std::vector<std::uint64_t> removed;
+    for (auto& [reachable, queue] : this->queues)
+    {
+        if (queue.size() > 0 && !this->accepts_work(reachable, now))
         {
-            removed.push_back(each->ticket);
+            empty_queue(queue, removed, now);
         }
     }
     std::sort(removed.begin(), removed.end());
@@ -112,7 +160,8 @@
     return reachable.empty() || reachable[index];
 }
 
-bool service_state::is_open(std::size_t index, instant now) const
+/// True if the upstream may receive requests, apart from a rest.
+bool service_state::is_in_service(std::size_t index, instant now) const
 {
     config::upstream const& upstream =
         *this->configured_upstreams[index].upstream;
@@ -121,6 +170,39 @@
            record.leaving_until <= now && record.health.usable_slots() > 0;
 }
 
+/// True if the upstream rests, or returns from a rest and has as many requests
+/// in progress as it may.
+bool service_state::is_held_back(std::size_t index, instant now) const
+{
+    upstream_record const& record = *this->upstream_records[index];
+    return record.in_flight >= record.rest.max_in_flight(now);
+}
+
+bool service_state::is_open(std::size_t index, instant now) const
+{
+    return this->is_in_service(index, now) &&
+           !this->upstream_records[index]->rest.is_resting(now);
+}
+
+config::upstream const*
+service_state::find_upstream(upstream_id const& id) const
+{
+    auto const found = std::find_if(this->configured_upstreams.begin(),
+                                    this->configured_upstreams.end(),
+                                    [&id](configured_upstream const& each)
+                                    {
+                                        return each.upstream->id == id;
+                                    });
+    return found == this->configured_upstreams.end() ? nullptr
+                                                     : found->upstream;
+}
+
+bool service_state::is_withheld(upstream_id const& id, instant now) const
+{
+    auto const found = this->records.find(id);
+    return found == this->records.end() || is_withheld_by(found->second, now);
+}
+
 bool service_state::accepts_work(reach const& reachable, instant now) const
 {
     for (std::size_t index = 0; index < this->configured_upstreams.size();
@@ -146,7 +228,8 @@
             continue;
         }
         upstream_record const& record = *this->upstream_records[index];
-        std::uint32_t const usable = record.health.usable_slots();
+        std::uint32_t const usable = std::min(record.health.usable_slots(),
+                                              record.rest.max_in_flight(now));
         found.usable += usable;
         if (record.limit.has_token(now))
         {
@@ -240,7 +323,8 @@
         upstream_record const& record = *this->upstream_records[index];
         policy::upstream_view& view = this->views.upstreams[index];
         view.slots = upstream.slots;
-        view.usable_slots = record.health.usable_slots();
+        view.usable_slots = std::min(record.health.usable_slots(),
+                                     record.rest.max_in_flight(now));
         view.in_flight = record.in_flight;
         view.in_use_by_others = record.in_use_by_others;
         view.report_age =
@@ -313,7 +397,9 @@
 {
     this->answer_time.add(took);
     this->budget.record_success();
-    this->record_of(id).health.reduce(policy::upstream_answered{}, now);
+    upstream_record& record = this->record_of(id);
+    record.health.reduce(policy::upstream_answered{}, now);
+    record.rest.record_answer(record.health.usable_slots(), now);
 }
 
 void service_state::record_slot_time(upstream_id const& id, duration time)
@@ -334,14 +420,8 @@
 void service_state::record_refusal(upstream_id const& id, instant now)
 {
     upstream_record& record = this->record_of(id);
-    std::uint32_t slots = 1;
-    for (configured_upstream const& each : this->configured_upstreams)
-    {
-        if (each.upstream->id == id)
-        {
-            slots = each.upstream->slots;
-        }
-    }
+    config::upstream const* const upstream = this->find_upstream(id);
+    std::uint32_t const slots = upstream == nullptr ? 1 : upstream->slots;
     record.in_use_by_others = slots - std::min(slots, record.in_flight);
     record.reported_at = now;
     record.is_reported = true;
@@ -358,9 +438,13 @@
     record.is_reported = true;
 }
 
-void service_state::record_leaving(upstream_id const& id, instant until)
+bool service_state::record_leaving(upstream_id const& id, instant until,
+                                   instant now)
 {
-    this->record_of(id).leaving_until = until;
+    instant& leaving_until = this->record_of(id).leaving_until;
+    bool const is_new = leaving_until <= now;
+    leaving_until = std::max(leaving_until, until);
+    return is_new;
 }
 
 void service_state::advance(instant now)
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -74,12 +74,16 @@
     /// Replaces the upstreams by those of a new configuration. Records of
     /// upstreams are kept by id; every queue must be empty (see
     /// `remove_waiting`).
-    void configure(std::vector<configured_upstream> upstreams);
+    void configure(std::vector<configured_upstream> upstreams, instant now);
 
     /// Removes every waiting request, for a new configuration. Returns the
     /// tickets in ascending order.
     std::vector<std::uint64_t> remove_waiting(instant now);
 
+    /// Removes the waiting requests that no upstream accepts now. Returns the
+    /// tickets in ascending order.
+    std::vector<std::uint64_t> remove_stranded(instant now);
+
     /// Admits, queues or refuses a request that needs a slot now.
     policy::admission_verdict offer(policy::waiting_request const& request,
                                     reach const& reachable, instant now);
@@ -120,6 +124,13 @@
                                     std::vector<upstream_id> const& tried,
                                     instant now);
 
+    /// Upstream by id in the current configuration; null if there is none.
+    config::upstream const* find_upstream(upstream_id const& id) const;
+
+    /// True if the upstream rests, leaves or has no record: it receives no
+    /// requests of this host.
+    bool is_withheld(upstream_id const& id, instant now) const;
+
     /// Upstream at an index that `place` returned.
     config::upstream const& upstream_at(std::size_t index) const
     {
@@ -160,6 +171,24 @@
     std::optional<duration> time_to_next_token(reach const& reachable,
                                                instant now) const;
 
+    /// Records that the upstream wants no requests of this host for that time.
+    /// Returns true if this began or extended a rest.
+    bool record_rest(upstream_id const& id, duration time, instant now);
+
+    /// Time until the rest of the upstream ends; zero if it has none.
+    duration rest_remaining(upstream_id const& id, instant now);
+
+    /// Shortest time until a reachable upstream that rests may receive a
+    /// request; empty if no such upstream exists.
+    std::optional<duration> time_to_end_of_rest(reach const& reachable,
+                                                instant now) const;
+
+    /// Number of configured upstreams that rest.
+    std::size_t resting_upstreams(instant now) const;
+
+    /// Number of configured upstreams that announced that they are leaving.
+    std::size_t leaving_upstreams(instant now) const;
+
     /// Records a run of a request by the upstream: the time that it would take
     /// if the object were known there, and the object, 0 for none.
     void record_run(upstream_id const& id, duration time, std::uint64_t object,
@@ -219,8 +248,9 @@
     void record_load_report(upstream_id const& id, std::uint32_t slots_in_use,
                             instant now);
 
-    /// Excludes the upstream from new requests until the given time.
-    void record_leaving(upstream_id const& id, instant until);
+    /// Excludes the upstream from new requests until the given time, and longer
+    /// if it is excluded already. Returns true if it was not excluded.
+    bool record_leaving(upstream_id const& id, instant until, instant now);
 
     /// Updates averages and upstream health; called at every tick.
     void advance(instant now);
@@ -252,6 +282,8 @@
     static constexpr double max_region_shift_per_s = 0.045;
 
     upstream_record& record_of(upstream_id const& id);
+    bool is_in_service(std::size_t index, instant now) const;
+    bool is_held_back(std::size_t index, instant now) const;
     bool is_open(std::size_t index, instant now) const;
     bool is_reachable(reach const& reachable, std::size_t index) const;
     policy::slot_pool make_pool(reach const& reachable, instant now) const;
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -129,9 +129,11 @@
             std::find(tried.begin(), tried.end(), upstream.id) != tried.end();
         candidate.likely_cached =
             object != 0 && record.objects.contains(object);
+        bool const is_usable = this->is_reachable(reachable, index) &&
+                               this->is_in_service(index, now);
+        candidate.held_back = is_usable && this->is_held_back(index, now);
         candidate.allowed =
-            this->is_reachable(reachable, index) && this->is_open(index, now) &&
-            record.limit.has_token(now) &&
+            is_usable && !candidate.held_back && record.limit.has_token(now) &&
             (!is_cold ||
              (this->may_send_to_cold(candidate.hash, candidate.region) &&
               record.cold_tokens.has_token(this->cold.requests_per_second,
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -8,8 +8,10 @@
 #include "bilberrylead/policy/token_bucket.hpp"
 #include "bilberrylead/policy/upstream_estimate.hpp"
 #include "bilberrylead/policy/upstream_health.hpp"
+#include "bilberrylead/policy/upstream_rest.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace bilberrylead::entry
 {
@@ -49,6 +51,10 @@
     policy::recent_objects objects;
     /// Tokens for requests to the upstream while it is cold.
     policy::token_bucket cold_tokens;
+    /// Rest that the upstream asked this host for.
+    policy::upstream_rest rest;
+    /// Since when no configuration contains the upstream; empty while one does.
+    std::optional<instant> absent_since;
     /// Rate limit of the upstream over all entry hosts.
     policy::shared_limit limit;
     /// Time of the answer whose limit was last sent to the other entry hosts.
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -108,11 +108,12 @@
     log_line line("entry", "upstream_rest");
     line.text("upstream", requested.upstream.text())
         .text("verdict",
-              requested.requested.has_value() ? "requested" : "unreadable")
+              requested.requested.has_value() ? "resting" : "unreadable")
         .text("answer_to", id);
     if (requested.requested.has_value())
     {
-        line.time("requested_ms", *requested.requested);
+        line.time("requested_ms", *requested.requested)
+            .time("remaining_ms", requested.remaining);
     }
     line.write();
 }
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -64,6 +64,8 @@
         return "The customer's limit is used up.";
     case refusal_reason::no_common_region:
         return "The route and the customer share no region.";
+    case refusal_reason::upstreams_resting:
+        return "Every upstream has asked for a rest.";
     }
     return "";
 }
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -40,6 +40,12 @@
           {
               this->dispatch(std::move(happened));
           }),
+      may_send(
+          [this](entry::start_upstream const& order)
+          {
+              return this->reducer.accepts_requests(order.service,
+                                                    order.upstream);
+          }),
       clock(place)
 {
 }
@@ -305,8 +311,8 @@
         return;
     }
     found->second->exchange = std::make_shared<upstream_exchange>(
-        this->where, this->pool, this->report, this->chosen.names,
-        found->second, order);
+        this->where, this->pool, this->report, this->may_send,
+        this->chosen.names, found->second, order);
     found->second->exchange->begin();
 }
 
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -135,6 +135,7 @@
     upstream_pool pool;
     policy::bulk_pacer answer_pace;
     event_sink report;
+    send_check may_send;
     wait_timer clock;
     std::uint64_t ticks = 0;
     std::uint64_t last_number = 0;
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -37,11 +37,12 @@
 
 upstream_exchange::upstream_exchange(executor const& place, upstream_pool& kept,
                                      event_sink const& sink,
+                                     send_check const& check,
                                      header_names const& known_names,
                                      std::shared_ptr<carried_request> carried,
                                      entry::start_upstream started)
-    : where(place), pool(kept), report(sink), names(known_names),
-      request(std::move(carried)), order(std::move(started))
+    : where(place), pool(kept), report(sink), may_send(check),
+      names(known_names), request(std::move(carried)), order(std::move(started))
 {
 }
 
@@ -115,6 +116,13 @@
         co_return false;
     }
     this->connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
+    // Connecting may take seconds, in which the upstream may have asked for a
+    // rest or announced that it is leaving.
+    if (!this->may_send(this->order))
+    {
+        this->fail(entry::exchange_fault::withdrawn);
+        co_return false;
+    }
     co_return true;
 }
 
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -22,6 +22,9 @@
 /// Takes the events that an exchange reports.
 using event_sink = std::function<void(entry::event)>;
 
+/// True if a request may still be sent as ordered.
+using send_check = std::function<bool(entry::start_upstream const&)>;
+
 /// One request sent to one upstream over one connection, and its answer.
 /// Ends in exactly one of: answer finished, failed (both reported) or
 /// cancelled (not reported). Unless the answer came whole, the connection
@@ -29,9 +32,11 @@
 class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
 {
 public:
-    /// Prepares an exchange; `pool`, `report` and `names` must outlive it.
+    /// Prepares an exchange; `pool`, `report`, `may_send` and `names` must
+    /// outlive it.
     upstream_exchange(executor const& place, upstream_pool& pool,
-                      event_sink const& report, header_names const& names,
+                      event_sink const& report, send_check const& may_send,
+                      header_names const& names,
                       std::shared_ptr<carried_request> request,
                       entry::start_upstream order);
     ~upstream_exchange();
@@ -94,6 +99,7 @@
     executor where;
     upstream_pool& pool;
     event_sink const& report;
+    send_check const& may_send;
     header_names const& names;
     std::shared_ptr<carried_request> request;
     entry::start_upstream order;
--- a/bilberrylead/policy/placement_candidate.hpp
+++ b/bilberrylead/policy/placement_candidate.hpp
@@ -35,6 +35,8 @@
     std::uint32_t region = 0;
     /// False if no request may be sent to the upstream now.
     bool allowed = true;
+    /// True if the upstream would be allowed but for a rest that it asked for.
+    bool held_back = false;
     /// True if the upstream recently worked on the request's object, so that
     /// the object is likely in its caches.
     bool likely_cached = false;
--- a/bilberrylead/policy/placement_settings.hpp
+++ b/bilberrylead/policy/placement_settings.hpp
@@ -37,6 +37,10 @@
     /// attempt left.
     double min_retry_factor = 1.5;
     double max_retry_factor = 3;
+    /// Range of the retry time of a caller that was refused because every
+    /// upstream rests, beyond the end of the rest, as a share of the time until
+    /// then.
+    double max_rest_retry_spread = 0.5;
     /// Lower bound of the time until free capacity, before the retry factor is
     /// applied.
     duration min_time_until_capacity = std::chrono::milliseconds(60);
--- a/bilberrylead/policy/retry_time.hpp
+++ b/bilberrylead/policy/retry_time.hpp
@@ -15,6 +15,13 @@
 duration retry_time(duration until_free_capacity,
                     placement_settings const& settings, generator& random);
 
+/// The retry time for a caller that was refused because every upstream rests,
+/// the first of them for `until_end`. The end is known, so that the time only
+/// has to keep callers from retrying together.
+duration retry_time_after_rest(duration until_end,
+                               placement_settings const& settings,
+                               generator& random);
+
 } // namespace bilberrylead::policy
 
 #endif
--- a/bilberrylead/policy/upstream_placement.cpp
+++ b/bilberrylead/policy/upstream_placement.cpp
@@ -90,12 +90,16 @@
                           placement_request const& request,
                           generator& random) const
 {
-    bool const has_region = std::any_of(
-        candidates.begin(), candidates.end(),
-        [&request](placement_candidate const& candidate)
-        {
-            return candidate.allowed && candidate.region == request.region;
-        });
+    bool const has_region =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [&request](placement_candidate const& candidate)
+                    {
+                        // A region whose upstreams rest keeps its requests:
+                        // other regions take them over only as far as the
+                        // region plan moves them.
+                        return (candidate.allowed || candidate.held_back) &&
+                               candidate.region == request.region;
+                    });
     std::optional<placed> best;
     preferred_upstreams preferred;
     std::optional<std::uint32_t> preferred_region;
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -260,7 +260,7 @@
             upstream_config.id = upstream_id(fmt::format("i-{}", upstream));
             upstream_config.slots = 3;
             instant const now = instant{} + 1h;
-            state.configure({{&upstream_config, {}, 0, false, now + 3s}});
+            state.configure({{&upstream_config, {}, 0, false, now + 3s}}, now);
             state.set_host_shares(share, 0);
             policy::placement_request question;
             question.time_to_target = 1s;
--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -301,3 +301,62 @@
     }
     cr_assert_leq(late_work.load(), 1);
 }
+
+// Guards against an upstream's wish for a rest that is read by nobody.
+Test(upstream_failure, upstream_that_asks_for_rest_gets_no_further_work)
+{
+    std::atomic<int> refused = 0;
+    fake_upstream resting(
+        [&refused](wire& connection, int)
+        {
+            while (connection.request())
+            {
+                ++refused;
+                connection.send("HTTP/1.1 503 Busy\r\nBilberry-Not-Run: 1\r\n"
+                                "Retry-After: 60\r\n"
+                                "Content-Length: 0\r\n\r\n");
+            }
+        });
+    fake_upstream running(
+        [](wire& connection, int)
+        {
+            echo(connection);
+        });
+    running_server entry;
+    entry.configure({resting.port(), running.port()});
+    for (int each = 0; each < 12; ++each)
+    {
+        cr_assert_eq(entry.ask(get("/s/1"))->result_int(), 200);
+    }
+    cr_assert_leq(refused.load(), 1);
+}
+
+// Guards against a refusal whose Retry-After is lost because its body never
+// ends.
+Test(upstream_failure, rest_counts_from_the_head_of_the_refusal)
+{
+    fake_upstream resting(
+        [](wire& connection, int)
+        {
+            while (connection.request())
+            {
+                connection.send("HTTP/1.1 503 Busy\r\nBilberry-Not-Run: 1\r\n"
+                                "Retry-After: 60\r\n"
+                                "Content-Length: 5\r\n\r\n");
+            }
+        });
+    running_server entry;
+    entry.configure({resting.port()},
+                    [](config::service& service)
+                    {
+                        service.progress_timeout = 100ms;
+                    });
+    bool is_resting = false;
+    for (int each = 0; each < 5 && !is_resting; ++each)
+    {
+        std::optional<answer_text> const answer = entry.ask(get("/s/1"));
+        is_resting =
+            answer->body().find("upstreams-resting") != std::string::npos;
+    }
+    cr_expect(is_resting);
+}
