A leaving upstream gets nothing new until its incarnation has ended

A listed id names one incarnation, so that it stays excluded as long as the id is there; its record outlives a listing without it by ten minutes. Kept connections are closed, waiting requests are placed anew, what runs there ends there. A configured id, which the next incarnation may take, is excluded for ten minutes as before. A request that was misdirected excludes the id as before.

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -257,6 +257,12 @@
     bool misdirected = false;
 };
 
+/// Closes the idle connections to an address.
+struct close_idle_connections
+{
+    config::endpoint address;
+};
+
 /// Reports that the crash record of a request has changed. For the log.
 struct crash_record_changed
 {
@@ -309,8 +315,8 @@
     cancel_upstream, close_connections_after_answer, stop_accepting_connections,
     request_ended, drained, probe_upstream, connection_loss_resolved,
     upstream_limit_changed, upstream_rest_requested, upstream_leaving_noticed,
-    crash_record_changed, send_crash_records, send_limits,
-    send_customer_report>;
+    close_idle_connections, crash_record_changed, send_crash_records,
+    send_limits, send_customer_report>;
 
 /// Effects in the order in which they must be performed.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -27,7 +27,12 @@
 
 void entry_reducer::record_leaving(upstream_signals_received const& event)
 {
-    instant const until = this->now + this->host_settings.leaving_retention;
+    // The id of a listed upstream names one incarnation, so that it leaves for
+    // good. A configured id may be taken by the next incarnation.
+    instant const until =
+        this->host_settings.upstreams_are_listed
+            ? instant::max()
+            : this->now + this->host_settings.leaving_retention;
     service_state& state = this->state_of(event.service);
     bool const is_new = state.record_leaving(event.upstream, until, this->now);
     if (!is_new)
@@ -36,6 +41,14 @@
     }
     this->pending_effects.push_back(upstream_leaving_noticed{
         event.upstream, event.request, event.misdirected});
+    config::upstream const* const upstream =
+        state.find_upstream(event.upstream);
+    // With a misdirected request the connections are those of another upstream.
+    if (upstream != nullptr && !event.misdirected)
+    {
+        this->pending_effects.push_back(
+            close_idle_connections{upstream->address});
+    }
     this->place_stranded(event.service);
 }
 
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -25,7 +25,7 @@
 /// one second.
 constexpr double average_weight = 0.01;
 
-/// How long the record of a resting upstream is kept after it
+/// How long the record of a leaving or resting upstream is kept after it
 /// vanished: a list that lags may still contain the upstream later.
 constexpr duration absent_retention = std::chrono::minutes(10);
 
@@ -38,7 +38,7 @@
 /// discarded.
 bool is_obsolete(upstream_record const& record, instant now)
 {
-    bool const is_retained = record.rest.is_resting(now) &&
+    bool const is_retained = is_withheld_by(record, now) &&
                              (!record.absent_since.has_value() ||
                               now - *record.absent_since < absent_retention);
     return record.in_flight == 0 && !is_retained;
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -255,6 +255,11 @@
     {
         log_leaving(*leaving, this->id_of(leaving->request));
     }
+    else if (entry::close_idle_connections const* closed =
+                 std::get_if<entry::close_idle_connections>(&decided))
+    {
+        this->pool.drop_idle(closed->address);
+    }
     else if (entry::crash_record_changed const* changed =
                  std::get_if<entry::crash_record_changed>(&decided))
     {
--- a/bilberrylead/http/upstream_pool.cpp
+++ b/bilberrylead/http/upstream_pool.cpp
@@ -84,6 +84,16 @@
         });
 }
 
+void upstream_pool::drop_idle(config::endpoint const& upstream)
+{
+    auto const found = this->idle.find(upstream);
+    if (found != this->idle.end())
+    {
+        this->counted.upstream_idle -= found->second.size();
+        this->idle.erase(found);
+    }
+}
+
 void upstream_pool::sweep(instant now)
 {
     for (auto place = this->idle.begin(); place != this->idle.end();)
--- a/bilberrylead/http/upstream_pool.hpp
+++ b/bilberrylead/http/upstream_pool.hpp
@@ -40,6 +40,9 @@
     /// closes those to the same upstream that were not heard since then.
     void suspect(config::endpoint const& upstream, instant since);
 
+    /// Closes all kept connections to an upstream.
+    void drop_idle(config::endpoint const& upstream);
+
     /// Closes what is idle for too long or was closed by the other side.
     void sweep(instant now);
 
--- a/tests/unit/entry/upstream_signals_test.cpp
+++ b/tests/unit/entry/upstream_signals_test.cpp
@@ -150,6 +150,20 @@
     cr_expect_null(host.find<probe_upstream>());
 }
 
+// Guards against kept connections to an upstream that leaves.
+Test(upstream_signals, idle_connections_to_a_leaving_upstream_are_closed)
+{
+    routed_entry host;
+    host.arrive(1, "/r/x");
+    upstream_signals_received signals = host.signals_of(1);
+    signals.leaving = true;
+    host.reduce(signals);
+    cr_expect_not_null(host.find<close_idle_connections>());
+    host.reduce(signals);
+    cr_expect_null(host.find<close_idle_connections>(),
+                   "only when it becomes known");
+}
+
 // Guards against waiting requests that are held until their deadlines while
 // every upstream rests.
 Test(upstream_signals, waiting_requests_are_refused_when_every_upstream_rests)
