--- a/bilberrylead/load/stand_in_behaviour.cpp
+++ b/bilberrylead/load/stand_in_behaviour.cpp
@@ -36,6 +36,8 @@
                  milliseconds(hours(1)));
     visitor.time("late_ms", value.late, milliseconds(0),
                  milliseconds(hours(1)));
+    visitor.time("rest_ms", value.rest, milliseconds(0),
+                 milliseconds(hours(1)));
 }
 
 template <class Visitor, class Value>
--- a/bilberrylead/load/stand_in_behaviour.hpp
+++ b/bilberrylead/load/stand_in_behaviour.hpp
@@ -48,6 +48,8 @@
     std::uint32_t limit_per_s = 0;
     /// Share that is shed: 503, not run.
     std::uint32_t shed_percent = 0;
+    /// Rest that it asks for with each such answer; 0: none.
+    duration rest{};
     /// Share whose answer comes `late` after the work is done.
     std::uint32_t late_percent = 0;
     /// How much later.
--- a/bilberrylead/load/stand_in_connection_write.cpp
+++ b/bilberrylead/load/stand_in_connection_write.cpp
@@ -36,7 +36,6 @@
 constexpr std::uint64_t largest_digested = std::uint64_t{1} << 20U;
 /// A caller that takes nothing for this long is given up.
 constexpr std::chrono::seconds write_timeout(60);
-constexpr std::string_view come_back_seconds = "1";
 
 std::string digest_of(body_pattern const& pattern, std::uint64_t length)
 {
@@ -97,7 +96,13 @@
     if (value.not_run)
     {
         response.set(to_beast(not_run_header), "1");
-        response.set(to_beast(retry_after_header), to_beast(come_back_seconds));
+    }
+    duration const rest = this->upstream->model.behaviour.rest;
+    if (value.not_run && rest > duration::zero())
+    {
+        response.set(
+            to_beast(retry_after_header),
+            fmt::format("{:.3f}", std::chrono::duration<double>(rest).count()));
     }
     std::uint32_t const limit = this->upstream->model.behaviour.limit_per_s;
     if (limit > 0)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -45,6 +45,8 @@
                                            "number", line);
     TCLAP::SwitchArg upstreams("", "upstream-faults",
                                "Draws faults of single upstreams, too", line);
+    TCLAP::SwitchArg rests("", "upstream-rests",
+                           "Draws upstreams that ask for rest, too", line);
     TCLAP::SwitchArg plan("", "plan", "Prints the plan and ends", line);
     line.parse(count, values);
     asked.binaries = binaries.getValue();
@@ -52,6 +54,7 @@
     asked.settings.faults = faults.getValue();
     asked.settings.entry_hosts = entries.getValue();
     asked.settings.upstream_faults = upstreams.getValue();
+    asked.settings.upstream_rests = rests.getValue();
     asked.shows_plan_only = plan.getValue();
     return asked;
 }
@@ -77,10 +80,11 @@
     if (!held)
     {
         fmt::print("again: soak_runner {} --seed {} --faults {} "
-                   "--entry-hosts {}{}\n",
+                   "--entry-hosts {}{}{}\n",
                    asked.binaries, asked.settings.seed, asked.settings.faults,
                    asked.settings.entry_hosts,
-                   asked.settings.upstream_faults ? " --upstream-faults" : "");
+                   asked.settings.upstream_faults ? " --upstream-faults" : "",
+                   asked.settings.upstream_rests ? " --upstream-rests" : "");
     }
     return held ? 0 : 1;
 }
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -108,6 +108,10 @@
         kinds.push_back(&soak_plan::crash_by_request);
         kinds.push_back(&soak_plan::limit_upstreams);
     }
+    if (this->settings.upstream_rests)
+    {
+        kinds.push_back(&soak_plan::overload_upstreams);
+    }
     if (this->open.size() >= most_open)
     {
         this->end_fault(0);
@@ -275,6 +279,18 @@
                 {"set " + stand_in + " {\"limit_per_s\":0}"});
 }
 
+/// An upstream refuses every request and asks for rest.
+void soak_plan::overload_upstreams()
+{
+    std::string const stand_in =
+        "lookup-" +
+        zones[this->random.below(static_cast<std::uint32_t>(std::size(zones)))];
+    this->begin(
+        "resting upstreams", stand_in,
+        {"set " + stand_in + " {\"shed_percent\":100,\"rest_ms\":1500}"},
+        {"set " + stand_in + " {\"shed_percent\":0,\"rest_ms\":0}"});
+}
+
 void soak_plan::say(std::string line)
 {
     this->steps.push_back(std::move(line));
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -66,6 +66,7 @@
     void change_configuration();
     void crash_by_request();
     void limit_upstreams();
+    void overload_upstreams();
 
     void say(std::string line);
     void begin(std::string const& kind, std::string const& host,
--- a/tests/soak/soak_settings.hpp
+++ b/tests/soak/soak_settings.hpp
@@ -21,6 +21,8 @@
     /// a request, one that names a limit. Plans without them stay as they
     /// were.
     bool upstream_faults = false;
+    /// True to draw upstreams that refuse requests and ask for rest as well.
+    bool upstream_rests = false;
 };
 
 } // namespace bilberrylead::soak
