Count the requests of split routes by target; weights after a change, tested

Only one plain success in 64 has a line, so that a share could not be told at the draw from a share after it. bilberry_entry_split_requests_total counts every request of a split route by the service drawn and its outcome (64 targets, removed with the split); lines with a draw name their route.

The fault could not be made to happen on this code.

--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -168,6 +168,30 @@
     builder.add({{"customer", ""}}).counter.value = static_cast<double>(rest);
 }
 
+void add_split_parts(family_builder& builder,
+                     entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_split_requests_total",
+                  "Requests of split routes by the service that was drawn and "
+                  "by outcome.",
+                  prometheus::MetricType::Counter);
+    for (auto const& [part, row] : counters.split_parts)
+    {
+        std::pair<char const*, std::uint64_t> const outcomes[] = {
+            {"answered", row.answered},
+            {"not_run", row.not_run},
+            {"other", row.other}};
+        for (std::pair<char const*, std::uint64_t> const& outcome : outcomes)
+        {
+            builder
+                .add({{"route", part.route},
+                      {"service", part.service.text()},
+                      {"outcome", outcome.first}})
+                .counter.value = static_cast<double>(outcome.second);
+        }
+    }
+}
+
 void add_connections(family_builder& builder,
                      http::http_counters const& counters)
 {
@@ -265,6 +289,7 @@
     add_latency(builder, counters);
     add_refusals(builder, counters);
     add_over_limit(builder, counters);
+    add_split_parts(builder, counters);
     add_connections(builder, server.connection_counters());
     return this->impl->serializer.Serialize(builder.families);
 }
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
+#include "bilberrylead/entry/split_part.hpp"
 
 #include <array>
 #include <cstddef>
@@ -41,6 +42,17 @@
     duration latency_sum{};
 };
 
+/// Requests of one target of a split route, by outcome.
+struct split_part_counters
+{
+    /// Answered by an upstream of the target.
+    std::uint64_t answered = 0;
+    /// Refused without a run.
+    std::uint64_t not_run = 0;
+    /// Ended in any other way.
+    std::uint64_t other = 0;
+};
+
 /// Counters of an entry host, for metrics. All but the two gauges increase
 /// monotonically.
 struct entry_counters
@@ -53,6 +65,9 @@
     /// Requests refused because their customer was over its limit, by customer.
     /// Removed with the customer.
     std::map<customer_id, std::uint64_t> over_limit;
+    /// Requests of split routes, by the target that was drawn. Removed with the
+    /// split.
+    std::map<split_part, split_part_counters> split_parts;
     /// Rate limits in upstream answers that could not be parsed.
     std::uint64_t unreadable_limits = 0;
     /// Rests of upstreams that began or were extended.
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -228,6 +228,8 @@
     void abandon_as_unknown(live_request& request, refusal_reason reason);
     void finish(live_request& request);
     void report_end(live_request const& request);
+    void count_split_part(live_request const& request);
+    void forget_ended_splits();
     void release_claim(live_request& request);
     void refuse_arrival(request_arrived const& event, refusal_reason reason);
     void answer_with_problem(request_number number, service_id const& service,
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cassert>
 #include <chrono>
+#include <cstddef>
+#include <map>
 #include <variant>
 
 namespace bilberrylead::entry
@@ -17,6 +19,9 @@
 /// Time for which the claim of an abandoned request is remembered. A claim that
 /// is granted later expires on the control hosts.
 constexpr duration abandoned_claim_retention = std::chrono::seconds(60);
+/// Targets of split routes with counters of their own; the others are counted
+/// together for each service.
+constexpr std::size_t max_split_parts = 64;
 
 } // namespace
 
@@ -312,8 +317,28 @@
     return {};
 }
 
+void entry_reducer::count_split_part(live_request const& request)
+{
+    if (!request.split.has_value())
+    {
+        return;
+    }
+    split_part part{request.split->route, request.service};
+    std::map<split_part, split_part_counters>& parts =
+        this->current_counters.split_parts;
+    if (parts.size() >= max_split_parts && !parts.contains(part))
+    {
+        part.route.clear();
+    }
+    split_part_counters& counted = parts[part];
+    ++(request.outcome == request_outcome::answered  ? counted.answered
+       : request.outcome == request_outcome::not_run ? counted.not_run
+                                                     : counted.other);
+}
+
 void entry_reducer::report_end(live_request const& request)
 {
+    this->count_split_part(request);
     request_ended end;
     end.request = request.number;
     end.service = request.service;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -41,10 +42,30 @@
         this->content = event.content;
         this->customers = std::make_unique<customer_index const>(event.content);
         this->configure_customer_limits();
+        this->forget_ended_splits();
     }
     this->rebuild();
 }
 
+/// Removes the counters of targets that are no part of a split route any more.
+void entry_reducer::forget_ended_splits()
+{
+    std::set<split_part> current;
+    for (config::request_route const& route : this->content->request_routes)
+    {
+        for (config::route_target const& target : route.targets)
+        {
+            current.insert({route.host + route.path_prefix, target.service});
+        }
+    }
+    std::erase_if(this->current_counters.split_parts,
+                  [&current](auto const& row)
+                  {
+                      return !row.first.route.empty() &&
+                             !current.contains(row.first);
+                  });
+}
+
 void entry_reducer::on(upstreams_listed const& event)
 {
     this->upstream_list = event.upstreams;
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -67,7 +67,8 @@
     if (sum > 1)
     {
         drawn = this->split_random.below(sum);
-        request.split = split_draw{drawn, sum, this->split_draw_count++};
+        request.split = split_draw{drawn, sum, this->split_draw_count++,
+                                   route.host + route.path_prefix};
     }
     config::service const* service = nullptr;
     for (config::route_target const& target : route.targets)
--- a/bilberrylead/entry/split_draw.hpp
+++ b/bilberrylead/entry/split_draw.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_ENTRY_SPLIT_DRAW_HPP
 
 #include <cstdint>
+#include <string>
 
 namespace bilberrylead::entry
 {
@@ -16,6 +17,8 @@
     std::uint32_t sum = 0;
     /// Number of earlier draws of this process.
     std::uint64_t earlier = 0;
+    /// Host and path prefix of the route.
+    std::string route;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -73,7 +73,8 @@
     }
     if (end.split.has_value())
     {
-        line.number("split_drawn", end.split->drawn)
+        line.text("split_route", end.split->route)
+            .number("split_drawn", end.split->drawn)
             .number("split_sum", end.split->sum)
             .number("split_earlier",
                     static_cast<std::int64_t>(end.split->earlier));
--- a/tests/unit/entry/entry_fleet.hpp
+++ b/tests/unit/entry/entry_fleet.hpp
@@ -96,6 +96,19 @@
         }
     }
 
+    /// Passes a newer configuration to a host.
+    void reconfigure(std::size_t host, bilberrylead::revision revision,
+                     std::shared_ptr<config::configuration const> accepted)
+    {
+        this->reduce(host, configuration_received{revision, accepted});
+    }
+
+    /// Counters of a host.
+    entry_counters const& counters(std::size_t host)
+    {
+        return this->processes[host]->counters();
+    }
+
     std::size_t size() const
     {
         return this->processes.size();
--- a/tests/unit/entry/split_over_hosts_test.cpp
+++ b/tests/unit/entry/split_over_hosts_test.cpp
@@ -1,10 +1,13 @@
 #include "tests/unit/entry/entry_fleet.hpp"
 
+#include "bilberrylead/policy/generator.hpp"
+
 #include <criterion/criterion.h>
 
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 
 using namespace bilberrylead;
@@ -41,6 +44,41 @@
         this->fleet.start_all(incarnation);
     }
 
+    /// Brings other weights into force at each host.
+    void set_weights(std::uint32_t first_weight, std::uint32_t second_weight)
+    {
+        this->weight =
+            static_cast<double>(first_weight) / (first_weight + second_weight);
+        std::shared_ptr<config::configuration const> const changed =
+            make_one_route({{service_id("first"), first_weight},
+                            {service_id("second"), second_weight}});
+        ++this->revision;
+        for (std::size_t host = 0; host < this->fleet.size(); ++host)
+        {
+            this->fleet.reconfigure(host, this->revision, changed);
+        }
+    }
+
+    /// Sends `count` requests to hosts of which some get up to six times as
+    /// many as others.
+    void request_unevenly(int count)
+    {
+        for (int request = 0; request < count; ++request)
+        {
+            double const place = this->random.unit();
+            this->request(static_cast<std::size_t>(
+                place * (0.3 + 0.7 * place) *
+                static_cast<double>(this->fleet.size())));
+        }
+    }
+
+    /// Counts only requests that are sent from now on.
+    void restart_count()
+    {
+        this->sent = 0;
+        this->first = 0;
+    }
+
     /// Sends `count` requests to each host.
     void request_each(int count)
     {
@@ -48,8 +86,7 @@
         {
             for (int request = 0; request < count; ++request)
             {
-                this->first += this->fleet.sent_to(host) == "first" ? 1U : 0U;
-                ++this->sent;
+                this->request(host);
             }
         }
     }
@@ -63,7 +100,15 @@
     }
 
 private:
+    void request(std::size_t host)
+    {
+        this->first += this->fleet.sent_to(host) == "first" ? 1U : 0U;
+        ++this->sent;
+    }
+
     entry_fleet fleet;
+    policy::generator random{7};
+    bilberrylead::revision revision = 1;
     double weight;
     std::uint64_t sent = 0;
     std::uint64_t first = 0;
@@ -137,3 +182,54 @@
                           weight, fleet.deviation());
         });
 }
+
+// Guards against weights that are not kept in the first seconds after a change
+// that splits a route or changes its split, while each host has drawn a few
+// times only.
+Test(split_over_hosts, changed_weights_are_kept_from_the_first_seconds_on)
+{
+    constexpr std::size_t hosts = 71;
+    constexpr int requests_until_in_force = 200;
+    constexpr int requests_counted = 620;
+    for (std::uint64_t start = 0; start < 10; ++start)
+    {
+        split_fleet fleet(hosts, full_weight, 0, start);
+        for (std::uint32_t const weight : {50U, 25U, 75U, 50U})
+        {
+            fleet.set_weights(weight, full_weight - weight);
+            fleet.request_unevenly(requests_until_in_force);
+            fleet.restart_count();
+            fleet.request_unevenly(requests_counted);
+            cr_expect_leq(fleet.deviation(), weight_tolerance,
+                          "start %u, weight %u: off by %.3f",
+                          static_cast<unsigned>(start), weight,
+                          fleet.deviation());
+        }
+    }
+}
+
+// Guards against a split whose shares can be judged from sampled lines only.
+Test(split_over_hosts, requests_are_counted_by_the_target_that_was_drawn)
+{
+    entry_fleet fleet(
+        1,
+        make_one_route({{service_id("first"), 1}, {service_id("second"), 1}}),
+        std::make_shared<listed_upstreams>(
+            listed_upstreams{make_listed("first", "first", 100)}),
+        1);
+    constexpr std::uint64_t requests = 100;
+    std::uint64_t sent_to_first = 0;
+    for (std::uint64_t request = 0; request < requests; ++request)
+    {
+        sent_to_first += fleet.sent_to(0) == "first" ? 1U : 0U;
+    }
+    std::map<split_part, split_part_counters> const parts =
+        fleet.counters(0).split_parts;
+    cr_expect_eq(parts.at({"a.example/", service_id("first")}).answered,
+                 sent_to_first);
+    cr_expect_eq(parts.at({"a.example/", service_id("second")}).not_run,
+                 requests - sent_to_first);
+    fleet.reconfigure(0, 2, make_one_route({{service_id("first"), 1}}));
+    cr_expect_not(fleet.counters(0).split_parts.contains(
+        {"a.example/", service_id("second")}));
+}
