--- a/tests/unit/entry/crashing_request_test.cpp
+++ b/tests/unit/entry/crashing_request_test.cpp
@@ -71,6 +71,20 @@
     }
 }
 
+// Guards against a crash that is not counted because the listener of the ended
+// upstream accepts the probe.
+Test(crashing_request, listener_that_outlives_its_process_hides_no_crash)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        upstream_fleet fleet({.hosts = hosts, .listener_lag = 40ms});
+        repeat_crashing_request(fleet, 200ms, 20s);
+        expect_budget_kept(fleet, "listener lag");
+        cr_expect_leq(fleet.ended_upstreams(), 6U, "%zu hosts: %zu ended",
+                      hosts, fleet.ended_upstreams());
+    }
+}
+
 // Guards against repeats that run until delayed records arrive: they may run
 // late, but not later than the propagation time permits.
 Test(crashing_request, repeats_stop_when_records_arrive_3_s_late)
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -24,6 +24,8 @@
     std::size_t upstreams = 18;
     /// Time after which an upstream that ended is back under a new id.
     duration restart = 3s;
+    /// How long an upstream that ended still accepts connections.
+    duration listener_lag{};
     /// Delay of changes in the upstream list.
     duration listing_lag = 1s;
     /// Delay of messages between entry hosts.
@@ -109,6 +111,7 @@
             return;
         }
         ended.is_running = false;
+        ended.ended_at = this->now;
         ++this->ended_count;
         std::map<request_number, run> const lost =
             std::exchange(ended.running, {});
@@ -344,6 +347,7 @@
     {
         std::uint64_t incarnation = 0;
         bool is_running = true;
+        instant ended_at{};
         std::map<request_number, run> running = {};
     };
 
@@ -501,11 +505,14 @@
 
     void carry_out(std::size_t host, probe_upstream const& wanted)
     {
-        bool const is_running =
-            this->upstream_slots[wanted.address.port - 1U].is_running;
+        upstream_slot const& slot =
+            this->upstream_slots[wanted.address.port - 1U];
+        bool const is_accepted =
+            slot.is_running ||
+            this->now < slot.ended_at + this->settings.listener_lag;
         this->deliver_later(
             1ms, host, this->incarnations[host],
-            upstream_probed{wanted.upstream, is_running
+            upstream_probed{wanted.upstream, is_accepted
                                                  ? probe_outcome::accepted
                                                  : probe_outcome::refused});
     }
