An accepted connection is no sign of life of an upstream that lost one

Cause: after a lost connection the host probed the upstream once, and took an accepted connection as proof that it runs. The kernel closes the files of a process that ends one by one; on a busy machine its listener still accepts when its connections are gone. The loss was then discarded and the crash not counted. The class: a sign of a connection taken for one of a process.

Change: a loss stays open after an accepted probe. Further probes follow after 50, 100, 200 and 400 ms; a refused one, or a request that reaches another upstream at the address, shows that the upstream ended; five accepted ones, or an answer to a request that was sent after the loss, show that it lives. A listed upstream that vanishes while the loss is open counts as before.

The test of reset connections now asks for five accepted probes in place of one.

--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -214,6 +214,8 @@
     void record_upstream_end(upstream_id const& upstream);
     void record_crash(std::uint64_t digest, upstream_id const& upstream);
     void find_ended_upstreams();
+    void repeat_probes();
+    void record_sign_of_life(upstream_signals_received const& event);
     void publish_crash_record(policy::crash_record const& record);
     void refuse_crashing(std::uint64_t digest);
     std::optional<duration> crash_refusal(live_request const& request) const;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -187,6 +187,7 @@
     this->report_limits();
     this->report_customers();
     this->crashes.expire(this->now);
+    this->repeat_probes();
     this->losses.expire(this->now);
     this->check_drain_progress();
 }
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -65,9 +65,11 @@
     switch (event.outcome)
     {
     case probe_outcome::accepted:
-        this->losses.record_responsive(event.upstream);
-        this->pending_effects.push_back(
-            connection_loss_resolved{event.upstream, false});
+        if (this->losses.record_accepted(event.upstream, this->now))
+        {
+            this->pending_effects.push_back(
+                connection_loss_resolved{event.upstream, false});
+        }
         return;
     case probe_outcome::refused:
         this->record_upstream_end(event.upstream);
@@ -79,6 +81,36 @@
     }
 }
 
+/// Probes upstreams again whose listeners accepted a connection.
+void entry_reducer::repeat_probes()
+{
+    for (upstream_id const& upstream : this->losses.take_due_probes(this->now))
+    {
+        for (auto const& [service, state] : this->service_states)
+        {
+            config::upstream const* const found = state.find_upstream(upstream);
+            if (found != nullptr && !state.is_withheld(upstream, this->now))
+            {
+                this->pending_effects.push_back(
+                    probe_upstream{upstream, found->address});
+            }
+        }
+    }
+}
+
+/// An answer to a request that was sent after the loss comes from a process
+/// that outlived it.
+void entry_reducer::record_sign_of_life(upstream_signals_received const& event)
+{
+    live_request const* const request = this->find(event.request);
+    if (request != nullptr &&
+        this->losses.record_answer(event.upstream, request->sent_at))
+    {
+        this->pending_effects.push_back(
+            connection_loss_resolved{event.upstream, false});
+    }
+}
+
 /// Treats upstreams that are no longer listed as ended.
 void entry_reducer::find_ended_upstreams()
 {
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -12,8 +12,10 @@
     if (event.misdirected)
     {
         this->record_leaving(event);
+        this->record_upstream_end(event.upstream);
         return;
     }
+    this->record_sign_of_life(event);
     this->record_limit(event);
     if (event.leaving)
     {
--- a/bilberrylead/policy/connection_losses.cpp
+++ b/bilberrylead/policy/connection_losses.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 
+/// Pause before the second probe; each further pause is twice as long.
+constexpr duration first_probe_pause = std::chrono::milliseconds(50);
+/// Accepted connections from which on an upstream is taken as responsive.
+constexpr unsigned max_probes = 5;
 /// Time within which the listing drops an upstream that ended.
 constexpr duration confirmation_timeout = std::chrono::seconds(10);
 
@@ -18,8 +22,11 @@
 connection_losses::record_loss(upstream_id const& upstream,
                                std::uint64_t digest, instant now)
 {
-    auto const [position, is_new] =
-        this->losses.try_emplace(upstream, loss{now, false, {}});
+    auto const [position, is_new] = this->losses.try_emplace(upstream);
+    if (is_new)
+    {
+        position->second.updated_at = now;
+    }
     if (position->second.ended)
     {
         return connection_loss_action::upstream_ended;
@@ -44,9 +51,50 @@
     return {digests.begin(), digests.end()};
 }
 
-void connection_losses::record_responsive(upstream_id const& upstream)
+bool connection_losses::record_accepted(upstream_id const& upstream,
+                                        instant now)
+{
+    auto const position = this->losses.find(upstream);
+    if (position == this->losses.end() || position->second.ended)
+    {
+        return false;
+    }
+    loss& entry = position->second;
+    ++entry.accepted;
+    if (entry.accepted < max_probes)
+    {
+        entry.next_probe =
+            now + first_probe_pause * (1U << (entry.accepted - 1));
+        return false;
+    }
+    this->losses.erase(position);
+    return true;
+}
+
+bool connection_losses::record_answer(upstream_id const& upstream, instant sent)
 {
-    this->losses.erase(upstream);
+    auto const position = this->losses.find(upstream);
+    if (position == this->losses.end() || position->second.ended ||
+        sent <= position->second.updated_at)
+    {
+        return false;
+    }
+    this->losses.erase(position);
+    return true;
+}
+
+std::vector<upstream_id> connection_losses::take_due_probes(instant now)
+{
+    std::vector<upstream_id> due;
+    for (auto& [upstream, entry] : this->losses)
+    {
+        if (!entry.ended && entry.next_probe <= now)
+        {
+            entry.next_probe = instant::max();
+            due.push_back(upstream);
+        }
+    }
+    return due;
 }
 
 std::vector<upstream_id> connection_losses::unresolved() const
--- a/bilberrylead/policy/connection_losses.hpp
+++ b/bilberrylead/policy/connection_losses.hpp
@@ -18,7 +18,9 @@
 /// Failure it handles: a lost connection does not show whether its upstream
 /// ended. If reset connections counted as crashes, harmless requests would be
 /// classified as crashing. A loss therefore counts only once the upstream has
-/// refused a connection or is no longer listed.
+/// refused a connection or is no longer listed. It is discarded once the
+/// upstream has answered a later request, or has accepted connections for a
+/// while: the listener of a process that ends may outlive its connections.
 class connection_losses
 {
 public:
@@ -32,8 +34,17 @@
     std::vector<std::uint64_t> record_ended(upstream_id const& upstream,
                                             instant now);
 
-    /// Records that the upstream accepted a connection or answered.
-    void record_responsive(upstream_id const& upstream);
+    /// Records that the upstream accepted a connection. Returns true if it has
+    /// done so often enough to be taken as responsive; else it is to be probed
+    /// again.
+    bool record_accepted(upstream_id const& upstream, instant now);
+
+    /// Records an answer of the upstream to a request that was sent at `sent`.
+    /// Returns true if this shows that the upstream outlived its loss.
+    bool record_answer(upstream_id const& upstream, instant sent);
+
+    /// Upstreams that are to be probed again now, each once.
+    std::vector<upstream_id> take_due_probes(instant now);
 
     /// Upstreams with a lost connection that are not yet known to have ended or
     /// to be responsive.
@@ -48,6 +59,9 @@
     {
         instant updated_at{};
         bool ended = false;
+        // Connections that were accepted since the loss.
+        unsigned accepted = 0;
+        instant next_probe = instant::max();
         std::set<std::uint64_t> digests;
     };
 
--- a/tests/unit/policy/connection_losses_test.cpp
+++ b/tests/unit/policy/connection_losses_test.cpp
@@ -38,9 +38,43 @@
 {
     connection_losses losses;
     losses.record_loss(upstream, 1, start);
-    losses.record_responsive(upstream);
+    bool is_responsive = false;
+    for (int probe = 0; probe < 5; ++probe)
+    {
+        cr_expect_not(is_responsive);
+        is_responsive = losses.record_accepted(upstream, start);
+    }
+    cr_expect(is_responsive);
     cr_expect(losses.record_ended(upstream, start).empty());
     losses.record_loss(upstream, 1, start);
     losses.expire(start + 1min);
     cr_expect(losses.record_ended(upstream, start + 1min).empty());
 }
+
+// Guards against a loss that is discarded because the listener of the ended
+// process still accepted a connection.
+Test(connection_losses, accepted_connection_is_followed_by_further_probes)
+{
+    connection_losses losses;
+    losses.record_loss(upstream, 1, start);
+    cr_expect_not(losses.record_accepted(upstream, start));
+    cr_expect(losses.take_due_probes(start + 49ms).empty());
+    cr_expect_eq(losses.take_due_probes(start + 50ms).size(), 1U);
+    cr_expect(losses.take_due_probes(start + 50ms).empty(),
+              "one probe at a time");
+    cr_expect_not(losses.record_accepted(upstream, start + 50ms));
+    cr_expect(losses.take_due_probes(start + 149ms).empty());
+    cr_expect_eq(losses.take_due_probes(start + 150ms).size(), 1U);
+    cr_expect(losses.record_ended(upstream, start + 150ms) ==
+              std::vector<std::uint64_t>{1});
+}
+
+Test(connection_losses, only_an_answer_to_a_later_request_is_a_sign_of_life)
+{
+    connection_losses losses;
+    losses.record_loss(upstream, 1, start);
+    cr_expect_not(losses.record_answer(upstream, start - 1ms));
+    cr_expect_eq(losses.unresolved().size(), 1U);
+    cr_expect(losses.record_answer(upstream, start + 1ms));
+    cr_expect(losses.record_ended(upstream, start + 1ms).empty());
+}
