No third try of a request while two of its upstreams may have ended

Found by scenario.crashing_request beside twelve busy loops (once in eight): 503 at the second call where 502 is expected. The first call had ended three upstreams.

Cause: a retry was decided as soon as a connection was lost, while the loss was not judged yet; the verdict counted only upstreams known to have ended (lines of the play: the third attempt starts before the second crash_record).

Change: losses that are not judged yet count towards the restriction of a retry, never towards a refusal; first attempts go by known crashes as before.

--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -12,7 +12,12 @@
 std::optional<duration>
 entry_reducer::crash_refusal(live_request const& request) const
 {
-    switch (this->crashes.verdict_of(request.digest))
+    policy::crash_verdict const verdict =
+        request.may_have_run
+            ? this->crashes.verdict_of_retry(
+                  request.digest, this->losses.unresolved_of(request.digest))
+            : this->crashes.verdict_of(request.digest);
+    switch (verdict)
     {
     case policy::crash_verdict::unrestricted:
         return std::nullopt;
--- a/bilberrylead/policy/connection_losses.cpp
+++ b/bilberrylead/policy/connection_losses.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/policy/connection_losses.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -110,6 +111,16 @@
     return result;
 }
 
+std::size_t connection_losses::unresolved_of(std::uint64_t digest) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->losses.begin(), this->losses.end(),
+        [digest](auto const& item)
+        {
+            return !item.second.ended && item.second.digests.contains(digest);
+        }));
+}
+
 void connection_losses::expire(instant now)
 {
     std::erase_if(this->losses,
--- a/bilberrylead/policy/connection_losses.hpp
+++ b/bilberrylead/policy/connection_losses.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/policy/connection_loss_action.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -50,6 +51,10 @@
     /// to be responsive.
     std::vector<upstream_id> unresolved() const;
 
+    /// Number of upstreams that lost connections under a request with this
+    /// digest and are not yet known to have ended or to be responsive.
+    std::size_t unresolved_of(std::uint64_t digest) const;
+
     /// Discards losses that were not confirmed in time, and old records of
     /// upstreams that ended.
     void expire(instant now);
--- a/bilberrylead/policy/crash_history.cpp
+++ b/bilberrylead/policy/crash_history.cpp
@@ -42,6 +42,20 @@
                : this->verdict_of(found->second.record);
 }
 
+crash_verdict crash_history::verdict_of_retry(std::uint64_t digest,
+                                              std::size_t unresolved) const
+{
+    auto const found = this->entries.find(digest);
+    std::size_t const ended = found == this->entries.end()
+                                  ? 0
+                                  : found->second.record.ended_upstreams.size();
+    crash_verdict const verdict = this->verdict_of(digest);
+    return verdict == crash_verdict::unrestricted &&
+                   ended + unresolved >= this->settings.crashes_to_restrict
+               ? crash_verdict::restricted
+               : verdict;
+}
+
 crash_history::entry_map::const_iterator
 crash_history::eviction_candidate() const
 {
--- a/bilberrylead/policy/crash_history.hpp
+++ b/bilberrylead/policy/crash_history.hpp
@@ -35,6 +35,12 @@
     /// Whether the request may run.
     crash_verdict verdict_of(std::uint64_t digest) const;
 
+    /// Whether the request may be retried after attempts that lost their
+    /// connections to `unresolved` upstreams, which may have ended. These count
+    /// towards a restriction, but never towards a refusal.
+    crash_verdict verdict_of_retry(std::uint64_t digest,
+                                   std::size_t unresolved) const;
+
     /// Records that the upstream ended while it ran the request. Returns the
     /// record if it changed.
     std::optional<crash_record> record_crash(std::uint64_t digest,
--- a/tests/unit/entry/crashing_request_test.cpp
+++ b/tests/unit/entry/crashing_request_test.cpp
@@ -85,6 +85,17 @@
     }
 }
 
+// Guards against further tries of a request before it is known whether the
+// upstreams of its earlier ones ended.
+Test(crashing_request, unresolved_losses_count_for_further_tries)
+{
+    upstream_fleet fleet({.hosts = 2, .listener_lag = 2s, .attempts = 4});
+    fleet.arrive(0, upstream_fleet::crashing_digest);
+    fleet.run_for(2s);
+    cr_expect_eq(fleet.runs_of(upstream_fleet::crashing_digest), 2U, "%zu runs",
+                 fleet.runs_of(upstream_fleet::crashing_digest));
+}
+
 // Guards against repeats that run until delayed records arrive: they may run
 // late, but not later than the propagation time permits.
 Test(crashing_request, repeats_stop_when_records_arrive_3_s_late)
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -30,6 +30,8 @@
     duration listing_lag = 1s;
     /// Delay of messages between entry hosts.
     duration peer_delay = 50ms;
+    /// Upstreams that a request may be sent to.
+    std::uint32_t attempts = 2;
     /// Run time of a request.
     duration run = 100ms;
     /// Requests per second that upstream 0 sets as its limit; empty for none.
@@ -53,7 +55,7 @@
         this->content = make_one_route({{service_id("read"), 1}});
         config::request_route& route = this->content->request_routes.front();
         route.idempotent = true;
-        route.most_attempts = 2;
+        route.most_attempts = given.attempts;
         route.timeout = 2s;
         for (std::size_t host = 0; host < given.hosts; ++host)
         {
