Name what adds signals; a test's configuration is moved

read_rest of the exchange was also the name of the rest of a request's body; add_rest and add_limit now.

--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/entry/entry_reducer.hpp"
 
-#include <algorithm>
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 /// What upstreams state about themselves with their answers.
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -85,8 +85,8 @@
     bool is_genuine() const;
     bool says_not_run() const;
     void report_signals(bool misdirected);
-    void read_rest(entry::upstream_signals_received& signals) const;
-    void read_limit(entry::upstream_signals_received& signals) const;
+    void add_rest(entry::upstream_signals_received& signals) const;
+    void add_limit(entry::upstream_signals_received& signals) const;
     task<void> report_head();
     task<void> collect_body(std::size_t largest_answer,
                             std::size_t largest_record);
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -81,13 +81,13 @@
                         {
                             return carries_word(*this->parser, name);
                         });
-        this->read_rest(signals);
-        this->read_limit(signals);
+        this->add_rest(signals);
+        this->add_limit(signals);
     }
     this->report(signals);
 }
 
-void upstream_exchange::read_rest(
+void upstream_exchange::add_rest(
     entry::upstream_signals_received& signals) const
 {
     beast::string_view const delay =
@@ -100,7 +100,7 @@
     }
 }
 
-void upstream_exchange::read_limit(
+void upstream_exchange::add_limit(
     entry::upstream_signals_received& signals) const
 {
     for (std::string const& name : this->names.limit)
--- a/tests/unit/entry/entry_fleet.hpp
+++ b/tests/unit/entry/entry_fleet.hpp
@@ -100,7 +100,8 @@
     void reconfigure(std::size_t host, bilberrylead::revision revision,
                      std::shared_ptr<config::configuration const> accepted)
     {
-        this->reduce(host, configuration_received{revision, accepted});
+        this->reduce(host,
+                     configuration_received{revision, std::move(accepted)});
     }
 
     /// Counters of a host.
