A waiting request leaves its state before it is placed again

Cause: place() begins with the request's wait, and requests taken out of a queue were still in it. The same stood in the loop that places requests after a new configuration; no test had waiting requests there in a debug build. Both leave the state first now.

upstream_signals.waiting_requests_are_refused_when_every_upstream_rests failed before under the sanitizers, passes now with the other eight of its suite.

--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -290,7 +290,10 @@
     }
     for (std::uint64_t const ticket : waiting)
     {
-        this->place(*this->find(static_cast<request_number>(ticket)));
+        live_request& request =
+            *this->find(static_cast<request_number>(ticket));
+        request.life_cycle.pause();
+        this->place(request);
     }
 }
 
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -84,7 +84,10 @@
         this->state_of(service).remove_stranded(this->now);
     for (std::uint64_t const ticket : stranded)
     {
-        this->place(*this->find(static_cast<request_number>(ticket)));
+        live_request& request =
+            *this->find(static_cast<request_number>(ticket));
+        request.life_cycle.pause();
+        this->place(request);
     }
 }
 
