Log how old listings are and how they reach the entry hosts

The leader now logs the longest time for which a change may have been listed (listing_read) and the slowest confirmation of each listing (listing_delivered); entry hosts confirm a listing at once with their heartbeat, a request's line names the listing that it was placed by, and requests withdrawn from a new connection are counted. No message between hosts has changed.

Decisions are the same.

--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -9,13 +9,16 @@
 #include "bilberrylead/agreement/events/membership_change_requested.hpp"
 #include "bilberrylead/control/operator_reply.hpp"
 #include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_position.hpp"
+#include "bilberrylead/discovery/listing_delivery.hpp"
 #include "bilberrylead/discovery/page_call.hpp"
 #include "bilberrylead/link/message.hpp"
 #include "bilberrylead/link/peer_callbacks.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -66,6 +69,17 @@
     std::size_t removed = 0;
     /// Number of upstreams in the listing.
     std::size_t upstreams = 0;
+    /// Longest time for which the upstream list may have shown one of the
+    /// changes; empty if it is unknown, or known only to the host that reads.
+    std::optional<duration> max_age;
+};
+
+/// All entry hosts have confirmed a listing, or a newer one was sent before
+/// they did. For the process log and the metrics only.
+struct listing_delivered
+{
+    /// The listing and its confirmations.
+    discovery::delivery_report report;
 };
 
 /// The replicated log has put orders in force. For the process log only.
@@ -102,7 +116,7 @@
                  agreement::persist_snapshot, agreement::sync,
                  agreement::role_changed, send_to_peer, answer_operator,
                  link_members, call_upstream_list, listing_changed,
-                 orders_changed, membership_planned, crash_record_lifted>;
+                 listing_delivered, orders_changed, membership_planned, crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -76,7 +76,7 @@
     if (event.listing.has_value())
     {
         this->listing.apply(*event.listing, this->time);
-        this->record_listing_change(*event.listing);
+        this->record_listing_change(*event.listing, std::nullopt);
     }
     this->current_plan = event.plan;
 }
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/control/control_reducer_settings.hpp"
 #include "bilberrylead/control/pending_requests.hpp"
 #include "bilberrylead/discovery/list_reader.hpp"
+#include "bilberrylead/discovery/listing_delivery.hpp"
 #include "bilberrylead/discovery/upstream_listing.hpp"
 #include "bilberrylead/distribution/revision_exchange.hpp"
 #include "bilberrylead/membership/planned_host.hpp"
@@ -159,7 +160,9 @@
     void read_list();
     void set_list_expectation();
     void request_listing();
-    void record_listing_change(discovery::list_changes const& changes);
+    void send_listing(discovery::list_changes changes);
+    void record_listing_change(discovery::list_changes const& changes,
+                               std::optional<duration> max_age);
     void plan_regions();
     void send_crash_records(link::link_number to);
     void allocate_limits();
@@ -205,6 +208,7 @@
     std::optional<discovery::list_reader> reader;
     instant listing_requested_at;
     instant listing_sent_at;
+    discovery::listing_delivery delivery;
     instant regions_planned_at;
     std::optional<link::region_plan> current_plan;
     instant leader_since{};
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -48,6 +48,13 @@
     }
     this->entry_hosts.record_heartbeat(from, this->peer_of(from), message,
                                        this->time);
+    std::optional<discovery::delivery_report> const report =
+        this->delivery.record_confirmed(this->peer_of(from), message.listing,
+                                        this->time);
+    if (report.has_value())
+    {
+        this->effects.emplace_back(listing_delivered{*report});
+    }
 }
 
 void control_reducer::on_peer(link::link_number from,
@@ -239,16 +246,33 @@
         changes = this->listing.apply_leaving(this->reader->leaving_so_far(),
                                               this->replica.term(), this->time);
     }
-    if (!changes.has_value())
+    if (changes.has_value())
     {
-        return;
+        this->send_listing(std::move(*changes));
     }
+}
+
+void control_reducer::send_listing(discovery::list_changes changes)
+{
     this->listing_sent_at = this->time;
-    this->record_listing_change(*changes);
-    link::upstream_update const update{std::move(*changes)};
+    this->record_listing_change(changes,
+                                this->reader->max_change_age(this->time));
+    std::set<host_id> receivers;
+    link::upstream_update const update{std::move(changes)};
     for (auto const& [number, peer] : this->links)
     {
         this->send(number, update);
+        if (peer.role == link::peer_role::entry)
+        {
+            receivers.insert(peer.id);
+        }
+    }
+    std::optional<discovery::delivery_report> const incomplete =
+        this->delivery.record_sent(update.changes.target, std::move(receivers),
+                                   this->time);
+    if (incomplete.has_value())
+    {
+        this->effects.emplace_back(listing_delivered{*incomplete});
     }
 }
 
@@ -261,11 +285,11 @@
 }
 
 void control_reducer::record_listing_change(
-    discovery::list_changes const& changes)
+    discovery::list_changes const& changes, std::optional<duration> max_age)
 {
     this->effects.emplace_back(listing_changed{
         changes.target, changes.put.size(), changes.removed.size(),
-        this->listing.upstreams().size()});
+        this->listing.upstreams().size(), max_age});
 }
 
 void control_reducer::on_peer(link::link_number from,
@@ -274,7 +298,7 @@
     switch (this->listing.apply(message.changes, this->time))
     {
     case discovery::apply_result::applied:
-        this->record_listing_change(message.changes);
+        this->record_listing_change(message.changes, std::nullopt);
         return;
     case discovery::apply_result::base_mismatch:
         this->send(from, link::upstream_request{this->listing.position()});
--- a/bilberrylead/daemon/control_metrics.hpp
+++ b/bilberrylead/daemon/control_metrics.hpp
@@ -8,8 +8,14 @@
 namespace bilberrylead::control
 {
 class control_reducer;
+struct listing_changed;
 } // namespace bilberrylead::control
 
+namespace bilberrylead::discovery
+{
+struct delivery_report;
+} // namespace bilberrylead::discovery
+
 namespace bilberrylead::daemon
 {
 
@@ -28,6 +34,15 @@
     /// Notes one sync of the data folder.
     void count_sync();
 
+    /// Notes a call to the list of upstreams that failed.
+    void count_failed_list_call();
+
+    /// Notes a listing that is held from now on.
+    void count_listing(control::listing_changed const& listing);
+
+    /// Notes how a listing reached the entry hosts.
+    void count_delivery(discovery::delivery_report const& report);
+
     /// All metrics as of now.
     std::string text(control::control_reducer const& reducer,
                      control_store const& store);
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/core/process_seed.hpp"
+#include "bilberrylead/daemon/listing_log.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -393,10 +394,14 @@
             {
                 this->owner.listing_memory->note_change();
             }
-            log.info("Listing {}.{} of upstreams is held: {} new or changed, "
-                     "{} gone, {} in all.",
-                     wanted.position.term, wanted.position.number, wanted.put,
-                     wanted.removed, wanted.upstreams);
+            this->owner.metrics.count_listing(wanted);
+            log_listing(wanted);
+        }
+
+        void operator()(control::listing_delivered const& wanted) const
+        {
+            this->owner.metrics.count_delivery(wanted.report);
+            log_delivery(wanted.report);
         }
 
         void operator()(control::orders_changed const& wanted) const
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -160,6 +160,7 @@
             {
                 log.warning("The list of upstreams could not be read: {}",
                             std::string(page.status().message()));
+                this->metrics.count_failed_list_call();
                 this->take(control::list_call_failed{number});
                 return;
             }
--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -285,6 +285,10 @@
     builder.gauge("bilberry_entry_leaving_upstreams",
                   "Upstreams that get no new requests since they leave.",
                   static_cast<double>(counters.leaving_upstreams));
+    builder.counter("bilberry_entry_withdrawn_requests_total",
+                    "Requests that were not sent over a new connection since "
+                    "their upstream had been excluded while it was made.",
+                    counters.withdrawn);
     add_requests(builder, counters);
     add_latency(builder, counters);
     add_refusals(builder, counters);
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -374,7 +374,10 @@
              "gone, {} in all.",
              said.changes.target.term, said.changes.target.number,
              said.changes.put.size(), said.changes.removed.size(), all->size());
-    this->server->dispatch(entry::upstreams_listed{all});
+    this->server->dispatch(
+        entry::upstreams_listed{all, this->listing.position()});
+    // Confirms the listing without waiting for the next heartbeat.
+    this->tell_presence(number);
 }
 
 void entry_program::implementation::tell_presence(link::link_number to)
--- /dev/null
+++ b/bilberrylead/daemon/listing_log.cpp
@@ -0,0 +1,54 @@
+#include "bilberrylead/daemon/listing_log.hpp"
+
+#include "bilberrylead/control/control_effect.hpp"
+#include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/log_line.hpp"
+#include "bilberrylead/discovery/listing_delivery.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string>
+
+namespace bilberrylead::daemon
+{
+
+namespace
+{
+
+constexpr part_log log{"control"};
+
+std::string text_of(discovery::list_position const& position)
+{
+    return fmt::format("{}.{}", position.term, position.number);
+}
+
+} // namespace
+
+void log_listing(control::listing_changed const& listing)
+{
+    log.info("Listing {} of upstreams is held: {} new or changed, {} gone, {} "
+             "in all.",
+             text_of(listing.position), listing.put, listing.removed,
+             listing.upstreams);
+    if (listing.max_age.has_value())
+    {
+        log_line("control", "listing_read")
+            .text("listing", text_of(listing.position))
+            .time("max_age_ms", *listing.max_age)
+            .write();
+    }
+}
+
+void log_delivery(discovery::delivery_report const& report)
+{
+    log_line("control", "listing_delivered")
+        .text("listing", text_of(report.position))
+        .number("hosts", static_cast<std::int64_t>(report.hosts))
+        .number("confirmed", static_cast<std::int64_t>(report.confirmed))
+        .text("slowest", report.slowest.text())
+        .time("slowest_ms", report.slowest_time)
+        .write();
+}
+
+} // namespace bilberrylead::daemon
--- /dev/null
+++ b/bilberrylead/daemon/listing_log.hpp
@@ -0,0 +1,25 @@
+#ifndef BILBERRYLEAD_DAEMON_LISTING_LOG_HPP
+#define BILBERRYLEAD_DAEMON_LISTING_LOG_HPP
+
+namespace bilberrylead::control
+{
+struct listing_changed;
+} // namespace bilberrylead::control
+
+namespace bilberrylead::discovery
+{
+struct delivery_report;
+} // namespace bilberrylead::discovery
+
+namespace bilberrylead::daemon
+{
+
+/// Logs a listing of upstreams that is held from now on.
+void log_listing(control::listing_changed const& listing);
+
+/// Logs how a listing reached the entry hosts.
+void log_delivery(discovery::delivery_report const& report);
+
+} // namespace bilberrylead::daemon
+
+#endif
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -21,11 +21,21 @@
         return;
     }
     this->active = should_read;
+    this->last_reading_started_at.reset();
+    this->previous_reading_started_at.reset();
     this->next_due = std::max(this->next_due, now);
     this->full_scan.reset();
     this->start_reading(now);
 }
 
+std::optional<duration> list_reader::max_change_age(instant now) const
+{
+    std::optional<instant> const& since = this->has_started
+                                              ? this->last_reading_started_at
+                                              : this->previous_reading_started_at;
+    return since.has_value() ? std::optional(now - *since) : std::nullopt;
+}
+
 void list_reader::expect(std::size_t upstreams, bool only_known_zones)
 {
     this->expected = upstreams;
@@ -224,6 +234,8 @@
     }
     std::vector<listed_upstream> all_upstreams = this->collect_upstreams();
     ++this->completed_readings;
+    this->previous_reading_started_at =
+        std::exchange(this->last_reading_started_at, this->reading_started_at);
     this->last_read_at = now;
     bool const by_zone = !this->parts.front().zone.empty();
     this->expected = all_upstreams.size();
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -68,6 +68,11 @@
         return this->leaving;
     }
 
+    /// Longest time for which the list may have shown a change that the
+    /// current or the last completed reading found: since the start of the
+    /// reading before. Empty if there is none.
+    std::optional<duration> max_change_age(instant now) const;
+
     /// Time at which the list was last read completely, if ever.
     std::optional<instant> last_read() const
     {
@@ -88,6 +93,9 @@
     std::uint64_t last_number = 0;
     instant next_due{};
     instant reading_started_at{};
+    // Starts of the last two readings that were completed, if there are any.
+    std::optional<instant> last_reading_started_at;
+    std::optional<instant> previous_reading_started_at;
     bool has_started = false;
     std::size_t completed_readings = 0;
     std::size_t expected = 0;
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_position.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/request_outcome.hpp"
@@ -191,6 +192,8 @@
     std::optional<duration> limit_age;
     /// Attempted upstreams, in order.
     std::vector<upstream_id> tried;
+    /// Listing by which the last of them was selected.
+    discovery::list_position placed_by;
     /// Region that the region plan selected; empty if there was no plan.
     region_id region;
     /// Expected wait for a slot at the selected upstream, or at the best one if
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -74,6 +74,9 @@
     std::uint64_t rests = 0;
     /// Requests for a rest in upstream answers that could not be parsed.
     std::uint64_t unreadable_rests = 0;
+    /// Requests that were not sent over a new connection since their upstream
+    /// had been excluded while it was made.
+    std::uint64_t withdrawn = 0;
     /// Gauge: upstreams that rest.
     std::size_t resting_upstreams = 0;
     /// Gauge: upstreams that announced that they are leaving.
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -250,6 +250,7 @@
     std::shared_ptr<config::configuration const> content;
     std::shared_ptr<std::vector<discovery::listed_upstream> const>
         upstream_list;
+    discovery::list_position listing_position;
     std::set<zone_id> closed;
     entry_hosts_counted entry_hosts;
     regions_planned region_plan;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -352,6 +352,7 @@
     end.caller = request.caller;
     end.customer = request.customer;
     end.tried = request.tried;
+    end.placed_by = request.placed_by;
     end.region = this->region_name_of(request.region);
     end.expected_wait = request.expected_wait;
     end.run_factor = request.run_factor;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -69,6 +69,7 @@
 void entry_reducer::on(upstreams_listed const& event)
 {
     this->upstream_list = event.upstreams;
+    this->listing_position = event.position;
     this->find_ended_upstreams();
     this->rebuild();
 }
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -296,6 +296,7 @@
     service_state& state = this->state_of(request.service);
     state.acquire_slot(upstream->id, this->now);
     request.tried.push_back(upstream->id);
+    request.placed_by = this->listing_position;
     request.sent_to = upstream->address;
     request.life_cycle.send();
     request.sent_at = this->now;
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -176,6 +176,7 @@
 void entry_reducer::place_elsewhere(live_request& request)
 {
     assert(request.life_cycle.current() == request_state::running);
+    ++this->current_counters.withdrawn;
     this->release_slot(request);
     request.tried.pop_back();
     request.life_cycle.pause();
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_position.hpp"
 #include "bilberrylead/discovery/listed_upstream.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/upstream_load.hpp"
@@ -41,6 +42,8 @@
 {
     /// All upstreams; never null.
     std::shared_ptr<std::vector<discovery::listed_upstream> const> upstreams;
+    /// Position of the listing, for the process log.
+    discovery::list_position position = {};
 };
 
 /// Share of a service's requests that is to run in a region.
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/config/service.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_position.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_life_cycle.hpp"
 #include "bilberrylead/entry/request_number.hpp"
@@ -88,6 +89,8 @@
     instant timer{};
     /// Upstreams to which the request was sent; the last one runs it.
     std::vector<upstream_id> tried;
+    /// Listing by which the last upstream was selected.
+    discovery::list_position placed_by;
     /// Address of the last attempted upstream.
     config::endpoint sent_to;
     /// True once a byte may have reached an upstream that did not then state
