Test that fails: one lost call to the list delays a leaving upstream

Control hosts that read a list of 1,485 upstreams in nine zones, and 2, 71 or 300 entry hosts; packets wait half a second at an entry host's link, each way. The bound is the platform's 3 s.

--- a/tests/unit/control/control_group.hpp
+++ b/tests/unit/control/control_group.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -40,7 +41,9 @@
         link::message content;
     };
 
-    control_group()
+    /// Makes a group that reads an upstream list if `list` says how.
+    explicit control_group(std::optional<discovery::list_reader_settings> const&
+                               list = std::nullopt)
     {
         agreement::started recovered;
         recovered.initial_membership.emplace();
@@ -52,6 +55,7 @@
             settings.self = control_host(index);
             settings.planner.emplace();
             settings.planner->losses = {1, 1, 0};
+            settings.list = list;
             this->nodes.at(index) = std::make_unique<control::control_reducer>(
                 settings, process_seed(settings.self, 1));
         }
@@ -97,6 +101,11 @@
             {
                 this->post(index, *sent);
             }
+            else if (control::call_upstream_list const* const called =
+                         std::get_if<control::call_upstream_list>(&effect))
+            {
+                this->list_calls.emplace_back(index, called->call);
+            }
         }
     }
 
@@ -210,6 +219,9 @@
     std::map<std::pair<std::size_t, link::link_number>,
              std::vector<link::message>>
         sent_to_entry_hosts;
+    /// Calls to the upstream list that the test has not handled yet, and the
+    /// host that made each.
+    std::vector<std::pair<std::size_t, discovery::page_call>> list_calls;
     std::size_t syncs = 0;
 };
 
--- /dev/null
+++ b/tests/unit/control/leaving_upstream_time_test.cpp
@@ -0,0 +1,122 @@
+#include "tests/unit/control/listing_fleet.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+
+using namespace bilberrylead;
+using namespace std::chrono_literals;
+using tests::listing_fleet;
+using tests::listing_fleet_settings;
+
+namespace
+{
+
+/// No request reaches an upstream later than this after it was listed as
+/// leaving.
+constexpr duration bound = 3s;
+/// The bound does not apply within this time of a change of leader.
+constexpr duration leader_change_time = 4s;
+/// Steps that are no multiple of the reading interval, so that an upstream is
+/// listed as leaving at any moment of a reading.
+constexpr duration phase_step = 90ms;
+constexpr std::size_t fleet_sizes[] = {2, 71, 300};
+/// Of each zone, an upstream of the first page and one of the last.
+constexpr std::size_t first_upstream = 0;
+constexpr std::size_t last_upstream = 164;
+
+/// Longest time to the last arrival over upstreams that are listed as leaving
+/// at different moments. `prepare` is called as each is listed.
+template <class Prepare>
+duration longest_time(listing_fleet& fleet, Prepare prepare)
+{
+    duration longest{};
+    for (duration phase{}; phase < 2s; phase += phase_step)
+    {
+        for (std::size_t const number : {first_upstream, last_upstream})
+        {
+            fleet.run_for(phase);
+            fleet.set_leaving(number % 9, number);
+            prepare(fleet);
+            fleet.run_for(8s);
+            longest = std::max(longest, fleet.time_to_last_arrival());
+            fleet.lose_calls({});
+            fleet.clear_leaving();
+        }
+    }
+    return longest;
+}
+
+/// Loses one call at a time after `skipped` others.
+void lose_one_call(listing_fleet& fleet, std::size_t skipped)
+{
+    fleet.lose_calls(
+        [left = skipped, done = false](discovery::page_call const&) mutable
+        {
+            if (done || left-- > 0)
+            {
+                return false;
+            }
+            done = true;
+            return true;
+        });
+}
+
+} // namespace
+
+// Guards against a reading interval and delays that add up to more than the
+// bound although each of them is usual.
+Test(leaving_upstream_time, longest_usual_delays_stay_within_the_bound)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        listing_fleet fleet({.entry_hosts = hosts});
+        duration const longest = longest_time(fleet, [](listing_fleet&) {});
+        cr_expect_leq(longest.count(), bound.count(), "%zu hosts: %.3f s",
+                      hosts, std::chrono::duration<double>(longest).count());
+    }
+}
+
+// Guards against a single lost call that delays a whole reading beyond the
+// bound.
+Test(leaving_upstream_time, one_lost_call_stays_within_the_bound)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        listing_fleet fleet({.entry_hosts = hosts});
+        std::size_t skipped = 0;
+        duration const longest =
+            longest_time(fleet,
+                         [&skipped](listing_fleet& listed)
+                         {
+                             lose_one_call(listed, skipped++ % 36);
+                         });
+        cr_expect_leq(longest.count(), bound.count(), "%zu hosts: %.3f s",
+                      hosts, std::chrono::duration<double>(longest).count());
+    }
+}
+
+// Guards against a new leader that learns too late of an upstream that left
+// while there was no leader.
+Test(leaving_upstream_time, change_of_leader_stays_within_the_bound)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        for (duration phase{}; phase < 2s; phase += phase_step)
+        {
+            listing_fleet fleet({.entry_hosts = hosts});
+            fleet.run_for(phase);
+            fleet.set_leaving(1, last_upstream);
+            instant const listed = fleet.now();
+            instant const limit = std::max(
+                listed + bound, fleet.replace_leader() + leader_change_time);
+            fleet.run_for(8s);
+            cr_expect_leq(fleet.last_arrival().time_since_epoch().count(),
+                          limit.time_since_epoch().count(),
+                          "%zu hosts, phase %.3f s", hosts,
+                          std::chrono::duration<double>(phase).count());
+        }
+    }
+}
