--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -116,7 +116,8 @@
                  agreement::persist_snapshot, agreement::sync,
                  agreement::role_changed, send_to_peer, answer_operator,
                  link_members, call_upstream_list, listing_changed,
-                 listing_delivered, orders_changed, membership_planned, crash_record_lifted>;
+                 listing_delivered, orders_changed, membership_planned,
+                 crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -30,9 +30,9 @@
 
 std::optional<duration> list_reader::max_change_age(instant now) const
 {
-    std::optional<instant> const& since = this->has_started
-                                              ? this->last_reading_started_at
-                                              : this->previous_reading_started_at;
+    std::optional<instant> const& since =
+        this->has_started ? this->last_reading_started_at
+                          : this->previous_reading_started_at;
     return since.has_value() ? std::optional(now - *since) : std::nullopt;
 }
 
--- a/bilberrylead/discovery/listing_delivery.hpp
+++ b/bilberrylead/discovery/listing_delivery.hpp
@@ -34,9 +34,8 @@
 public:
     /// Starts to track a listing that is being sent to `hosts`. Returns the
     /// report on the previous one if some hosts have not confirmed it.
-    std::optional<delivery_report> record_sent(list_position position,
-                                               std::set<host_id> hosts,
-                                               instant now);
+    std::optional<delivery_report>
+    record_sent(list_position position, std::set<host_id> hosts, instant now);
 
     /// Records that a host uses a listing. Returns the report if this was the
     /// last confirmation that was missing.
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -52,8 +52,8 @@
         .number("status", end.status)
         .text("upstream", end.tried.empty() ? "" : end.tried.back().text())
         .text("earlier", earlier_upstreams(end.tried))
-        .text("listing", fmt::format("{}.{}", end.placed_by.term,
-                                     end.placed_by.number))
+        .text("listing",
+              fmt::format("{}.{}", end.placed_by.term, end.placed_by.number))
         .text("region", end.region.text())
         .number("tries", static_cast<std::int64_t>(end.tried.size()))
         .text("digest", digest_text(end.digest))
