Check listing and closed zones again before a request is sent

What callers saw: nothing; an upstream that was leaving, or whose zone had been closed, got new work over connections that were made meanwhile.

Cause: the last check before the first byte (accepts_requests) knew of rests and of upstreams that said in an answer that they leave, but not of the listing nor of closed zones. A connection between regions takes 0.1 s, up to 1 s with a lost packet, so that a listing that arrived in that time had no effect. Class: a fact that counts where a request is placed and not where it is sent.

Fix: each record says whether its upstream is in service, set once with each configuration or listing; placement and the last check both use it. The check now also covers kept connections, after which the request is placed again without an attempt. Probes after a lost connection go to the same upstreams as before.

Ruled out: asking the configuration again by a search over all upstreams for each request (1,485 comparisons).

Scenarios leaving_upstreams, whole_path, resting_upstream, crashing_request pass.

--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -83,7 +83,7 @@
 {
     auto const state = this->service_states.find(service);
     return state != this->service_states.end() &&
-           !state->second.is_withheld(upstream, this->now);
+           state->second.may_receive(upstream, this->now);
 }
 
 service_state& entry_reducer::state_of(service_id const& service)
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -109,7 +109,7 @@
     }
 
     /// False if the upstream receives no requests from this host now, because
-    /// it leaves, rests or is no longer there.
+    /// it leaves, rests or is no longer there, or because its zone is closed.
     bool accepts_requests(service_id const& service,
                           upstream_id const& upstream) const;
 
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -51,7 +51,7 @@
     case policy::connection_loss_action::probe:
         // An upstream that rests or leaves is left alone; the upstream list
         // shows whether it ended.
-        if (this->accepts_requests(request.service, upstream))
+        if (!this->state_of(request.service).is_withheld(upstream, this->now))
         {
             this->pending_effects.push_back(
                 probe_upstream{upstream, request.sent_to});
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -105,6 +105,7 @@
                   });
     for (auto& [id, record] : this->records)
     {
+        record.in_service = false;
         record.absent_since =
             present.contains(id)
                 ? std::nullopt
@@ -119,6 +120,7 @@
         // Records keep their addresses until they are erased above.
         this->upstream_records.push_back(&record);
         record.cold_until = std::max(record.cold_until, each.cold_until);
+        record.in_service = !each.upstream->leaving && !each.closed;
         record.region = each.region;
         record.hash = std::hash<upstream_id>{}(each.upstream->id);
     }
@@ -163,11 +165,9 @@
 /// True if the upstream may receive requests, apart from a rest.
 bool service_state::is_in_service(std::size_t index, instant now) const
 {
-    config::upstream const& upstream =
-        *this->configured_upstreams[index].upstream;
     upstream_record const& record = *this->upstream_records[index];
-    return !upstream.leaving && !this->configured_upstreams[index].closed &&
-           record.leaving_until <= now && record.health.usable_slots() > 0;
+    return record.in_service && record.leaving_until <= now &&
+           record.health.usable_slots() > 0;
 }
 
 /// True if the upstream rests, or returns from a rest and has as many requests
@@ -203,6 +203,13 @@
     return found == this->records.end() || is_withheld_by(found->second, now);
 }
 
+bool service_state::may_receive(upstream_id const& id, instant now) const
+{
+    auto const found = this->records.find(id);
+    return found != this->records.end() && found->second.in_service &&
+           !is_withheld_by(found->second, now);
+}
+
 bool service_state::accepts_work(reach const& reachable, instant now) const
 {
     for (std::size_t index = 0; index < this->configured_upstreams.size();
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -131,6 +131,11 @@
     /// requests of this host.
     bool is_withheld(upstream_id const& id, instant now) const;
 
+    /// True if a request that was placed at the upstream may still be sent to
+    /// it: it is configured, not listed as leaving, its zone is open, and it
+    /// neither rests nor leaves.
+    bool may_receive(upstream_id const& id, instant now) const;
+
     /// Upstream at an index that `place` returned.
     config::upstream const& upstream_at(std::size_t index) const
     {
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -25,6 +25,9 @@
     {
     }
 
+    /// True while the configuration contains it, it is not listed as leaving
+    /// and its zone is open.
+    bool in_service = false;
     /// Number of its region, from the last configuration that contained it.
     std::uint32_t region = 0;
     /// Hash of its id, by which objects are distributed.
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -65,6 +65,7 @@
     // Each await is a statement of its own: g++ 12 destroys frames wrongly
     // when one stands in a condition.
     bool goes_on = co_await this->connect();
+    goes_on = goes_on && !this->withdraw();
     if (goes_on)
     {
         goes_on = co_await this->send();
@@ -116,14 +117,19 @@
         co_return false;
     }
     this->connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
-    // Connecting may take seconds, in which the upstream may have asked for a
-    // rest or announced that it is leaving.
-    if (!this->may_send(this->order))
+    co_return true;
+}
+
+/// Connecting may take seconds, in which the upstream may have been listed as
+/// leaving, its zone may have been closed, or it may have asked for a rest.
+bool upstream_exchange::withdraw()
+{
+    if (this->may_send(this->order))
     {
-        this->fail(entry::exchange_fault::withdrawn);
-        co_return false;
+        return false;
     }
-    co_return true;
+    this->fail(entry::exchange_fault::withdrawn);
+    return true;
 }
 
 void upstream_exchange::prepare_message()
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -76,6 +76,7 @@
 private:
     task<void> run();
     task<bool> connect();
+    bool withdraw();
     task<bool> send();
     task<void> send_message(error_code& error);
     task<bool> read_head();
