Derive the reading interval of the upstream list from one time budget

Cause: nothing kept the sum of the legs below the bound. Class: constants that were each chosen for themselves and only together keep a promise.

Fix: leaving_time_budget divides the bound (setting leaving_bound_s, 3 s) among the legs; the interval is what they leave after one failed call, from the round trip and the pages that the reader measures. An unanswered call is made again over another connection after 0.3 s; pauses after failures start at 0.15 s and double. A list that is too slow for the bound is logged.

Ruled out: one failing leg (no call failed, every reading came in time).

--- a/bilberrylead/config/control_settings.hpp
+++ b/bilberrylead/config/control_settings.hpp
@@ -65,6 +65,9 @@
     /// Calls a second that the list takes from all hosts together; 0: none
     /// are stated.
     double upstream_list_calls = 1;
+    /// Time within which an upstream that the list shows as leaving must
+    /// receive no more requests.
+    duration leaving_bound = std::chrono::seconds(3);
     /// Whom the operators' port trusts.
     operator_trust trust = operator_trust::by_key;
     /// What hosts of the system prove themselves with to each other; 32 to
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -131,6 +131,7 @@
     visitor.optional("upstream_list", value.upstream_list);
     visitor.fraction("upstream_list_calls_per_s", value.upstream_list_calls, 0,
                      most_bound);
+    visitor.seconds("leaving_bound_s", value.leaving_bound, longest_setting);
     visitor.choice("trust", value.trust, operator_trust_names);
 }
 
--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -82,6 +82,14 @@
     discovery::delivery_report report;
 };
 
+/// The list of upstreams has become too slow for a leaving upstream to be out
+/// of use within its bound, or is fast enough again. For the process log only.
+struct listing_budget_changed
+{
+    /// True if the bound can be kept.
+    bool is_kept = true;
+};
+
 /// The replicated log has put orders in force. For the process log only.
 struct orders_changed
 {
@@ -116,8 +124,8 @@
                  agreement::persist_snapshot, agreement::sync,
                  agreement::role_changed, send_to_peer, answer_operator,
                  link_members, call_upstream_list, listing_changed,
-                 listing_delivered, orders_changed, membership_planned,
-                 crash_record_lifted>;
+                 listing_delivered, listing_budget_changed, orders_changed,
+                 membership_planned, crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -161,6 +161,7 @@
     void set_list_expectation();
     void request_listing();
     void send_listing(discovery::list_changes changes);
+    void check_listing_budget();
     void record_listing_change(discovery::list_changes const& changes,
                                std::optional<duration> max_age);
     void plan_regions();
@@ -209,6 +210,7 @@
     instant listing_requested_at;
     instant listing_sent_at;
     discovery::listing_delivery delivery;
+    bool keeps_listing_budget = true;
     instant regions_planned_at;
     std::optional<link::region_plan> current_plan;
     instant leader_since{};
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -238,6 +238,7 @@
     std::optional<discovery::list_changes> changes;
     if (upstreams.has_value())
     {
+        this->check_listing_budget();
         changes = this->listing.apply_reading(*upstreams, this->replica.term(),
                                               this->time);
     }
@@ -252,6 +253,16 @@
     }
 }
 
+void control_reducer::check_listing_budget()
+{
+    bool const is_kept = this->reader->keeps_budget();
+    if (is_kept != this->keeps_listing_budget)
+    {
+        this->keeps_listing_budget = is_kept;
+        this->effects.emplace_back(listing_budget_changed{is_kept});
+    }
+}
+
 void control_reducer::send_listing(discovery::list_changes changes)
 {
     this->listing_sent_at = this->time;
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -216,6 +216,7 @@
         {
             wanted.list->calls_per_second = this->settings.upstream_list_calls;
         }
+        wanted.list->budget.bound = this->settings.leaving_bound;
         for (config::place const& place : this->settings.places)
         {
             wanted.list->zones.push_back(place.zone);
@@ -404,6 +405,17 @@
             log_delivery(wanted.report);
         }
 
+        void operator()(control::listing_budget_changed const& wanted) const
+        {
+            if (wanted.is_kept)
+            {
+                log.info("The list of upstreams is fast enough again.");
+                return;
+            }
+            log.warning("The list of upstreams is too slow: a leaving upstream "
+                        "may receive requests beyond leaving_bound_s.");
+        }
+
         void operator()(control::orders_changed const& wanted) const
         {
             log.info("Orders {} are accepted: version {}, {} zones closed.",
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -144,10 +144,12 @@
 void control_program::implementation::call_list(
     discovery::page_call const& call)
 {
-    // A caller makes one call at a time; zones are asked side by side.
+    // A caller makes one call at a time; zones are asked side by side, and a
+    // second call for a page does not wait behind the first.
     link::http_caller& caller =
         this->lists
-            .try_emplace(call.zone, this->io, this->settings.upstream_list,
+            .try_emplace({call.zone, call.is_hedge}, this->io,
+                         this->settings.upstream_list,
                          discovery::list_reader_settings{}.call_timeout)
             .first->second;
     caller.get(
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -101,7 +101,8 @@
     std::optional<peer_book> book;
     std::optional<link::http_endpoint> operators;
     std::optional<link::http_endpoint> steering;
-    std::map<zone_id, link::http_caller> lists;
+    // By zone, and whether the calls are second ones.
+    std::map<std::pair<zone_id, bool>, link::http_caller> lists;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
     std::optional<message_memory> listing_memory;
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -8,6 +8,14 @@
 namespace bilberrylead::discovery
 {
 
+namespace
+{
+
+/// Weight of one round trip in the smoothed value.
+constexpr std::int64_t round_trip_divisor = 8;
+
+} // namespace
+
 list_reader::list_reader(list_reader_settings const& initial_settings)
     : settings(initial_settings)
 {
@@ -84,22 +92,81 @@
 }
 
 void list_reader::fail_timed_out_calls(instant now)
+{
+    for (list_part& each : this->parts)
+    {
+        this->fail_timed_out_calls(each, now);
+    }
+    if (this->full_scan.has_value())
+    {
+        this->fail_timed_out_calls(*this->full_scan, now);
+    }
+}
+
+void list_reader::fail_timed_out_calls(list_part& part, instant now)
 {
     instant const oldest = now - this->settings.call_timeout;
-    for (list_part const& each : this->parts)
+    if (part.hedge_call != 0 && part.hedge_started_at <= oldest)
     {
-        if (each.pending_call != 0 && each.call_started_at <= oldest)
-        {
-            this->call_failed(each.pending_call, now);
-        }
+        this->part_failed(part, part.hedge_call, now);
     }
-    if (this->full_scan.has_value() && this->full_scan->pending_call != 0 &&
-        this->full_scan->call_started_at <= oldest)
+    if (part.pending_call != 0 && part.call_started_at <= oldest)
     {
-        this->call_failed(this->full_scan->pending_call, now);
+        this->part_failed(part, part.pending_call, now);
     }
 }
 
+/// Time that one failed call adds to a reading: the second call for the page,
+/// or a pause and all pages of the part again.
+duration list_reader::failed_call_time() const
+{
+    duration const pages =
+        this->round_trip * static_cast<std::int64_t>(this->pages_per_part);
+    return std::max(this->settings.hedge_delay + this->round_trip,
+                    this->settings.retry_delay + pages);
+}
+
+duration list_reader::longest_interval() const
+{
+    return this->parts.size() > 1 ? this->settings.long_list_period
+                                  : this->settings.period;
+}
+
+bool list_reader::keeps_budget() const
+{
+    duration const calls =
+        this->call_interval() *
+        static_cast<std::int64_t>(this->pages_per_part * this->parts.size());
+    duration const needed = std::max(this->settings.budget.min_interval, calls);
+    return this->settings.budget.remaining(this->failed_call_time()) >= needed;
+}
+
+/// The part whose call has been unanswered for too long, if any. Lost packets
+/// hold up a connection for longer than another call takes.
+list_part* list_reader::part_to_hedge(instant now)
+{
+    duration const delay =
+        std::max(this->settings.hedge_delay, 3 * this->round_trip);
+    auto const part = std::find_if(this->parts.begin(), this->parts.end(),
+                                   [now, delay](list_part const& each)
+                                   {
+                                       return each.needs_hedge(now, delay);
+                                   });
+    return part == this->parts.end() ? nullptr : &*part;
+}
+
+void list_reader::record_round_trip(list_part const& part, std::uint64_t number,
+                                    instant now)
+{
+    duration const took =
+        now - (part.hedge_call == number ? part.hedge_started_at
+                                         : part.call_started_at);
+    this->round_trip =
+        this->round_trip == duration::zero()
+            ? took
+            : this->round_trip + (took - this->round_trip) / round_trip_divisor;
+}
+
 /// Selects the part whose next page is requested. A full scan gets one call in
 /// each reading, since with a low rate limit the zones would leave it none,
 /// and otherwise the calls that the zones do not need.
@@ -137,39 +204,42 @@
     {
         return std::nullopt;
     }
-    list_part* const part = this->due_part(now);
+    list_part* part = this->part_to_hedge(now);
     if (part == nullptr)
     {
-        return std::nullopt;
+        part = this->due_part(now);
     }
+    return part == nullptr ? std::nullopt : this->start_call(*part, now);
+}
+
+std::optional<page_call> list_reader::start_call(list_part& part, instant now)
+{
     if (!this->has_started)
     {
         this->has_started = true;
         this->reading_started_at = now;
     }
-    part->pending_call = ++this->last_number;
-    part->call_started_at = now;
+    bool const is_hedge = part.pending_call != 0;
+    ++this->last_number;
+    (is_hedge ? part.hedge_call : part.pending_call) = this->last_number;
+    (is_hedge ? part.hedge_started_at : part.call_started_at) = now;
     duration const burst =
         scaled(this->call_interval(), this->settings.max_burst_calls);
     this->next_due =
         std::max(this->next_due, now - burst) + this->call_interval();
-    return page_call{part->pending_call, part->zone, part->next_page};
+    return page_call{this->last_number, part.zone, part.next_page, is_hedge};
 }
 
 list_part* list_reader::part_of(std::uint64_t number)
 {
-    if (number == 0)
-    {
-        return nullptr;
-    }
-    if (this->full_scan.has_value() && this->full_scan->pending_call == number)
+    if (this->full_scan.has_value() && this->full_scan->waits_for(number))
     {
         return &*this->full_scan;
     }
     auto const found = std::find_if(this->parts.begin(), this->parts.end(),
                                     [number](list_part const& each)
                                     {
-                                        return each.pending_call == number;
+                                        return each.waits_for(number);
                                     });
     return found == this->parts.end() ? nullptr : &*found;
 }
@@ -215,6 +285,7 @@
         this->full_scan_page_received(page);
         return std::nullopt;
     }
+    this->record_round_trip(*part, number, now);
     part->advance(page.next, this->settings.max_pages);
     for (reported_upstream const& each : page.upstreams)
     {
@@ -233,6 +304,13 @@
         return std::nullopt;
     }
     std::vector<listed_upstream> all_upstreams = this->collect_upstreams();
+    this->pages_per_part =
+        std::max_element(this->parts.begin(), this->parts.end(),
+                         [](list_part const& one, list_part const& other)
+                         {
+                             return one.pages < other.pages;
+                         })
+            ->pages;
     ++this->completed_readings;
     this->previous_reading_started_at =
         std::exchange(this->last_reading_started_at, this->reading_started_at);
@@ -249,10 +327,9 @@
                             return this->has_zone(each.upstream.zone);
                         });
     }
-    duration const period = this->parts.size() > 1
-                                ? this->settings.long_list_period
-                                : this->settings.period;
-    this->start_reading(std::max(now, this->reading_started_at + period));
+    duration const interval = this->settings.budget.reading_interval(
+        this->failed_call_time(), this->longest_interval());
+    this->start_reading(std::max(now, this->reading_started_at + interval));
     return all_upstreams;
 }
 
@@ -261,7 +338,19 @@
     list_part* const part = this->part_of(number);
     if (part != nullptr)
     {
-        part->restart(now + this->settings.retry_delay);
+        this->part_failed(*part, number, now);
+    }
+}
+
+void list_reader::part_failed(list_part& part, std::uint64_t number,
+                              instant now)
+{
+    if (part.drop_call(number))
+    {
+        duration const delay = this->settings.retry_delay *
+                               (std::int64_t{1} << std::min(part.failures, 8U));
+        ++part.failures;
+        part.restart(now + std::min(delay, this->settings.max_retry_delay));
     }
 }
 
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -58,8 +58,9 @@
     std::optional<std::vector<listed_upstream>>
     page_received(std::uint64_t number, list_page const& page, instant now);
 
-    /// Handles a failed call: its part of the list is read again from the
-    /// first page after `retry_delay`.
+    /// Handles a failed call. Unless a second call for the same page is in
+    /// flight, its part of the list is read again from the first page after
+    /// `retry_delay`.
     void call_failed(std::uint64_t number, instant now);
 
     /// The leaving upstreams on the pages of the current reading.
@@ -73,6 +74,10 @@
     /// reading before. Empty if there is none.
     std::optional<duration> max_change_age(instant now) const;
 
+    /// False if the list is too slow for a leaving upstream to be out of use
+    /// within its bound.
+    bool keeps_budget() const;
+
     /// Time at which the list was last read completely, if ever.
     std::optional<instant> last_read() const
     {
@@ -82,7 +87,15 @@
 private:
     void start_reading(instant when);
     void fail_timed_out_calls(instant now);
+    void fail_timed_out_calls(list_part& part, instant now);
+    void part_failed(list_part& part, std::uint64_t number, instant now);
+    std::optional<page_call> start_call(list_part& part, instant now);
     list_part* due_part(instant now);
+    list_part* part_to_hedge(instant now);
+    void record_round_trip(list_part const& part, std::uint64_t number,
+                           instant now);
+    duration failed_call_time() const;
+    duration longest_interval() const;
     void full_scan_page_received(list_page const& page);
     duration call_interval() const;
     list_part* part_of(std::uint64_t number);
@@ -98,6 +111,10 @@
     std::optional<instant> previous_reading_started_at;
     bool has_started = false;
     std::size_t completed_readings = 0;
+    // Smoothed time from a call to its answer; zero before the first.
+    duration round_trip{};
+    // Pages of the longest part of the last reading.
+    std::size_t pages_per_part = 1;
     std::size_t expected = 0;
     bool zones_are_known = false;
     std::vector<list_part> parts;
--- a/bilberrylead/discovery/list_reader_settings.hpp
+++ b/bilberrylead/discovery/list_reader_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/leaving_time_budget.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -14,15 +15,14 @@
 /// How the upstream list is read.
 struct list_reader_settings
 {
-    /// Interval from the start of one reading to the next. An upstream must be
-    /// out of use within seconds after it is listed as leaving. A reading, the
-    /// update to the entry hosts and one failed reading fit three times into
-    /// three seconds.
+    /// Longest interval from the start of one reading to the next; shorter if
+    /// the budget requires it.
     duration period = std::chrono::milliseconds(800);
     /// The same for a list that is read by zone. It takes many calls, which
-    /// are paid for; a reading and the update to the entry hosts still fit
-    /// well into three seconds.
+    /// are paid for.
     duration long_list_period = std::chrono::milliseconds(1600);
+    /// Time within which a leaving upstream must be out of use.
+    leaving_time_budget budget;
     /// Rate limit of the list for all hosts together, calls a second; over 0.
     double calls_per_second = 10;
     /// Share of the rate limit that this reader may use, over 0. During a
@@ -34,8 +34,14 @@
     double max_burst_calls = 3;
     /// Time after which a call without an answer has failed.
     duration call_timeout = std::chrono::milliseconds(1000);
-    /// Delay after a failed call.
-    duration retry_delay = std::chrono::milliseconds(250);
+    /// Time without an answer after which a call is made a second time over
+    /// another connection; at least three usual round trips.
+    duration hedge_delay = std::chrono::milliseconds(300);
+    /// Delay after a failed call. Doubles with each further failure of the same
+    /// part, up to `max_retry_delay`.
+    duration retry_delay = std::chrono::milliseconds(150);
+    /// Upper bound on that delay.
+    duration max_retry_delay = std::chrono::milliseconds(1000);
     /// Maximum number of pages of one part in one reading, in case the list
     /// never ends.
     std::size_t max_pages = 10000;
--- a/bilberrylead/discovery/page_call.hpp
+++ b/bilberrylead/discovery/page_call.hpp
@@ -18,6 +18,9 @@
     zone_id zone;
     /// Identifies the page; empty for the first.
     std::string page;
+    /// True if an earlier call for the same page is still unanswered. Such a
+    /// call needs a connection of its own.
+    bool is_hedge = false;
 };
 
 } // namespace bilberrylead::discovery
--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace bilberrylead;
 using namespace std::chrono_literals;
@@ -391,3 +392,109 @@
     list.run_for(10s);
     cr_expect_geq(list.full_scan_pages - pages_before, 36);
 }
+
+// Guards against a page whose answer is held up by a lost packet while another
+// connection would bring it at once.
+Test(list_reader, unanswered_call_is_made_again_over_another_connection)
+{
+    list_reader reader({});
+    reader.set_active(true, start);
+    page_call const lost = *reader.next_call(start);
+    cr_expect_not(reader.next_call(start + 200ms).has_value());
+    std::optional<page_call> const hedge = reader.next_call(start + 310ms);
+    cr_assert(hedge.has_value());
+    cr_expect(hedge->is_hedge);
+    cr_expect(hedge->page == lost.page);
+    auto const upstreams =
+        reader.page_received(hedge->number, page("a", ""), start + 380ms);
+    cr_assert(upstreams.has_value());
+    cr_expect_not(
+        reader.page_received(lost.number, page("b", ""), start + 390ms)
+            .has_value());
+}
+
+// Guards against a second call that fails and takes the first one with it.
+Test(list_reader, failed_second_call_leaves_the_first_in_flight)
+{
+    list_reader reader({});
+    reader.set_active(true, start);
+    page_call const slow = *reader.next_call(start);
+    page_call const hedge = *reader.next_call(start + 310ms);
+    reader.call_failed(hedge.number, start + 320ms);
+    cr_expect(reader.page_received(slow.number, page("a", ""), start + 400ms)
+                  .has_value());
+}
+
+// Guards against a list that refuses calls and is asked again at once forever.
+Test(list_reader, pauses_between_failed_calls_grow)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    list_reader reader(settings);
+    reader.set_active(true, start);
+    unsigned calls = 0;
+    for (duration passed{}; passed < 10s; passed += 10ms)
+    {
+        std::optional<page_call> const call = reader.next_call(start + passed);
+        if (call.has_value())
+        {
+            ++calls;
+            reader.call_failed(call->number, start + passed);
+        }
+    }
+    cr_expect_leq(calls, 14U);
+}
+
+// Guards against a slow list for which the interval and a failed call add up to
+// more than the time within which a leaving upstream must be out of use.
+Test(list_reader, slower_calls_make_readings_more_frequent)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.zones = {zone_id("z0"), zone_id("z1")};
+    settings.zone_split_threshold = 1;
+    for (duration const round_trip : {duration(10ms), duration(200ms)})
+    {
+        list_reader reader(settings);
+        reader.expect(2, true);
+        reader.set_active(true, start);
+        instant now = start;
+        std::vector<instant> begins;
+        while (begins.size() < 10)
+        {
+            std::vector<page_call> calls;
+            while (std::optional<page_call> const call = reader.next_call(now))
+            {
+                calls.push_back(*call);
+            }
+            if (!calls.empty())
+            {
+                begins.push_back(now);
+            }
+            now += calls.empty() ? duration(10ms) : round_trip;
+            for (page_call const& call : calls)
+            {
+                list_page one = page("u", "");
+                one.upstreams.back().upstream.zone = call.zone;
+                reader.page_received(call.number, one, now);
+            }
+        }
+        duration const interval = begins.back() - begins[begins.size() - 2];
+        duration const limit = 3s - 1300ms - (300ms + round_trip);
+        cr_expect_leq(interval.count(), (limit + 10ms).count());
+        cr_expect(reader.keeps_budget());
+    }
+}
+
+// Guards against a list too slow for the bound that nobody is told of.
+Test(list_reader, list_that_is_too_slow_for_the_bound_is_reported)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.budget.bound = 1500ms;
+    list_reader reader(settings);
+    reader.set_active(true, start);
+    page_call const call = *reader.next_call(start);
+    reader.page_received(call.number, page("a", ""), start + 100ms);
+    cr_expect_not(reader.keeps_budget());
+}
