Pass requests on to other entry hosts while no upstream can be reached

Cause: a host judged each upstream by itself and knew nothing of its own way to them; a request that it had taken could go to upstreams only; steering went on naming it. Class: a partition is seen from one side only, and a fault of the observer is booked on what it observes.

Fix. upstream_contact: connections to four upstreams of two zones fail without one success in between, and four others that are then probed fail, too: the way is lost, until two upstreams accept connections again (two probes each 250 ms). While it is lost, requests go to another entry host, which carries them under all its own rules, as if the caller had come there: one hop (Bilberry-Relayed), the caller's key, id, deadline and body go with it, the customer's token and a claim are the other host's. One that may have run goes on only if it is idempotent, a route bound to regions only to hosts there. Control hosts name up to eight hosts on request (upstream_contact_notice, relay_host_list; other processes drop these messages) and name hosts without upstreams to callers only if there are no others. The host records no crashes, reports no demand, and forgets the failures of all upstreams when the way is there again.

The fleet of crash tests reports connections, as the exchange does now.

Ruled out: refusing, closing or not being ready (each a failed first try); taking the verdict from failures alone: in the fleet of tests a whole zone of upstreams that ended was taken for the host's own way.

--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -103,6 +103,8 @@
     void on_peer(link::link_number from, link::upstream_update const& message);
     void on_peer(link::link_number from, link::upstream_request const& message);
     void on_peer(link::link_number from, link::region_plan const& message);
+    void on_peer(link::link_number from,
+                 link::upstream_contact_notice const& message);
     void on_peer(link::link_number from, link::crash_report const& message);
     void on_peer(link::link_number from, link::limit_notice const& message);
     void on_peer(link::link_number from,
--- a/bilberrylead/control/control_reducer_relay.cpp
+++ b/bilberrylead/control/control_reducer_relay.cpp
@@ -5,7 +5,8 @@
 #include <optional>
 #include <utility>
 
-/// Relay of the entry hosts' reports on upstreams to each other.
+/// Relay of the entry hosts' reports on upstreams to each other, and what entry
+/// hosts without upstreams are told.
 namespace bilberrylead::control
 {
 
@@ -17,6 +18,17 @@
     }
 }
 
+void control_reducer::on_peer(link::link_number from,
+                              link::upstream_contact_notice const& message)
+{
+    host_id const& host = this->peer_of(from);
+    this->entry_hosts.record_contact(host, message.lost);
+    if (message.lost)
+    {
+        this->send(from, this->entry_hosts.relay_hosts_for(host, this->time));
+    }
+}
+
 void control_reducer::on_peer(link::link_number from,
                               link::crash_report const& message)
 {
--- a/bilberrylead/core/process_seed.hpp
+++ b/bilberrylead/core/process_seed.hpp
@@ -26,6 +26,8 @@
     heartbeat,
     /// Retry times of callers of customers over their limit.
     customer_limit,
+    /// Choice of the upstreams that are probed for the way to them.
+    contact_probe,
 };
 
 /// Seed of all random sequences of one incarnation of a process.
--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -285,6 +285,16 @@
     builder.gauge("bilberry_entry_leaving_upstreams",
                   "Upstreams that get no new requests since they leave.",
                   static_cast<double>(counters.leaving_upstreams));
+    builder.gauge("bilberry_entry_upstream_contact_lost",
+                  "1 while this host reaches no upstream and passes requests "
+                  "on to other entry hosts.",
+                  counters.upstream_contact_lost ? 1 : 0);
+    builder.counter("bilberry_entry_relayed_requests_total",
+                    "Requests that were passed on to other entry hosts.",
+                    counters.relayed);
+    builder.counter("bilberry_entry_received_relays_total",
+                    "Requests that other entry hosts passed on to this one.",
+                    counters.received_from_relays);
     builder.counter("bilberry_entry_withdrawn_requests_total",
                     "Requests that were not sent over a new connection since "
                     "their upstream had been excluded while it was made.",
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -265,6 +265,11 @@
     {
         this->send_customer_report(*report);
     }
+    else if (entry::upstream_contact_changed const* const changed =
+                 std::get_if<entry::upstream_contact_changed>(&wanted))
+    {
+        this->on_contact_changed(*changed);
+    }
     else if (std::holds_alternative<entry::drained>(wanted))
     {
         log.info("Everything under way has ended.");
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -60,6 +60,9 @@
     void tell_limits(entry::send_limits const& wanted);
     void on_leader(host_id const& reported);
     void send_customer_report(entry::send_customer_report const& effect);
+    void on_contact_changed(entry::upstream_contact_changed const& changed);
+    void tell_contact(link::link_number to);
+    void on_relay_hosts(link::relay_host_list const& list);
     void start_heartbeats();
     void send_heartbeats_after(duration pause);
     void tell_presence(link::link_number to);
@@ -107,6 +110,7 @@
     std::uint64_t plan_term = 0;
     host_id leader;
     bool told_ready = false;
+    bool has_upstream_contact = true;
     bool stopping = false;
     entry_metrics metrics;
     std::map<link::link_number, link::peer_identity> links;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -66,6 +66,10 @@
         this->on_claims(once_client::control_link_opened{number, peer.id});
         this->tell_presence(number);
         this->send(number, link::upstream_request{this->listing.position()});
+        if (!this->has_upstream_contact)
+        {
+            this->tell_contact(number);
+        }
     }
 }
 
@@ -167,6 +171,15 @@
                 entry::limits_allocated{message.content});
         }
 
+        void operator()(link::relay_host_list const& held) const
+        {
+            this->owner.on_relay_hosts(held);
+        }
+
+        void operator()(link::upstream_contact_notice const&) const
+        {
+        }
+
         void operator()(link::customer_usage_report const&) const
         {
         }
@@ -380,6 +393,45 @@
     this->tell_presence(number);
 }
 
+void entry_program::implementation::on_contact_changed(
+    entry::upstream_contact_changed const& changed)
+{
+    this->has_upstream_contact = !changed.lost;
+    if (changed.lost)
+    {
+        log.warning("No upstream can be reached from this host; requests are "
+                    "passed on to other entry hosts.");
+    }
+    else
+    {
+        log.info("Upstreams can be reached again.");
+    }
+    for (auto const& [number, peer] : this->links)
+    {
+        if (peer.role == link::peer_role::control)
+        {
+            this->tell_contact(number);
+        }
+    }
+}
+
+void entry_program::implementation::tell_contact(link::link_number to)
+{
+    this->send(to, link::upstream_contact_notice{!this->has_upstream_contact});
+}
+
+void entry_program::implementation::on_relay_hosts(
+    link::relay_host_list const& list)
+{
+    entry::relay_hosts_received received;
+    received.hosts.reserve(list.hosts.size());
+    for (link::relay_host const& each : list.hosts)
+    {
+        received.hosts.push_back({each.id, each.address, each.region});
+    }
+    this->server->dispatch(std::move(received));
+}
+
 void entry_program::implementation::tell_presence(link::link_number to)
 {
     link::entry_presence presence;
@@ -420,6 +472,10 @@
                 if (peer.role == link::peer_role::control)
                 {
                     this->tell_presence(number);
+                    if (!this->has_upstream_contact)
+                    {
+                        this->tell_contact(number);
+                    }
                 }
             }
             this->ask_for_listing();
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -48,6 +48,17 @@
     /// True after a failed attempt: all existing connections may be dead, so
     /// only a new one may carry the request.
     bool new_connection_only = false;
+    /// True if the request goes to another entry host, as the caller sent it;
+    /// `upstream` and `customer` are empty then.
+    bool to_entry_host = false;
+};
+
+/// The way to all upstreams is lost from now on, or there again: reports it to
+/// the control hosts.
+struct upstream_contact_changed
+{
+    /// True if no upstream can be reached.
+    bool lost = false;
 };
 
 /// Streams the upstream's answer to the caller as it arrives.
@@ -192,6 +203,10 @@
     std::optional<duration> limit_age;
     /// Attempted upstreams, in order.
     std::vector<upstream_id> tried;
+    /// Entry host that the request was passed on to; empty if none.
+    host_id relayed_to;
+    /// True if another entry host passed the request on to this one.
+    bool is_relayed = false;
     /// Listing by which the last of them was selected.
     discovery::list_position placed_by;
     /// Region that the region plan selected; empty if there was no plan.
@@ -319,7 +334,7 @@
     request_ended, drained, probe_upstream, connection_loss_resolved,
     upstream_limit_changed, upstream_rest_requested, upstream_leaving_noticed,
     close_idle_connections, crash_record_changed, send_crash_records,
-    send_limits, send_customer_report>;
+    send_limits, send_customer_report, upstream_contact_changed>;
 
 /// Effects in the order in which they must be performed.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -74,6 +74,12 @@
     std::uint64_t rests = 0;
     /// Requests for a rest in upstream answers that could not be parsed.
     std::uint64_t unreadable_rests = 0;
+    /// Requests that were passed on to other entry hosts.
+    std::uint64_t relayed = 0;
+    /// Requests that other entry hosts passed on to this one.
+    std::uint64_t received_from_relays = 0;
+    /// Gauge: true while no upstream can be reached.
+    bool upstream_contact_lost = false;
     /// Requests that were not sent over a new connection since their upstream
     /// had been excluded while it was made.
     std::uint64_t withdrawn = 0;
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -27,6 +27,7 @@
     : host_settings(std::move(settings)),
       split_random(seed.of(random_sequence::route_split)),
       customer_random(seed.of(random_sequence::customer_limit)),
+      probe_random(seed.of(random_sequence::contact_probe)),
       placement_seed(seed.of(random_sequence::placement)),
       customer_limits(this->host_settings.self,
                       this->host_settings.customer_limits)
@@ -64,6 +65,7 @@
 {
     this->current_counters.slots_in_use = 0;
     this->current_counters.waiting = 0;
+    this->current_counters.upstream_contact_lost = this->contact.is_lost();
     this->current_counters.resting_upstreams = 0;
     this->current_counters.leaving_upstreams = 0;
     for (auto const& [service, state] : this->service_states)
@@ -160,6 +162,8 @@
         this->refuse_arrival(event, refusal_reason::deadline);
         return;
     }
+    request.is_relayed = event.is_relayed;
+    this->current_counters.received_from_relays += event.is_relayed ? 1U : 0U;
     request.digest = event.digest;
     request.body_kept = event.body_kept;
     request.earlier_may_have_run = event.repeated;
@@ -193,6 +197,11 @@
         this->place(request);
         return;
     }
+    // The host that carries a request makes its claim.
+    if (this->relay(request))
+    {
+        return;
+    }
     // Requests that would be refused anyway are refused before their claim
     // costs a quorum round trip.
     if (!this->state_of(request.service)
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -15,6 +15,7 @@
 #include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/policy/customer_limits.hpp"
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/upstream_contact.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -143,6 +144,8 @@
     void on(entry_hosts_counted const& event);
     void on(regions_planned const& event);
     void on(upstream_probed const& event);
+    void on(upstream_connected const& event);
+    void on(relay_hosts_received const& event);
     void on(crash_records_received const& event);
     void on(limits_received const& event);
     void on(limits_allocated const& event);
@@ -223,6 +226,19 @@
     void expire(live_request& request);
     void expire_run(live_request& request);
     void release_slot(live_request const& request);
+    void record_connection_failure(upstream_id const& upstream,
+                                   zone_id const& zone);
+    void record_connection(upstream_id const& upstream);
+    void probe_for_contact();
+    std::vector<config::upstream const*> choose_probes(std::size_t count);
+    void configure_contact();
+    config::upstream const* find_upstream(upstream_id const& id) const;
+    bool relay(live_request& request);
+    relay_host const* find_relay_host(live_request const& request) const;
+    relay_host const* choose_relay_host(live_request const& request) const;
+    void on_relay_head(live_request& request,
+                       upstream_head_received const& event);
+    void on_relay_failure(live_request& request, upstream_failed const& event);
 
     void refuse(live_request& request, refusal_reason reason);
     void refuse(live_request& request, refusal_reason reason,
@@ -256,6 +272,7 @@
     regions_planned region_plan;
     policy::generator split_random;
     policy::generator customer_random;
+    policy::generator probe_random;
     std::uint64_t placement_seed;
     std::uint64_t split_draw_count = 0;
     std::map<region_id, std::uint32_t> region_numbers;
@@ -279,6 +296,11 @@
     entry_counters current_counters;
     policy::crash_history crashes;
     policy::connection_losses losses;
+    policy::upstream_contact contact;
+    std::vector<relay_host> relay_hosts;
+    // Requests that each of these carries for this host now.
+    std::map<host_id, std::uint32_t> relays_in_flight;
+    instant next_contact_probe{};
     policy::customer_limits customer_limits;
 };
 
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -40,6 +40,11 @@
 
 void entry_reducer::release_slot(live_request const& request)
 {
+    if (!request.relayed_to.empty())
+    {
+        --this->relays_in_flight[request.relayed_to.back()];
+        return;
+    }
     assert(!request.tried.empty());
     this->state_of(request.service).release_slot(request.tried.back());
     this->services_to_dispatch.insert(request.service);
@@ -143,7 +148,7 @@
         return;
     case request_state::running:
     case request_state::collecting:
-        if (request->guarded)
+        if (request->guarded && request->relayed_to.empty())
         {
             // The work continues: the caller will retry with the same key and
             // must then receive the answer rather than an unknown outcome.
@@ -188,6 +193,7 @@
     this->report_customers();
     this->crashes.expire(this->now);
     this->repeat_probes();
+    this->probe_for_contact();
     this->losses.expire(this->now);
     this->check_drain_progress();
 }
@@ -352,6 +358,9 @@
     end.caller = request.caller;
     end.customer = request.customer;
     end.tried = request.tried;
+    end.relayed_to =
+        request.relayed_to.empty() ? host_id() : request.relayed_to.back();
+    end.is_relayed = request.is_relayed;
     end.placed_by = request.placed_by;
     end.region = this->region_name_of(request.region);
     end.expected_wait = request.expected_wait;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -144,6 +144,11 @@
 std::map<service_id, double> entry_reducer::demands() const
 {
     std::map<service_id, double> slots;
+    if (this->contact.is_lost())
+    {
+        // The hosts that carry the requests report their demand.
+        return slots;
+    }
     for (auto const& [service, state] : this->service_states)
     {
         slots[service] = state.demand(this->now);
@@ -167,6 +172,7 @@
     this->apply_region_plan();
     this->reconfigure_services();
     this->update_host_shares();
+    this->configure_contact();
 }
 
 void entry_reducer::update_host_shares()
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -41,7 +41,7 @@
 
 void entry_reducer::record_loss(live_request const& request)
 {
-    if (request.digest == 0)
+    if (request.digest == 0 || this->contact.is_lost())
     {
         return;
     }
@@ -67,6 +67,22 @@
 
 void entry_reducer::on(upstream_probed const& event)
 {
+    config::upstream const* const upstream =
+        this->find_upstream(event.upstream);
+    bool const was_lost = this->contact.is_lost();
+    if (event.outcome == probe_outcome::accepted)
+    {
+        this->record_connection(event.upstream);
+    }
+    else if (upstream != nullptr)
+    {
+        this->record_connection_failure(event.upstream, upstream->zone);
+    }
+    if (was_lost)
+    {
+        // Every upstream looks as if it had ended.
+        return;
+    }
     switch (event.outcome)
     {
     case probe_outcome::accepted:
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -128,6 +128,10 @@
 
 void entry_reducer::place(live_request& request)
 {
+    if (this->relay(request))
+    {
+        return;
+    }
     if (std::optional<duration> const retry_after =
             this->crash_refusal(request))
     {
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -49,6 +49,11 @@
     {
         return;
     }
+    if (!request->relayed_to.empty())
+    {
+        this->on_relay_head(*request, event);
+        return;
+    }
     upstream_id const upstream = request->tried.back();
     service_state& state = this->state_of(request->service);
     if (event.not_run)
@@ -101,6 +106,12 @@
     {
         return;
     }
+    if (!request->relayed_to.empty())
+    {
+        this->release_slot(*request);
+        this->finish(*request);
+        return;
+    }
     service_state& state = this->state_of(request->service);
     if (request->life_cycle.current() == request_state::streaming)
     {
@@ -142,6 +153,11 @@
     {
         return;
     }
+    if (!request->relayed_to.empty())
+    {
+        this->on_relay_failure(*request, event);
+        return;
+    }
     if (event.fault == exchange_fault::withdrawn)
     {
         this->place_elsewhere(*request);
@@ -155,6 +171,14 @@
     }
     this->release_slot(*request);
     this->record_failure(*request);
+    if (event.fault == exchange_fault::connect_failed)
+    {
+        config::upstream const* const upstream =
+            this->find_upstream(request->tried.back());
+        this->record_connection_failure(request->tried.back(),
+                                        upstream == nullptr ? zone_id()
+                                                            : upstream->zone);
+    }
     if (request->life_cycle.current() == request_state::streaming)
     {
         // The caller's connection is closed with the answer, so the caller can
@@ -186,6 +210,12 @@
 void entry_reducer::retry_or_end(live_request& request, refusal_reason reason,
                                  bool body_usable)
 {
+    if (body_usable && this->find_relay_host(request) != nullptr)
+    {
+        request.life_cycle.pause();
+        this->relay(request);
+        return;
+    }
     std::optional<duration> const pause =
         this->acquire_retry(request, body_usable);
     if (pause.has_value())
@@ -272,7 +302,7 @@
         return;
     }
     request.may_have_run = true;
-    if (request.guarded)
+    if (request.guarded && request.relayed_to.empty())
     {
         // The caller is answered at once that the outcome is unknown; the work
         // continues for its record until it stops making progress.
@@ -287,6 +317,12 @@
         return;
     }
     this->pending_effects.push_back(cancel_upstream{request.number});
+    if (!request.relayed_to.empty())
+    {
+        this->release_slot(request);
+        this->abandon_as_unknown(request, refusal_reason::deadline);
+        return;
+    }
     this->record_failure(request);
     this->release_slot(request);
     this->retry_or_end(request,
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -46,6 +46,30 @@
     discovery::list_position position = {};
 };
 
+/// A connection to an upstream was made.
+struct upstream_connected
+{
+    upstream_id upstream;
+};
+
+/// Another entry host that reaches upstreams.
+struct relay_host
+{
+    /// Its name.
+    host_id id;
+    /// Where it accepts callers.
+    config::endpoint address;
+    /// Its region.
+    region_id region;
+};
+
+/// Entry hosts to which requests may be passed on while this host has lost its
+/// way to all upstreams, the nearest first.
+struct relay_hosts_received
+{
+    std::vector<relay_host> hosts;
+};
+
 /// Share of a service's requests that is to run in a region.
 struct planned_share
 {
@@ -108,6 +132,9 @@
     /// True if the caller states that it sent this request before without
     /// receiving an answer, so that it may have run already.
     bool repeated = false;
+    /// True if another entry host, which reaches no upstream, passed the
+    /// request on: it must not be passed on again.
+    bool is_relayed = false;
     /// Time for which the caller will still wait; empty if it named none.
     std::optional<duration> time_left;
 };
@@ -307,8 +334,9 @@
     upstream_signals_received, upstream_head_received, upstream_answer_finished,
     upstream_failed, caller_gone, load_reported, tick, drain_requested,
     control_reachable, control_unreachable, upstreams_listed,
-    entry_hosts_counted, regions_planned, upstream_probed,
-    crash_records_received, limits_received, limits_allocated, leader_changed>;
+    entry_hosts_counted, regions_planned, upstream_probed, upstream_connected,
+    relay_hosts_received, crash_records_received, limits_received,
+    limits_allocated, leader_changed>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -89,6 +89,11 @@
     instant timer{};
     /// Upstreams to which the request was sent; the last one runs it.
     std::vector<upstream_id> tried;
+    /// Entry hosts that the request was passed on to, in order. Not empty: the
+    /// last one carries it, and no upstream does.
+    std::vector<host_id> relayed_to;
+    /// True if another entry host passed the request on to this one.
+    bool is_relayed = false;
     /// Listing by which the last upstream was selected.
     discovery::list_position placed_by;
     /// Address of the last attempted upstream.
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -203,6 +203,16 @@
     return found == this->records.end() || is_withheld_by(found->second, now);
 }
 
+void service_state::reset_health()
+{
+    for (std::size_t index = 0; index < this->configured_upstreams.size();
+         ++index)
+    {
+        this->upstream_records[index]->health = policy::upstream_health(
+            this->configured_upstreams[index].upstream->slots);
+    }
+}
+
 bool service_state::may_receive(upstream_id const& id, instant now) const
 {
     auto const found = this->records.find(id);
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -257,6 +257,10 @@
     /// if it is excluded already. Returns true if it was not excluded.
     bool record_leaving(upstream_id const& id, instant until, instant now);
 
+    /// Forgets the failures of all upstreams, after they turned out to be this
+    /// host's own.
+    void reset_health();
+
     /// Updates averages and upstream health; called at every tick.
     void advance(instant now);
 
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -91,8 +91,12 @@
     answer.base() = std::move(exchange->answer().get().base());
     strip_connection_headers(answer);
     header_names const& names = this->core->settings().names;
+    std::string const relayed_outcome(exchange->is_with_entry_host()
+                                          ? answer[outcome_header]
+                                          : beast::string_view());
     strip_upstream_headers(answer, names);
-    answer.set(outcome_header, "done");
+    answer.set(outcome_header,
+               relayed_outcome.empty() ? "done" : relayed_outcome);
     if (!carried.id.empty())
     {
         answer.set(names.request_id, carried.id);
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -52,6 +52,9 @@
     return name.empty() ? beast::string_view() : head[name];
 }
 
+/// Longest request id that is taken over from another entry host.
+constexpr std::size_t longest_relayed_id = 128;
+
 /// Longest key that a configuration may hold.
 constexpr std::size_t longest_customer_key = 1024;
 
@@ -179,13 +182,18 @@
     }
     this->parser->body_limit(rules.max_bytes);
     carried.message.base() = head.base();
+    arrival.is_relayed = header_of(head, names.relayed) == "1";
+    carried.customer_key = arrival.customer_key;
     strip_connection_headers(carried.message);
     strip_upstream_headers(carried.message, names);
     carried.message.erase(field::expect);
     carried.message.version(11);
-    if (names.caller_names_request)
+    beast::string_view const named = header_of(head, names.request_id);
+    bool const keeps_id = arrival.is_relayed && !named.empty() &&
+                          named.size() <= longest_relayed_id;
+    if (names.caller_names_request || keeps_id)
     {
-        carried.id = std::string(header_of(head, names.request_id));
+        carried.id = std::string(named);
     }
     else
     {
--- a/bilberrylead/http/carried_request.hpp
+++ b/bilberrylead/http/carried_request.hpp
@@ -48,6 +48,9 @@
     /// Head for the upstream, without headers of the one connection. Its
     /// body is set anew for each try.
     request_message message;
+    /// Key of the caller, which goes to another entry host but never to an
+    /// upstream. Secret.
+    std::string customer_key;
     /// What is kept of the body.
     std::string kept;
     /// True if that is all of it.
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -52,6 +52,8 @@
         .number("status", end.status)
         .text("upstream", end.tried.empty() ? "" : end.tried.back().text())
         .text("earlier", earlier_upstreams(end.tried))
+        .text("relayed_to", end.relayed_to.text())
+        .number("relayed", end.is_relayed ? 1 : 0)
         .text("listing",
               fmt::format("{}.{}", end.placed_by.term, end.placed_by.number))
         .text("region", end.region.text())
--- a/bilberrylead/http/header_names.hpp
+++ b/bilberrylead/http/header_names.hpp
@@ -42,6 +42,9 @@
     std::string customer_key = "Bilberry-Key";
     /// To the upstream: name of the customer that the key identifies.
     std::string customer = "Bilberry-Customer";
+    /// To another entry host: set to 1 in a request that its sender cannot pass
+    /// to any upstream itself. Never sent to an upstream.
+    std::string relayed = "Bilberry-Relayed";
     /// Stands in every successful answer of an upstream that is its own.
     std::string answer_mark;
     /// True if callers give each request its id; false if this system does.
--- a/bilberrylead/http/header_rules.cpp
+++ b/bilberrylead/http/header_rules.cpp
@@ -55,7 +55,7 @@
 {
     for (std::string const* const name :
          {&names.not_run, &names.deadline, &names.expected_upstream,
-          &names.load, &names.customer_key, &names.customer})
+          &names.load, &names.customer_key, &names.customer, &names.relayed})
     {
         if (!name->empty())
         {
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -117,14 +117,18 @@
         co_return false;
     }
     this->connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
-    co_return true;
+    if (!this->order.to_entry_host)
+    {
+        this->report(entry::upstream_connected{this->order.upstream});
+    }
+    co_return !this->over;
 }
 
 /// Connecting may take seconds, in which the upstream may have been listed as
 /// leaving, its zone may have been closed, or it may have asked for a rest.
 bool upstream_exchange::withdraw()
 {
-    if (this->may_send(this->order))
+    if (this->order.to_entry_host || this->may_send(this->order))
     {
         return false;
     }
@@ -132,6 +136,41 @@
     return true;
 }
 
+void upstream_exchange::address_upstream(request_message& message) const
+{
+    message.erase(this->names.relayed);
+    if (!this->names.customer_key.empty())
+    {
+        message.erase(this->names.customer_key);
+    }
+    if (!this->names.expected_upstream.empty())
+    {
+        message.set(this->names.expected_upstream, this->order.upstream.text());
+    }
+    if (!this->order.customer.empty() && !this->names.customer.empty())
+    {
+        message.set(this->names.customer, this->order.customer.text());
+    }
+}
+
+/// Another entry host identifies the customer by itself.
+void upstream_exchange::address_entry_host(request_message& message) const
+{
+    message.set(this->names.relayed, "1");
+    for (std::string const* const name :
+         {&this->names.expected_upstream, &this->names.customer})
+    {
+        if (!name->empty())
+        {
+            message.erase(*name);
+        }
+    }
+    if (!this->request->customer_key.empty())
+    {
+        message.set(this->names.customer_key, this->request->customer_key);
+    }
+}
+
 void upstream_exchange::prepare_message()
 {
     request_message& message = this->request->message;
@@ -140,13 +179,13 @@
             this->order.deadline - clock_now());
     message.set(this->names.deadline,
                 std::to_string(std::max<std::int64_t>(left.count(), 1)));
-    if (!this->names.expected_upstream.empty())
+    if (this->order.to_entry_host)
     {
-        message.set(this->names.expected_upstream, this->order.upstream.text());
+        this->address_entry_host(message);
     }
-    if (!this->order.customer.empty() && !this->names.customer.empty())
+    else
     {
-        message.set(this->names.customer, this->order.customer.text());
+        this->address_upstream(message);
     }
     message.body().data = this->request->kept.data();
     message.body().size = this->request->kept.size();
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -63,6 +63,12 @@
         return this->over;
     }
 
+    /// True if another entry host answers, in this system's own terms.
+    bool is_with_entry_host() const
+    {
+        return this->order.to_entry_host;
+    }
+
     /// The answer's head. After the head was reported.
     answer_parser& answer()
     {
@@ -92,6 +98,8 @@
     task<void> collect_body(std::size_t largest_answer,
                             std::size_t largest_record);
     void prepare_message();
+    void address_upstream(request_message& message) const;
+    void address_entry_host(request_message& message) const;
     void finish();
     void fail(entry::exchange_fault fault);
     void note_silence();
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -123,6 +123,15 @@
     bool const turned_away = this->parser->get().result() ==
                              beast::http::status::misdirected_request;
     head.misdirected = turned_away && !this->names.expected_upstream.empty();
+    if (this->order.to_entry_host)
+    {
+        // Whatever another entry host answers is its own final answer.
+        head.misdirected = false;
+        this->give_up_at = instant::max();
+        this->phase = entry::exchange_phase::answer_started;
+        this->report(head);
+        co_return;
+    }
     head.not_run = head.misdirected || this->says_not_run();
     // Reported before the body is read, which may never end.
     this->report_signals(head.misdirected);
--- a/bilberrylead/link/message.hpp
+++ b/bilberrylead/link/message.hpp
@@ -16,10 +16,12 @@
 #include "bilberrylead/link/messages/region_plan.hpp"
 #include "bilberrylead/link/messages/registration_reply.hpp"
 #include "bilberrylead/link/messages/registration_request.hpp"
+#include "bilberrylead/link/messages/relay_host_list.hpp"
 #include "bilberrylead/link/messages/replica_message.hpp"
 #include "bilberrylead/link/messages/revision_announcement.hpp"
 #include "bilberrylead/link/messages/settle_reply.hpp"
 #include "bilberrylead/link/messages/subscription.hpp"
+#include "bilberrylead/link/messages/upstream_contact_notice.hpp"
 #include "bilberrylead/link/messages/upstream_request.hpp"
 #include "bilberrylead/link/messages/upstream_update.hpp"
 
@@ -37,7 +39,8 @@
                  once_request, claim_reply, settle_reply, leader_notice,
                  entry_presence, host_place, group_news, upstream_update,
                  upstream_request, region_plan, crash_report, limit_notice,
-                 customer_usage_report, customer_shares>;
+                 customer_usage_report, customer_shares,
+                 upstream_contact_notice, relay_host_list>;
 
 /// The message as CBOR; long documents and listings are packed, since entry
 /// hosts may stand behind a link of a few Mbit/s.
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -84,6 +84,22 @@
     return content;
 }
 
+relay_host_list take_relay_hosts(cbor_fields& fields)
+{
+    relay_host_list content;
+    content.hosts =
+        take_list(fields,
+                  [&fields]()
+                  {
+                      relay_host host;
+                      host.id = host_id(fields.take_text(longest_text));
+                      host.address = take_endpoint(fields);
+                      host.region = region_id(fields.take_text(longest_text));
+                      return host;
+                  });
+    return content;
+}
+
 group_news take_group_news(cbor_fields& fields)
 {
     group_news content;
@@ -418,6 +434,10 @@
         return take_group_news(fields);
     case message_tag::upstream_update:
         return take_upstream_update(fields);
+    case message_tag::upstream_contact_notice:
+        return upstream_contact_notice{fields.take_bool()};
+    case message_tag::relay_host_list:
+        return take_relay_hosts(fields);
     case message_tag::upstream_request:
         return upstream_request{take_position(fields)};
     case message_tag::region_plan:
--- a/bilberrylead/link/message_tag.hpp
+++ b/bilberrylead/link/message_tag.hpp
@@ -29,6 +29,8 @@
     limit_notice = 18,
     customer_usage_report = 19,
     customer_shares = 20,
+    upstream_contact_notice = 21,
+    relay_host_list = 22,
 };
 
 /// First field of a claim_reply's verdict.
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -221,6 +221,27 @@
         return record;
     }
 
+    json operator()(upstream_contact_notice const& content) const
+    {
+        json record = with_tag(message_tag::upstream_contact_notice);
+        record.push_back(content.lost);
+        return record;
+    }
+
+    json operator()(relay_host_list const& content) const
+    {
+        json record = with_tag(message_tag::relay_host_list);
+        record.push_back(content.hosts.size());
+        for (relay_host const& each : content.hosts)
+        {
+            record.push_back(each.id.text());
+            record.push_back(each.address.address);
+            record.push_back(each.address.port);
+            record.push_back(each.region.text());
+        }
+        return record;
+    }
+
     json operator()(upstream_request const& content) const
     {
         json record = with_tag(message_tag::upstream_request);
--- a/bilberrylead/presence/entry_table.hpp
+++ b/bilberrylead/presence/entry_table.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/link/messages/entry_presence.hpp"
+#include "bilberrylead/link/messages/relay_host_list.hpp"
 #include "bilberrylead/presence/entry_table_settings.hpp"
 #include "bilberrylead/presence/steering_query.hpp"
 #include "bilberrylead/presence/steering_reply.hpp"
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace bilberrylead
 {
@@ -36,15 +38,25 @@
     void record_heartbeat(std::uint64_t link, host_id const& host,
                           link::entry_presence const& heartbeat, instant now);
 
+    /// Records whether a host has lost its way to all upstreams.
+    void record_contact(host_id const& host, bool is_lost);
+
+    /// Returns hosts to which `host`, which has lost its way to all upstreams,
+    /// may pass requests on: ready ones that have not, at most `relay_hosts`,
+    /// those of its region first. Different hosts receive different ones.
+    link::relay_host_list relay_hosts_for(host_id const& host,
+                                          instant now) const;
+
     /// Removes the hosts whose last heartbeat arrived over a closed link.
     void remove_link(std::uint64_t link);
 
     /// Returns the hosts that a caller should use: those of its region, and
     /// not only of its zone, so that the failure of a zone's few hosts costs
     /// its callers no more than a retry. Hosts of other regions are returned
-    /// only if its own has none. If there are many hosts, successive replies
-    /// rotate through them, so that callers are spread over all of them. Each
-    /// control host begins at a different position.
+    /// only if its own has none, and hosts that have lost their way to all
+    /// upstreams only if there are no others. If there are many hosts,
+    /// successive replies rotate through them, so that callers are spread over
+    /// all of them. Each control host begins at a different position.
     steering_reply reply_to(steering_query const& query, instant now);
 
     /// Number of ready hosts whose heartbeat has not timed out.
@@ -75,6 +87,8 @@
 
     entry_table_settings settings;
     std::map<host_id, row> rows;
+    // Hosts that have lost their way to all upstreams.
+    std::set<host_id> without_upstreams;
     /// Position at which the next reply begins, modulo the number of hosts,
     /// if it cannot contain all of them.
     std::size_t rotation;
--- a/bilberrylead/presence/entry_table_settings.hpp
+++ b/bilberrylead/presence/entry_table_settings.hpp
@@ -25,6 +25,9 @@
     /// failing host costs a retry instead of a look-up; more only make the
     /// reply longer.
     std::size_t max_hosts_per_reply = 16;
+    /// Maximum number of hosts that one without upstreams is told to pass
+    /// requests on to.
+    std::size_t relay_hosts = 8;
 };
 
 } // namespace bilberrylead::presence
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -586,3 +586,29 @@
     cr_expect(kind_of(refusal_of(group.answer_to(2))) ==
               error_kind::not_leader);
 }
+
+// Guards against an entry host without upstreams that is told of no other host
+// to pass its requests on to.
+Test(control_reducer, host_without_upstreams_receives_hosts_that_reach_them)
+{
+    control_group group;
+    std::size_t const leader = group.wait_for_leader();
+    group.connect(leader, control_group::entry_link, host_id("e1"),
+                  link::peer_role::entry);
+    group.connect(leader, control_group::entry_link + 1, host_id("e2"),
+                  link::peer_role::entry);
+    link::entry_presence heartbeat;
+    heartbeat.ready = true;
+    for (std::uint16_t number = 0; number < 2; ++number)
+    {
+        heartbeat.address = {"10.0.0.1", number};
+        group.dispatch(
+            leader, {control::peer_message{control_group::entry_link + number,
+                                           heartbeat}});
+    }
+    group.send_from_entry_host(leader, link::upstream_contact_notice{true});
+    link::relay_host_list const list =
+        group.last_sent<link::relay_host_list>(leader);
+    cr_assert_eq(list.hosts.size(), 1U);
+    cr_expect(list.hosts.front().id == host_id("e2"));
+}
--- /dev/null
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -0,0 +1,246 @@
+#include "tests/unit/entry/routed_entry.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+using namespace bilberrylead;
+using namespace bilberrylead::entry;
+
+namespace
+{
+
+/// An entry host whose connection attempts to upstreams all fail once `cut` was
+/// called, and which knows three others: two in its region.
+struct cut_off_entry : routed_entry
+{
+    cut_off_entry()
+    {
+        this->reduce(relay_hosts_received{
+            {{host_id("e2"), {"127.0.0.1", 82}, region_id("r1")},
+             {host_id("e3"), {"127.0.0.1", 83}, region_id("r1")},
+             {host_id("e4"), {"127.0.0.1", 84}, region_id("r2")}}});
+    }
+
+    /// Fails connections to all upstreams.
+    void cut()
+    {
+        for (std::string const id : {"read-0", "read-1", "read-2", "write-0",
+                                     "write-1", "write-2", "read-far"})
+        {
+            if (!this->reducer.counters().upstream_contact_lost)
+            {
+                this->reduce(
+                    upstream_probed{upstream_id(id), probe_outcome::refused});
+            }
+        }
+    }
+
+    effects const& fail(std::uint64_t number, exchange_phase phase,
+                        exchange_fault fault = exchange_fault::connect_failed)
+    {
+        return this->reduce(
+            upstream_failed{static_cast<request_number>(number), phase, fault});
+    }
+
+    /// Port of the entry host that the last event passed a request on to; 0 if
+    /// none.
+    std::uint16_t relayed_to() const
+    {
+        start_upstream const* const order = this->find<start_upstream>();
+        return order != nullptr && order->to_entry_host ? order->address.port
+                                                        : 0;
+    }
+};
+
+} // namespace
+
+// Guards against callers that are refused by a host which reaches no upstream
+// although other hosts do.
+Test(relayed_request, goes_to_a_near_host_while_no_upstream_is_reached)
+{
+    cut_off_entry entry;
+    entry.cut();
+    cr_assert_not_null(entry.find<upstream_contact_changed>());
+    cr_expect(entry.find<upstream_contact_changed>()->lost);
+    entry.arrive(1, "/r/x");
+    std::uint16_t const first = entry.relayed_to();
+    entry.arrive(2, "/w/x");
+    std::uint16_t const second = entry.relayed_to();
+    cr_expect(first == 82 || first == 83, "%d", first);
+    cr_expect(second == 82 || second == 83, "%d", second);
+    cr_expect_neq(first, second, "requests are spread");
+    upstream_head_received head;
+    head.request = static_cast<request_number>(1);
+    head.status = 200;
+    entry.reduce(head);
+    cr_expect_not_null(entry.find<stream_answer>());
+    entry.reduce(upstream_answer_finished{head.request, {}});
+    cr_expect_eq(entry.reducer.requests_in_progress(), 1U);
+}
+
+// Guards against upstreams of one zone that fail and make the host pass
+// everything on.
+Test(relayed_request, is_placed_here_while_one_zone_still_answers)
+{
+    cut_off_entry entry;
+    for (int round = 0; round < 5; ++round)
+    {
+        for (std::string const id : {"read-0", "read-1", "write-0", "write-1"})
+        {
+            entry.reduce(
+                upstream_probed{upstream_id(id), probe_outcome::refused});
+        }
+    }
+    entry.arrive(1, "/r/x");
+    cr_expect_eq(entry.relayed_to(), 0);
+    cr_expect_not_null(entry.find<start_upstream>());
+}
+
+// Guards against two hosts without upstreams that pass a request to and fro.
+Test(relayed_request, is_passed_on_only_once)
+{
+    cut_off_entry entry;
+    entry.cut();
+    request_arrived arrival;
+    arrival.request = static_cast<request_number>(1);
+    arrival.host = "a.example";
+    arrival.path = "/r/x";
+    arrival.is_relayed = true;
+    entry.reduce(arrival);
+    cr_expect_eq(entry.relayed_to(), 0);
+}
+
+// Guards against a request that is lost with the connection attempt during
+// which the host finds out that it reaches no upstream.
+Test(relayed_request, follows_a_failed_connection_attempt)
+{
+    cut_off_entry entry;
+    entry.arrive(1, "/w/x");
+    cr_assert_not(entry.find<start_upstream>()->to_entry_host);
+    entry.cut();
+    entry.fail(1, exchange_phase::not_sent);
+    cr_expect_neq(entry.relayed_to(), 0);
+}
+
+// Guards against a second run of a request that may have run already.
+Test(relayed_request, may_not_have_run_unless_it_is_idempotent)
+{
+    cut_off_entry entry;
+    entry.arrive(1, "/w/x");
+    entry.cut();
+    entry.fail(1, exchange_phase::maybe_sent, exchange_fault::connection_lost);
+    cr_expect_eq(entry.relayed_to(), 0);
+    cr_expect_not_null(entry.find<answer_unknown>());
+
+    cut_off_entry idempotent;
+    idempotent.arrive(1, "/r/x");
+    idempotent.cut();
+    idempotent.fail(1, exchange_phase::maybe_sent,
+                    exchange_fault::connection_lost);
+    cr_expect_neq(idempotent.relayed_to(), 0);
+}
+
+Test(relayed_request, goes_to_a_second_host_and_is_then_refused)
+{
+    cut_off_entry entry;
+    entry.cut();
+    entry.arrive(1, "/w/x");
+    std::uint16_t const first = entry.relayed_to();
+    entry.fail(1, exchange_phase::not_sent);
+    std::uint16_t const second = entry.relayed_to();
+    cr_expect_neq(first, second);
+    cr_expect_neq(second, 0);
+    entry.fail(1, exchange_phase::not_sent);
+    cr_expect_eq(entry.relayed_to(), 0);
+    cr_expect_not_null(entry.find<answer_not_run>());
+    cr_expect_eq(entry.reducer.requests_in_progress(), 0U);
+}
+
+// Guards against a body that leaves the regions to which its route is bound.
+Test(relayed_request, stays_in_the_regions_of_its_route)
+{
+    cut_off_entry entry;
+    entry.cut();
+    entry.arrive(1, "/home/x");
+    cr_expect_eq(entry.relayed_to(), 84);
+}
+
+Test(relayed_request, is_refused_here_if_no_host_reaches_upstreams)
+{
+    cut_off_entry entry;
+    entry.reduce(relay_hosts_received{});
+    entry.cut();
+    entry.arrive(1, "/r/x");
+    cr_expect_eq(entry.relayed_to(), 0);
+}
+
+// Guards against a caller that waits beyond its deadline for another host.
+Test(relayed_request, ends_at_its_deadline)
+{
+    cut_off_entry entry;
+    entry.cut();
+    entry.arrive(1, "/w/x");
+    entry.advance(1100ms);
+    cr_expect_not_null(entry.find<answer_unknown>());
+    cr_expect_eq(entry.reducer.requests_in_progress(), 0U);
+}
+
+Test(relayed_request, is_cancelled_when_its_caller_leaves)
+{
+    cut_off_entry entry;
+    entry.cut();
+    entry.arrive(1, "/r/x");
+    entry.reduce(caller_gone{static_cast<request_number>(1)});
+    cr_expect_not_null(entry.find<cancel_upstream>());
+    cr_expect_eq(entry.reducer.requests_in_progress(), 0U);
+}
+
+// Guards against a host that goes on passing requests on after the partition
+// has ended, and against upstreams that stay excluded for its failures.
+Test(relayed_request, ends_when_upstreams_accept_connections_again)
+{
+    cut_off_entry entry;
+    entry.cut();
+    std::size_t probes = 0;
+    for (int count = 0; count < 50; ++count)
+    {
+        entry.advance(20ms);
+        for (effect const& each : entry.last_effects)
+        {
+            probes += std::holds_alternative<probe_upstream>(each) ? 1U : 0U;
+        }
+    }
+    cr_expect(probes >= 6 && probes <= 10, "%zu probes a second", probes);
+    entry.reduce(upstream_connected{upstream_id("read-0")});
+    entry.reduce(upstream_connected{upstream_id("write-1")});
+    cr_assert_not_null(entry.find<upstream_contact_changed>());
+    cr_expect_not(entry.find<upstream_contact_changed>()->lost);
+    entry.arrive(1, "/r/x");
+    cr_expect_eq(entry.relayed_to(), 0);
+    cr_expect_not_null(entry.find<start_upstream>());
+}
+
+// Guards against crash records of requests whose upstreams this host cannot
+// reach, and against its demand being counted twice.
+Test(relayed_request, lost_contact_records_no_crashes_and_reports_no_demand)
+{
+    cut_off_entry entry;
+    request_arrived arrival;
+    arrival.request = static_cast<request_number>(1);
+    arrival.host = "a.example";
+    arrival.path = "/r/x";
+    arrival.digest = 77;
+    entry.reduce(arrival);
+    std::string const upstream = entry.sent_to();
+    entry.cut();
+    cr_expect(entry.reducer.demands().empty());
+    entry.fail(1, exchange_phase::maybe_sent, exchange_fault::connection_lost);
+    entry.reduce(
+        upstream_probed{upstream_id(upstream), probe_outcome::refused});
+    cr_expect(entry.reducer.crash_records().records().empty());
+}
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -463,6 +463,8 @@
                                 exchange_fault::connect_failed});
             return;
         }
+        this->deliver_later(1ms, host, incarnation,
+                            upstream_connected{order.upstream});
         if (!is_same)
         {
             upstream_signals_received signals;
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -88,6 +88,9 @@
                          4},
         link::upstream_update{listing_changes()},
         link::upstream_request{{3, 4}},
+        link::upstream_contact_notice{true},
+        link::relay_host_list{
+            {{host_id("e2"), {"10.0.0.2", 80}, region_id("r")}}},
         link::region_plan{7, {{service_id("s"), region_id("r"), 400}}},
         link::limit_notice{
             host_id("e1"),
--- a/tests/unit/presence/entry_table_test.cpp
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -7,7 +7,9 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace bilberrylead;
 using namespace std::chrono_literals;
@@ -177,3 +179,83 @@
     cr_expect_eq(table.max_ready_hosts_per_region(start), 8U);
     cr_expect_eq(table.max_ready_hosts_per_region(start + 1h), 0U);
 }
+
+// Guards against callers that are sent to a host which reaches no upstream
+// while others do.
+Test(entry_table, host_without_upstreams_is_listed_only_if_there_is_no_other)
+{
+    entry_table table({}, test_seed);
+    table.record_heartbeat(1, host_id("e1"), ready_host(1, "near"), start);
+    table.record_heartbeat(2, host_id("e2"), ready_host(2, "far"), start);
+    table.record_contact(host_id("e1"), true);
+    steering_reply reply = table.reply_to(query_from("near"), start);
+    cr_assert_eq(reply.entry_hosts.size(), 1U);
+    cr_expect_eq(reply.entry_hosts.front().port, 2);
+    table.record_contact(host_id("e2"), true);
+    reply = table.reply_to(query_from("near"), start);
+    cr_expect_eq(reply.entry_hosts.size(), 2U);
+    table.record_contact(host_id("e1"), false);
+    reply = table.reply_to(query_from("near"), start);
+    cr_assert_eq(reply.entry_hosts.size(), 1U);
+    cr_expect_eq(reply.entry_hosts.front().port, 1);
+}
+
+// Guards against a host that is never listed again since it was replaced while
+// it reached no upstream.
+Test(entry_table, disconnected_host_without_upstreams_is_listed_again)
+{
+    entry_table table({}, test_seed);
+    table.record_heartbeat(1, host_id("e1"), ready_host(1, "near"), start);
+    table.record_contact(host_id("e1"), true);
+    table.remove_link(1);
+    table.record_heartbeat(3, host_id("e1"), ready_host(1, "near"), start);
+    table.record_heartbeat(2, host_id("e2"), ready_host(2, "near"), start);
+    cr_expect_eq(table.reply_to(query_from("near"), start).entry_hosts.size(),
+                 2U);
+}
+
+Test(entry_table, relay_hosts_are_near_first_and_reach_upstreams)
+{
+    entry_table table({}, test_seed);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+    {
+        table.record_heartbeat(port, host_id("e" + std::to_string(port)),
+                               ready_host(port, port <= 5 ? "near" : "far"),
+                               start);
+    }
+    table.record_contact(host_id("e2"), true);
+    std::vector<link::relay_host> const hosts =
+        table.relay_hosts_for(host_id("e1"), start).hosts;
+    cr_assert_eq(hosts.size(), 8U);
+    for (std::size_t place = 0; place < hosts.size(); ++place)
+    {
+        cr_expect(hosts[place].region == region_id(place < 3 ? "near" : "far"));
+        cr_expect(hosts[place].id != host_id("e1"));
+        cr_expect(hosts[place].id != host_id("e2"));
+    }
+    cr_expect(table.relay_hosts_for(host_id("e1"), start + 2s).hosts.empty(),
+              "hosts without heartbeats");
+}
+
+// Guards against all hosts without upstreams that pass their requests on to the
+// same few others.
+Test(entry_table, relay_hosts_differ_between_hosts)
+{
+    entry_table table({}, test_seed);
+    for (std::uint16_t port = 1; port <= 40; ++port)
+    {
+        table.record_heartbeat(port, host_id("e" + std::to_string(port)),
+                               ready_host(port, "near"), start);
+    }
+    std::set<host_id> all;
+    for (int number = 1; number <= 10; ++number)
+    {
+        host_id const host("e" + std::to_string(number));
+        for (link::relay_host const& each :
+             table.relay_hosts_for(host, start).hosts)
+        {
+            all.insert(each.id);
+        }
+    }
+    cr_expect_gt(all.size(), 24U);
+}
