Withdraw crash records of upstreams that answer after all

What callers saw: requests that a host without upstreams had run when its connections were reset were held back on all hosts (verdict restricted, at most one run at a time and no further try).

Cause: a refused connection is taken for the end of the upstream, and the record stayed until the request had a complete answer. Fix: on a host whose upstreams are listed, whose ids name one incarnation each, an answer of an upstream that was taken for ended clears the records made for it, and all hosts are told.

Ruled out: withdrawing when the way to the upstreams is lost (a request that ends all of a few upstreams would be allowed again).

Test: relayed_request/answer_of_an_upstream_taken_for_ended_withdraws_records, failed before.

--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -229,6 +229,7 @@
     void record_connection_failure(upstream_id const& upstream,
                                    zone_id const& zone);
     void record_connection(upstream_id const& upstream);
+    void withdraw_crashes(upstream_id const& upstream);
     void probe_for_contact();
     std::vector<config::upstream const*> choose_probes(std::size_t count);
     void configure_contact();
@@ -301,6 +302,9 @@
     // Requests that each of these carries for this host now.
     std::map<host_id, std::uint32_t> relays_in_flight;
     instant next_contact_probe{};
+    // Upstreams that this host took for ended, and the digests of the requests
+    // that it recorded for them.
+    std::deque<std::pair<upstream_id, std::uint64_t>> own_crashes;
     policy::customer_limits customer_limits;
 };
 
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -7,6 +7,14 @@
 namespace bilberrylead::entry
 {
 
+namespace
+{
+
+/// Crash records that can be withdrawn.
+constexpr std::size_t max_own_crashes = 1000;
+
+} // namespace
+
 /// Retry delay if the request must not run now because of its crash record;
 /// empty if it may run.
 std::optional<duration>
@@ -172,11 +180,43 @@
         this->crashes.record_crash(digest, upstream, this->now);
     if (changed.has_value())
     {
+        this->own_crashes.emplace_back(upstream, digest);
+        if (this->own_crashes.size() > max_own_crashes)
+        {
+            this->own_crashes.pop_front();
+        }
         this->publish_crash_record(*changed);
         this->refuse_crashing(digest);
     }
 }
 
+/// An answer shows that an upstream which was taken for ended had not: this
+/// host had lost its way to it. Withdraws the records that say otherwise, since
+/// all hosts would hold innocent requests back.
+void entry_reducer::withdraw_crashes(upstream_id const& upstream)
+{
+    if (!this->host_settings.upstreams_are_listed)
+    {
+        // The next incarnation may have the same id.
+        return;
+    }
+    for (auto const& [ended, digest] : this->own_crashes)
+    {
+        std::optional<policy::crash_record> const cleared =
+            ended == upstream ? this->crashes.clear(digest, this->now)
+                              : std::nullopt;
+        if (cleared.has_value())
+        {
+            this->publish_crash_record(*cleared);
+        }
+    }
+    std::erase_if(this->own_crashes,
+                  [&upstream](auto const& entry)
+                  {
+                      return entry.first == upstream;
+                  });
+}
+
 void entry_reducer::record_complete_answer(live_request const& request)
 {
     std::optional<policy::crash_record> const cleared =
--- a/tests/unit/entry/relayed_request_test.cpp
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -225,6 +225,37 @@
     cr_expect_not_null(entry.find<start_upstream>());
 }
 
+// Guards against innocent requests that are held back on all hosts, since this
+// host took an upstream that it could not reach for ended.
+Test(relayed_request, answer_of_an_upstream_taken_for_ended_withdraws_records)
+{
+    cut_off_entry entry;
+    request_arrived arrival;
+    arrival.request = static_cast<request_number>(1);
+    arrival.host = "a.example";
+    arrival.path = "/r/x";
+    arrival.digest = 77;
+    entry.reduce(arrival);
+    std::string const upstream = entry.sent_to();
+    entry.fail(1, exchange_phase::maybe_sent, exchange_fault::connection_lost);
+    entry.reduce(
+        upstream_probed{upstream_id(upstream), probe_outcome::refused});
+    cr_assert_eq(entry.reducer.crash_records().records().size(), 1U);
+    cr_assert_eq(
+        entry.reducer.crash_records().records().front().ended_upstreams.size(),
+        1U);
+    upstream_signals_received signals;
+    signals.request = static_cast<request_number>(9);
+    signals.service = service_id("read");
+    signals.upstream = upstream_id(upstream);
+    entry.reduce(signals);
+    cr_expect_not_null(entry.find<send_crash_records>());
+    cr_expect(entry.reducer.crash_records()
+                  .records()
+                  .front()
+                  .ended_upstreams.empty());
+}
+
 // Guards against crash records of requests whose upstreams this host cannot
 // reach, and against its demand being counted twice.
 Test(relayed_request, lost_contact_records_no_crashes_and_reports_no_demand)
