--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -175,6 +175,7 @@
                          refusal_reason reason, duration retry_after);
     bool fill_from_service(live_request& request, request_arrived const& event);
     void place(live_request& request);
+    void place_again(std::vector<std::uint64_t> const& tickets);
     void place_at_upstream(live_request& request);
     bool is_allowed_region(live_request const& request,
                            std::uint32_t region) const;
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -295,13 +295,7 @@
     {
         this->update_reach(request);
     }
-    for (std::uint64_t const ticket : waiting)
-    {
-        live_request& request =
-            *this->find(static_cast<request_number>(ticket));
-        request.life_cycle.pause();
-        this->place(request);
-    }
+    this->place_again(waiting);
 }
 
 void entry_reducer::update_reach(live_request& request) const
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -115,6 +115,18 @@
     return true;
 }
 
+/// Places requests that were removed from their queue.
+void entry_reducer::place_again(std::vector<std::uint64_t> const& tickets)
+{
+    for (std::uint64_t const ticket : tickets)
+    {
+        live_request& request =
+            *this->find(static_cast<request_number>(ticket));
+        request.life_cycle.pause();
+        this->place(request);
+    }
+}
+
 policy::waiting_request
 entry_reducer::to_waiting_request(live_request const& request) const
 {
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -81,15 +81,7 @@
 /// that they are refused now rather than at their deadlines.
 void entry_reducer::place_stranded(service_id const& service)
 {
-    std::vector<std::uint64_t> const stranded =
-        this->state_of(service).remove_stranded(this->now);
-    for (std::uint64_t const ticket : stranded)
-    {
-        live_request& request =
-            *this->find(static_cast<request_number>(ticket));
-        request.life_cycle.pause();
-        this->place(request);
-    }
+    this->place_again(this->state_of(service).remove_stranded(this->now));
 }
 
 } // namespace bilberrylead::entry
--- a/tests/unit/control/leaving_upstream_time_test.cpp
+++ b/tests/unit/control/leaving_upstream_time_test.cpp
@@ -9,7 +9,6 @@
 using namespace bilberrylead;
 using namespace std::chrono_literals;
 using tests::listing_fleet;
-using tests::listing_fleet_settings;
 
 namespace
 {
