--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -311,36 +311,6 @@
     this->server->dispatch(std::move(plan));
 }
 
-void entry_program::implementation::tell_crashes(
-    entry::send_crash_records const& wanted)
-{
-    link::crash_report const report{wanted.records};
-    for (auto const& [number, peer] : this->links)
-    {
-        if (!wanted.only_to.has_value() || number == *wanted.only_to)
-        {
-            this->send(number, report);
-        }
-    }
-}
-
-/// One control host passes it on; neighbours hear it directly.
-void entry_program::implementation::tell_limits(
-    entry::send_limits const& wanted)
-{
-    link::limit_notice const notice{this->settings.id, wanted.reports};
-    bool told_control = false;
-    for (auto const& [number, peer] : this->links)
-    {
-        bool const is_control = peer.role == link::peer_role::control;
-        if (!is_control || !told_control)
-        {
-            this->send(number, notice);
-        }
-        told_control = told_control || is_control;
-    }
-}
-
 void entry_program::implementation::on_leader(host_id const& reported)
 {
     if (!reported.empty() && reported != this->leader)
@@ -350,19 +320,6 @@
     }
 }
 
-void entry_program::implementation::send_customer_report(
-    entry::send_customer_report const& effect)
-{
-    for (auto const& [number, peer] : this->links)
-    {
-        if (peer.role == link::peer_role::control && peer.id == this->leader)
-        {
-            this->send(number, link::customer_usage_report{effect.report});
-            return;
-        }
-    }
-}
-
 void entry_program::implementation::on_listing(
     link::link_number number, link::upstream_update const& said)
 {
@@ -393,45 +350,6 @@
     this->tell_presence(number);
 }
 
-void entry_program::implementation::on_contact_changed(
-    entry::upstream_contact_changed const& changed)
-{
-    this->has_upstream_contact = !changed.lost;
-    if (changed.lost)
-    {
-        log.warning("No upstream can be reached from this host; requests are "
-                    "passed on to other entry hosts.");
-    }
-    else
-    {
-        log.info("Upstreams can be reached again.");
-    }
-    for (auto const& [number, peer] : this->links)
-    {
-        if (peer.role == link::peer_role::control)
-        {
-            this->tell_contact(number);
-        }
-    }
-}
-
-void entry_program::implementation::tell_contact(link::link_number to)
-{
-    this->send(to, link::upstream_contact_notice{!this->has_upstream_contact});
-}
-
-void entry_program::implementation::on_relay_hosts(
-    link::relay_host_list const& list)
-{
-    entry::relay_hosts_received received;
-    received.hosts.reserve(list.hosts.size());
-    for (link::relay_host const& each : list.hosts)
-    {
-        received.hosts.push_back({each.id, each.address, each.region});
-    }
-    this->server->dispatch(std::move(received));
-}
-
 void entry_program::implementation::tell_presence(link::link_number to)
 {
     link::entry_presence presence;
--- a/tests/unit/entry/relayed_request_test.cpp
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -47,6 +47,18 @@
             upstream_failed{static_cast<request_number>(number), phase, fault});
     }
 
+    /// Passes a request with a digest. Returns the upstream that it is sent to.
+    std::string arrive_with_digest(std::uint64_t number, std::uint64_t digest)
+    {
+        request_arrived arrival;
+        arrival.request = static_cast<request_number>(number);
+        arrival.host = "a.example";
+        arrival.path = "/r/x";
+        arrival.digest = digest;
+        this->reduce(arrival);
+        return this->sent_to();
+    }
+
     /// Port of the entry host that the last event passed a request on to; 0 if
     /// none.
     std::uint16_t relayed_to() const
@@ -230,13 +242,7 @@
 Test(relayed_request, answer_of_an_upstream_taken_for_ended_withdraws_records)
 {
     cut_off_entry entry;
-    request_arrived arrival;
-    arrival.request = static_cast<request_number>(1);
-    arrival.host = "a.example";
-    arrival.path = "/r/x";
-    arrival.digest = 77;
-    entry.reduce(arrival);
-    std::string const upstream = entry.sent_to();
+    std::string const upstream = entry.arrive_with_digest(1, 77);
     entry.fail(1, exchange_phase::maybe_sent, exchange_fault::connection_lost);
     entry.reduce(
         upstream_probed{upstream_id(upstream), probe_outcome::refused});
@@ -261,13 +267,7 @@
 Test(relayed_request, lost_contact_records_no_crashes_and_reports_no_demand)
 {
     cut_off_entry entry;
-    request_arrived arrival;
-    arrival.request = static_cast<request_number>(1);
-    arrival.host = "a.example";
-    arrival.path = "/r/x";
-    arrival.digest = 77;
-    entry.reduce(arrival);
-    std::string const upstream = entry.sent_to();
+    std::string const upstream = entry.arrive_with_digest(1, 77);
     entry.cut();
     cr_expect(entry.reducer.demands().empty());
     entry.fail(1, exchange_phase::maybe_sent, exchange_fault::connection_lost);
