Test that fails: a load report with a fourth figure is dropped

The reader of the load header moves into a file of its own, unchanged, so that it can be tested without a connection. load_header/fourth_figure_does_not_hide _the_others fails: the reader takes three figures exactly.

--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/http/decimal_header.hpp"
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
+#include "bilberrylead/http/load_header.hpp"
 #include "bilberrylead/http/retry_after_header.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
@@ -15,9 +16,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cassert>
-#include <charconv>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -41,29 +40,6 @@
     return !name.empty() && parser.get()[name] == "1";
 }
 
-/// Running, waiting and slots, with commas between; nothing if it is not
-/// that.
-std::optional<entry::upstream_load> read_load(std::string_view text)
-{
-    std::array<std::uint32_t, 3> numbers{};
-    char const* place = text.data();
-    char const* const end = text.data() + text.size();
-    for (std::size_t index = 0; index < numbers.size(); ++index)
-    {
-        std::from_chars_result const read =
-            std::from_chars(place, end, numbers.at(index));
-        bool const last = index + 1 == numbers.size();
-        bool const separated =
-            last ? read.ptr == end : read.ptr != end && *read.ptr == ',';
-        if (read.ec != std::errc{} || !separated)
-        {
-            return std::nullopt;
-        }
-        place = read.ptr + 1;
-    }
-    return entry::upstream_load{numbers[0], numbers[1]};
-}
-
 } // namespace
 
 void upstream_exchange::report_signals(bool misdirected)
