--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -225,6 +225,9 @@
     builder.counter("bilberry_entry_answers_of_others_total",
                     "Answers that carried another request's id.",
                     counters.answers_of_others);
+    builder.counter("bilberry_entry_load_reports_unreadable_total",
+                    "Load reports of upstreams that could not be parsed",
+                    counters.load_reports_unreadable);
 }
 
 } // namespace
--- a/bilberrylead/http/http_counters.hpp
+++ b/bilberrylead/http/http_counters.hpp
@@ -34,6 +34,8 @@
     std::uint64_t upstream_suspects_closed = 0;
     /// Answers that carried another request's id.
     std::uint64_t answers_of_others = 0;
+    /// Load reports of upstreams that could not be parsed and were ignored.
+    std::uint64_t load_reports_unreadable = 0;
     /// Gauge: kept connections that are idle now.
     std::size_t upstream_idle = 0;
 };
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -119,6 +119,10 @@
     {
         beast::string_view const load = this->parser->get()[this->names.load];
         head.load = read_load({load.data(), load.size()});
+        if (!load.empty() && !head.load.has_value())
+        {
+            ++this->pool.counters().load_reports_unreadable;
+        }
     }
     if (head.not_run && this->parser->content_length().value_or(
                             largest_refusal + 1) <= largest_refusal)
--- a/tests/unit/http/load_header_test.cpp
+++ b/tests/unit/http/load_header_test.cpp
@@ -12,6 +12,7 @@
     cr_assert(load.has_value());
     cr_expect_eq(load->running, 3U);
     cr_expect_eq(load->waiting, 12U);
+    cr_expect(!load->run_time_percent.has_value());
 }
 
 // Guards against a placement that is blind to what other hosts send to an
@@ -23,6 +24,9 @@
     cr_assert(load.has_value());
     cr_expect_eq(load->running, 3U);
     cr_expect_eq(load->waiting, 12U);
+    cr_expect(load->run_time_percent == 250U);
+    cr_expect(http::read_load("0,0,4,1")->run_time_percent == 1U);
+    cr_expect(http::read_load("0,0,4,100000")->run_time_percent == 100'000U);
 }
 
 // Guards against a load that nobody reported.
