--- /dev/null
+++ b/bilberrylead/policy/customer_demand.hpp
@@ -0,0 +1,25 @@
+#ifndef BILBERRYLEAD_POLICY_CUSTOMER_DEMAND_HPP
+#define BILBERRYLEAD_POLICY_CUSTOMER_DEMAND_HPP
+
+#include "bilberrylead/core/ids.hpp"
+
+#include <cstdint>
+
+namespace bilberrylead::policy
+{
+
+/// Demand for a service by one customer's requests of one rank.
+struct customer_demand
+{
+    /// The customer; empty for requests without one.
+    customer_id customer;
+    /// Effective rank of the requests; 0 is the most urgent.
+    std::uint32_t rank = 0;
+    /// Slots that the offered requests would occupy if all of them were served;
+    /// 0 or more.
+    double slots = 0;
+};
+
+} // namespace bilberrylead::policy
+
+#endif
