--- a/tests/unit/entry/entry_fleet.hpp
+++ b/tests/unit/entry/entry_fleet.hpp
@@ -115,6 +115,18 @@
         return this->processes.size();
     }
 
+    /// Time of the next event.
+    instant time() const
+    {
+        return this->now;
+    }
+
+    /// Sets the time of the next event; never earlier than the last one.
+    void set_time(instant time)
+    {
+        this->now = time;
+    }
+
     /// Passes an event to a host.
     effects reduce(std::size_t host, event const& event)
     {
