Use the speed that an upstream reports for the moment

Cause: the slowness of an upstream was estimated from runs over 4 s, while an upstream on a shared machine is slow for 600 ms; the estimate took effect after the moment, and then kept requests away from an upstream of usual speed or refused them.

The expected run time is the usual one x the lasting slowdown x the factor; a measured run is divided by the factor before it enters the lasting slowdown and the usual run time. The head's report is recorded before its run, so that the divisor is the factor that the answer itself carries.

Without the figure the decisions are those recorded before the change.

--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -18,6 +18,7 @@
 #include "bilberrylead/policy/placement_request.hpp"
 #include "bilberrylead/policy/placement_verdict.hpp"
 #include "bilberrylead/policy/region_shares.hpp"
+#include "bilberrylead/policy/report_validity.hpp"
 #include "bilberrylead/policy/retry_budget.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
 #include "bilberrylead/policy/slot_pool.hpp"
@@ -195,7 +196,9 @@
     std::size_t leaving_upstreams(instant now) const;
 
     /// Records a run of a request by the upstream: the time that it would take
-    /// if the object were known there, and the object, 0 for none.
+    /// if the object were known there, and the object, 0 for none. The load
+    /// that came with the same answer must be recorded first, since the speed
+    /// in it applies to this run.
     void record_run(upstream_id const& id, duration time, std::uint64_t object,
                     instant now);
 
@@ -320,6 +323,8 @@
     // use.
     policy::mean_load mean_load;
     std::map<std::uint32_t, policy::mean_load> mean_load_by_region;
+    // How long reports on the upstreams' speed stay valid.
+    policy::report_validity report_validity;
     policy::cold_share cold;
     policy::arrival_rate arrivals{demand_window};
     policy::region_shares shares{max_region_shift_per_s};
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -17,6 +17,8 @@
 /// and each of its requests delays its callers, so warm upstreams are
 /// preferred.
 constexpr double cold_penalty_runs = 1;
+/// Reported run time of an upstream at its usual speed.
+constexpr double usual_percent = 100;
 
 } // namespace
 
@@ -75,6 +77,11 @@
         slots_held > record.in_flight ? slots_held - record.in_flight : 0;
     this->mean_load.record_held_by_others(others);
     this->mean_load_in(record.region).record_held_by_others(others);
+    if (load.run_time_percent.has_value())
+    {
+        record.momentary.record(*load.run_time_percent / usual_percent,
+                                this->report_validity, now);
+    }
 }
 
 void service_state::record_run(upstream_id const& id, duration time,
@@ -84,13 +91,16 @@
     // raise the usual run time.
     upstream_record& record = this->record_of(id);
     policy::mean_load& siblings = this->mean_load_in(record.region);
-    record.estimate.record_run(time, siblings.run_time(), now);
+    // A momentary slowness must not enter the lasting one.
+    duration const at_usual_speed =
+        scaled(time, 1.0 / record.momentary.factor(this->report_validity, now));
+    record.estimate.record_run(at_usual_speed, siblings.run_time(), now);
     if (object != 0)
     {
         record.objects.record(object);
     }
-    duration const normal =
-        scaled(time, 1.0 / std::max(1.0, record.estimate.slowdown(now)));
+    duration const normal = scaled(
+        at_usual_speed, 1.0 / std::max(1.0, record.estimate.slowdown(now)));
     siblings.record_run(normal);
     this->mean_load.record_run(normal);
 }
@@ -116,7 +126,9 @@
         candidate.held_by_others =
             record.estimate.held_by_others(siblings.held_by_others(), now);
         candidate.service_time =
-            scaled(siblings.run_time(), record.estimate.slowdown(now));
+            scaled(siblings.run_time(),
+                   record.estimate.slowdown(now) *
+                       record.momentary.factor(this->report_validity, now));
         candidate.one_way_latency = this->configured_upstreams[index].distance;
         candidate.region = this->configured_upstreams[index].region;
         bool const is_cold = now < record.cold_until;
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_ENTRY_UPSTREAM_RECORD_HPP
 
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/momentary_slowdown.hpp"
 #include "bilberrylead/policy/recent_objects.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
 #include "bilberrylead/policy/shared_limit.hpp"
@@ -50,6 +51,8 @@
     /// Slots held by others and relative slowness, used if requests wait at
     /// upstreams.
     policy::upstream_estimate estimate;
+    /// Speed that the upstream reports for the moment.
+    policy::momentary_slowdown momentary;
     /// Objects that the upstream has handled for this host.
     policy::recent_objects objects;
     /// Tokens for requests to the upstream while it is cold.
