Tests that fail: scope of object homes and its settings

All objects of a region have their homes among all of its upstreams, so half of the responses cross between zones.

--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -40,7 +40,9 @@
   "control_hosts": [{"name": "c1", "address": "127.0.0.1:1"}],
   "neighbours": [{"name": "e2", "address": "127.0.0.2:2"}],
   "peer_key": "a-peer-key-of-more-than-32-letters",
-  "limits": {"requests": 100, "header_timeout_ms": 500}
+  "limits": {"requests": 100, "header_timeout_ms": 500},
+  "object_homes": "zone", "zone_crossing_cost_ms": 30,
+  "remembered_objects": 48
 })";
 
 /// One bad settings text and what the error says.
@@ -90,6 +92,19 @@
      "limits.requests: 0 is out of range."},
     {"\"requests\": 100", "\"request\": 100", error_kind::unknown_field,
      "limits.request: This field is not known. Did you mean \"requests\"?"},
+    {"\"object_homes\": \"zone\"", "\"object_homes\": \"rack\"",
+     error_kind::bad_value,
+     "object_homes: This is string. Write \"region\" or \"zone\""},
+    {"\"zone_crossing_cost_ms\": 30", "\"zone_crossing_cost_ms\": 1001",
+     error_kind::bad_value,
+     "zone_crossing_cost_ms: 1001 is out of range. Write a whole number from "
+     "0 to 1000."},
+    {"\"remembered_objects\": 48", "\"remembered_objects\": 0",
+     error_kind::bad_value,
+     "remembered_objects: 0 is out of range. Write a whole number from 1 to "
+     "10000."},
+    {"\"remembered_objects\": 48", "\"remembered_objects\": 10001",
+     error_kind::bad_value, "remembered_objects: 10001 is out of range."},
 };
 
 template <class Parse>
@@ -132,6 +147,22 @@
     cr_assert_eq(value->limits.requests, 100U);
     cr_assert(value->limits.header_timeout == std::chrono::milliseconds(500));
     cr_assert_eq(value->limits.connections, 8192U);
+    cr_assert(value->homes == object_homes::zone);
+    cr_assert(value->zone_crossing_cost == std::chrono::milliseconds(30));
+    cr_assert_eq(value->remembered_objects, 48U);
+}
+
+Test(settings, object_homes_when_not_given_are_those_of_the_region)
+{
+    std::string text = entry_text;
+    std::size_t const from = text.find(",\n  \"object_homes\"");
+    text.replace(from, text.size() - from, "}");
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert(value->homes == object_homes::region);
+    cr_assert(value->zone_crossing_cost == bilberrylead::duration::zero());
+    cr_assert_eq(value->remembered_objects, 12U);
 }
 
 Test(settings, bad_texts_when_parsed_name_place_fault_and_remedy)
