Home upstreams of objects within a zone

Cause: find_preferred_upstreams ranks all upstreams of a region, so the first choice of half of the objects is in another zone. With object_homes set to zone an object's home is the first choice among the own zone's upstreams as long as their caches hold the objects requested there; home_scope decides that for each service from an estimate of the distinct objects. The home of another zone takes the overflow, with zone_crossing_cost_ms added. Hosts of other regions keep the first choice of the region, which is the home in one of its zones.

Ruled out: a count of the objects that a host has seen, which depends on its number of requests; two bounds with a lasting difference between them, under which hosts with different histories never agree; a zone for each object that is chosen by hash for hosts of other regions, which would disagree with hosts that use the homes of the region.

The tests of entry are not built yet.

--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -6,6 +6,7 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/entry_limits.hpp"
 #include "bilberrylead/config/host_address.hpp"
+#include "bilberrylead/config/object_homes.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/retry_bounds.hpp"
 #include "bilberrylead/config/waiting_place.hpp"
@@ -16,6 +17,7 @@
 #include <absl/status/statusor.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,6 +78,13 @@
     double link_rate = 0;
     /// Where requests wait while all slots are taken.
     waiting_place waiting = waiting_place::entry_host;
+    /// Largest set of upstreams among which objects have their homes.
+    object_homes homes = object_homes::region;
+    /// Cost of sending a request to another zone of the region, as time added
+    /// to its expected completion; used with homes in the zone.
+    duration zone_crossing_cost{};
+    /// Number of objects that an upstream caches.
+    std::uint32_t remembered_objects = 12;
     /// The lowest level that is logged.
     log_level lowest_log_level = log_level::info;
 
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -67,6 +67,10 @@
 inline constexpr std::array<std::string_view, 2> waiting_place_names = {
     "entry_host", "upstream"};
 
+/// Names of where objects have their homes, in the order of object_homes.
+inline constexpr std::array<std::string_view, 2> object_homes_names = {"region",
+                                                                       "zone"};
+
 /// Names of whom the operators' port trusts, in the order of operator_trust.
 inline constexpr std::array<std::string_view, 2> operator_trust_names = {
     "by_key", "by_network"};
@@ -161,6 +165,10 @@
     visitor.section("cold", value.cold);
     visitor.fraction("link_mbit_per_s", value.link_rate, 0, most_bound);
     visitor.choice("waiting", value.waiting, waiting_place_names);
+    visitor.choice("object_homes", value.homes, object_homes_names);
+    visitor.time("zone_crossing_cost_ms", value.zone_crossing_cost,
+                 std::chrono::milliseconds(0), std::chrono::milliseconds(1000));
+    visitor.number("remembered_objects", value.remembered_objects, {1, 10'000});
 }
 
 } // namespace bilberrylead::config
--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -91,6 +91,54 @@
     }
 }
 
+void add_crossings(family_builder& builder,
+                   entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_crossed_responses_total",
+                  "Responses of upstreams in another zone, by service and "
+                  "whether the zone is in this host's region.",
+                  prometheus::MetricType::Counter);
+    for (std::pair<service_id const, entry::service_counters> const& row :
+         counters.services)
+    {
+        builder.add({{"service", row.first.text()}, {"between", "zones"}})
+            .counter.value = static_cast<double>(row.second.crossed_zones);
+        builder.add({{"service", row.first.text()}, {"between", "regions"}})
+            .counter.value = static_cast<double>(row.second.crossed_regions);
+    }
+}
+
+/// One row for each service, if homes may be in the zone.
+void add_home_scopes(family_builder& builder,
+                     entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_zone_homes",
+                  "1 while the service's objects have their homes in this "
+                  "host's zone.",
+                  prometheus::MetricType::Gauge);
+    for (std::pair<service_id const, entry::service_counters> const& row :
+         counters.services)
+    {
+        if (row.second.distinct_objects.has_value())
+        {
+            builder.add({{"service", row.first.text()}}).gauge.value =
+                row.second.has_zone_homes ? 1 : 0;
+        }
+    }
+    builder.start("bilberry_entry_distinct_objects",
+                  "Estimated number of different objects requested lately.",
+                  prometheus::MetricType::Gauge);
+    for (std::pair<service_id const, entry::service_counters> const& row :
+         counters.services)
+    {
+        if (row.second.distinct_objects.has_value())
+        {
+            builder.add({{"service", row.first.text()}}).gauge.value =
+                *row.second.distinct_objects;
+        }
+    }
+}
+
 void add_latency(family_builder& builder, entry::entry_counters const& counters)
 {
     builder.start("bilberry_entry_request_seconds",
@@ -303,6 +351,8 @@
                     "their upstream had been excluded while it was made.",
                     counters.withdrawn);
     add_requests(builder, counters);
+    add_crossings(builder, counters);
+    add_home_scopes(builder, counters);
     add_latency(builder, counters);
     add_refusals(builder, counters);
     add_over_limit(builder, counters);
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -102,6 +102,11 @@
     wanted.entry.default_region_latency = this->settings.region_latency;
     wanted.entry.upstreams_are_listed = !this->settings.seeds.empty();
     wanted.entry.waiting = this->settings.waiting;
+    wanted.entry.placement.homes = this->settings.homes;
+    wanted.entry.placement.zone_crossing_cost =
+        this->settings.zone_crossing_cost;
+    wanted.entry.placement.remembered_objects =
+        this->settings.remembered_objects;
     wanted.entry.retries = this->settings.retries;
     wanted.entry.cold = this->settings.cold;
     wanted.entry.customer_limits.bounds = this->settings.customer_limits;
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_position.hpp"
+#include "bilberrylead/entry/home_scope_status.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/request_outcome.hpp"
@@ -252,6 +253,14 @@
     bool from_peer = false;
 };
 
+/// Reports that the objects of a service have their homes among other upstreams
+/// than before. For the log.
+struct home_scope_changed
+{
+    service_id service;
+    home_scope_status status;
+};
+
 /// Reports that an upstream asked for a rest. For the log.
 struct upstream_rest_requested
 {
@@ -334,7 +343,8 @@
     request_ended, drained, probe_upstream, connection_loss_resolved,
     upstream_limit_changed, upstream_rest_requested, upstream_leaving_noticed,
     close_idle_connections, crash_record_changed, send_crash_records,
-    send_limits, send_customer_report, upstream_contact_changed>;
+    send_limits, send_customer_report, upstream_contact_changed,
+    home_scope_changed>;
 
 /// Effects in the order in which they must be performed.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace bilberrylead::entry
 {
@@ -36,6 +37,15 @@
     std::uint64_t callers_gone = 0;
     /// Attempts beyond the first.
     std::uint64_t retries = 0;
+    /// Responses of upstreams in other zones of this host's region.
+    std::uint64_t crossed_zones = 0;
+    /// Responses of upstreams in other regions.
+    std::uint64_t crossed_regions = 0;
+    /// Gauge: true while the objects have their homes in this host's zone.
+    bool has_zone_homes = false;
+    /// Gauge: estimated number of distinct objects requested lately; empty if
+    /// homes are always those of the region.
+    std::optional<double> distinct_objects;
     /// Requests by time from arrival to the start of the final answer.
     std::array<std::uint64_t, bounds_ms.size() + 1> latency{};
     /// Sum of these times.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -76,6 +76,7 @@
             state.leaving_upstreams(this->now);
         this->current_counters.slots_in_use += state.in_use();
         this->current_counters.waiting += state.waiting();
+        this->count_home_scope(service, state);
     }
     return this->current_counters;
 }
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -159,6 +159,12 @@
     void update_host_shares();
     void apply_region_plan();
     std::uint32_t region_number_of(region_id const& region);
+    std::map<zone_id, std::uint32_t> number_zones() const;
+    bool is_in_own_region(zone_id const& zone) const;
+    void update_home_scope(service_id const& service, service_state& state);
+    void count_crossing(live_request const& request);
+    void count_home_scope(service_id const& service,
+                          service_state const& state);
     std::vector<policy::region_target>
     region_targets(std::vector<double> const& shares) const;
     region_id region_name_of(std::optional<std::uint32_t> region) const;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -186,6 +186,7 @@
     for (auto& [service, state] : this->service_states)
     {
         state.advance(this->now);
+        this->update_home_scope(service, state);
         this->refuse_expired(state);
         this->services_to_dispatch.insert(service);
     }
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -260,6 +260,7 @@
 void entry_reducer::reconfigure_services()
 {
     std::vector<std::uint64_t> waiting;
+    std::map<zone_id, std::uint32_t> const zones = this->number_zones();
     for (auto& [service, state] : this->service_states)
     {
         std::vector<std::uint64_t> const removed =
@@ -275,6 +276,8 @@
                 this->routing->distance(this->host_settings.zone, each->zone);
             configured.region =
                 this->region_number_of(this->routing->region_of(each->zone));
+            configured.zone = zones.at(each->zone);
+            configured.in_own_region = this->is_in_own_region(each->zone);
             configured.closed = this->closed.contains(each->zone);
             discovery::listed_upstream const* const listed =
                 this->routing->find_listed_upstream(each->id);
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -314,6 +314,7 @@
     request.tried.push_back(upstream->id);
     request.placed_by = this->listing_position;
     request.sent_to = upstream->address;
+    request.crosses_zones = upstream->zone != this->host_settings.zone;
     request.life_cycle.send();
     request.sent_at = this->now;
     bool const last_attempt = this->is_last_attempt(request);
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -69,6 +69,7 @@
         return;
     }
     request->status = event.status;
+    this->count_crossing(*request);
     request->time_to_head = this->now - request->sent_at;
     if (event.load.has_value())
     {
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -98,6 +98,8 @@
     discovery::list_position placed_by;
     /// Address of the last attempted upstream.
     config::endpoint sent_to;
+    /// True if the last attempted upstream is in another zone.
+    bool crosses_zones = false;
     /// True once a byte may have reached an upstream that did not then state
     /// that it had not run the request.
     bool may_have_run = false;
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -83,6 +83,10 @@
                     : initial_extended_time),
       answer_time(initial_brief_time)
 {
+    if (placing.homes == config::object_homes::zone)
+    {
+        this->homes.emplace(placing.remembered_objects);
+    }
 }
 
 void service_state::configure(std::vector<configured_upstream> upstreams,
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -5,12 +5,14 @@
 #include "bilberrylead/config/upstream.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/entry/home_scope_status.hpp"
 #include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/entry/upstream_record.hpp"
 #include "bilberrylead/policy/admission_queue.hpp"
 #include "bilberrylead/policy/arrival_rate.hpp"
 #include "bilberrylead/policy/cold_share.hpp"
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/home_scope.hpp"
 #include "bilberrylead/policy/least_completion_choice.hpp"
 #include "bilberrylead/policy/limit_report.hpp"
 #include "bilberrylead/policy/mean_load.hpp"
@@ -51,6 +53,10 @@
     duration distance{};
     /// Number of the upstream's region, for placement.
     std::uint32_t region = 0;
+    /// Number of the upstream's zone, for placement; see placement_candidate.
+    std::uint32_t zone = policy::placement_candidate::own_zone;
+    /// True if the upstream is in this host's region.
+    bool in_own_region = true;
     /// True if the zone is closed: no new requests.
     bool closed = false;
     /// Time until which the upstream is cold, from the upstream list.
@@ -264,6 +270,13 @@
     /// Updates averages and upstream health; called at every tick.
     void advance(instant now);
 
+    /// Decides anew where the objects have their homes. Returns true if that
+    /// changed.
+    bool update_home_scope(instant now);
+
+    /// State of that decision, for logs and metrics.
+    home_scope_status home_scope_state(instant now) const;
+
     /// Time from slot to answer that nearly all requests stay within.
     duration usual_answer() const;
 
@@ -305,6 +318,10 @@
 
     bool may_send_to_cold(std::uint64_t upstream, std::uint32_t region) const;
     policy::mean_load& mean_load_in(std::uint32_t region);
+    policy::placement_verdict
+    place_with_homes(policy::placement_request question, bool is_first_attempt,
+                     instant now);
+    void count_home_upstreams(home_scope_status& status, instant now) const;
     void fill_candidates(std::uint64_t object, reach const& reachable,
                          std::vector<upstream_id> const& tried, instant now);
 
@@ -315,6 +332,8 @@
     std::vector<upstream_record*> upstream_records;
     std::vector<policy::placement_candidate> candidates;
     policy::upstream_placement placement;
+    // Empty if homes are those of the region.
+    std::optional<policy::home_scope> homes;
     // Usual load over all upstreams, and over those of one region by its
     // number. A region starts with the overall value at the time of its first
     // use.
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -119,6 +119,7 @@
             scaled(siblings.run_time(), record.estimate.slowdown(now));
         candidate.one_way_latency = this->configured_upstreams[index].distance;
         candidate.region = this->configured_upstreams[index].region;
+        candidate.zone = this->configured_upstreams[index].zone;
         bool const is_cold = now < record.cold_until;
         bool const suspected =
             record.health.condition() != policy::upstream_condition::healthy;
@@ -147,6 +148,10 @@
                      std::vector<upstream_id> const& tried, instant now)
 {
     this->fill_candidates(question.object, reachable, tried, now);
+    if (this->homes.has_value())
+    {
+        return this->place_with_homes(question, tried.empty(), now);
+    }
     return this->placement.place(this->candidates, question, this->random);
 }
 
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -107,6 +107,19 @@
     line.write();
 }
 
+void log_home_scope(entry::home_scope_changed const& changed)
+{
+    entry::home_scope_status const& status = changed.status;
+    log_line("entry", "home_scope")
+        .text("service", changed.service.text())
+        .text("scope",
+              status.scope == config::object_homes::zone ? "zone" : "region")
+        .real("distinct_objects", status.distinct_objects)
+        .number("zone_upstreams", status.zone_upstreams)
+        .number("region_upstreams", status.region_upstreams)
+        .write();
+}
+
 void log_rest(entry::upstream_rest_requested const& requested,
               std::string const& id)
 {
--- a/bilberrylead/http/decision_log.hpp
+++ b/bilberrylead/http/decision_log.hpp
@@ -7,6 +7,7 @@
 {
 struct crash_record_changed;
 struct connection_loss_resolved;
+struct home_scope_changed;
 struct request_ended;
 struct upstream_leaving_noticed;
 struct upstream_limit_changed;
@@ -25,6 +26,9 @@
 /// Writes that an upstream's limit is another one.
 void log_limit(entry::upstream_limit_changed const& changed);
 
+/// Writes that the objects of a service have their homes elsewhere.
+void log_home_scope(entry::home_scope_changed const& changed);
+
 /// Writes that an upstream asked for a rest; `id` is that of the request which
 /// it answered so.
 void log_rest(entry::upstream_rest_requested const& requested,
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -245,6 +245,11 @@
     {
         log_limit(*limited);
     }
+    else if (entry::home_scope_changed const* scope =
+                 std::get_if<entry::home_scope_changed>(&decided))
+    {
+        log_home_scope(*scope);
+    }
     else if (entry::upstream_rest_requested const* rest =
                  std::get_if<entry::upstream_rest_requested>(&decided))
     {
--- a/bilberrylead/policy/placement_candidate.hpp
+++ b/bilberrylead/policy/placement_candidate.hpp
@@ -13,6 +13,9 @@
 /// entry host.
 struct placement_candidate
 {
+    /// Number of this host's own zone.
+    static constexpr std::uint32_t own_zone = 0;
+
     /// Hash of the upstream's id. Rendezvous hashing assigns objects by it, so
     /// that every entry host gets the same assignment.
     std::uint64_t hash = 0;
@@ -33,6 +36,9 @@
     /// Number of the upstream's region. Each object has a first-choice upstream
     /// in every region.
     std::uint32_t region = 0;
+    /// Number of the upstream's zone; `own_zone` for that of this host. The
+    /// numbers of the other zones hold for this host only.
+    std::uint32_t zone = own_zone;
     /// False if no request may be sent to the upstream now.
     bool allowed = true;
     /// True if the upstream would be allowed but for a rest that it asked for.
--- a/bilberrylead/policy/placement_request.hpp
+++ b/bilberrylead/policy/placement_request.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_POLICY_PLACEMENT_REQUEST_HPP
 #define BILBERRYLEAD_POLICY_PLACEMENT_REQUEST_HPP
 
+#include "bilberrylead/config/object_homes.hpp"
 #include "bilberrylead/core/time.hpp"
 
 #include <cstdint>
@@ -22,6 +23,12 @@
     /// Number of the region that the request should run in. Other regions are
     /// used only if no upstream of this region may receive requests.
     std::uint32_t region = 0;
+    /// Where the object has its home if the request runs in this host's own
+    /// region. In other regions it is that of the region.
+    config::object_homes homes = config::object_homes::region;
+    /// Number of upstreams that a zone needs for its callers to keep the homes
+    /// there; smaller zones use the homes of the region.
+    std::uint32_t required_zone_upstreams = 0;
 };
 
 } // namespace bilberrylead::policy
--- a/bilberrylead/policy/placement_settings.hpp
+++ b/bilberrylead/policy/placement_settings.hpp
@@ -1,9 +1,11 @@
 #ifndef BILBERRYLEAD_POLICY_PLACEMENT_SETTINGS_HPP
 #define BILBERRYLEAD_POLICY_PLACEMENT_SETTINGS_HPP
 
+#include "bilberrylead/config/object_homes.hpp"
 #include "bilberrylead/core/time.hpp"
 
 #include <chrono>
+#include <cstdint>
 
 namespace bilberrylead::policy
 {
@@ -44,6 +46,14 @@
     /// Lower bound of the time until free capacity, before the retry factor is
     /// applied.
     duration min_time_until_capacity = std::chrono::milliseconds(60);
+    /// Largest set of upstreams among which objects have their homes. With
+    /// `zone`, home_scope decides for each service.
+    config::object_homes homes = config::object_homes::region;
+    /// Cost of sending a request to another zone of the region, as time added
+    /// to the expected completion while homes are in the zone.
+    duration zone_crossing_cost{};
+    /// Number of objects that an upstream caches, at least 1.
+    std::uint32_t remembered_objects = 12;
 };
 
 } // namespace bilberrylead::policy
--- a/bilberrylead/policy/upstream_placement.cpp
+++ b/bilberrylead/policy/upstream_placement.cpp
@@ -36,14 +36,76 @@
                : scaled(candidate.service_time, excess / candidate.slots);
 }
 
+void upstream_placement::ranking::add(std::size_t index, std::uint64_t weight)
+{
+    ++this->upstreams;
+    if (!this->first.has_value() || weight > this->first_weight)
+    {
+        this->second = this->first;
+        this->second_weight = this->first_weight;
+        this->first = index;
+        this->first_weight = weight;
+    }
+    else if (!this->second.has_value() || weight > this->second_weight)
+    {
+        this->second = index;
+        this->second_weight = weight;
+    }
+}
+
+void upstream_placement::preferred_upstreams::add_to_zone(std::uint32_t zone,
+                                                          std::size_t index,
+                                                          std::uint64_t weight)
+{
+    std::size_t position = 0;
+    while (position < this->zone_count && this->zones[position].zone != zone)
+    {
+        ++position;
+    }
+    if (position == max_zones)
+    {
+        return;
+    }
+    if (position == this->zone_count)
+    {
+        ++this->zone_count;
+        this->zones[position].zone = zone;
+    }
+    this->zones[position].upstreams.add(index, weight);
+    if (zone == placement_candidate::own_zone)
+    {
+        this->own_zone = position;
+    }
+}
+
+/// True if the upstream is the home in its zone and callers there keep the
+/// object in its cache: they use it if the zone is large enough to have its own
+/// homes, or if it is the home in the region.
+bool upstream_placement::preferred_upstreams::is_home_of_zone(
+    std::size_t index, std::uint32_t required) const
+{
+    if (this->region.first == index)
+    {
+        return true;
+    }
+    for (std::size_t position = 0; position < this->zone_count; ++position)
+    {
+        ranking const& found = this->zones[position].upstreams;
+        if (found.first == index)
+        {
+            return found.upstreams >= required || position == this->own_zone;
+        }
+    }
+    return false;
+}
+
 upstream_placement::preferred_upstreams
 upstream_placement::find_preferred_upstreams(
     std::span<placement_candidate const> candidates,
     placement_request const& request, std::uint32_t region)
 {
+    bool const by_zone = request.homes == config::object_homes::zone;
     preferred_upstreams preferred;
-    std::uint64_t first_weight = 0;
-    std::uint64_t second_weight = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
         placement_candidate const& candidate = candidates[index];
@@ -53,17 +115,10 @@
         }
         std::uint64_t const weight =
             rendezvous_weight(request.object, candidate.hash);
-        if (!preferred.first.has_value() || weight > first_weight)
+        preferred.region.add(index, weight);
+        if (by_zone)
         {
-            preferred.second = preferred.first;
-            second_weight = first_weight;
-            preferred.first = index;
-            first_weight = weight;
-        }
-        else if (!preferred.second.has_value() || weight > second_weight)
-        {
-            preferred.second = index;
-            second_weight = weight;
+            preferred.add_to_zone(candidate.zone, index, weight);
         }
     }
     return preferred;
@@ -74,15 +129,24 @@
                                       preferred_upstreams const& preferred,
                                       placement_request const& request) const
 {
-    // Other entry hosts send the object to its first-choice upstream as well,
-    // so it is likely cached there.
-    if (request.object == 0 || candidate.likely_cached ||
-        preferred.first == index)
+    if (request.object == 0 || candidate.likely_cached)
+    {
+        return 1;
+    }
+    bool const by_zone = preferred.own_zone.has_value();
+    ranking const& own = by_zone
+                             ? preferred.zones[*preferred.own_zone].upstreams
+                             : preferred.region;
+    // Other entry hosts send the object to its home as well, so it is likely
+    // cached there.
+    if (own.first == index ||
+        (by_zone &&
+         preferred.is_home_of_zone(index, request.required_zone_upstreams)))
     {
         return 1;
     }
-    return preferred.second == index ? this->settings.second_choice_run_factor
-                                     : this->settings.uncached_run_factor;
+    return own.second == index ? this->settings.second_choice_run_factor
+                               : this->settings.uncached_run_factor;
 }
 
 placement_verdict
@@ -104,6 +168,7 @@
     preferred_upstreams preferred;
     std::optional<std::uint32_t> preferred_region;
     std::uint32_t ties = 0;
+    bool best_crosses = false;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
         placement_candidate const& candidate = candidates[index];
@@ -124,6 +189,12 @@
         duration const run = scaled(candidate.service_time, factor);
         duration completion =
             2 * candidate.one_way_latency + wait + run + candidate.penalty;
+        bool const crosses = preferred.own_zone.has_value() &&
+                             candidate.zone != placement_candidate::own_zone;
+        if (crosses)
+        {
+            completion += this->settings.zone_crossing_cost;
+        }
         if (candidate.tried)
         {
             // Prefers any other upstream, but uses this one rather than
@@ -139,6 +210,7 @@
         if (better || random.below(ties) == 0)
         {
             best = placed{index, completion, wait, factor};
+            best_crosses = crosses;
         }
     }
     if (!best.has_value())
@@ -150,6 +222,11 @@
     {
         best->completion -= request.time_to_deadline;
     }
+    if (best_crosses)
+    {
+        // The cost of a crossing is no time.
+        best->completion -= this->settings.zone_crossing_cost;
+    }
     duration const time_besides_waiting = best->completion - best->wait;
     duration const tolerated_wait =
         std::max(request.time_to_target - time_besides_waiting,
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -13,6 +13,7 @@
 using bilberrylead::kind_of;
 using bilberrylead::config::control_settings;
 using bilberrylead::config::entry_settings;
+using bilberrylead::config::object_homes;
 using bilberrylead::config::parse_control_settings;
 using bilberrylead::config::parse_entry_settings;
 
