Admission by rank and plan at an entry host: policy and setting

Cause: routes and customers have a rank that no decision reads, so that a request of rank 0 was refused as readily as one of rank 2. rank_admission derives for each request the factor for the wait that it may tolerate, from the host's own refusals and, if there is one, from a plan.

Ruled out: a refusal drawn at random for the share beyond the plan. A request beyond its share may still use a free slot, so that a plan that admits too little leaves no capacity idle.

The factor is 1 unless the entry host enables the part; placement and retry times are then as before.

--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 #define BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 
+#include "bilberrylead/config/admission_mode.hpp"
 #include "bilberrylead/config/cold_bounds.hpp"
 #include "bilberrylead/config/customer_limit_bounds.hpp"
 #include "bilberrylead/config/endpoint.hpp"
@@ -76,6 +77,8 @@
     double link_rate = 0;
     /// Where requests wait while all slots are taken.
     waiting_place waiting = waiting_place::entry_host;
+    /// Whose requests are admitted while capacity is insufficient.
+    admission_mode admission = admission_mode::none;
     /// The lowest level that is logged.
     log_level lowest_log_level = log_level::info;
 
--- a/bilberrylead/policy/arrival_rate.hpp
+++ b/bilberrylead/policy/arrival_rate.hpp
@@ -26,6 +26,14 @@
         this->updated_at = now;
     }
 
+    /// Adds the arrivals that another average with the same averaging time has
+    /// counted.
+    void merge(arrival_rate const& other, instant now)
+    {
+        this->rate = this->per_second(now) + other.per_second(now);
+        this->updated_at = now;
+    }
+
     /// Arrivals per second at `now`.
     double per_second(instant now) const
     {
--- a/bilberrylead/policy/placement_request.hpp
+++ b/bilberrylead/policy/placement_request.hpp
@@ -22,6 +22,9 @@
     /// Number of the region that the request should run in. Other regions are
     /// used only if no upstream of this region may receive requests.
     std::uint32_t region = 0;
+    /// Factor for the wait that the request tolerates, 0 to 1; at 0 it is
+    /// placed only at an upstream with a free slot.
+    double wait_tolerance = 1;
 };
 
 } // namespace bilberrylead::policy
--- /dev/null
+++ b/bilberrylead/policy/rank_admission.hpp
@@ -0,0 +1,161 @@
+#ifndef BILBERRYLEAD_POLICY_RANK_ADMISSION_HPP
+#define BILBERRYLEAD_POLICY_RANK_ADMISSION_HPP
+
+#include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
+#include "bilberrylead/policy/admission_basis.hpp"
+#include "bilberrylead/policy/admission_demand.hpp"
+#include "bilberrylead/policy/admission_plan.hpp"
+#include "bilberrylead/policy/arrival_rate.hpp"
+#include "bilberrylead/policy/followed_share.hpp"
+#include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/rank_admission_settings.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bilberrylead::policy
+{
+
+/// Decides at one entry host how long a wait the requests for one service may
+/// tolerate, by the rank and the customer of each request.
+///
+/// Load it handles: offered work of 1.2 to 1.5 times the capacity, of several
+/// ranks, on upstreams that many entry hosts share. Without it, chance decides
+/// who is served. A request that tolerates no wait is served only by a free
+/// slot, so that no capacity stays idle, and leaves the slots that become free
+/// while others wait to the more urgent requests.
+///
+/// Without a plan, the thresholds of less urgent ranks fall while more urgent
+/// requests are refused or late at this host, and return to 1 otherwise. With a
+/// plan, the planned shares of the ranks and customers are admitted, and the
+/// thresholds correct them.
+///
+/// The state is bounded (see rank_admission_settings) and in memory only.
+class rank_admission
+{
+public:
+    /// Without requests and without a plan. `seed` determines which requests
+    /// are within a share.
+    explicit rank_admission(rank_admission_settings const& settings = {},
+                            std::uint64_t seed = 0);
+
+    /// Records a new request, before it is admitted or refused. `tolerance`
+    /// then applies to it.
+    void record_offered(std::uint32_t rank, customer_id const& customer,
+                        instant now);
+
+    /// Records that a request was served.
+    void record_served(std::uint32_t rank, instant now);
+
+    /// Records that a request was refused for lack of capacity.
+    void record_refused(std::uint32_t rank, instant now);
+
+    /// Records that a served request missed its latency target because it had
+    /// to wait, in addition to `record_served`.
+    void record_late(std::uint32_t rank, instant now);
+
+    /// Applies a plan for this service and region that was made `age` ago.
+    void apply(admission_plan const& plan, duration age, instant now);
+
+    /// Factor, 0 to 1, for the wait that the request recorded last for this
+    /// rank and customer may tolerate. 1: as without admission; 0: it is served
+    /// only if a slot is free.
+    double tolerance(std::uint32_t rank, customer_id const& customer,
+                     instant now) const;
+
+    /// The values behind `tolerance`.
+    admission_basis basis(std::uint32_t rank, customer_id const& customer,
+                          instant now) const;
+
+    /// Offered work, for the leader. The service is not filled in.
+    admission_demand demand(duration usual_run, instant now) const;
+
+    /// Number of customers whose demand is counted.
+    std::size_t tracked_customers() const
+    {
+        return this->customers.size();
+    }
+
+    /// Number of customers with a planned share.
+    std::size_t planned_customers() const
+    {
+        return this->planned_for_customers.size();
+    }
+
+private:
+    /// Requests of one rank.
+    struct rank_state
+    {
+        rank_state(std::uint32_t number,
+                   rank_admission_settings const& settings)
+            : rank(number), demand(settings.demand_window),
+              served(settings.outcome_window), refused(settings.outcome_window),
+              late(settings.outcome_window),
+              beyond_share(settings.outcome_window)
+        {
+        }
+
+        std::uint32_t rank;
+        arrival_rate demand;
+        arrival_rate served;
+        arrival_rate refused;
+        arrival_rate late;
+        /// Requests that the plan did not admit.
+        arrival_rate beyond_share;
+        /// Factor from the refusals of more urgent ranks.
+        double threshold = 1;
+        /// Upper bound of the threshold while requests of any rank are refused.
+        double max_threshold = 1;
+    };
+
+    /// Requests of one customer and rank. The count of a customer that replaced
+    /// another includes that one's count, as an upper bound (space-saving
+    /// algorithm).
+    struct customer_state
+    {
+        customer_id customer;
+        std::uint32_t rank = 0;
+        arrival_rate demand;
+        /// Part of `demand` that may belong to customers it replaced.
+        arrival_rate error;
+    };
+
+    using customer_of_rank = std::pair<customer_id, std::uint32_t>;
+
+    rank_state& state_of(std::uint32_t rank, instant now);
+    rank_state const* find_state(std::uint32_t rank) const;
+    void count_customer(std::uint32_t rank, customer_id const& customer,
+                        instant now);
+    void advance(instant now);
+    double refused_share(double refused, double served) const;
+    double plan_weight(instant now) const;
+    double effective_share(followed_share const& share, instant now) const;
+    std::map<std::uint32_t, followed_share>::const_iterator
+    find_rank_share(std::uint32_t rank) const;
+    void apply_ranks(admission_plan const& plan, instant now);
+    void apply_customers(admission_plan const& plan, instant now);
+    double planned_rank_share(admission_plan const& plan,
+                              std::uint32_t rank) const;
+    bool select_next(std::uint32_t rank, customer_id const& customer,
+                     instant now);
+
+    rank_admission_settings settings;
+    generator random;
+    // In ascending order of rank.
+    std::vector<rank_state> ranks;
+    std::vector<customer_state> customers;
+    std::map<std::uint32_t, followed_share> planned_for_ranks;
+    std::map<customer_of_rank, followed_share> planned_for_customers;
+    // Time at which the plan was made; empty without a plan.
+    std::optional<instant> planned_at;
+    instant advanced_at{};
+};
+
+} // namespace bilberrylead::policy
+
+#endif
--- a/bilberrylead/policy/upstream_placement.cpp
+++ b/bilberrylead/policy/upstream_placement.cpp
@@ -151,10 +151,14 @@
         best->completion -= request.time_to_deadline;
     }
     duration const time_besides_waiting = best->completion - best->wait;
-    duration const tolerated_wait =
+    duration const whole_tolerated_wait =
         std::max(request.time_to_target - time_besides_waiting,
                  scaled(best_candidate.service_time,
                         this->settings.min_tolerated_wait_share));
+    duration const tolerated_wait =
+        request.wait_tolerance >= 1
+            ? whole_tolerated_wait
+            : scaled(whole_tolerated_wait, request.wait_tolerance);
     bool const too_late =
         best->completion >
         scaled(request.time_to_deadline, this->settings.usable_deadline_share);
@@ -162,8 +166,13 @@
     {
         return *best;
     }
-    return no_free_capacity{best->wait, retry_time(best->wait - tolerated_wait,
-                                                   this->settings, random)};
+    // A restricted request has to wait for a slot that no more urgent request
+    // claims; on average that takes up to a run longer.
+    duration const claimed_by_others =
+        scaled(best_candidate.service_time, 1 - request.wait_tolerance);
+    return no_free_capacity{
+        best->wait, retry_time(best->wait - tolerated_wait + claimed_by_others,
+                               this->settings, random)};
 }
 
 } // namespace bilberrylead::policy
