Entry host: plans, demand by rank, log and metrics of admission

Event admission_plan_received applies plans to services, admission_demands() gives the demand by service and rank for the reports. A refused request's line carries its rank, the tolerated factor, the shares, and the plan's age and source. With mode none nothing is recorded.

--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <functional>
 #include <limits>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -192,6 +193,34 @@
     }
 }
 
+void add_ranks(family_builder& builder, entry::entry_counters const& counters)
+{
+    builder.start("bilberry_entry_rank_requests_total",
+                  "Requests by service, rank and outcome, while admission is "
+                  "by rank or by plan.",
+                  prometheus::MetricType::Counter);
+    for (auto const& [service, ranks] : counters.ranks)
+    {
+        for (auto const& [rank, row] : ranks)
+        {
+            std::pair<char const*, std::uint64_t> const outcomes[] = {
+                {"offered", row.offered},
+                {"answered", row.answered},
+                {"late", row.late},
+                {"refused", row.refused}};
+            for (std::pair<char const*, std::uint64_t> const& outcome :
+                 outcomes)
+            {
+                builder
+                    .add({{"service", service.text()},
+                          {"rank", std::to_string(rank)},
+                          {"outcome", outcome.first}})
+                    .counter.value = static_cast<double>(outcome.second);
+            }
+        }
+    }
+}
+
 void add_connections(family_builder& builder,
                      http::http_counters const& counters)
 {
@@ -307,6 +336,7 @@
     add_refusals(builder, counters);
     add_over_limit(builder, counters);
     add_split_parts(builder, counters);
+    add_ranks(builder, counters);
     add_connections(builder, server.connection_counters());
     return this->impl->serializer.Serialize(builder.families);
 }
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -102,6 +102,7 @@
     wanted.entry.default_region_latency = this->settings.region_latency;
     wanted.entry.upstreams_are_listed = !this->settings.seeds.empty();
     wanted.entry.waiting = this->settings.waiting;
+    wanted.entry.admission = this->settings.admission;
     wanted.entry.retries = this->settings.retries;
     wanted.entry.cold = this->settings.cold;
     wanted.entry.customer_limits.bounds = this->settings.customer_limits;
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_position.hpp"
+#include "bilberrylead/entry/admission_report.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/request_outcome.hpp"
@@ -218,6 +219,9 @@
     double run_factor = 1;
     /// Estimated usual run time of the service.
     duration usual_run{};
+    /// Values by which the request was admitted or restricted, if it was
+    /// refused and admission is by rank or by plan.
+    std::optional<admission_report> admission;
     /// Time from arrival at this host to the end.
     duration took{};
     /// Time from the last attempt to the head of its answer; zero if none
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -53,6 +53,19 @@
     std::uint64_t other = 0;
 };
 
+/// Requests for a service of one rank, by outcome.
+struct rank_counters
+{
+    /// Requests that arrived.
+    std::uint64_t offered = 0;
+    /// Answered by an upstream.
+    std::uint64_t answered = 0;
+    /// Answered after the latency target because the request had to wait.
+    std::uint64_t late = 0;
+    /// Refused for lack of capacity.
+    std::uint64_t refused = 0;
+};
+
 /// Counters of an entry host, for metrics. All but the two gauges increase
 /// monotonically.
 struct entry_counters
@@ -60,6 +73,10 @@
     /// Counters by service; only services of a configuration that has been in
     /// force.
     std::map<service_id, service_counters> services;
+    /// Counters by service and rank, at most `max_counted_ranks` a service; the
+    /// last rank that finds no place is counted with the least urgent one.
+    /// Empty unless admission is by rank or by plan.
+    std::map<service_id, std::map<std::uint32_t, rank_counters>> ranks;
     /// Final answers other than those of upstreams, by reason.
     std::array<std::uint64_t, refusal_reason_count> refusals{};
     /// Requests refused because their customer was over its limit, by customer.
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -175,6 +175,7 @@
     {
         request.claim = {request.service, event.caller, event.idempotency_key};
     }
+    this->record_offered(request);
     this->admit(std::move(request));
     live_request* admitted = this->find(event.request);
     if (admitted != nullptr &&
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -11,10 +11,12 @@
 #include "bilberrylead/entry/live_request.hpp"
 #include "bilberrylead/entry/routing_table.hpp"
 #include "bilberrylead/entry/service_state.hpp"
+#include "bilberrylead/policy/admission_demand.hpp"
 #include "bilberrylead/policy/connection_losses.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/policy/customer_limits.hpp"
 #include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/rank_admission.hpp"
 #include "bilberrylead/policy/upstream_contact.hpp"
 
 #include <cstddef>
@@ -22,9 +24,11 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace bilberrylead
 {
@@ -79,6 +83,10 @@
     /// Current demand for each service, in slots.
     std::map<service_id, double> demands() const;
 
+    /// Current demand for each service by rank and for the largest customers;
+    /// empty unless admission is by plan.
+    std::vector<policy::admission_demand> admission_demands() const;
+
     /// Zones that are currently closed.
     std::set<zone_id> const& closed_zones() const
     {
@@ -150,6 +158,7 @@
     void on(limits_received const& event);
     void on(limits_allocated const& event);
     void on(leader_changed const& event);
+    void on(admission_plan_received const& event);
 
     live_request* find(request_number number);
     void admit(live_request request);
@@ -260,6 +269,12 @@
     void count_end(live_request const& request,
                    std::uint64_t service_counters::* kind);
     void check_drain_progress();
+    policy::rank_admission& admission_of(service_id const& service);
+    rank_counters& rank_counters_of(live_request const& request);
+    void record_offered(live_request& request);
+    void record_admission_outcome(live_request const& request);
+    std::optional<admission_report>
+    report_admission(live_request const& request) const;
 
     entry_settings host_settings;
     instant now{};
@@ -307,6 +322,9 @@
     // that it recorded for them.
     std::deque<std::pair<upstream_id, std::uint64_t>> own_crashes;
     policy::customer_limits customer_limits;
+    std::map<service_id, policy::rank_admission> admissions;
+    // The leader that made the last admission plan.
+    host_id admission_source;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -307,6 +307,7 @@
             .cancel(static_cast<std::uint64_t>(number), request.reachable);
     }
     this->timers.erase({request.timer, number});
+    this->record_admission_outcome(request);
     this->report_end(request);
     this->live_requests.erase(number);
 }
@@ -366,6 +367,7 @@
     end.expected_wait = request.expected_wait;
     end.run_factor = request.run_factor;
     end.usual_run = this->state_of(request.service).usual_run();
+    end.admission = this->report_admission(request);
     end.took = this->now - request.arrived_at;
     end.time_to_head = request.time_to_head;
     this->pending_effects.push_back(std::move(end));
--- a/bilberrylead/entry/entry_reducer_customers.cpp
+++ b/bilberrylead/entry/entry_reducer_customers.cpp
@@ -56,6 +56,7 @@
         return true;
     }
     request.customer = customer->id;
+    request.rank = customer->priority;
     if (request.regions.empty())
     {
         request.regions = customer->regions;
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -90,6 +90,7 @@
     request.max_attempts = route.most_attempts;
     request.latency_target = this->now + route.aim;
     request.deadline = this->now + route.timeout;
+    request.rank = request.rank > 0 ? request.rank : route.priority;
     request.object =
         route.object_affinity
             ? policy::route_scoped_object(hash_of(route), event.object)
@@ -292,6 +293,7 @@
     question.time_to_target = request.latency_target - this->now;
     question.time_to_deadline = request.deadline - this->now;
     question.region = region;
+    question.wait_tolerance = request.wait_tolerance;
     return this->state_of(request.service)
         .place(question, request.reachable, request.tried, this->now);
 }
--- a/bilberrylead/entry/entry_settings.hpp
+++ b/bilberrylead/entry/entry_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_ENTRY_ENTRY_SETTINGS_HPP
 #define BILBERRYLEAD_ENTRY_ENTRY_SETTINGS_HPP
 
+#include "bilberrylead/config/admission_mode.hpp"
 #include "bilberrylead/config/cold_bounds.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/retry_bounds.hpp"
@@ -37,6 +38,9 @@
     bool upstreams_are_listed = false;
     /// Where requests wait while all slots are in use.
     config::waiting_place waiting = config::waiting_place::entry_host;
+    /// Whose requests are admitted while capacity is insufficient, if requests
+    /// wait at upstreams.
+    config::admission_mode admission = config::admission_mode::none;
     /// Placement settings, used if requests wait at upstreams.
     policy::placement_settings placement;
     /// Bounds on attempts beyond the first, over all entry hosts.
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -10,6 +10,7 @@
 #include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/once/claim_verdict.hpp"
 #include "bilberrylead/once/recorded_answer.hpp"
+#include "bilberrylead/policy/admission_plan.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
 #include "bilberrylead/policy/customer_allocation.hpp"
 #include "bilberrylead/policy/limit_report.hpp"
@@ -323,6 +324,18 @@
     policy::customer_allocation allocation;
 };
 
+/// The leader sent its admission plans. The caller has ignored plans of an
+/// older term or number.
+struct admission_plan_received
+{
+    /// Plans by service and region; those of other regions are ignored.
+    std::vector<policy::admission_plan> plans;
+    /// Time since the leader made the plans.
+    duration age{};
+    /// The leader that made them.
+    host_id source;
+};
+
 /// A host became the leader, or this host learnt of it.
 struct leader_changed
 {
@@ -336,7 +349,7 @@
     control_reachable, control_unreachable, upstreams_listed,
     entry_hosts_counted, regions_planned, upstream_probed, upstream_connected,
     relay_hosts_received, crash_records_received, limits_received,
-    limits_allocated, leader_changed>;
+    limits_allocated, leader_changed, admission_plan_received>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -44,6 +44,11 @@
     std::uint64_t object = 0;
     /// Time after which the answer is worth less to the caller.
     instant latency_target = instant::max();
+    /// Effective rank: the customer's if over 0, else the route's; 0 is the
+    /// most urgent.
+    std::uint32_t rank = 0;
+    /// Factor for the wait that the request tolerates.
+    double wait_tolerance = 1;
     /// Number of the region in which the request is to run. Selected once, so
     /// that a retry does not count as another request there.
     std::optional<std::uint32_t> region;
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -38,6 +38,26 @@
                          : names_of(tried.begin(), std::prev(tried.end()));
 }
 
+void add_admission(log_line& line, entry::admission_report const& admission)
+{
+    line.number("rank", admission.rank)
+        .real("wait_tolerance", admission.wait_tolerance)
+        .real("rank_threshold", admission.basis.threshold);
+    if (admission.basis.share.has_value())
+    {
+        line.real("rank_share", *admission.basis.share);
+    }
+    if (admission.basis.customer_share.has_value())
+    {
+        line.real("customer_share", *admission.basis.customer_share);
+    }
+    if (admission.basis.plan_age.has_value())
+    {
+        line.time("plan_age_ms", *admission.basis.plan_age)
+            .text("plan_source", admission.source.text());
+    }
+}
+
 } // namespace
 
 void log_request(entry::request_ended const& end, std::string const& id)
@@ -75,6 +95,10 @@
     {
         line.time("limit_age_ms", *end.limit_age);
     }
+    if (end.admission.has_value())
+    {
+        add_admission(line, *end.admission);
+    }
     if (end.split.has_value())
     {
         line.text("split_route", end.split->route)
