Test: give all members of a load report

routed_request_test.cpp did not compile (-Wmissing-field-initializers) since upstream_load has a third figure. The report has none here, as before.

--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -232,7 +232,7 @@
         upstream_head_received head;
         head.request = request_number{100 + number};
         head.status = 200;
-        head.load = upstream_load{3, 60};
+        head.load = upstream_load{3, 60, {}};
         host.reduce(head);
         host.reduce(upstream_answer_finished{head.request, {}});
         host.advance(5s);
