--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 #define BILBERRYLEAD_CONFIG_ENTRY_SETTINGS_HPP
 
+#include "bilberrylead/config/admission_mode.hpp"
 #include "bilberrylead/config/cold_bounds.hpp"
 #include "bilberrylead/config/customer_limit_bounds.hpp"
 #include "bilberrylead/config/endpoint.hpp"
@@ -85,6 +86,8 @@
     duration zone_crossing_cost{};
     /// Number of objects that an upstream caches.
     std::uint32_t remembered_objects = 12;
+    /// Whose requests are admitted while capacity is insufficient.
+    admission_mode admission = admission_mode::none;
     /// The lowest level that is logged.
     log_level lowest_log_level = log_level::info;
 
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -70,6 +70,9 @@
 /// Names of where objects have their homes, in the order of object_homes.
 inline constexpr std::array<std::string_view, 2> object_homes_names = {"region",
                                                                        "zone"};
+/// Names of how requests are admitted, in the order of admission_mode.
+inline constexpr std::array<std::string_view, 3> admission_mode_names = {
+    "none", "by_rank", "by_plan"};
 
 /// Names of whom the operators' port trusts, in the order of operator_trust.
 inline constexpr std::array<std::string_view, 2> operator_trust_names = {
@@ -169,6 +172,7 @@
     visitor.time("zone_crossing_cost_ms", value.zone_crossing_cost,
                  std::chrono::milliseconds(0), std::chrono::milliseconds(1000));
     visitor.number("remembered_objects", value.remembered_objects, {1, 10'000});
+    visitor.choice("admission", value.admission, admission_mode_names);
 }
 
 } // namespace bilberrylead::config
--- a/bilberrylead/policy/placement_request.hpp
+++ b/bilberrylead/policy/placement_request.hpp
@@ -29,6 +29,9 @@
     /// Number of upstreams that a zone needs for its callers to keep the homes
     /// there; smaller zones use the homes of the region.
     std::uint32_t required_zone_upstreams = 0;
+    /// Factor for the wait that the request tolerates, 0 to 1; at 0 it is
+    /// placed only at an upstream with a free slot.
+    double wait_tolerance = 1;
 };
 
 } // namespace bilberrylead::policy
