--- a/bilberrylead/policy/region_plan.cpp
+++ b/bilberrylead/policy/region_plan.cpp
@@ -79,10 +79,13 @@
         {
             continue;
         }
+        double const routed_demand = settings.refuses_before_routing
+                                         ? demands[local] * served_share
+                                         : demands[local];
         for (std::size_t remote = 0; remote < count; ++remote)
         {
             double const part =
-                shortage[local] * spare[remote] / total_spare / demands[local];
+                shortage[local] * spare[remote] / total_spare / routed_demand;
             shares[local][remote] += part;
             shares[local][local] -= part;
         }
--- a/bilberrylead/policy/region_plan.hpp
+++ b/bilberrylead/policy/region_plan.hpp
@@ -29,7 +29,7 @@
 /// region is distributed to the other regions in proportion to their spare
 /// capacity. If the total demand exceeds the total capacity, the same share of
 /// the demand of each region is served and the rest is refused in its own
-/// region.
+/// region, or before routing if the settings say so.
 std::vector<std::vector<double>>
 plan_regions(std::span<region_capacity const> regions,
              region_plan_settings const& settings = {});
--- a/bilberrylead/policy/region_plan_settings.hpp
+++ b/bilberrylead/policy/region_plan_settings.hpp
@@ -17,6 +17,11 @@
     /// Maximum share of a region's slots that is planned for; the remainder
     /// absorbs uneven arrivals.
     double max_utilization = 0.9;
+    /// True if entry hosts refuse the excess demand before they distribute
+    /// requests, as they do with admission by plan. The shares then apply to
+    /// the demand that remains, so that it loads all regions equally. Otherwise
+    /// the excess stays in its own region, where upstreams refuse it.
+    bool refuses_before_routing = false;
 };
 
 } // namespace bilberrylead::policy
--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -54,6 +54,32 @@
     cr_expect(is_near(shares[0][0], 1));
 }
 
+// Entry hosts refuse the excess before they route. Guards against excess work
+// that stays in a region with few slots while others have room.
+Test(plan_regions, admitted_demand_loads_all_regions_equally)
+{
+    std::vector<double> const slots{420, 40, 360, 0};
+    std::vector<region_capacity> regions;
+    for (double const each : slots)
+    {
+        regions.push_back({300, each, 10});
+    }
+    policy::region_plan_settings settings;
+    settings.refuses_before_routing = true;
+    std::vector<std::vector<double>> const shares =
+        plan_regions(regions, settings);
+    double const admitted = 820 * settings.max_utilization / 1200;
+    for (std::size_t target = 0; target < slots.size(); ++target)
+    {
+        double work = 0;
+        for (std::size_t origin = 0; origin < slots.size(); ++origin)
+        {
+            work += 300 * admitted * shares[origin][target];
+        }
+        cr_expect(is_near(work, slots[target] * settings.max_utilization));
+    }
+}
+
 // The demand exceeds the capacity of all regions. Guards against refusing only
 // the callers of a region with few slots.
 Test(plan_regions, overload_serves_the_same_share_of_every_region)
