--- a/tests/unit/control/control_group.hpp
+++ b/tests/unit/control/control_group.hpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,12 +42,17 @@
         link::message content;
     };
 
-    /// Makes a group that reads an upstream list if `list` says how.
-    explicit control_group(std::optional<discovery::list_reader_settings> const&
-                               list = std::nullopt)
+    /// Makes a group that reads an upstream list if `list` says how. `adjust`
+    /// changes the settings and the first event of each host.
+    explicit control_group(
+        std::optional<discovery::list_reader_settings> const& list =
+            std::nullopt,
+        std::function<void(control::control_reducer_settings&,
+                           control::control_started&)> const& adjust = {})
     {
         agreement::started recovered;
         recovered.initial_membership.emplace();
+        std::vector<control::control_started> first_events(hosts);
         for (std::size_t index = 0; index < hosts; ++index)
         {
             recovered.initial_membership->put(
@@ -56,12 +62,17 @@
             settings.planner.emplace();
             settings.planner->losses = {1, 1, 0};
             settings.list = list;
+            if (adjust)
+            {
+                adjust(settings, first_events[index]);
+            }
             this->nodes.at(index) = std::make_unique<control::control_reducer>(
                 settings, process_seed(settings.self, 1));
         }
         for (std::size_t index = 0; index < hosts; ++index)
         {
-            this->dispatch(index, {control::control_started{recovered}});
+            first_events[index].recovered = recovered;
+            this->dispatch(index, {first_events[index]});
             for (std::size_t other = 0; other < hosts; ++other)
             {
                 if (other != index)
