Setting for admission at control hosts

The leader has to know whether to plan. Default none. by_plan without places or a list of upstreams is an error at the field admission, since the leader plans by region for the listed slots; without them it would plan nothing, silently.

--- a/bilberrylead/config/control_settings.hpp
+++ b/bilberrylead/config/control_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_CONFIG_CONTROL_SETTINGS_HPP
 #define BILBERRYLEAD_CONFIG_CONTROL_SETTINGS_HPP
 
+#include "bilberrylead/config/admission_mode.hpp"
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/group_losses.hpp"
 #include "bilberrylead/config/host_address.hpp"
@@ -68,6 +69,9 @@
     /// Time within which an upstream that the list shows as leaving must
     /// receive no more requests.
     duration leaving_bound = std::chrono::seconds(3);
+    /// Whether the leader plans which requests entry hosts admit; by_rank
+    /// concerns entry hosts only.
+    admission_mode admission = admission_mode::none;
     /// Whom the operators' port trusts.
     operator_trust trust = operator_trust::by_key;
     /// What hosts of the system prove themselves with to each other; 32 to
--- a/bilberrylead/config/parse_settings.cpp
+++ b/bilberrylead/config/parse_settings.cpp
@@ -98,6 +98,27 @@
     }
 }
 
+/// The leader plans admission by region, for the slots that the list shows.
+void check_admission(control_settings const& value, error_list& errors)
+{
+    if (value.admission != admission_mode::by_plan)
+    {
+        return;
+    }
+    if (value.places.empty())
+    {
+        errors.add(error_kind::bad_value, "admission",
+                   "\"by_plan\" needs the zones and their regions.",
+                   "Name them in places, or set \"none\" or \"by_rank\".");
+    }
+    if (value.upstream_list.port == 0)
+    {
+        errors.add(error_kind::bad_value, "admission",
+                   "\"by_plan\" needs a list of upstreams.",
+                   "Set upstream_list, or set \"none\" or \"by_rank\".");
+    }
+}
+
 /// With seeds, hosts know each other by address.
 void check_self_forming(control_settings const& value, error_list& errors)
 {
@@ -122,6 +143,7 @@
         {value.peer_listen, value.operator_listen, value.metrics_listen},
         errors);
     check_operators(value.operators, value.trust, value.peer_key, errors);
+    check_admission(value, errors);
     if (!value.seeds.empty())
     {
         check_self_forming(value, errors);
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -67,6 +67,10 @@
 inline constexpr std::array<std::string_view, 2> waiting_place_names = {
     "entry_host", "upstream"};
 
+/// Names of how requests are admitted, in the order of admission_mode.
+inline constexpr std::array<std::string_view, 3> admission_mode_names = {
+    "none", "by_rank", "by_plan"};
+
 /// Names of whom the operators' port trusts, in the order of operator_trust.
 inline constexpr std::array<std::string_view, 2> operator_trust_names = {
     "by_key", "by_network"};
@@ -133,6 +137,7 @@
                      most_bound);
     visitor.seconds("leaving_bound_s", value.leaving_bound, longest_setting);
     visitor.choice("trust", value.trust, operator_trust_names);
+    visitor.choice("admission", value.admission, admission_mode_names);
 }
 
 /// Fields of an entry host's settings.
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -11,6 +11,7 @@
 
 using bilberrylead::error_kind;
 using bilberrylead::kind_of;
+using bilberrylead::config::admission_mode;
 using bilberrylead::config::control_settings;
 using bilberrylead::config::entry_settings;
 using bilberrylead::config::parse_control_settings;
@@ -75,6 +76,19 @@
      "operators: \"ana\" stands here twice."},
     {"\"warning\"", "\"loud\"", error_kind::bad_value,
      "log_level: This is string. Write \"debug\" or \"info\""},
+    {"\"warning\"", "\"warning\", \"admission\": \"sometimes\"",
+     error_kind::bad_value,
+     "admission: This is string. Write \"none\" or \"by_rank\""},
+    {"\"warning\"",
+     "\"warning\", \"admission\": \"by_plan\", "
+     "\"upstream_list\": \"127.0.0.1:9\"",
+     error_kind::bad_value,
+     "admission: \"by_plan\" needs the zones and their regions."},
+    {"\"warning\"",
+     "\"warning\", \"admission\": \"by_plan\", "
+     "\"places\": [{\"zone\": \"a\", \"region\": \"r\"}]",
+     error_kind::bad_value,
+     "admission: \"by_plan\" needs a list of upstreams."},
     {"\"data_folder\": \"data/c1\"", "\"data_folder\": \"\"",
      error_kind::bad_value, "data_folder"},
     {"\"data_folder\"", "\"data_foldr\"", error_kind::missing_field,
@@ -121,6 +135,21 @@
     cr_assert_eq(value->control_hosts.size(), 3U);
     cr_assert_eq(value->operators[1].name, "bo");
     cr_assert(value->lowest_log_level == bilberrylead::log_level::warning);
+    cr_expect(value->admission == admission_mode::none);
+}
+
+Test(settings, admission_by_plan_when_parsed_is_set_at_a_control_host)
+{
+    std::string text = control_text;
+    std::string const level = "\"warning\"";
+    text.replace(text.find(level), level.size(),
+                 "\"warning\", \"admission\": \"by_plan\", "
+                 "\"upstream_list\": \"127.0.0.1:9\", "
+                 "\"places\": [{\"zone\": \"a\", \"region\": \"r\"}]");
+    absl::StatusOr<control_settings> const value =
+        parse_control_settings(text, "control.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_expect(value->admission == admission_mode::by_plan);
 }
 
 Test(settings, entry_host_text_when_parsed_gives_its_values)
