Plan admission at the leader and send it with the region plan

Reports of entry hosts count for 4 s. The leader plans with a lease only, once 3/4 of the hosts present and half of the recent number have reported. The plan has a number within the term; a control host holds the newest one with its age and passes it on to hosts that start. It is not restored after a restart, because its age is unknown then.

region_load_table moved into a file of its own, as both plans use it. Without the setting the region plan is the same and no field is sent.

Ruled out: waiting for all hosts, as one that is cut off would stop planning, and reports to all control hosts, at two to six times the bytes.

--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -29,7 +29,9 @@
               seed.of(random_sequence::election)),
       replicated(settings.catalog, settings.once), exchange(source_settings()),
       entry_hosts(settings.entries, seed), limits(settings.customer_limits),
-      known_entry_hosts(settings.customer_limits.lease_time)
+      known_entry_hosts(settings.customer_limits.lease_time),
+      admission_planning(settings.admission_plan),
+      admission_demands(settings.admission_report_lifetime)
 {
     if (settings.list.has_value())
     {
@@ -78,7 +80,13 @@
         this->listing.apply(*event.listing, this->time);
         this->record_listing_change(*event.listing, std::nullopt);
     }
-    this->current_plan = event.plan;
+    if (event.plan.has_value())
+    {
+        // The time since the process stopped is unknown, and so is the age of
+        // an admission plan.
+        this->current_plan = event.plan;
+        this->current_plan->admission.reset();
+    }
 }
 
 void control_reducer::on(peer_connected const& event)
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -5,15 +5,20 @@
 #include "bilberrylead/agreement/replica.hpp"
 #include "bilberrylead/catalog/replicated_command.hpp"
 #include "bilberrylead/catalog/replicated_state.hpp"
+#include "bilberrylead/control/admission_reports.hpp"
+#include "bilberrylead/control/admission_status.hpp"
 #include "bilberrylead/control/control_effect.hpp"
 #include "bilberrylead/control/control_event.hpp"
 #include "bilberrylead/control/control_reducer_settings.hpp"
+#include "bilberrylead/control/held_admission.hpp"
 #include "bilberrylead/control/pending_requests.hpp"
+#include "bilberrylead/control/region_load_table.hpp"
 #include "bilberrylead/discovery/list_reader.hpp"
 #include "bilberrylead/discovery/listing_delivery.hpp"
 #include "bilberrylead/discovery/upstream_listing.hpp"
 #include "bilberrylead/distribution/revision_exchange.hpp"
 #include "bilberrylead/membership/planned_host.hpp"
+#include "bilberrylead/policy/admission_planner.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
 #include "bilberrylead/policy/limit_allocator.hpp"
 #include "bilberrylead/policy/recent_peak.hpp"
@@ -74,6 +79,25 @@
         return this->current_plan;
     }
 
+    /// What this host last planned for admission as the leader, for metrics.
+    std::vector<admission_status> const& admission() const
+    {
+        return this->admission_statuses;
+    }
+
+    /// Number of admission plans that this host has computed, for metrics.
+    std::uint64_t admission_plans() const
+    {
+        return this->admission_number;
+    }
+
+    /// The newest admission plan of this host's region; empty if there is
+    /// none.
+    std::optional<held_admission> const& admission_plan() const
+    {
+        return this->current_admission;
+    }
+
     /// Requests during which upstreams crashed, for metrics.
     policy::crash_history const& crash_records() const
     {
@@ -136,6 +160,8 @@
                         lift_crash_record const& request);
     void handle_request(operator_request_received const& received,
                         read_customers const& request);
+    void handle_request(operator_request_received const& received,
+                        read_admission const& request);
 
     void run_replica();
     void carry_out(agreement::persist_hard_state const& effect);
@@ -167,6 +193,16 @@
     void record_listing_change(discovery::list_changes const& changes,
                                std::optional<duration> max_age);
     void plan_regions();
+    void hold_plan(link::region_plan const& message);
+    link::region_plan plan_for_new_host() const;
+    void record_admission_report(host_id const& host,
+                                 link::entry_presence const& message);
+    bool has_enough_admission_reports() const;
+    std::map<region_id, link::admission_shares>
+    plan_admission(region_load_table const& loads,
+                   region_load_table::share_table const& shares);
+    void hold_admission(std::uint64_t term,
+                        link::admission_shares const& shares);
     void send_crash_records(link::link_number to);
     void allocate_limits();
 
@@ -220,6 +256,12 @@
     policy::limit_allocator limits;
     policy::recent_peak known_entry_hosts;
     std::uint64_t peak_entry_hosts = 0;
+    policy::admission_planner admission_planning;
+    admission_reports admission_demands;
+    std::optional<held_admission> current_admission;
+    std::uint64_t admission_number = 0;
+    instant admission_planned_at{};
+    std::vector<admission_status> admission_statuses;
 };
 
 } // namespace bilberrylead::control
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -44,8 +44,9 @@
     if (is_new && this->current_plan.has_value() &&
         message.region == this->settings.region)
     {
-        this->send(from, *this->current_plan);
+        this->send(from, this->plan_for_new_host());
     }
+    this->record_admission_report(this->peer_of(from), message);
     this->entry_hosts.record_heartbeat(from, this->peer_of(from), message,
                                        this->time);
     std::optional<discovery::delivery_report> const report =
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -3,12 +3,14 @@
 
 #include "bilberrylead/agreement/replica_settings.hpp"
 #include "bilberrylead/catalog/catalog_settings.hpp"
+#include "bilberrylead/config/admission_mode.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_reader_settings.hpp"
 #include "bilberrylead/membership/member_planner_settings.hpp"
 #include "bilberrylead/once/once_settings.hpp"
+#include "bilberrylead/policy/admission_planner_settings.hpp"
 #include "bilberrylead/policy/customer_limit_settings.hpp"
 #include "bilberrylead/policy/region_plan_settings.hpp"
 #include "bilberrylead/presence/entry_table_settings.hpp"
@@ -68,6 +70,24 @@
     /// Interval at which the leader plans regions. Demand arrives with the
     /// heartbeats, two a second.
     duration region_plan_interval = std::chrono::seconds(1);
+    /// Whether the leader plans which requests are admitted.
+    config::admission_mode admission = config::admission_mode::none;
+    /// How it plans them.
+    policy::admission_planner_settings admission_plan;
+    /// Time for which an entry host's report on its demand counts. Hosts report
+    /// once a second; the report of a host that is cut off counts until other
+    /// hosts have received its callers.
+    duration admission_report_lifetime = std::chrono::seconds(4);
+    /// Smallest part of the entry hosts present whose reports are needed for a
+    /// plan. A plan from few reports would refuse nobody.
+    double min_reporting_present = 0.75;
+    /// The same, as a part of the largest recent number of entry hosts. Guards
+    /// against a new leader that has linked only a few hosts so far. Less than
+    /// the part above, so that a plan remains while a region is cut off.
+    double min_reporting_recent = 0.5;
+    /// Age from which entry hosts ignore an admission plan; an older one is not
+    /// passed on.
+    duration max_admission_age = std::chrono::seconds(10);
     /// How customers' limits are divided among entry hosts.
     policy::customer_limit_settings customer_limits;
     /// The zones and their regions; if empty, no regions are planned.
--- a/bilberrylead/control/operator_reply.hpp
+++ b/bilberrylead/control/operator_reply.hpp
@@ -6,8 +6,10 @@
 #include "bilberrylead/catalog/audit_entry.hpp"
 #include "bilberrylead/catalog/change_outcome.hpp"
 #include "bilberrylead/catalog/order_outcome.hpp"
+#include "bilberrylead/control/admission_status.hpp"
 #include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/core/ids.hpp"
+#include "bilberrylead/core/time.hpp"
 #include "bilberrylead/policy/crash_record.hpp"
 #include "bilberrylead/policy/crash_verdict.hpp"
 #include "bilberrylead/policy/customer_limit_status.hpp"
@@ -104,12 +106,32 @@
     std::size_t omitted = 0;
 };
 
+/// Reply with what the leader plans for admission.
+struct admission_reply
+{
+    /// True if the control host's setting is admission by plan.
+    bool by_plan = false;
+    /// Term of the leader.
+    std::uint64_t term = 0;
+    /// Number of the plan within the term; 0 if there is none yet.
+    std::uint64_t number = 0;
+    /// Time since the plan was computed.
+    duration age{};
+    /// Entry hosts that have a link to the leader.
+    std::size_t hosts = 0;
+    /// Entry hosts whose report counts.
+    std::size_t reporting = 0;
+    /// The services that are planned.
+    std::vector<admission_status> services;
+};
+
 /// A control host's reply to an operator. A Status is an error that explains
 /// why the request was not carried out.
 using operator_reply =
     std::variant<catalog::change_outcome, configuration_reply, audit_reply,
                  status_reply, done_reply, catalog::order_outcome, orders_reply,
-                 crash_records_reply, customers_reply, absl::Status>;
+                 crash_records_reply, customers_reply, admission_reply,
+                 absl::Status>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/operator_request.hpp
+++ b/bilberrylead/control/operator_request.hpp
@@ -91,12 +91,17 @@
 {
 };
 
+/// Read what the leader plans for admission. Answered by the leader.
+struct read_admission
+{
+};
+
 /// An operator's request to a control host.
 using operator_request =
     std::variant<submit_change, read_configuration, read_audit, read_status,
                  change_membership, hand_over, submit_orders, submit_zone_order,
                  read_orders, read_crash_records, lift_crash_record,
-                 read_customers>;
+                 read_customers, read_admission>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -204,6 +204,7 @@
     wanted.region = this->settings.region;
     wanted.entries.max_ttl = this->settings.steering_ttl;
     wanted.places = this->settings.places;
+    wanted.admission = this->settings.admission;
     if (this->forms_itself())
     {
         wanted.planner.emplace();
