--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -166,6 +166,7 @@
     visitor.section("cold", value.cold);
     visitor.fraction("link_mbit_per_s", value.link_rate, 0, most_bound);
     visitor.choice("waiting", value.waiting, waiting_place_names);
+    visitor.choice("admission", value.admission, admission_mode_names);
 }
 
 } // namespace bilberrylead::config
