--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -140,6 +140,7 @@
                      most_bound);
     visitor.seconds("leaving_bound_s", value.leaving_bound, longest_setting);
     visitor.choice("trust", value.trust, operator_trust_names);
+    visitor.choice("admission", value.admission, admission_mode_names);
 }
 
 /// Fields of an entry host's settings.
