Show the admission plan to operators

bilberryctl admission [SERVICE] shows slots, demand and admitted share by rank, and at most 20 customers above their fair share, with the number, term and age of the plan. The leader answers GET /v1/admission. Gauges by service and rank are bounded and disappear when the host no longer leads.

--- a/bilberrylead/ctl/view_commands.cpp
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::chrono::milliseconds poll_pause{50};
 constexpr unsigned ok_status = 200;
+/// Lines that a view shows of what may be thousands of customers.
+constexpr std::size_t max_shown_customers = 20;
 
 /// Statuses of all control hosts that answer.
 std::vector<nlohmann::json> all_statuses(operator_client& client)
@@ -208,6 +210,110 @@
     }
 }
 
+std::string as_percent(double share)
+{
+    return fmt::format("{:.1f} %", share * 100);
+}
+
+/// Customers of the services shown, those with most refused demand first.
+void print_limited_customers(std::vector<nlohmann::json> const& services)
+{
+    struct limited_customer
+    {
+        double refused = 0;
+        std::vector<std::string> cells;
+    };
+    std::vector<limited_customer> customers;
+    for (nlohmann::json const& service : services)
+    {
+        for (nlohmann::json const& row :
+             service.value("customers", nlohmann::json::array()))
+        {
+            double const demand = row.value("demand_slots", 0.0);
+            double const share = row.value("share", 0.0);
+            customers.push_back(
+                {demand * (1 - share),
+                 {row.value("name", "?"), service.value("name", "?"),
+                  std::to_string(row.value("rank", std::uint64_t{0})),
+                  fmt::format("{:.1f}", demand), as_percent(share)}});
+        }
+    }
+    if (customers.empty())
+    {
+        return;
+    }
+    std::stable_sort(
+        customers.begin(), customers.end(),
+        [](limited_customer const& left, limited_customer const& right)
+        {
+            return left.refused > right.refused;
+        });
+    std::vector<std::vector<std::string>> rows = {
+        {"CUSTOMER ABOVE ITS FAIR SHARE", "SERVICE", "RANK", "DEMAND",
+         "ADMITTED"}};
+    for (limited_customer const& each : customers)
+    {
+        if (rows.size() <= max_shown_customers)
+        {
+            rows.push_back(each.cells);
+        }
+    }
+    fmt::print("\n");
+    print_table(rows);
+    if (customers.size() > max_shown_customers)
+    {
+        fmt::print("{} more customers are above their fair shares.\n",
+                   customers.size() - max_shown_customers);
+    }
+}
+
+void print_admission(nlohmann::json const& body, std::string const& wanted)
+{
+    std::uint64_t const number = body.value("number", std::uint64_t{0});
+    if (!body.value("by_plan", false))
+    {
+        fmt::print("Admission is not by plan.\n");
+        return;
+    }
+    if (number == 0)
+    {
+        fmt::print("There is no plan yet: {} of {} entry hosts have reported "
+                   "their demand.\n",
+                   body.value("reporting_hosts", std::uint64_t{0}),
+                   body.value("hosts", std::uint64_t{0}));
+        return;
+    }
+    fmt::print("Plan {} of term {}, {} ms old, from {} of {} entry hosts.\n\n",
+               number, body.value("term", std::uint64_t{0}),
+               body.value("age_ms", std::int64_t{0}),
+               body.value("reporting_hosts", std::uint64_t{0}),
+               body.value("hosts", std::uint64_t{0}));
+    std::vector<nlohmann::json> shown;
+    std::vector<std::vector<std::string>> rows = {
+        {"SERVICE", "SLOTS", "RANK", "DEMAND", "ADMITTED"}};
+    for (nlohmann::json const& service :
+         body.value("services", nlohmann::json::array()))
+    {
+        std::string const name = service.value("name", "?");
+        if (!wanted.empty() && name != wanted)
+        {
+            continue;
+        }
+        shown.push_back(service);
+        for (nlohmann::json const& row :
+             service.value("ranks", nlohmann::json::array()))
+        {
+            rows.push_back(
+                {name, fmt::format("{:.0f}", service.value("slots", 0.0)),
+                 std::to_string(row.value("rank", std::uint64_t{0})),
+                 fmt::format("{:.1f}", row.value("demand_slots", 0.0)),
+                 as_percent(row.value("share", 0.0))});
+        }
+    }
+    print_table(rows);
+    print_limited_customers(shown);
+}
+
 } // namespace
 
 exit_code run_get(command_line const& line)
@@ -282,6 +388,15 @@
     return ask_and_show(line, "/v1/customers", print_customers);
 }
 
+exit_code run_admission(command_line const& line)
+{
+    return ask_and_show(line, "/v1/admission",
+                        [&line](nlohmann::json const& body)
+                        {
+                            print_admission(body, line.subject);
+                        });
+}
+
 exit_code run_wait(command_line const& line)
 {
     std::uint64_t wanted = 0;
--- a/bilberrylead/ctl/view_commands.hpp
+++ b/bilberrylead/ctl/view_commands.hpp
@@ -21,6 +21,9 @@
 /// Shows how much of their limits the customers use.
 exit_code run_customers(command_line const& line);
 
+/// Shows which share of the demand the leader admits.
+exit_code run_admission(command_line const& line);
+
 /// Waits until a revision is in force at every entry host.
 exit_code run_wait(command_line const& line);
 
--- a/bilberrylead/daemon/control_metrics.cpp
+++ b/bilberrylead/daemon/control_metrics.cpp
@@ -3,14 +3,19 @@
 #include "bilberrylead/control/control_reducer.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
 #include "bilberrylead/discovery/listing_delivery.hpp"
+#include "bilberrylead/link/message.hpp"
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
 
 namespace bilberrylead::daemon
 {
@@ -38,6 +43,10 @@
         .Add({});
 }
 
+/// No further service is added to the gauges by service and rank once there
+/// are so many.
+constexpr std::size_t max_admission_gauges = 128;
+
 /// Upper bounds of the buckets of the histograms of listings, seconds.
 prometheus::Histogram::BucketBoundaries const listing_bounds = {
     0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0};
@@ -91,6 +100,76 @@
     prometheus::Counter& unconfirmed_listings = add_counter(
         this->registry, "bilberry_control_unconfirmed_listings_total",
         "Entry hosts that had not confirmed a listing when the next was sent.");
+    prometheus::Gauge& admission_plans =
+        add_gauge(this->registry, "bilberry_control_admission_plans",
+                  "Admission plans that this host computed since its start.");
+    prometheus::Gauge& admission_plan_bytes = add_gauge(
+        this->registry, "bilberry_control_admission_plan_bytes",
+        "Size of the region plan with the newest admission plan of this host's "
+        "region, as sent.");
+    prometheus::Family<prometheus::Gauge>& admission_demand =
+        prometheus::BuildGauge()
+            .Name("bilberry_control_admission_demand_slots")
+            .Help("Demand by service and rank that this host planned for.")
+            .Register(this->registry);
+    prometheus::Family<prometheus::Gauge>& admission_share =
+        prometheus::BuildGauge()
+            .Name("bilberry_control_admission_share")
+            .Help("Planned admitted share by service and rank, 0 to 1.")
+            .Register(this->registry);
+    std::vector<prometheus::Gauge*> admission_demands;
+    std::vector<prometheus::Gauge*> admission_shares;
+
+    void set_admission(control::control_reducer const& reducer)
+    {
+        this->admission_plans.Set(
+            static_cast<double>(reducer.admission_plans()));
+        std::size_t plan_size = 0;
+        if (reducer.plan().has_value() && reducer.admission_plan().has_value())
+        {
+            link::region_plan content = *reducer.plan();
+            content.admission = reducer.admission_plan()->shares;
+            plan_size = link::encode(content).size();
+        }
+        this->admission_plan_bytes.Set(static_cast<double>(plan_size));
+
+        // Services and ranks without demand disappear, and all of them once
+        // another host leads.
+        for (prometheus::Gauge* const each : this->admission_demands)
+        {
+            this->admission_demand.Remove(each);
+        }
+        for (prometheus::Gauge* const each : this->admission_shares)
+        {
+            this->admission_share.Remove(each);
+        }
+        this->admission_demands.clear();
+        this->admission_shares.clear();
+        if (reducer.log().role() != agreement::role::leader)
+        {
+            return;
+        }
+        for (control::admission_status const& service : reducer.admission())
+        {
+            if (this->admission_demands.size() >= max_admission_gauges)
+            {
+                break;
+            }
+            for (control::admission_rank_status const& each : service.ranks)
+            {
+                prometheus::Labels const labels = {
+                    {"service", service.service.text()},
+                    {"rank", std::to_string(each.rank)}};
+                this->admission_demands.push_back(
+                    &this->admission_demand.Add(labels));
+                this->admission_demands.back()->Set(each.demand);
+                this->admission_shares.push_back(
+                    &this->admission_share.Add(labels));
+                this->admission_shares.back()->Set(each.share);
+            }
+        }
+    }
+
     prometheus::Histogram& change_age =
         add_histogram(this->registry, "bilberry_control_listing_age_seconds",
                       "Longest time for which the list may have shown a change "
@@ -145,6 +224,7 @@
     this->impl->crash_records.Set(
         static_cast<double>(reducer.crash_records().size()));
     this->impl->journal_bytes.Set(static_cast<double>(store.journal_bytes()));
+    this->impl->set_admission(reducer);
     return prometheus::TextSerializer().Serialize(
         this->impl->registry.Collect());
 }
--- a/bilberrylead/daemon/operator_api.cpp
+++ b/bilberrylead/daemon/operator_api.cpp
@@ -232,6 +232,10 @@
     {
         return control::read_customers{};
     }
+    if (request.method == "GET" && target.path() == "/v1/admission")
+    {
+        return control::read_admission{};
+    }
     if (request.method == "POST" && target.path() == "/v1/crashes/lift")
     {
         absl::StatusOr<json> const body = read_body(request.body);
--- a/bilberrylead/daemon/operator_replies.cpp
+++ b/bilberrylead/daemon/operator_replies.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -207,6 +208,44 @@
                          {{"customers", customers}, {"omitted", held.omitted}});
     }
 
+    link::http_answer operator()(control::admission_reply const& held) const
+    {
+        json services = json::array();
+        for (control::admission_status const& service : held.services)
+        {
+            json ranks = json::array();
+            for (control::admission_rank_status const& each : service.ranks)
+            {
+                ranks.push_back({{"rank", each.rank},
+                                 {"demand_slots", each.demand},
+                                 {"share", each.share}});
+            }
+            json customers = json::array();
+            for (control::admission_customer_status const& each :
+                 service.customers)
+            {
+                customers.push_back({{"name", each.customer.text()},
+                                     {"rank", each.rank},
+                                     {"demand_slots", each.demand},
+                                     {"share", each.share}});
+            }
+            services.push_back({{"name", service.service.text()},
+                                {"slots", service.slots},
+                                {"ranks", ranks},
+                                {"customers", customers}});
+        }
+        using std::chrono::milliseconds;
+        return as_answer(
+            200, {{"by_plan", held.by_plan},
+                  {"term", held.term},
+                  {"number", held.number},
+                  {"age_ms",
+                   std::chrono::duration_cast<milliseconds>(held.age).count()},
+                  {"hosts", held.hosts},
+                  {"reporting_hosts", held.reporting},
+                  {"services", services}});
+    }
+
     link::http_answer operator()(absl::Status const& status) const
     {
         std::string const kind(
--- a/tests/unit/daemon/operator_api_test.cpp
+++ b/tests/unit/daemon/operator_api_test.cpp
@@ -399,6 +399,42 @@
     }
 }
 
+Test(operator_api, admission_is_written_by_service)
+{
+    absl::StatusOr<control::operator_request> const request =
+        read("GET", "/v1/admission");
+    cr_assert(request.ok());
+    cr_expect(std::holds_alternative<control::read_admission>(*request));
+    control::admission_reply reply;
+    reply.by_plan = true;
+    reply.term = 4;
+    reply.number = 9;
+    reply.age = std::chrono::milliseconds(250);
+    reply.hosts = 5;
+    reply.reporting = 4;
+    reply.services = {{service_id("s"),
+                       12,
+                       {{1, 24, 0.5}},
+                       {{customer_id("c"), 1, 8, 0.25}}}};
+    expect_reply(
+        reply, 200U,
+        {{"by_plan", true},
+         {"term", 4U},
+         {"number", 9U},
+         {"age_ms", 250},
+         {"hosts", 5U},
+         {"reporting_hosts", 4U},
+         {"services",
+          {{{"name", "s"},
+            {"slots", 12.0},
+            {"ranks", {{{"rank", 1U}, {"demand_slots", 24.0}, {"share", 0.5}}}},
+            {"customers",
+             {{{"name", "c"},
+               {"rank", 1U},
+               {"demand_slots", 8.0},
+               {"share", 0.25}}}}}}}});
+}
+
 Test(operator_api, customers_are_written_with_their_limits)
 {
     absl::StatusOr<control::operator_request> const request =
