Send demand to the leader and apply its admission plan at entry hosts

Both ends existed, but no entry host sent its demand or received a plan. Every second heartbeat to the leader contains the demand by rank and of the largest customers; the other control hosts receive none, since a report may be 2 KB long and a host's control traffic is limited to 5 KB a second. A plan of an older term, or of a number that is not higher, is ignored.

--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -56,6 +56,9 @@
     void on_listing(link::link_number number,
                     link::upstream_update const& said);
     void on_plan(link::region_plan const& said);
+    void on_admission_plan(link::admission_shares const& shares);
+    void add_admission_demand(link::link_number to,
+                              link::entry_presence& presence);
     void tell_crashes(entry::send_crash_records const& wanted);
     void tell_limits(entry::send_limits const& wanted);
     void on_leader(host_id const& reported);
@@ -108,6 +111,8 @@
     instant listing_asked_at{};
     link::link_number last_asked = 0;
     std::uint64_t plan_term = 0;
+    std::uint64_t admission_number = 0;
+    instant admission_reported_at{};
     host_id leader;
     bool told_ready = false;
     bool has_upstream_contact = true;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -300,6 +300,10 @@
     {
         return;
     }
+    if (said.term > this->plan_term)
+    {
+        this->admission_number = 0;
+    }
     this->plan_term = said.term;
     entry::regions_planned plan;
     plan.entry_hosts = said.entry_hosts;
@@ -309,6 +313,10 @@
             {each.service, each.region, link::from_thousandths(each.share)});
     }
     this->server->dispatch(std::move(plan));
+    if (said.admission.has_value())
+    {
+        this->on_admission_plan(*said.admission);
+    }
 }
 
 void entry_program::implementation::on_leader(host_id const& reported)
@@ -316,6 +324,8 @@
     if (!reported.empty() && reported != this->leader)
     {
         this->leader = reported;
+        // A new leader plans once it has the demand of most hosts.
+        this->admission_reported_at = instant{};
         this->server->dispatch(entry::leader_changed{});
     }
 }
@@ -364,6 +374,7 @@
     {
         presence.demands.push_back({service, link::to_thousandths(slots)});
     }
+    this->add_admission_demand(to, presence);
     this->send(to, presence);
 }
 
--- a/bilberrylead/daemon/entry_program_reports.cpp
+++ b/bilberrylead/daemon/entry_program_reports.cpp
@@ -1,5 +1,9 @@
 #include "bilberrylead/daemon/entry_program_parts.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
+#include "bilberrylead/link/admission_conversion.hpp"
+
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -13,6 +17,12 @@
 
 constexpr part_log log{"entry"};
 
+/// Shortest interval between two reports of the demand for admission. Longer
+/// than a heartbeat interval, so that every second heartbeat contains one: a
+/// report may be 2 KB long, and control traffic of a host is limited to 5 KB a
+/// second.
+constexpr std::chrono::milliseconds min_admission_report_interval{750};
+
 } // namespace
 
 void entry_program::implementation::tell_crashes(
@@ -58,6 +68,42 @@
     }
 }
 
+void entry_program::implementation::on_admission_plan(
+    link::admission_shares const& shares)
+{
+    // A control host that was cut off passes an old plan on.
+    if (shares.number <= this->admission_number)
+    {
+        return;
+    }
+    this->admission_number = shares.number;
+    entry::admission_plan_received received;
+    received.age = shares.age;
+    received.source = this->leader;
+    received.plans.reserve(shares.services.size());
+    for (link::admission_rows const& each : shares.services)
+    {
+        received.plans.push_back(link::to_plan(each, this->settings.region));
+    }
+    this->server->dispatch(std::move(received));
+}
+
+/// Only the leader plans, so that the other control hosts receive no demand.
+void entry_program::implementation::add_admission_demand(
+    link::link_number to, link::entry_presence& presence)
+{
+    instant const now = clock_now();
+    auto const peer = this->links.find(to);
+    if (this->settings.admission != config::admission_mode::by_plan ||
+        peer == this->links.end() || peer->second.id != this->leader ||
+        now - this->admission_reported_at < min_admission_report_interval)
+    {
+        return;
+    }
+    this->admission_reported_at = now;
+    presence.admission = link::to_rows(this->server->admission_demands());
+}
+
 void entry_program::implementation::on_contact_changed(
     entry::upstream_contact_changed const& changed)
 {
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -137,6 +137,11 @@
     return this->inner->core->decisions().demands();
 }
 
+std::vector<policy::admission_demand> caller_server::admission_demands() const
+{
+    return this->inner->core->decisions().admission_demands();
+}
+
 bool caller_server::ready() const
 {
     return this->inner->core->decisions().ready();
--- a/bilberrylead/http/caller_server.hpp
+++ b/bilberrylead/http/caller_server.hpp
@@ -6,6 +6,7 @@
 #include "bilberrylead/entry/event.hpp"
 #include "bilberrylead/http/http_counters.hpp"
 #include "bilberrylead/http/server_settings.hpp"
+#include "bilberrylead/policy/admission_demand.hpp"
 
 #include <absl/status/status.h>
 
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace boost::asio
 {
@@ -73,6 +75,10 @@
     /// What callers ask of each service now, in slots.
     std::map<service_id, double> demands() const;
 
+    /// Demand of each service by rank and for the largest customers; empty
+    /// unless admission is by plan.
+    std::vector<policy::admission_demand> admission_demands() const;
+
     /// Requests under which upstreams ended, as known here.
     policy::crash_history const& crash_history() const;
 
