--- a/tests/unit/control/admission_plan_test.cpp
+++ b/tests/unit/control/admission_plan_test.cpp
@@ -29,7 +29,7 @@
 {
     settings.region = region_id("r");
     settings.zone = zone_id("z");
-    settings.places = {{zone_id("z"), region_id("r")}};
+    settings.places = {{zone_id("z"), region_id("r"), {}}};
     settings.admission = config::admission_mode::by_plan;
     discovery::list_changes& listing = started.listing.emplace();
     listing.target = {1, 1};
