Limit the bytes of customers in reports and plans of admission

The number of rows was limited, their size was not: names of 63 letters gave 8.7 KB for four services (arithmetic), above the 5 KB a second of a host. Names now take at most 2,800 bytes of a message; every service keeps its largest customers.

A limit of 2,000 bytes would have cut the 32 customers of each of four services with names of 11 letters.

--- a/bilberrylead/control/control_reducer_admission.cpp
+++ b/bilberrylead/control/control_reducer_admission.cpp
@@ -208,6 +208,10 @@
         builder.finish(status, link::max_admission_customers);
         this->admission_statuses.push_back(std::move(status));
     }
+    for (auto& [region, plan] : plans)
+    {
+        link::limit_customers(plan.services);
+    }
     return plans;
 }
 
--- a/bilberrylead/link/admission_conversion.cpp
+++ b/bilberrylead/link/admission_conversion.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Bytes of a customer's row besides its name: length, rank and amount.
+constexpr std::size_t customer_row_overhead = 10;
+
 std::uint32_t to_sent_demand(double slots)
 {
     double const largest = from_thousandths(max_admission_demand);
@@ -60,6 +63,31 @@
 
 } // namespace
 
+void limit_customers(std::vector<admission_rows>& services)
+{
+    std::size_t remaining = max_admission_customer_bytes;
+    for (std::size_t position = 0; position < max_admission_customers;
+         ++position)
+    {
+        for (admission_rows& service : services)
+        {
+            if (position >= service.customers.size())
+            {
+                continue;
+            }
+            std::size_t const size =
+                service.customers[position].customer.text().size() +
+                customer_row_overhead;
+            if (size > remaining)
+            {
+                service.customers.resize(position);
+                continue;
+            }
+            remaining -= size;
+        }
+    }
+}
+
 std::vector<admission_rows>
 to_rows(std::span<policy::admission_demand const> demands)
 {
@@ -71,6 +99,7 @@
             services.push_back(to_rows(each));
         }
     }
+    limit_customers(services);
     return services;
 }
 
