Homes in the zone need as many requests as objects; forget cached objects

Two faults that the model of a zone of 9 upstreams showed. 3 of 440 hosts began with homes in the zone although its caches hold 171 of 260 objects: with fewer requests than objects the estimate is too low if popularity is uneven. A change to the zone now needs as many requests as objects; none of 440 after it.

After a change to the region 8 of 100 runs stayed cold for as long as the model ran, since hosts kept sending objects to their previous homes, which they know to have them cached.

Ruled out: windows of 30 s, whose error at 5 requests a second let hosts keep the zone for more than four minutes after the objects doubled; they are 60 s.

--- a/bilberrylead/entry/service_state_homes.cpp
+++ b/bilberrylead/entry/service_state_homes.cpp
@@ -41,8 +41,23 @@
     }
     home_scope_status status;
     this->count_home_upstreams(status, now);
-    return this->homes->update(status.zone_upstreams, status.region_upstreams,
-                               now);
+    if (!this->homes->update(status.zone_upstreams, status.region_upstreams,
+                             now))
+    {
+        return false;
+    }
+    // Objects would otherwise stay at their previous homes as well, since these
+    // are known to have them cached: after a change to the region, 8 of 100
+    // runs stayed cold in a region whose caches hold all objects.
+    for (std::size_t index = 0; index < this->configured_upstreams.size();
+         ++index)
+    {
+        if (this->configured_upstreams[index].in_own_region)
+        {
+            this->upstream_records[index]->objects = {};
+        }
+    }
+    return true;
 }
 
 policy::placement_verdict
--- a/bilberrylead/policy/home_scope.cpp
+++ b/bilberrylead/policy/home_scope.cpp
@@ -56,10 +56,17 @@
         static_cast<double>(zone_upstreams) * this->remembered;
     double const margin = this->settings.clear_errors * found.error;
     bool const is_zone = this->scope == object_homes::zone;
-    bool const is_clear =
-        is_zone
-            ? found.count - margin > this->settings.clear_region_share * cached
-            : found.count + margin <= this->settings.clear_zone_share * cached;
+    // With fewer requests than objects the estimate is too low if some objects
+    // are requested more often than others: 3 of 440 hosts of a zone that was
+    // too small began with homes in the zone, none with this condition.
+    bool const is_well_founded =
+        static_cast<double>(found.requests) >= found.count;
+    bool const exceeds =
+        found.count - margin > this->settings.clear_region_share * cached;
+    bool const fits_clearly =
+        is_well_founded &&
+        found.count + margin <= this->settings.clear_zone_share * cached;
+    bool const is_clear = is_zone ? exceeds : fits_clearly;
     bool const fits = found.count <= this->settings.middle_share * cached;
     if (fits == is_zone)
     {
--- a/bilberrylead/policy/home_scope_settings.hpp
+++ b/bilberrylead/policy/home_scope_settings.hpp
@@ -23,8 +23,8 @@
     /// directions: with two, hosts with different histories would disagree for
     /// as long as the number of objects is between them.
     double middle_share = 0.9;
-    /// Time for which the estimate must stay on one side of the middle share;
-    /// twice the time after which all requests of an estimate are new ones.
+    /// Time for which the estimate must stay on one side of the middle share:
+    /// after it, all requests of an estimate are new ones.
     duration confirmation = std::chrono::seconds(120);
     /// Minimum time between two changes: several times as long as the burst of
     /// cold runs that follows a change.
--- a/bilberrylead/policy/object_count.hpp
+++ b/bilberrylead/policy/object_count.hpp
@@ -39,9 +39,10 @@
     object_estimate estimate(instant now) const;
 
 private:
-    /// A host that receives 4 requests a second sees 120 in the shortest time
-    /// that an estimate covers.
-    static constexpr duration window = std::chrono::seconds(30);
+    /// A host that receives 5 requests a second for 220 objects estimates them
+    /// with a standard error of 10 to 30 from windows of 30 s, too large to
+    /// find that caches hold only 171.
+    static constexpr duration window = std::chrono::seconds(60);
 
     struct generation
     {
