Test that fails: pipelining in an entry host's settings

The settings of an entry host shall name how many requests of one connection it serves at a time, and how large a held answer may be. The fields, their ranges and the default (off) are expected; parsing does not know them yet, so the test does not build.

--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -40,7 +40,8 @@
   "control_hosts": [{"name": "c1", "address": "127.0.0.1:1"}],
   "neighbours": [{"name": "e2", "address": "127.0.0.2:2"}],
   "peer_key": "a-peer-key-of-more-than-32-letters",
-  "limits": {"requests": 100, "header_timeout_ms": 500}
+  "limits": {"requests": 100, "header_timeout_ms": 500},
+  "pipelining": {"max_requests": 16, "max_answer_bytes": 32768}
 })";
 
 /// One bad settings text and what the error says.
@@ -90,6 +91,22 @@
      "limits.requests: 0 is out of range."},
     {"\"requests\": 100", "\"request\": 100", error_kind::unknown_field,
      "limits.request: This field is not known. Did you mean \"requests\"?"},
+    {"\"max_requests\": 16", "\"max_requests\": 0", error_kind::bad_value,
+     "pipelining.max_requests: 0 is out of range. Use 1 to 256"},
+    {"\"max_requests\": 16", "\"max_requests\": 257", error_kind::bad_value,
+     "pipelining.max_requests: 257 is out of range. Use 1 to 256"},
+    {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 1023",
+     error_kind::bad_value,
+     "pipelining.max_answer_bytes: 1023 is out of range. Use 1024 to "
+     "16777216"},
+    {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 16777217",
+     error_kind::bad_value,
+     "pipelining.max_answer_bytes: 16777217 is out of range. Use 1024 to "
+     "16777216"},
+    {"\"max_answer_bytes\": 32768", "\"max_answers\": 32768",
+     error_kind::unknown_field,
+     "pipelining.max_answers: This field is not "
+     "known."},
 };
 
 template <class Parse>
@@ -150,3 +167,29 @@
     cr_assert_neq(message.find("peer_key"), std::string::npos);
     cr_assert_eq(message.find("hunter2"), std::string::npos);
 }
+
+Test(settings, pipelining_when_parsed_gives_its_values)
+{
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(entry_text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert_eq(value->pipelining.max_requests, 16U);
+    cr_assert_eq(value->pipelining.max_answer_bytes, 32768U);
+}
+
+// A host whose settings do not name pipelining must serve one request of a
+// connection after the other.
+Test(settings, pipelining_when_absent_is_off)
+{
+    std::string text = entry_text;
+    std::string const part = ",\n  \"pipelining\": {\"max_requests\": 16, "
+                             "\"max_answer_bytes\": 32768}";
+    std::size_t const place = text.find(part);
+    cr_assert_neq(place, std::string::npos);
+    text.erase(place, part.size());
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert_eq(value->pipelining.max_requests, 1U);
+    cr_assert_eq(value->pipelining.max_answer_bytes, 65536U);
+}
