Settings of an entry host: pipelining; whether a request may run twice

"pipelining": max_requests 1 to 256 (1, off), max_answer_bytes 1,024 to 16,777,216 (65,536), handed on to the caller side, which does not use them yet. body_rules tells whether the request is idempotent, by the same rule as the reducer's placement. The error texts expected by the test were guessed; they are now those that every range has.

--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -6,6 +6,7 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/config/entry_limits.hpp"
 #include "bilberrylead/config/host_address.hpp"
+#include "bilberrylead/config/pipelining_limits.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/retry_bounds.hpp"
 #include "bilberrylead/config/waiting_place.hpp"
@@ -76,6 +77,8 @@
     double link_rate = 0;
     /// Where requests wait while all slots are taken.
     waiting_place waiting = waiting_place::entry_host;
+    /// How far it works ahead on one caller connection.
+    pipelining_limits pipelining;
     /// The lowest level that is logged.
     log_level lowest_log_level = log_level::info;
 
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -71,6 +71,15 @@
 inline constexpr std::array<std::string_view, 2> operator_trust_names = {
     "by_key", "by_network"};
 
+/// Fields of how far an entry host works ahead on a connection.
+template <class Visitor>
+void visit_fields(Visitor& visitor, pipelining_limits& value)
+{
+    visitor.number("max_requests", value.max_requests, {1, 256});
+    visitor.number("max_answer_bytes", value.max_answer_bytes,
+                   {1'024, 16'777'216});
+}
+
 /// Fields of what may be sent beyond first tries.
 template <class Visitor>
 void visit_fields(Visitor& visitor, retry_bounds& value)
@@ -161,6 +170,7 @@
     visitor.section("cold", value.cold);
     visitor.fraction("link_mbit_per_s", value.link_rate, 0, most_bound);
     visitor.choice("waiting", value.waiting, waiting_place_names);
+    visitor.section("pipelining", value.pipelining);
 }
 
 } // namespace bilberrylead::config
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -125,6 +125,7 @@
     wanted.write_timeout = limits.progress_timeout;
     wanted.largest_head = limits.header_bytes;
     wanted.piece = limits.buffer_bytes;
+    wanted.pipelining = this->settings.pipelining;
     wanted.largest_connections = limits.connections;
     wanted.link_rate = this->settings.link_rate * bytes_in_megabit;
     return wanted;
--- a/bilberrylead/entry/body_rules.hpp
+++ b/bilberrylead/entry/body_rules.hpp
@@ -16,6 +16,8 @@
     /// True if the complete body must be received before the request is
     /// handled, because its digest is needed.
     bool buffer_body = false;
+    /// True if the request may run more than once.
+    bool idempotent = false;
 };
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -240,14 +240,16 @@
         bool const is_served =
             route != nullptr &&
             !this->customers->lacks_customer(*route, customer_key);
-        return {is_served, this->content->limits.body_bytes, false};
+        return {is_served, this->content->limits.body_bytes, false,
+                is_served && route->idempotent};
     }
     config::service const* const found = this->find_service(service);
     if (found == nullptr)
     {
         return {};
     }
-    return {true, found->largest_request, found->guarded};
+    return {true, found->largest_request, found->guarded,
+            found->idempotent && !found->guarded};
 }
 
 config::caller_limits const* entry_reducer::caller_limits() const
--- a/bilberrylead/http/server_settings.hpp
+++ b/bilberrylead/http/server_settings.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_HTTP_SERVER_SETTINGS_HPP
 
 #include "bilberrylead/config/endpoint.hpp"
+#include "bilberrylead/config/pipelining_limits.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/entry/entry_settings.hpp"
 #include "bilberrylead/http/header_names.hpp"
@@ -50,6 +51,8 @@
     /// Rate of the host's link each way, bytes a second; 0: not known, so
     /// that long answers are not paced.
     double link_rate = 0;
+    /// How far it works ahead on one caller connection.
+    config::pipelining_limits pipelining;
     /// One piece of a body that is passed on, bytes.
     std::size_t piece = std::size_t{16} << 10U;
     /// Largest answer of guarded work that its caller can be given, bytes.
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -92,17 +92,21 @@
     {"\"requests\": 100", "\"request\": 100", error_kind::unknown_field,
      "limits.request: This field is not known. Did you mean \"requests\"?"},
     {"\"max_requests\": 16", "\"max_requests\": 0", error_kind::bad_value,
-     "pipelining.max_requests: 0 is out of range. Use 1 to 256"},
+     "pipelining.max_requests: 0 is out of range. Write a whole number from 1 "
+     "to 256."},
     {"\"max_requests\": 16", "\"max_requests\": 257", error_kind::bad_value,
-     "pipelining.max_requests: 257 is out of range. Use 1 to 256"},
+     "pipelining.max_requests: 257 is out of range. Write a whole number from "
+     "1 to 256."},
     {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 1023",
      error_kind::bad_value,
-     "pipelining.max_answer_bytes: 1023 is out of range. Use 1024 to "
-     "16777216"},
+     "pipelining.max_answer_bytes: 1023 is out of range. Write a whole number "
+     "from "
+     "1024 to 16777216."},
     {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 16777217",
      error_kind::bad_value,
-     "pipelining.max_answer_bytes: 16777217 is out of range. Use 1024 to "
-     "16777216"},
+     "pipelining.max_answer_bytes: 16777217 is out of range. Write a whole "
+     "number from "
+     "1024 to 16777216."},
     {"\"max_answer_bytes\": 32768", "\"max_answers\": 32768",
      error_kind::unknown_field,
      "pipelining.max_answers: This field is not "
