Test that fails: pipelined requests run at the same time

Requests behind an unanswered one shall be dispatched within the window, their answers held and sent in order. The connection serves one after the other so far, so the tests that expect several requests at the upstream at one time cannot pass.

--- /dev/null
+++ b/tests/unit/http/pipelining_test.cpp
@@ -0,0 +1,388 @@
+#include "tests/unit/http/http_fixture.hpp"
+
+#include <algorithm>
+#include <random>
+
+using namespace bilberrylead;
+using namespace bilberrylead::http;
+
+namespace
+{
+
+server_settings pipelining(std::uint32_t requests,
+                           std::size_t answer_bytes = std::size_t{64} << 10U)
+{
+    server_settings settings;
+    settings.pipelining.max_requests = requests;
+    settings.pipelining.max_answer_bytes = answer_bytes;
+    return settings;
+}
+
+/// Waits for a condition for 5 s at most.
+template <class Condition>
+bool eventually(Condition condition)
+{
+    for (int round = 0; round < 1000 && !condition(); ++round)
+    {
+        std::this_thread::sleep_for(5ms);
+    }
+    return condition();
+}
+
+/// Counts a request, then answers it with its target once `go` is set.
+std::function<void(wire&, int)> answer_when(std::atomic<bool>& go,
+                                            fake_upstream*& self)
+{
+    return [&go, &self](wire& connection, int)
+    {
+        while (std::optional<request_text> const request = connection.request())
+        {
+            ++self->runs;
+            eventually(
+                [&go]
+                {
+                    return go.load();
+                });
+            connection.send(whole_answer_text(std::string(request->target())));
+        }
+    };
+}
+
+std::string body_of(wire& caller)
+{
+    std::optional<answer_text> const answer = caller.answer();
+    cr_assert(answer.has_value());
+    return answer->body();
+}
+
+} // namespace
+
+// A request behind a slow one must not use up its time unread.
+Test(pipelining, requests_behind_a_slow_one_run_and_answers_keep_their_order)
+{
+    std::atomic<int> seen = 0;
+    fake_upstream upstream(
+        [&seen](wire& connection, int)
+        {
+            while (std::optional<request_text> const request =
+                       connection.request())
+            {
+                ++seen;
+                if (request->target() == "/s/1")
+                {
+                    eventually(
+                        [&seen]
+                        {
+                            return seen == 3;
+                        });
+                }
+                connection.send(whole_answer_text(
+                    std::string(request->target()) + (seen == 3 ? "" : "!")));
+            }
+        });
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
+    cr_assert_eq(body_of(caller), "/s/1");
+    cr_assert(body_of(caller).starts_with("/s/2"));
+    cr_assert(body_of(caller).starts_with("/s/3"));
+}
+
+// A host that does not enable pipelining must go on as before.
+Test(pipelining, when_off_one_request_runs_after_the_other)
+{
+    std::atomic<bool> go = false;
+    fake_upstream* self = nullptr;
+    fake_upstream upstream(answer_when(go, self));
+    self = &upstream;
+    running_server entry;
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2"));
+    cr_assert(eventually(
+        [&upstream]
+        {
+            return upstream.runs == 1;
+        }));
+    std::this_thread::sleep_for(50ms);
+    cr_assert_eq(upstream.runs.load(), 1);
+    go = true;
+    cr_assert_eq(body_of(caller), "/s/1");
+    cr_assert_eq(body_of(caller), "/s/2");
+}
+
+// One caller must not take more of the host than its window.
+Test(pipelining, no_more_requests_than_the_window_run_at_a_time)
+{
+    std::atomic<bool> go = false;
+    fake_upstream* self = nullptr;
+    fake_upstream upstream(answer_when(go, self));
+    self = &upstream;
+    running_server entry(pipelining(2));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + get("/s/3") + get("/s/4"));
+    cr_assert(eventually(
+        [&upstream]
+        {
+            return upstream.runs == 2;
+        }));
+    std::this_thread::sleep_for(50ms);
+    cr_assert_eq(upstream.runs.load(), 2);
+    go = true;
+    for (std::string const target : {"/s/1", "/s/2", "/s/3", "/s/4"})
+    {
+        cr_assert_eq(body_of(caller), target);
+    }
+}
+
+// A request with a body could have effects that depend on its order.
+Test(pipelining, request_with_a_body_waits_until_it_is_first)
+{
+    std::atomic<bool> go = false;
+    fake_upstream* self = nullptr;
+    fake_upstream upstream(answer_when(go, self));
+    self = &upstream;
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + post("/s/2", "body") + get("/s/3"));
+    cr_assert(eventually(
+        [&upstream]
+        {
+            return upstream.runs == 1;
+        }));
+    std::this_thread::sleep_for(50ms);
+    cr_assert_eq(upstream.runs.load(), 1);
+    go = true;
+    for (std::string const target : {"/s/1", "/s/2", "/s/3"})
+    {
+        cr_assert_eq(body_of(caller), target);
+    }
+}
+
+// A held answer that breaks off must not cost the requests behind it.
+Test(pipelining, held_answer_that_breaks_off_becomes_502_and_the_rest_arrive)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            while (std::optional<request_text> const request =
+                       connection.request())
+            {
+                if (request->target() == "/s/2")
+                {
+                    connection.send(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+                    return;
+                }
+                std::this_thread::sleep_for(100ms);
+                connection.send(
+                    whole_answer_text(std::string(request->target())));
+            }
+        });
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
+    cr_assert_eq(body_of(caller), "/s/1");
+    std::optional<answer_text> const broken = caller.answer();
+    cr_assert(broken.has_value());
+    cr_assert_eq(broken->result_int(), 502);
+    cr_assert_eq(body_of(caller), "/s/3");
+}
+
+// What does not fit into the bound must still arrive whole, in its place.
+Test(pipelining, answer_above_the_bound_is_streamed_in_its_turn)
+{
+    std::string const large(std::size_t{1} << 20U, 'x');
+    fake_upstream upstream(
+        [&large](wire& connection, int)
+        {
+            while (std::optional<request_text> const request =
+                       connection.request())
+            {
+                bool const is_large = request->target() == "/s/2";
+                connection.send(whole_answer_text(
+                    is_large ? large : std::string(request->target())));
+            }
+        });
+    running_server entry(pipelining(8, 20000));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
+    cr_assert_eq(body_of(caller), "/s/1");
+    cr_assert(body_of(caller) == large);
+    cr_assert_eq(body_of(caller), "/s/3");
+}
+
+// Nothing may run behind an answer that ends the connection.
+Test(pipelining, nothing_runs_behind_a_request_that_closes)
+{
+    std::atomic<bool> go = false;
+    fake_upstream* self = nullptr;
+    fake_upstream upstream(answer_when(go, self));
+    self = &upstream;
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2", "Connection: close\r\n") +
+                get("/s/3"));
+    cr_assert(eventually(
+        [&upstream]
+        {
+            return upstream.runs == 2;
+        }));
+    go = true;
+    cr_assert_eq(body_of(caller), "/s/1");
+    cr_assert_eq(body_of(caller), "/s/2");
+    cr_assert(not caller.answer().has_value());
+    cr_assert_eq(upstream.runs.load(), 2);
+}
+
+// The fault of a later request must not reach the caller before the answers
+// to the requests in front of it.
+Test(pipelining, bad_request_is_refused_behind_the_answers_before_it)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            echo(connection);
+        });
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + "NO HTTP\r\n\r\n" + get("/s/3"));
+    cr_assert_eq(body_of(caller), "/s/1");
+    cr_assert_eq(body_of(caller), "/s/2");
+    cr_assert_eq(caller.answer()->result_int(), 400);
+    cr_assert(not caller.answer().has_value());
+}
+
+// Work for a caller that has left must not hold slots of upstreams.
+Test(pipelining, caller_that_leaves_cancels_all_its_requests)
+{
+    std::atomic<int> ended = 0;
+    fake_upstream upstream(
+        [&ended](wire& connection, int)
+        {
+            if (connection.request())
+            {
+                connection.closed();
+                ++ended;
+            }
+        });
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    {
+        wire caller = entry.connect();
+        caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
+        cr_assert(eventually(
+            [&upstream]
+            {
+                return upstream.connections == 3;
+            }));
+    }
+    cr_assert(eventually(
+        [&ended]
+        {
+            return ended == 3;
+        }));
+}
+
+// A planned stop must answer what has been dispatched.
+Test(pipelining, at_a_planned_stop_the_last_answer_closes)
+{
+    std::atomic<bool> go = false;
+    fake_upstream* self = nullptr;
+    fake_upstream upstream(answer_when(go, self));
+    self = &upstream;
+    running_server entry(pipelining(8));
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
+    cr_assert(eventually(
+        [&upstream]
+        {
+            return upstream.runs == 3;
+        }));
+    entry.dispatch(entry::drain_requested{});
+    go = true;
+    for (std::string const target : {"/s/1", "/s/2", "/s/3"})
+    {
+        std::optional<answer_text> const answer = caller.answer();
+        cr_assert(answer.has_value());
+        cr_assert_eq(answer->body(), target);
+        cr_assert_eq(answer->keep_alive(), target != "/s/3");
+    }
+    cr_assert(not caller.answer().has_value());
+}
+
+// An answer must never be lost, doubled or swapped, wherever the bytes of
+// the requests are cut and however the answers end.
+Test(pipelining, every_mixture_of_outcomes_keeps_the_order)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            while (std::optional<request_text> const request =
+                       connection.request())
+            {
+                std::string const target(request->target());
+                if (target.ends_with("cut"))
+                {
+                    connection.send("HTTP/1.1 200 OK\r\nContent-Length: "
+                                    "9\r\n\r\nab");
+                    return;
+                }
+                if (target.ends_with("chunks"))
+                {
+                    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                    "chunked\r\n\r\n" +
+                                    std::string("1\r\n/\r\n0\r\n\r\n"));
+                    continue;
+                }
+                connection.send(
+                    whole_answer_text(target + std::string(request->body())));
+            }
+        });
+    running_server entry(pipelining(4, 1024));
+    entry.configure({upstream.port()});
+    std::mt19937 random(20261204);
+    for (int stream = 0; stream < 300; ++stream)
+    {
+        std::string text;
+        std::vector<std::string> expected;
+        std::size_t const count = 1 + random() % 8;
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            std::string const target =
+                "/s/" + std::to_string(stream) + "/" + std::to_string(number);
+            switch (random() % 4)
+            {
+            case 0:
+                text += post(target, "body");
+                expected.push_back(target + "body");
+                break;
+            case 1:
+                text += get(target + "chunks");
+                expected.emplace_back("/");
+                break;
+            default:
+                text += get(target);
+                expected.push_back(target);
+                break;
+            }
+        }
+        wire caller = entry.connect();
+        std::size_t const place = random() % text.size();
+        caller.send(text.substr(0, place));
+        std::this_thread::sleep_for(std::chrono::microseconds(random() % 500));
+        caller.send(text.substr(place));
+        for (std::string const& body : expected)
+        {
+            cr_assert_eq(body_of(caller), body);
+        }
+    }
+}
