Dispatch pipelined requests ahead of unanswered ones

A connection served one request at a time, so that requests behind a slow one used up their time unread. Answers are held in memory up to max_answer_bytes until their turn; a held answer that breaks off becomes a 502 and the connection goes on. With max_requests 1 nothing is parsed ahead and nothing is held.

The watch reads into bytes of its own: heads are taken out of the buffer while a read is under way, which would have moved the place that the read writes to. A body that is read on behalf of an exchange no longer refers to the connection by a bare pointer, since the exchange may still wait in it when the connection has ended.

Ruled out: a reader and a writer coroutine, which would share the parser of a request with a body.

--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -27,14 +27,14 @@
 /// Bytes of further requests that are taken while one is under way. A
 /// caller that sends more ahead is no longer watched for going away.
 constexpr std::size_t largest_ahead = std::size_t{16} << 10U;
-constexpr std::size_t read_size = 4096;
 
 } // namespace
 
 caller_connection::caller_connection(std::shared_ptr<server_core> owner,
                                      tcp_socket accepted)
     : core(std::move(owner)), socket(std::move(accepted)),
-      wake(this->core->place())
+      wake(this->core->place()),
+      window(this->core->settings().pipelining.max_requests)
 {
     error_code error;
     asio::ip::tcp::endpoint const peer = this->socket.remote_endpoint(error);
@@ -47,7 +47,6 @@
 
 caller_connection::~caller_connection()
 {
-    this->give_memory_back();
     this->core->forget(*this);
 }
 
@@ -105,10 +104,37 @@
         goes_on = co_await this->serve_one();
         this->serving = false;
     }
+    this->abandon_requests();
     this->cut();
 }
 
 task<bool> caller_connection::serve_one()
+{
+    bool goes_on = false;
+    if (this->requests.empty())
+    {
+        goes_on = co_await this->serve_next();
+    }
+    else
+    {
+        goes_on = co_await this->answer_request(this->requests.front());
+    }
+    // Without further requests, what remains is abandoned at the end.
+    if (goes_on)
+    {
+        std::shared_ptr<caller_request> const answered = this->requests.front();
+        this->requests.pop_front();
+        this->window.remove_first();
+        if (answered->carried != nullptr)
+        {
+            this->core->leave(answered->carried->number);
+        }
+        this->dispatch_ahead();
+    }
+    co_return goes_on;
+}
+
+task<bool> caller_connection::serve_next()
 {
     bool const begun = co_await this->wait_for_byte();
     if (!begun)
@@ -121,34 +147,52 @@
     {
         co_return false;
     }
-    std::string const target(this->parser->get().target());
-    bool const is_page =
-        this->core->settings().own_pages &&
-        (target == "/ready" || target.starts_with("/steering?"));
-    if (is_page)
+    std::shared_ptr<caller_request> const request =
+        std::exchange(this->next, nullptr);
+    std::optional<head_fault> const fault = check_head(*request);
+    if (fault.has_value())
     {
-        co_return co_await this->serve_page(target);
+        this->enqueue(request, false);
+        co_return co_await this->refuse(*request, fault->status, fault->title,
+                                        fault->detail);
     }
-    bool const goes_on = co_await this->carry();
-    if (this->current != nullptr)
+    if (this->is_page(*request))
     {
-        this->core->leave(this->current->number);
-        this->current = nullptr;
+        this->enqueue(request, false);
+        co_return co_await this->serve_page(request);
     }
-    this->give_memory_back();
-    co_return goes_on;
+    entry::request_arrived arrival;
+    entry::body_rules const rules = this->rules_for(*request, arrival);
+    this->enqueue(request, rules.idempotent);
+    co_return co_await this->carry(request, std::move(arrival), rules);
+}
+
+void caller_connection::enqueue(std::shared_ptr<caller_request> request,
+                                bool idempotent)
+{
+    request_window::traits traits;
+    // An HTTP/1.0 caller may hear an answer that only the connection's end
+    // ends, so nothing is dispatched behind its requests.
+    traits.idempotent = idempotent && request->version >= 11;
+    traits.received = request->parser.is_done();
+    traits.keeps_connection = request->keeps_connection;
+    this->window.add(traits);
+    this->requests.push_back(std::move(request));
 }
 
 task<bool> caller_connection::wait_for_byte()
 {
+    bool const begun = this->next != nullptr && this->next->begun;
     this->set_limit(this->core->caller_limits().idle_timeout);
-    while (this->buffer.size() == 0 && !this->gone && !this->timed_out)
+    while (!begun && this->buffer.size() == 0 && !this->gone &&
+           !this->timed_out)
     {
         this->start_watch();
         co_await this->wake.wait();
     }
     co_await this->end_watch();
-    co_return this->buffer.size() > 0 && this->socket.is_open();
+    co_return (begun || this->buffer.size() > 0) && !this->gone &&
+        this->socket.is_open();
 }
 
 task<void> caller_connection::end_watch()
@@ -166,39 +210,59 @@
     }
 }
 
-task<bool> caller_connection::read_head()
+std::shared_ptr<caller_request> caller_connection::begin_request()
 {
-    this->parser.emplace();
-    this->parser->header_limit(
+    std::shared_ptr<caller_request> request =
+        std::make_shared<caller_request>(this->core);
+    request->parser.header_limit(
         static_cast<std::uint32_t>(this->core->caller_limits().header_bytes));
-    this->parser->body_limit(boost::none);
-    this->version = 11;
-    this->head_only = false;
-    this->caller_keeps_alive = false;
+    request->parser.body_limit(boost::none);
+    return request;
+}
+
+task<bool> caller_connection::read_head()
+{
+    if (this->next == nullptr)
+    {
+        this->next = this->begin_request();
+    }
+    caller_request& request = *this->next;
+    request.begun = true;
+    if (request.parser.is_header_done() || request.head_error)
+    {
+        co_return true;
+    }
     this->set_limit(this->core->caller_limits().header_timeout);
     error_code error;
     co_await beast::http::async_read_header(this->socket, this->buffer,
-                                            *this->parser, to_task(error));
+                                            request.parser, to_task(error));
     this->clear_limit();
-    if (this->timed_out)
-    {
-        co_return co_await this->refuse(status::request_timeout,
-                                        "The request's head came too slowly.",
-                                        "Send the whole head at once.");
-    }
-    if (error == beast::http::error::header_limit)
+    request.late = this->timed_out;
+    request.head_error = error;
+    bool const ended =
+        error == beast::http::error::end_of_stream ||
+        error == beast::http::error::partial_message ||
+        (error && error.category() == asio::error::get_system_category());
+    co_return request.late || !ended;
+}
+
+std::optional<caller_connection::head_fault>
+caller_connection::check_head(caller_request& request)
+{
+    request.keeps_connection = false;
+    if (request.late)
     {
-        co_return co_await this->refuse(status::request_header_fields_too_large,
-                                        "The request's head is too large.",
-                                        "Send fewer headers.");
+        return head_fault{status::request_timeout,
+                          "The request's head came too slowly.",
+                          "Send the whole head at once."};
     }
-    if (error == beast::http::error::end_of_stream ||
-        error == beast::http::error::partial_message ||
-        (error && error.category() == asio::error::get_system_category()))
+    if (request.head_error == beast::http::error::header_limit)
     {
-        co_return false;
+        return head_fault{status::request_header_fields_too_large,
+                          "The request's head is too large.",
+                          "Send fewer headers."};
     }
-    request_message const& head = this->parser->get();
+    request_message const& head = request.parser.get();
     auto const lengths = head.equal_range(field::content_length);
     auto const frames = head.equal_range(field::transfer_encoding);
     // Two frames for one body could be read in two ways along the path, so
@@ -207,33 +271,41 @@
         std::distance(lengths.first, lengths.second) > 1 ||
         std::distance(frames.first, frames.second) > 1 ||
         (lengths.first != lengths.second && frames.first != frames.second) ||
-        (frames.first != frames.second && !this->parser->chunked());
-    if (error || ambiguous)
+        (frames.first != frames.second && !request.parser.chunked());
+    if (request.head_error || ambiguous)
     {
-        co_return co_await this->refuse(
+        return head_fault{
             status::bad_request, "The request is not valid HTTP/1.1.",
-            "Send one Content-Length, or Transfer-Encoding: chunked.");
+            "Send one Content-Length, or Transfer-Encoding: chunked."};
     }
-    this->version = head.version();
-    this->head_only = head.method() == beast::http::verb::head;
-    this->caller_keeps_alive = this->parser->keep_alive();
-    bool const unhosted = this->version >= 11 && head.count(field::host) != 1;
+    request.version = head.version();
+    request.head_only = head.method() == beast::http::verb::head;
+    bool const unhosted = request.version >= 11 && head.count(field::host) != 1;
     if (unhosted || head.target().empty() || head.target().front() != '/' ||
         head.method() == beast::http::verb::connect)
     {
-        this->caller_keeps_alive = false;
-        co_return co_await this->refuse(
+        return head_fault{
             status::bad_request, "The request cannot be carried.",
-            "Send one Host header and a target that starts with a slash.");
+            "Send one Host header and a target that starts with a slash."};
     }
-    co_return true;
+    request.keeps_connection = request.parser.keep_alive();
+    return std::nullopt;
 }
 
-task<bool> caller_connection::serve_page(std::string_view target)
+bool caller_connection::is_page(caller_request const& request) const
 {
-    if (!this->parser->is_done())
+    beast::string_view const target = request.parser.get().target();
+    return this->core->settings().own_pages &&
+           (target == "/ready" || target.starts_with("/steering?"));
+}
+
+task<bool>
+caller_connection::serve_page(std::shared_ptr<caller_request> request)
+{
+    std::string const target(request->parser.get().target());
+    if (!request->parser.is_done())
     {
-        co_return co_await this->refuse(status::payload_too_large,
+        co_return co_await this->refuse(*request, status::payload_too_large,
                                         "This page takes no body.",
                                         "Send it without one.");
     }
@@ -243,19 +315,108 @@
         whole_answer page =
             make_page(ready ? status::ok : status::service_unavailable,
                       ready ? R"({"ready":true})" : R"({"ready":false})");
-        co_return co_await this->write_whole(std::move(page), no_id);
+        co_return co_await this->write_whole(*request, std::move(page), no_id);
     }
-    std::string_view const query = target.substr(target.find('?') + 1);
+    std::string_view const query =
+        std::string_view(target).substr(target.find('?') + 1);
     whole_answer page =
         make_steering_page(this->core->decisions(), query, this->address,
                            this->core->settings().names);
-    co_return co_await this->write_whole(std::move(page), no_id);
+    co_return co_await this->write_whole(*request, std::move(page), no_id);
+}
+
+void caller_connection::note_received()
+{
+    // Nothing is dispatched behind a body that is still on its way, so the
+    // request that waits for one is the only one.
+    if (this->requests.size() == 1 && this->requests.front()->parser.is_done())
+    {
+        this->window.set_received();
+    }
 }
 
-bool caller_connection::keeps_alive() const
+bool caller_connection::begin_answer()
 {
-    return this->caller_keeps_alive && !this->core->closing() && !this->gone &&
-           this->parser.has_value() && this->parser->is_done();
+    this->note_received();
+    bool const keeps = this->window.begin_answer(this->core->closing());
+    return keeps && !this->gone;
+}
+
+/// Dispatches what may be dispatched behind unanswered requests.
+void caller_connection::dispatch_ahead()
+{
+    bool goes_on = true;
+    while (goes_on)
+    {
+        this->note_received();
+        goes_on = !this->gone && !this->requests.empty() &&
+                  this->requests.back()->dispatched &&
+                  this->window.has_room(this->core->closing());
+        if (goes_on && this->next == nullptr && this->buffer.size() > 0)
+        {
+            this->next = this->begin_request();
+        }
+        goes_on = goes_on && this->next != nullptr &&
+                  this->parse_ahead(*this->next) && this->dispatch_next();
+    }
+}
+
+/// True once the head is whole and can be parsed.
+bool caller_connection::parse_ahead(caller_request& request)
+{
+    while (!request.parser.is_header_done() && !request.head_error &&
+           this->buffer.size() > 0)
+    {
+        request.begun = true;
+        error_code error;
+        std::size_t const used = request.parser.put(this->buffer.data(), error);
+        this->buffer.consume(used);
+        if (error == beast::http::error::need_more)
+        {
+            return false;
+        }
+        request.head_error = error;
+    }
+    return request.parser.is_header_done() && !request.head_error;
+}
+
+/// True if the next request has been dispatched. One that has a fault, or
+/// that must not run ahead, is served when it is the first one.
+bool caller_connection::dispatch_next()
+{
+    std::shared_ptr<caller_request> const request = this->next;
+    if (request->waits_for_turn)
+    {
+        return false;
+    }
+    request->waits_for_turn = check_head(*request).has_value() ||
+                              this->is_page(*request) ||
+                              !request->parser.is_done();
+    if (request->waits_for_turn)
+    {
+        return false;
+    }
+    entry::request_arrived arrival;
+    entry::body_rules const rules = this->rules_for(*request, arrival);
+    request->waits_for_turn =
+        !this->window.admits(rules.idempotent, this->core->closing());
+    if (request->waits_for_turn ||
+        !request->memory.take(this->core->settings().piece))
+    {
+        return false;
+    }
+    if (!this->fill_request(*request, arrival, rules))
+    {
+        this->core->leave(request->carried->number);
+        request->carried = nullptr;
+        request->waits_for_turn = true;
+        return false;
+    }
+    this->next = nullptr;
+    this->enqueue(request, rules.idempotent);
+    ++this->core->counters().pipelined_requests;
+    this->send_on(request, std::move(arrival), rules);
+    return true;
 }
 
 void caller_connection::start_watch()
@@ -266,18 +427,21 @@
     }
     this->watching = true;
     this->socket.async_read_some(
-        this->buffer.prepare(read_size),
+        asio::buffer(this->arrived),
         [self = this->shared_from_this()](error_code error, std::size_t count)
         {
             self->watching = false;
-            self->buffer.commit(count);
+            self->buffer.commit(
+                asio::buffer_copy(self->buffer.prepare(count),
+                                  asio::buffer(self->arrived, count)));
             bool const ended_here = error == asio::error::operation_aborted &&
                                     self->socket.is_open();
             if (error && !ended_here)
             {
                 self->note_caller_gone();
             }
-            if (!error && self->current != nullptr)
+            self->dispatch_ahead();
+            if (!error && !self->requests.empty())
             {
                 self->start_watch();
             }
@@ -288,25 +452,39 @@
 void caller_connection::note_caller_gone()
 {
     this->gone = true;
-    if (this->current != nullptr)
+    for (std::shared_ptr<caller_request> const& request : this->requests)
     {
-        this->core->dispatch(entry::caller_gone{this->current->number});
+        if (request->carried != nullptr)
+        {
+            this->core->dispatch(entry::caller_gone{request->carried->number});
+        }
     }
 }
 
-bool caller_connection::take_memory(std::size_t count)
+/// Ends what has not been answered when the connection ends. The first
+/// request has been answered, or its answer has failed; it is cancelled
+/// only if its caller has left.
+void caller_connection::abandon_requests()
 {
-    if (!this->core->reserve(count))
+    if (this->requests.size() > 1)
     {
-        return false;
+        ++this->core->counters().connections_cut_short;
     }
-    this->memory_held += count;
-    return true;
-}
-
-void caller_connection::give_memory_back()
-{
-    this->core->unreserve(std::exchange(this->memory_held, 0));
+    bool first = true;
+    for (std::shared_ptr<caller_request> const& request : this->requests)
+    {
+        if (request->carried != nullptr)
+        {
+            if (!first || this->gone)
+            {
+                this->core->dispatch(
+                    entry::caller_gone{request->carried->number});
+            }
+            this->core->leave(request->carried->number);
+        }
+        first = false;
+    }
+    this->requests.clear();
 }
 
 } // namespace bilberrylead::http
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -3,11 +3,15 @@
 
 #include "bilberrylead/entry/body_rules.hpp"
 #include "bilberrylead/entry/event.hpp"
+#include "bilberrylead/http/caller_request.hpp"
 #include "bilberrylead/http/carried_request.hpp"
 #include "bilberrylead/http/net.hpp"
+#include "bilberrylead/http/request_window.hpp"
 #include "bilberrylead/http/wake_signal.hpp"
 
+#include <array>
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
@@ -19,9 +23,10 @@
 
 class server_core;
 
-/// One connection of a caller. Takes one request after the other and
-/// answers each before it looks at the next, so pipelined requests are
-/// answered in order. Keeps itself alive until the connection ends.
+/// One connection of a caller. Answers its requests in their order. While
+/// one is unanswered, idempotent requests behind it are dispatched within
+/// the window of the settings; any other waits until it is the first. Keeps
+/// itself alive until the connection ends.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
@@ -43,43 +48,73 @@
     /// True while a request has begun and its answer has not ended.
     bool busy() const
     {
-        return this->serving;
+        return this->serving || this->window.size() > 0;
     }
 
 private:
     /// For pages of this host's own, which are no carried request.
     static constexpr std::string_view no_id{};
 
+    /// What is wrong with a request's head.
+    struct head_fault
+    {
+        beast::http::status status{};
+        std::string_view title;
+        std::string_view detail;
+    };
+
     task<void> run();
     task<bool> serve_one();
+    task<bool> serve_next();
     task<bool> wait_for_byte();
     task<bool> read_head();
-    task<bool> serve_page(std::string_view target);
-    task<bool> carry();
-    bool fill_request(carried_request& carried, entry::request_arrived& arrival,
+    std::shared_ptr<caller_request> begin_request();
+    static std::optional<head_fault> check_head(caller_request& request);
+    bool is_page(caller_request const& request) const;
+    task<bool> serve_page(std::shared_ptr<caller_request> request);
+    void enqueue(std::shared_ptr<caller_request> request, bool idempotent);
+    void dispatch_ahead();
+    bool parse_ahead(caller_request& request);
+    bool dispatch_next();
+    entry::body_rules rules_for(caller_request& request,
+                                entry::request_arrived& arrival);
+    task<bool> carry(std::shared_ptr<caller_request> request,
+                     entry::request_arrived arrival, entry::body_rules rules);
+    bool fill_request(caller_request& request, entry::request_arrived& arrival,
                       entry::body_rules const& rules);
-    task<bool> read_body(carried_request& carried,
+    void send_on(std::shared_ptr<caller_request> const& request,
+                 entry::request_arrived arrival,
+                 entry::body_rules const& rules);
+    task<bool> read_body(std::shared_ptr<caller_request> request,
                          entry::body_rules const& rules);
-    task<bool> read_piece(std::span<char> piece, std::size_t& count);
-    task<std::size_t> read_rest(std::span<char> piece, error_code& error);
-    void frame_request(carried_request& carried);
-    task<bool> await_reply(carried_request& carried);
-    task<bool> write_reply(carried_request& carried);
-    task<bool> stream_answer(carried_request& carried,
+    task<bool> read_piece(caller_request& request, std::span<char> piece,
+                          std::size_t& count);
+    task<std::size_t> read_rest(request_parser& parser, std::span<char> piece,
+                                error_code& error);
+    static void frame_request(caller_request& request);
+    void take_reply(std::shared_ptr<caller_request> const& request);
+    task<void> hold_answer(std::shared_ptr<caller_request> request,
+                           std::shared_ptr<upstream_exchange> exchange);
+    bool grow_held(caller_request& request, upstream_exchange& exchange);
+    task<bool> answer_request(std::shared_ptr<caller_request> request);
+    task<bool> await_reply(caller_request& request);
+    task<bool> write_reply(caller_request& request);
+    task<bool> stream_answer(caller_request& request,
                              std::shared_ptr<upstream_exchange> exchange);
     task<void> wait_for_turn(std::size_t passed, std::size_t count);
-    task<bool> write_whole(whole_answer answer, std::string_view id);
-    task<bool> refuse(beast::http::status status, std::string_view title,
-                      std::string_view detail);
-    task<bool> refuse_body(error_code error);
-    task<bool> refuse_for_memory(carried_request& carried);
+    task<bool> write_whole(caller_request& request, whole_answer answer,
+                           std::string_view id);
+    task<bool> refuse(caller_request& request, beast::http::status status,
+                      std::string_view title, std::string_view detail);
+    task<bool> refuse_body(caller_request& request, error_code error);
+    task<bool> refuse_for_memory(caller_request& request);
     task<void> linger();
-    bool keeps_alive() const;
+    bool begin_answer();
+    void note_received();
     void start_watch();
     task<void> end_watch();
     void note_caller_gone();
-    bool take_memory(std::size_t count);
-    void give_memory_back();
+    void abandon_requests();
     void set_limit(duration longest);
     void clear_limit();
 
@@ -87,15 +122,16 @@
     tcp_socket socket;
     std::string address;
     beast::flat_buffer buffer;
-    std::optional<request_parser> parser;
+    // Bytes from the watch, which must not be read into the buffer itself:
+    // requests are taken out of the buffer meanwhile.
+    std::array<char, 4096> arrived;
     wake_signal wake;
     instant give_up_at = instant::max();
-    std::size_t memory_held = 0;
-    // The request under way, until its caller needs nothing more.
-    std::shared_ptr<carried_request> current;
-    unsigned version = 11;
-    bool head_only = false;
-    bool caller_keeps_alive = false;
+    // Those in the window, in the same order.
+    std::deque<std::shared_ptr<caller_request>> requests;
+    request_window window;
+    // The request behind them, as far as it has been read, or null.
+    std::shared_ptr<caller_request> next;
     bool timed_out = false;
     bool watching = false;
     bool gone = false;
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -6,6 +6,8 @@
 #include "bilberrylead/http/server_core.hpp"
 #include "bilberrylead/http/upstream_exchange.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -37,32 +39,137 @@
 
 } // namespace
 
-task<bool> caller_connection::await_reply(carried_request& carried)
+void caller_connection::take_reply(
+    std::shared_ptr<caller_request> const& request)
 {
-    while (std::holds_alternative<std::monostate>(carried.reply))
+    stream_reply const* const stream =
+        std::get_if<stream_reply>(&request->carried->reply);
+    // A request that is alone is streamed; where others wait behind it, a
+    // break-off must not cost them their connection.
+    if (stream != nullptr && this->requests.size() > 1 && !this->gone)
+    {
+        request->held.state = held_answer::progress::reading;
+        ++this->core->counters().answers_held;
+        asio::co_spawn(
+            this->core->place(),
+            [self = this->shared_from_this(), request,
+             exchange = stream->exchange]() -> task<void>
+            {
+                co_await self->hold_answer(request, exchange);
+            },
+            asio::detached);
+    }
+    this->wake.notify();
+}
+
+task<void>
+caller_connection::hold_answer(std::shared_ptr<caller_request> request,
+                               std::shared_ptr<upstream_exchange> exchange)
+{
+    held_answer& held = request->held;
+    bool goes_on = true;
+    while (goes_on)
+    {
+        if (!this->grow_held(*request, *exchange))
+        {
+            held.state = held_answer::progress::complete;
+            break;
+        }
+        error_code error;
+        std::size_t const count = co_await exchange->read_some(
+            std::span(held.bytes).subspan(held.size), error);
+        held.size += count;
+        if (error)
+        {
+            held.state = held_answer::progress::broken;
+            ++this->core->counters().held_answers_broken;
+            break;
+        }
+        held.whole = exchange->ended();
+        goes_on = !held.whole;
+    }
+    if (held.whole)
+    {
+        held.state = held_answer::progress::complete;
+    }
+    this->wake.notify();
+}
+
+/// False if there is room neither in the held answer nor for more of it.
+bool caller_connection::grow_held(caller_request& request,
+                                  upstream_exchange& exchange)
+{
+    held_answer& held = request.held;
+    std::size_t const largest =
+        this->core->settings().pipelining.max_answer_bytes;
+    std::size_t const old = held.bytes.size();
+    if (exchange.answer().is_done() || held.size < old)
+    {
+        return true;
+    }
+    // The length, if it is known, spares small answers a whole piece.
+    std::size_t const wanted =
+        static_cast<std::size_t>(exchange.answer().content_length().value_or(
+            std::max(2 * old, this->core->settings().piece)));
+    std::size_t const room = std::min(wanted, largest);
+    if (room <= old || !request.memory.take_for_answer(room - old))
+    {
+        return false;
+    }
+    held.bytes.reserve(room);
+    held.bytes.resize(room);
+    return true;
+}
+
+task<bool>
+caller_connection::answer_request(std::shared_ptr<caller_request> request)
+{
+    bool const replied = co_await this->await_reply(*request);
+    if (!replied)
+    {
+        co_return false;
+    }
+    co_return co_await this->write_reply(*request);
+}
+
+task<bool> caller_connection::await_reply(caller_request& request)
+{
+    bool open = true;
+    while (open)
     {
         // Only once the whole body is read is anything else on the way from
         // the caller a sign of its going.
-        if (this->parser->is_done())
+        if (request.parser.is_done())
         {
             this->start_watch();
         }
+        open = std::holds_alternative<std::monostate>(request.carried->reply) ||
+               request.held.state == held_answer::progress::reading;
         if (this->gone)
         {
             co_return false;
         }
-        co_await this->wake.wait();
+        if (open)
+        {
+            co_await this->wake.wait();
+        }
     }
     co_return !this->gone;
 }
 
-task<bool> caller_connection::write_reply(carried_request& carried)
+task<bool> caller_connection::write_reply(caller_request& request)
 {
-    http::reply const decided =
-        std::exchange(carried.reply, entry::answer_problem{});
+    carried_request& carried = *request.carried;
+    http::reply decided = std::exchange(carried.reply, entry::answer_problem{});
+    if (request.held.state == held_answer::progress::broken)
+    {
+        // Nothing of the answer has been sent, so the caller can be told.
+        decided = entry::answer_unknown{
+            carried.number, entry::refusal_reason::connection_lost, {}};
+    }
     if (stream_reply const* stream = std::get_if<stream_reply>(&decided))
     {
-        co_return co_await this->stream_answer(carried, stream->exchange);
+        co_return co_await this->stream_answer(request, stream->exchange);
     }
     whole_answer answer;
     std::visit(
@@ -80,13 +187,15 @@
             }
         },
         decided);
-    co_return co_await this->write_whole(std::move(answer), carried.id);
+    co_return co_await this->write_whole(request, std::move(answer),
+                                         carried.id);
 }
 
 task<bool>
-caller_connection::stream_answer(carried_request& carried,
+caller_connection::stream_answer(caller_request& request,
                                  std::shared_ptr<upstream_exchange> exchange)
 {
+    carried_request const& carried = *request.carried;
     answer_message answer;
     answer.base() = std::move(exchange->answer().get().base());
     strip_connection_headers(answer);
@@ -101,29 +210,49 @@
     {
         answer.set(names.request_id, carried.id);
     }
-    bool const bodyless = has_no_body(this->head_only, answer.result());
+    bool const bodyless = has_no_body(request.head_only, answer.result());
     bool const measured = exchange->answer().content_length().has_value();
     // An HTTP/1.0 caller knows no chunks: the end of the connection is the
     // end of the answer.
-    bool keep =
-        this->keeps_alive() && (bodyless || measured || this->version >= 11);
-    answer.version(this->version);
+    bool keep = this->begin_answer();
+    keep = keep && (bodyless || measured || request.version >= 11);
+    answer.version(request.version);
     answer.keep_alive(keep);
-    if (!bodyless && !measured && this->version >= 11)
+    if (!bodyless && !measured && request.version >= 11)
     {
         answer.chunked(true);
     }
     beast::http::response_serializer<beast::http::buffer_body> serializer{
         answer};
     std::size_t const size = this->core->settings().piece;
-    std::unique_ptr<char[]> const piece =
-        std::make_unique_for_overwrite<char[]>(size);
+    held_answer& held = request.held;
+    std::unique_ptr<char[]> piece;
+    if (!held.whole)
+    {
+        piece = std::make_unique_for_overwrite<char[]>(size);
+    }
     error_code error;
     std::size_t passed = 0;
-    do
+    bool more = true;
+    while (more)
     {
-        std::size_t const count =
-            co_await exchange->read_some({piece.get(), size}, error);
+        char* data = piece.get();
+        std::size_t count = 0;
+        if (passed < held.size)
+        {
+            data = held.bytes.data() + passed;
+            count = std::min(size, held.size - passed);
+            more = passed + count < held.size || !held.whole;
+        }
+        else if (held.whole)
+        {
+            more = false;
+        }
+        else
+        {
+            count = co_await exchange->read_some({data, size}, error);
+            more = !exchange->ended();
+        }
         if (error)
         {
             // The caller must see that its answer is not whole.
@@ -133,9 +262,9 @@
         }
         co_await this->wait_for_turn(passed, count);
         passed += count;
-        answer.body().data = count > 0 ? piece.get() : nullptr;
+        answer.body().data = count > 0 ? data : nullptr;
         answer.body().size = count;
-        answer.body().more = !exchange->ended();
+        answer.body().more = more;
         this->set_limit(this->core->settings().write_timeout);
         if (bodyless)
         {
@@ -157,7 +286,7 @@
             this->note_caller_gone();
             co_return false;
         }
-    } while (!exchange->ended());
+    }
     co_return keep;
 }
 
@@ -180,20 +309,21 @@
     }
 }
 
-task<bool> caller_connection::write_whole(whole_answer answer,
+task<bool> caller_connection::write_whole(caller_request& request,
+                                          whole_answer answer,
                                           std::string_view id)
 {
-    bool const keep = this->keeps_alive();
+    bool const keep = this->begin_answer();
     if (!id.empty())
     {
         answer.set(this->core->settings().names.request_id, id);
     }
-    answer.version(this->version);
+    answer.version(request.version);
     answer.keep_alive(keep);
     answer.content_length(answer.body().size());
     error_code error;
     this->set_limit(this->core->settings().write_timeout);
-    if (has_no_body(this->head_only, answer.result()))
+    if (has_no_body(request.head_only, answer.result()))
     {
         beast::http::response_serializer<beast::http::string_body> serializer{
             answer};
@@ -212,13 +342,14 @@
     co_return keep && !error;
 }
 
-task<bool> caller_connection::refuse(status code, std::string_view title,
+task<bool> caller_connection::refuse(caller_request& request, status code,
+                                     std::string_view title,
                                      std::string_view detail)
 {
     ++this->core->counters().bad_requests;
-    this->caller_keeps_alive = false;
+    this->window.close_after_first();
     whole_answer answer = make_refusal(code, title, detail);
-    co_return co_await this->write_whole(std::move(answer), no_id);
+    co_return co_await this->write_whole(request, std::move(answer), no_id);
 }
 
 task<void> caller_connection::linger()
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -91,76 +91,93 @@
 
 } // namespace
 
-task<bool> caller_connection::carry()
+entry::body_rules caller_connection::rules_for(caller_request& request,
+                                               entry::request_arrived& arrival)
 {
-    std::shared_ptr<carried_request> const carried = this->core->make_request();
-    this->current = carried;
-    entry::request_arrived arrival;
-    arrival.request = carried->number;
-    arrival.service = first_segment(this->parser->get().target());
-    arrival.host = host_without_port(this->parser->get()[field::host]);
-    arrival.path = path_of(this->parser->get().target());
-    arrival.customer_key = customer_key_of(
-        this->parser->get(), this->core->settings().names.customer_key);
-    entry::body_rules const rules = this->core->decisions().body_rules_for(
+    request_message const& head = request.parser.get();
+    arrival.service = first_segment(head.target());
+    arrival.host = host_without_port(head[field::host]);
+    arrival.path = path_of(head.target());
+    arrival.customer_key =
+        customer_key_of(head, this->core->settings().names.customer_key);
+    return this->core->decisions().body_rules_for(
         arrival.service, arrival.host, arrival.path, arrival.customer_key);
-    if (!this->fill_request(*carried, arrival, rules))
+}
+
+task<bool> caller_connection::carry(std::shared_ptr<caller_request> request,
+                                    entry::request_arrived arrival,
+                                    entry::body_rules rules)
+{
+    if (!this->fill_request(*request, arrival, rules))
     {
-        co_return co_await this->refuse(status::bad_request,
+        co_return co_await this->refuse(*request, status::bad_request,
                                         "The deadline is no number.",
                                         "Send whole milliseconds, 0 or more.");
     }
     std::size_t const needed =
         this->core->settings().piece +
         (rules.buffer_body ? this->core->settings().largest_collected : 0);
-    if (!this->take_memory(needed))
+    if (!request->memory.take(needed))
     {
-        co_return co_await this->refuse_for_memory(*carried);
+        co_return co_await this->refuse_for_memory(*request);
     }
-    if (rules.is_served && !this->parser->is_done())
+    if (rules.is_served && !request->parser.is_done())
     {
-        bool const whole = co_await this->read_body(*carried, rules);
+        bool const whole = co_await this->read_body(request, rules);
         if (!whole)
         {
             co_return false;
         }
     }
-    this->frame_request(*carried);
-    arrival.body_kept = carried->complete;
-    arrival.body_digest = rules.buffer_body ? content_digest(*carried) : 0;
+    this->send_on(request, std::move(arrival), rules);
+    this->dispatch_ahead();
+    co_return co_await this->answer_request(request);
+}
+
+void caller_connection::send_on(std::shared_ptr<caller_request> const& request,
+                                entry::request_arrived arrival,
+                                entry::body_rules const& rules)
+{
+    carried_request& carried = *request->carried;
+    frame_request(*request);
+    arrival.body_kept = carried.complete;
+    arrival.body_digest = rules.buffer_body ? content_digest(carried) : 0;
     arrival.digest = request_digest(
-        *carried, arrival.host,
-        header_of(this->parser->get(), this->core->settings().names.caller));
-    carried->replied = [self = std::weak_ptr(this->shared_from_this())]
+        carried, arrival.host,
+        header_of(request->parser.get(), this->core->settings().names.caller));
+    carried.replied =
+        [self = this->weak_from_this(), replied = std::weak_ptr(request)]
     {
-        if (std::shared_ptr<caller_connection> const connection = self.lock())
+        std::shared_ptr<caller_connection> const connection = self.lock();
+        std::shared_ptr<caller_request> const answered = replied.lock();
+        if (connection != nullptr && answered != nullptr)
         {
-            connection->wake.notify();
+            connection->take_reply(answered);
         }
     };
+    request->dispatched = true;
     this->core->dispatch(std::move(arrival));
-    bool const replied = co_await this->await_reply(*carried);
-    if (!replied)
-    {
-        co_return false;
-    }
-    co_return co_await this->write_reply(*carried);
 }
 
-task<bool> caller_connection::refuse_for_memory(carried_request& carried)
+task<bool> caller_connection::refuse_for_memory(caller_request& request)
 {
     whole_answer answer = make_answer(
-        entry::answer_not_run{carried.number, entry::refusal_reason::no_memory,
+        entry::answer_not_run{request.carried->number,
+                              entry::refusal_reason::no_memory,
                               this->core->settings().entry.retry_after},
         this->core->settings().names);
-    co_return co_await this->write_whole(std::move(answer), carried.id);
+    co_return co_await this->write_whole(request, std::move(answer),
+                                         request.carried->id);
 }
 
-bool caller_connection::fill_request(carried_request& carried,
+bool caller_connection::fill_request(caller_request& request,
                                      entry::request_arrived& arrival,
                                      entry::body_rules const& rules)
 {
-    request_message& head = this->parser->get();
+    request.carried = this->core->make_request();
+    carried_request& carried = *request.carried;
+    arrival.request = carried.number;
+    request_message& head = request.parser.get();
     header_names const& names = this->core->settings().names;
     arrival.caller_address = this->address;
     beast::string_view const caller = header_of(head, names.caller);
@@ -180,7 +197,7 @@
             return false;
         }
     }
-    this->parser->body_limit(rules.max_bytes);
+    request.parser.body_limit(rules.max_bytes);
     carried.message.base() = head.base();
     arrival.is_relayed = header_of(head, names.relayed) == "1";
     carried.customer_key = arrival.customer_key;
@@ -202,13 +219,14 @@
     return true;
 }
 
-void caller_connection::frame_request(carried_request& carried)
+void caller_connection::frame_request(caller_request& request)
 {
+    carried_request& carried = *request.carried;
     if (!carried.complete)
     {
         // A length that is known stays as it came; naming the coding, even
         // to switch it off, would remove it and leave a body without frame.
-        if (!this->parser->content_length().has_value())
+        if (!request.parser.content_length().has_value())
         {
             carried.message.chunked(true);
         }
@@ -220,18 +238,20 @@
     }
 }
 
-task<bool> caller_connection::read_body(carried_request& carried,
+task<bool> caller_connection::read_body(std::shared_ptr<caller_request> request,
                                         entry::body_rules const& rules)
 {
+    carried_request& carried = *request->carried;
     std::size_t const largest = rules.max_bytes;
     std::size_t const keep =
         rules.buffer_body ? largest
                           : std::min(largest, this->core->settings().kept_body);
-    if (this->parser->content_length().value_or(0) > largest)
+    if (request->parser.content_length().value_or(0) > largest)
     {
-        co_return co_await this->refuse_body(beast::http::error::body_limit);
+        co_return co_await this->refuse_body(*request,
+                                             beast::http::error::body_limit);
     }
-    if (beast::iequals(this->parser->get()[field::expect], "100-continue"))
+    if (beast::iequals(request->parser.get()[field::expect], "100-continue"))
     {
         static constexpr std::string_view go_on =
             "HTTP/1.1 100 Continue\r\n\r\n";
@@ -245,82 +265,95 @@
             co_return false;
         }
     }
-    while (!this->parser->is_done() && carried.kept.size() < keep)
+    while (!request->parser.is_done() && carried.kept.size() < keep)
     {
         std::size_t const old = carried.kept.size();
         std::size_t const more =
             std::min(this->core->settings().piece, keep - old);
-        if (!this->take_memory(more))
+        if (!request->memory.take(more))
         {
-            co_return co_await this->refuse_for_memory(carried);
+            co_return co_await this->refuse_for_memory(*request);
         }
         carried.kept.resize(old + more);
         std::size_t count = 0;
         bool const came = co_await this->read_piece(
-            std::span(carried.kept).subspan(old, more), count);
+            *request, std::span(carried.kept).subspan(old, more), count);
         if (!came)
         {
             co_return false;
         }
         carried.kept.resize(old + count);
     }
-    carried.complete = this->parser->is_done();
+    carried.complete = request->parser.is_done();
     if (!carried.complete)
     {
-        carried.read_rest = [this](std::span<char> piece, error_code& error)
+        // The exchange may still be in it when the connection has ended.
+        carried.read_rest =
+            [self = this->weak_from_this(), read = std::weak_ptr(request)](
+                std::span<char> piece, error_code& error) -> task<std::size_t>
         {
-            return this->read_rest(piece, error);
+            std::shared_ptr<caller_connection> const connection = self.lock();
+            std::shared_ptr<caller_request> const owner = read.lock();
+            if (connection == nullptr || owner == nullptr)
+            {
+                error = asio::error::operation_aborted;
+                co_return 0;
+            }
+            co_return co_await connection->read_rest(owner->parser, piece,
+                                                     error);
         };
     }
     co_return true;
 }
 
-task<bool> caller_connection::read_piece(std::span<char> piece,
+task<bool> caller_connection::read_piece(caller_request& request,
+                                         std::span<char> piece,
                                          std::size_t& count)
 {
     error_code error;
     this->set_limit(this->core->settings().body_timeout);
-    count = co_await this->read_rest(piece, error);
+    count = co_await this->read_rest(request.parser, piece, error);
     this->clear_limit();
     if (!error)
     {
         co_return true;
     }
-    co_return co_await this->refuse_body(error);
+    co_return co_await this->refuse_body(request, error);
 }
 
-task<std::size_t> caller_connection::read_rest(std::span<char> piece,
+task<std::size_t> caller_connection::read_rest(request_parser& parser,
+                                               std::span<char> piece,
                                                error_code& error)
 {
     std::size_t count = 0;
     error = {};
-    while (count == 0 && !this->parser->is_done() && !error)
+    while (count == 0 && !parser.is_done() && !error)
     {
-        this->parser->get().body().data = piece.data();
-        this->parser->get().body().size = piece.size();
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
         co_await beast::http::async_read_some(this->socket, this->buffer,
-                                              *this->parser, to_task(error));
+                                              parser, to_task(error));
         if (error == beast::http::error::need_buffer)
         {
             error = {};
         }
-        count = piece.size() - this->parser->get().body().size;
+        count = piece.size() - parser.get().body().size;
     }
     co_return count;
 }
 
-task<bool> caller_connection::refuse_body(error_code error)
+task<bool> caller_connection::refuse_body(caller_request& request,
+                                          error_code error)
 {
-    this->caller_keeps_alive = false;
     if (this->timed_out)
     {
-        co_return co_await this->refuse(status::request_timeout,
+        co_return co_await this->refuse(request, status::request_timeout,
                                         "The request's body came too slowly.",
                                         "Send it again, faster.");
     }
     if (error == beast::http::error::body_limit)
     {
-        co_return co_await this->refuse(status::payload_too_large,
+        co_return co_await this->refuse(request, status::payload_too_large,
                                         "The request's body is too large.",
                                         "Send a smaller one.");
     }
@@ -329,7 +362,7 @@
     {
         co_return false;
     }
-    co_return co_await this->refuse(status::bad_request,
+    co_return co_await this->refuse(request, status::bad_request,
                                     "The request's body is not valid.",
                                     "Check the lengths of its chunks.");
 }
--- a/bilberrylead/http/http_counters.hpp
+++ b/bilberrylead/http/http_counters.hpp
@@ -26,6 +26,19 @@
     std::uint64_t pieces_paced = 0;
     /// Time that they waited, all together.
     duration paced{};
+    /// Requests dispatched while an earlier one of their connection was
+    /// unanswered.
+    std::uint64_t pipelined_requests = 0;
+    /// Answers held in memory until their turn.
+    std::uint64_t answers_held = 0;
+    /// Held answers that broke off and were replaced by an error.
+    std::uint64_t held_answers_broken = 0;
+    /// Gauge: bytes reserved for held answers now.
+    std::size_t held_answer_bytes = 0;
+    /// The most that were reserved at one time since the start.
+    std::size_t held_answer_bytes_peak = 0;
+    /// Connections that ended with dispatched requests behind the first.
+    std::uint64_t connections_cut_short = 0;
     /// Connections to upstreams that were opened.
     std::uint64_t upstream_opened = 0;
     /// Exchanges that used a connection kept from an earlier one.
