--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -225,6 +225,27 @@
     builder.counter("bilberry_entry_answers_of_others_total",
                     "Answers that carried another request's id.",
                     counters.answers_of_others);
+    builder.counter("bilberry_entry_pipelined_requests_total",
+                    "Requests dispatched while an earlier one of their "
+                    "connection was unanswered.",
+                    counters.pipelined_requests);
+    builder.counter("bilberry_entry_answers_held_total",
+                    "Answers held in memory until their turn.",
+                    counters.answers_held);
+    builder.counter("bilberry_entry_held_answers_broken_total",
+                    "Held answers that broke off; their callers got a 502.",
+                    counters.held_answers_broken);
+    builder.gauge("bilberry_entry_held_answer_bytes",
+                  "Bytes reserved for held answers now.",
+                  static_cast<double>(counters.held_answer_bytes));
+    builder.gauge("bilberry_entry_held_answer_bytes_peak",
+                  "The most that were reserved for held answers at one time "
+                  "since the start.",
+                  static_cast<double>(counters.held_answer_bytes_peak));
+    builder.counter("bilberry_entry_connections_cut_short_total",
+                    "Connections that ended with dispatched requests behind "
+                    "the first unanswered one.",
+                    counters.connections_cut_short);
     builder.counter("bilberry_entry_load_reports_unreadable_total",
                     "Load reports of upstreams that could not be parsed",
                     counters.load_reports_unreadable);
