--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -8,6 +8,7 @@
 #include "bilberrylead/config/entry_limits.hpp"
 #include "bilberrylead/config/host_address.hpp"
 #include "bilberrylead/config/object_homes.hpp"
+#include "bilberrylead/config/pipelining_limits.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/retry_bounds.hpp"
 #include "bilberrylead/config/waiting_place.hpp"
@@ -88,6 +89,8 @@
     std::uint32_t remembered_objects = 12;
     /// Whose requests are admitted while capacity is insufficient.
     admission_mode admission = admission_mode::none;
+    /// How far it works ahead on one caller connection.
+    pipelining_limits pipelining;
     /// The lowest level that is logged.
     log_level lowest_log_level = log_level::info;
 
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -78,6 +78,15 @@
 inline constexpr std::array<std::string_view, 2> operator_trust_names = {
     "by_key", "by_network"};
 
+/// Fields of how far an entry host works ahead on a connection.
+template <class Visitor>
+void visit_fields(Visitor& visitor, pipelining_limits& value)
+{
+    visitor.number("max_requests", value.max_requests, {1, 256});
+    visitor.number("max_answer_bytes", value.max_answer_bytes,
+                   {1'024, 16'777'216});
+}
+
 /// Fields of what may be sent beyond first tries.
 template <class Visitor>
 void visit_fields(Visitor& visitor, retry_bounds& value)
@@ -174,6 +183,7 @@
                  std::chrono::milliseconds(0), std::chrono::milliseconds(1000));
     visitor.number("remembered_objects", value.remembered_objects, {1, 10'000});
     visitor.choice("admission", value.admission, admission_mode_names);
+    visitor.section("pipelining", value.pipelining);
 }
 
 } // namespace bilberrylead::config
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -45,6 +45,7 @@
   "limits": {"requests": 100, "header_timeout_ms": 500},
   "object_homes": "zone", "zone_crossing_cost_ms": 30,
   "remembered_objects": 48
+  "pipelining": {"max_requests": 16, "max_answer_bytes": 32768}
 })";
 
 /// One bad settings text and what the error says.
@@ -120,6 +121,26 @@
      "10000."},
     {"\"remembered_objects\": 48", "\"remembered_objects\": 10001",
      error_kind::bad_value, "remembered_objects: 10001 is out of range."},
+    {"\"max_requests\": 16", "\"max_requests\": 0", error_kind::bad_value,
+     "pipelining.max_requests: 0 is out of range. Write a whole number from 1 "
+     "to 256."},
+    {"\"max_requests\": 16", "\"max_requests\": 257", error_kind::bad_value,
+     "pipelining.max_requests: 257 is out of range. Write a whole number from "
+     "1 to 256."},
+    {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 1023",
+     error_kind::bad_value,
+     "pipelining.max_answer_bytes: 1023 is out of range. Write a whole number "
+     "from "
+     "1024 to 16777216."},
+    {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 16777217",
+     error_kind::bad_value,
+     "pipelining.max_answer_bytes: 16777217 is out of range. Write a whole "
+     "number from "
+     "1024 to 16777216."},
+    {"\"max_answer_bytes\": 32768", "\"max_answers\": 32768",
+     error_kind::unknown_field,
+     "pipelining.max_answers: This field is not "
+     "known."},
 };
 
 template <class Parse>
@@ -211,3 +232,29 @@
     cr_assert_neq(message.find("peer_key"), std::string::npos);
     cr_assert_eq(message.find("hunter2"), std::string::npos);
 }
+
+Test(settings, pipelining_when_parsed_gives_its_values)
+{
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(entry_text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert_eq(value->pipelining.max_requests, 16U);
+    cr_assert_eq(value->pipelining.max_answer_bytes, 32768U);
+}
+
+// A host whose settings do not name pipelining must serve one request of a
+// connection after the other.
+Test(settings, pipelining_when_absent_is_off)
+{
+    std::string text = entry_text;
+    std::string const part = ",\n  \"pipelining\": {\"max_requests\": 16, "
+                             "\"max_answer_bytes\": 32768}";
+    std::size_t const place = text.find(part);
+    cr_assert_neq(place, std::string::npos);
+    text.erase(place, part.size());
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_assert_eq(value->pipelining.max_requests, 1U);
+    cr_assert_eq(value->pipelining.max_answer_bytes, 65536U);
+}
