Stand-in upstreams report their speed and slow down for moments

Cause: no test over the real programs could send the fourth figure of a load report, nor slow an upstream down for less than a second, so that the use of the figure was seen in a model only.

moment_period_ms, moment_share_percent and moment_percent draw the speed anew from the seed; work that spans several moments changes its speed with them. load_figures says how many figures Bilberry-Load has; 0, the default, sends no header. Entry hosts with the product's own header names read it. All defaults keep the behaviour of before.

--- a/bilberrylead/daemon/own_entry_adapter.cpp
+++ b/bilberrylead/daemon/own_entry_adapter.cpp
@@ -10,7 +10,9 @@
 
 http::header_names own_entry_adapter::names()
 {
-    return {};
+    http::header_names names;
+    names.load = "Bilberry-Load";
+    return names;
 }
 
 absl::StatusOr<accepted_revision>
--- a/bilberrylead/load/stand_in_behaviour.cpp
+++ b/bilberrylead/load/stand_in_behaviour.cpp
@@ -32,6 +32,9 @@
                  milliseconds(hours(1)));
     visitor.number("cold_percent", value.cold_percent, {1, most_percent});
     visitor.number("slow_percent", value.slow_percent, {1, most_percent});
+    visitor.time("moment_period_ms", value.moment_period, milliseconds(0),
+                 milliseconds(hours(1)));
+    visitor.number("moment_percent", value.moment_percent, {1, most_percent});
     visitor.time("load_lag_ms", value.load_lag, milliseconds(0),
                  milliseconds(hours(1)));
     visitor.time("late_ms", value.late, milliseconds(0),
@@ -43,6 +46,8 @@
 template <class Visitor, class Value>
 void visit_shares(Visitor& visitor, Value& value)
 {
+    visitor.number("moment_share_percent", value.moment_share_percent,
+                   {0, whole_share});
     visitor.number("shed_percent", value.shed_percent, {0, whole_share});
     visitor.number("late_percent", value.late_percent, {0, whole_share});
     visitor.number("swap_percent", value.swap_percent, {0, whole_share});
@@ -61,6 +66,7 @@
     visitor.number("queue", value.queue, {0, 1'000'000});
     visit_times(visitor, value);
     visit_shares(visitor, value);
+    visitor.number("load_figures", value.load_figures, {0, 4});
     visitor.number("load_shown_percent", value.load_shown_percent,
                    {0, most_percent});
     visitor.optional("load_answers", value.load_answers);
--- a/bilberrylead/load/stand_in_behaviour.hpp
+++ b/bilberrylead/load/stand_in_behaviour.hpp
@@ -34,6 +34,16 @@
     std::uint32_t cold_percent = 300;
     /// Service time against usual; 500 is five times slower.
     std::uint32_t slow_percent = 100;
+    /// How often its speed is drawn anew; 0: it has no slow moments.
+    duration moment_period{};
+    /// Share of these periods in which it is slow.
+    std::uint32_t moment_share_percent = 0;
+    /// Service time in a slow moment against usual.
+    std::uint32_t moment_percent = 250;
+    /// Figures of the load header of every answer: running, waiting, slots,
+    /// and service time against usual in percent. 0: no header; 1 and 2 are
+    /// unreadable.
+    std::uint32_t load_figures = 0;
     /// Age of what the load endpoint shows.
     duration load_lag{};
     /// What the load endpoint shows of the slots really in use.
--- a/bilberrylead/load/stand_in_connection.hpp
+++ b/bilberrylead/load/stand_in_connection.hpp
@@ -84,6 +84,7 @@
                                             serializer_type& serializer);
     void fill_header(request_type const& request, answer const& value,
                      response_type& response) const;
+    void add_load(boost::beast::http::fields& fields) const;
     boost::asio::awaitable<void> pause_until(instant until);
     boost::asio::awaitable<void> swallow();
 
--- a/bilberrylead/load/stand_in_connection_write.cpp
+++ b/bilberrylead/load/stand_in_connection_write.cpp
@@ -46,6 +46,15 @@
 
 } // namespace
 
+void stand_in_connection::add_load(http::fields& fields) const
+{
+    std::string const load = this->upstream->model.load_header(clock_now());
+    if (!load.empty())
+    {
+        fields.set(to_beast(load_header), load);
+    }
+}
+
 asio::awaitable<bool>
 stand_in_connection::write_text(request_type const& request, unsigned status,
                                 std::string_view body)
@@ -55,6 +64,7 @@
     response.result(status);
     response.set(http::field::content_type, "application/json");
     response.keep_alive(request.keep_alive());
+    this->add_load(response);
     response.body() = body;
     response.prepare_payload();
     beast::error_code error;
@@ -109,6 +119,7 @@
     {
         response.set(to_beast(limit_header), std::to_string(limit));
     }
+    this->add_load(response);
     bool const leaving = this->upstream->model.behaviour.leaving;
     if (leaving)
     {
--- a/bilberrylead/load/upstream_model.cpp
+++ b/bilberrylead/load/upstream_model.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/load/upstream_model.hpp"
 
+#include "bilberrylead/policy/generator.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -25,8 +27,9 @@
 } // namespace
 
 upstream_model::upstream_model(stand_in_behaviour const& initial,
-                               std::uint64_t seed, instant now)
-    : behaviour(initial), random(seed), started_at(now), last_arrival(now)
+                               std::uint64_t initial_seed, instant now)
+    : behaviour(initial), seed(initial_seed), random(initial_seed),
+      started_at(now), last_arrival(now)
 {
     this->note_load(now);
 }
@@ -135,7 +138,59 @@
         this->behaviour.service_time * drawn);
     work = scaled(work, this->behaviour.slow_percent);
     bool const cold = now < this->started_at + this->behaviour.cold_start;
-    return cold ? scaled(work, this->behaviour.cold_percent) : work;
+    return this->through_moments(
+        cold ? scaled(work, this->behaviour.cold_percent) : work, now);
+}
+
+std::uint32_t upstream_model::run_time_percent(instant now) const
+{
+    duration const period = this->behaviour.moment_period;
+    if (period <= duration::zero())
+    {
+        return whole;
+    }
+    std::uint64_t const moment =
+        static_cast<std::uint64_t>((now - this->started_at) / period);
+    policy::generator draw(this->seed ^ policy::generator(moment).next());
+    return draw.below(whole) < this->behaviour.moment_share_percent
+               ? this->behaviour.moment_percent
+               : whole;
+}
+
+/// Time that the work takes from now on while the speed changes.
+duration upstream_model::through_moments(duration work, instant now) const
+{
+    duration const period = this->behaviour.moment_period;
+    if (period <= duration::zero())
+    {
+        return work;
+    }
+    instant at = now;
+    while (true)
+    {
+        std::uint32_t const percent = this->run_time_percent(at);
+        duration const left = period - (at - this->started_at) % period;
+        duration const needed = scaled(work, percent);
+        if (needed <= left)
+        {
+            return at + needed - now;
+        }
+        at += left;
+        work -= left * whole / percent;
+    }
+}
+
+std::string upstream_model::load_header(instant now) const
+{
+    std::string text;
+    std::uint32_t const figures[] = {this->in_use, this->waiting,
+                                     this->behaviour.slots,
+                                     this->run_time_percent(now)};
+    for (std::uint32_t index = 0; index < this->behaviour.load_figures; ++index)
+    {
+        text += fmt::format("{}{}", index == 0 ? "" : ",", figures[index]);
+    }
+    return text;
 }
 
 void upstream_model::note_load(instant now)
--- a/bilberrylead/load/upstream_model.hpp
+++ b/bilberrylead/load/upstream_model.hpp
@@ -100,6 +100,10 @@
     /// Counts a deadline that passed.
     void expired();
 
+    /// Time that work takes at that moment against usual, in percent.
+    std::uint32_t run_time_percent(instant now) const;
+    /// Value of the load header; empty if it sends none.
+    std::string load_header(instant now) const;
     /// The load endpoint's JSON, as late and as wrong as it is told to be.
     std::string load_report(instant now);
     /// The statistics endpoint's JSON; `wall` is now by the wall clock.
@@ -118,8 +122,10 @@
 
     bool draw(std::uint32_t percent);
     duration draw_work(instant now);
+    duration through_moments(duration work, instant now) const;
     void note_load(instant now);
 
+    std::uint64_t seed;
     std::mt19937_64 random;
     instant started_at;
     instant last_arrival;
--- a/bilberrylead/load/wire.hpp
+++ b/bilberrylead/load/wire.hpp
@@ -22,6 +22,10 @@
 inline constexpr std::string_view leaving_header = "Bilberry-Leaving";
 /// On any answer of an upstream: requests a second that it takes.
 inline constexpr std::string_view limit_header = "Bilberry-Limit";
+/// On any answer of an upstream: running, waiting, slots, run time in percent.
+inline constexpr std::string_view load_header = "Bilberry-Load";
+/// Identifies the customer of a request.
+inline constexpr std::string_view customer_key_header = "Bilberry-Key";
 /// XXH3 of an answer's body in hexadecimal.
 inline constexpr std::string_view digest_header = "Bilberry-Digest";
 /// On a final answer of an entry host: done, not-run or unknown.
--- a/tests/unit/load/upstream_model_test.cpp
+++ b/tests/unit/load/upstream_model_test.cpp
@@ -125,3 +125,53 @@
     model.connection_closed();
     cr_assert(model.connection_opened());
 }
+
+// Guards against a stand-in whose reported speed is not the one that its work
+// has: callers of the figure would be measured against noise.
+Test(upstream_model, work_in_slow_moments_takes_as_long_as_reported)
+{
+    stand_in_behaviour value = two_slots();
+    value.service_time = milliseconds(10);
+    value.moment_period = milliseconds(600);
+    value.moment_share_percent = 15;
+    value.load_figures = 4;
+    upstream_model model(value, 1, start);
+    int slow = 0;
+    constexpr int moments = 2000;
+    for (int moment = 0; moment < moments; ++moment)
+    {
+        instant const now = start + moment * value.moment_period;
+        bool const is_slow = model.run_time_percent(now) == 250;
+        slow += is_slow ? 1 : 0;
+        duration const work = model.start("a", "", now).work;
+        cr_assert(work == (is_slow ? milliseconds(25) : milliseconds(10)));
+        cr_assert_str_eq(model.load_header(now).c_str(),
+                         is_slow ? "0,0,2,250" : "0,0,2,100");
+    }
+    cr_assert(slow > moments / 10 && slow < moments / 5, "%d", slow);
+}
+
+// Guards against work that keeps the speed of its start after the moment.
+Test(upstream_model, work_over_several_moments_changes_its_speed)
+{
+    stand_in_behaviour value = two_slots();
+    value.service_time = milliseconds(1000);
+    value.moment_period = milliseconds(100);
+    value.moment_share_percent = 50;
+    value.moment_percent = 200;
+    upstream_model model(value, 1, start);
+    duration const work = model.start("a", "", start).work;
+    cr_assert(work > milliseconds(1000) && work < milliseconds(2000));
+}
+
+Test(upstream_model, load_header_has_as_many_figures_as_it_is_told)
+{
+    stand_in_behaviour value = two_slots();
+    upstream_model model(value, 1, start);
+    cr_assert(model.load_header(start).empty());
+    model.arrive(start);
+    model.behaviour.load_figures = 3;
+    cr_assert_str_eq(model.load_header(start).c_str(), "1,0,2");
+    model.behaviour.load_figures = 2;
+    cr_assert_str_eq(model.load_header(start).c_str(), "1,0");
+}
