Load tool: pipelined requests and customers' keys

Cause: callers of the load tool waited for an answer before they sent the next request on a connection, and sent no customer's key, so that neither pipelining nor limits and ranks of customers could be loaded.

pipeline_depth of a profile lets idempotent requests without a body be sent while up to that many are unanswered on a connection. Answers are read in the order of the requests and checked byte by byte: one out of order or missing counts as not_own, one that comes twice as that or in surplus_answers. customers gives requests keys in shares. Without them plans and behaviour are as before; exchange() only gave its two halves names.

--- a/bilberrylead/load/caller_exchange.cpp
+++ b/bilberrylead/load/caller_exchange.cpp
@@ -35,9 +35,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/// How long after its deadline a caller still waits, to tell a late answer
-/// from none.
-constexpr std::chrono::seconds patience(5);
 constexpr std::chrono::seconds connect_timeout(3);
 /// Longest silence within an answer that has begun.
 constexpr std::chrono::seconds progress_timeout(30);
@@ -60,6 +57,10 @@
     std::chrono::milliseconds const left =
         std::chrono::ceil<std::chrono::milliseconds>(given.deadline);
     request.set(to_beast(deadline_header), std::to_string(left.count()));
+    if (!given.customer_key.empty())
+    {
+        request.set(to_beast(customer_key_header), given.customer_key);
+    }
     if (!given.key.empty())
     {
         request.set(to_beast(idempotency_header), given.key);
@@ -178,6 +179,40 @@
 
 } // namespace
 
+asio::awaitable<bool> send_request(caller_connection& connection,
+                                   exchange_request const& request)
+{
+    beast::error_code error;
+    http::request<http::string_body> message = make_request(request);
+    co_await http::async_write(
+        connection.stream, message,
+        asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+asio::awaitable<received_answer> receive_answer(caller_connection& connection,
+                                                exchange_request const& request)
+{
+    received_answer received;
+    beast::error_code error;
+    answer_parser parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    co_await http::async_read_header(
+        connection.stream, connection.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+    {
+        received.timed_out = error == beast::error::timeout;
+        co_return received;
+    }
+    received.has_head = true;
+    received.result.status = parser.get().result_int();
+    received.result.come_back = come_back_of(parser);
+    received.result.kind = co_await read_body(connection, parser, request);
+    received.is_open = parser.is_done() && parser.get().keep_alive();
+    co_return received;
+}
+
 asio::awaitable<exchange_result> exchange(caller_connections& connections,
                                           connection_path const& path,
                                           exchange_request const& request)
@@ -190,33 +225,23 @@
         result.kind = answer_kind::no_connection;
         co_return result;
     }
-    beast::error_code error;
-    http::request<http::string_body> message = make_request(request);
-    connection->stream.expires_after(request.deadline + patience);
-    co_await http::async_write(
-        connection->stream, message,
-        asio::redirect_error(asio::use_awaitable, error));
-    answer_parser parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    if (!error)
+    connection->stream.expires_after(request.deadline + late_answer_wait);
+    bool const is_sent = co_await send_request(*connection, request);
+    received_answer received;
+    if (is_sent)
     {
-        co_await http::async_read_header(
-            connection->stream, connection->buffer, parser,
-            asio::redirect_error(asio::use_awaitable, error));
+        received = co_await receive_answer(*connection, request);
     }
-    if (error)
+    result = received.result;
+    if (!received.has_head)
     {
-        result.stale_connection =
-            connection->used && error != beast::error::timeout;
+        result.stale_connection = connection->used && !received.timed_out;
         co_return result;
     }
-    result.status = parser.get().result_int();
-    result.come_back = come_back_of(parser);
-    result.kind = co_await read_body(*connection, parser, request);
     // Bytes beyond the answer belong to no request of ours: a doubled
     // answer. Such a connection must not be used again.
-    bool const clean = parser.is_done() && connection->buffer.size() == 0;
-    if (clean && parser.get().keep_alive() && request.keep_alive)
+    bool const clean = connection->buffer.size() == 0;
+    if (clean && received.is_open && request.keep_alive)
     {
         connections.give_back(path, std::move(connection));
     }
--- a/bilberrylead/load/caller_exchange.hpp
+++ b/bilberrylead/load/caller_exchange.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -14,6 +15,10 @@
 namespace bilberrylead::load
 {
 
+/// How long after its deadline a caller still waits, to tell a late answer
+/// from none.
+inline constexpr std::chrono::seconds late_answer_wait(5);
+
 /// What one attempt sends and what it must get back.
 struct exchange_request
 {
@@ -27,6 +32,8 @@
     bool repeated = false;
     /// Who sends it.
     std::string caller;
+    /// Key of the customer that it is sent for; empty sends none.
+    std::string customer_key;
     /// Length of its body; 0 sends a GET.
     std::size_t request_bytes = 0;
     /// Length that a "done" answer must have.
@@ -57,6 +64,29 @@
 exchange(caller_connections& connections, connection_path const& path,
          exchange_request const& request);
 
+/// Sends a request over a connection; false if it failed. The stream's
+/// timeout must be set.
+boost::asio::awaitable<bool> send_request(caller_connection& connection,
+                                          exchange_request const& request);
+
+/// An answer that was read from a connection.
+struct received_answer
+{
+    /// What the caller sees; `stale_connection` is not set.
+    exchange_result result;
+    /// True if a head was read.
+    bool has_head = false;
+    /// True if nothing was read before the stream's timeout.
+    bool timed_out = false;
+    /// True if it was read to its end and the connection stays open.
+    bool is_open = false;
+};
+
+/// Reads and checks the answer to a request that was sent. The stream's
+/// timeout applies to the head.
+boost::asio::awaitable<received_answer>
+receive_answer(caller_connection& connection, exchange_request const& request);
+
 /// Fetches a page of text; empty if it cannot be had in time.
 boost::asio::awaitable<std::string> fetch(caller_connections& connections,
                                           connection_path const& path,
--- a/bilberrylead/load/load_profile.cpp
+++ b/bilberrylead/load/load_profile.cpp
@@ -52,6 +52,14 @@
     visitor.number("heavy_percent", value.heavy_percent, {0, whole_share});
 }
 
+/// Fields of one customer.
+template <class Visitor>
+void visit_fields(Visitor& visitor, customer_share& value)
+{
+    visitor.required("key", value.key);
+    visitor.number("weight", value.weight, {1, 1'000'000});
+}
+
 /// Fields of one burst.
 template <class Visitor>
 void visit_fields(Visitor& visitor, load_burst& value)
@@ -75,8 +83,10 @@
     visitor.number("come_back_percent", value.come_back_percent,
                    {0, whole_share});
     visitor.number("most_come_backs", value.most_come_backs, {0, 1'000});
+    visitor.number("pipeline_depth", value.pipeline_depth, {1, 256});
     visitor.list("requests", value.requests);
     visitor.list("callers", value.callers);
+    visitor.list("customers", value.customers);
     visitor.list("bursts", value.bursts);
 }
 
--- a/bilberrylead/load/load_profile.hpp
+++ b/bilberrylead/load/load_profile.hpp
@@ -65,6 +65,18 @@
     friend bool operator==(caller_group const&, caller_group const&) = default;
 };
 
+/// A customer whose key requests carry.
+struct customer_share
+{
+    /// Its key.
+    std::string key;
+    /// Its share of all requests against the other customers'.
+    std::uint32_t weight = 1;
+
+    friend bool operator==(customer_share const&,
+                           customer_share const&) = default;
+};
+
 /// A time with another rate.
 struct load_burst
 {
@@ -93,10 +105,15 @@
     std::uint32_t come_back_percent = 80;
     /// How often one request comes back.
     std::uint32_t most_come_backs = 2;
+    /// Requests that may be unanswered on one connection: idempotent ones
+    /// without a body are sent before the earlier ones are answered. 1: none.
+    std::uint32_t pipeline_depth = 1;
     /// The mix; at least one.
     std::vector<request_kind> requests;
     /// Who sends; at least one.
     std::vector<caller_group> callers;
+    /// Customers whose keys the requests carry; none: no keys.
+    std::vector<customer_share> customers;
     /// Times with another rate; they may overlap.
     std::vector<load_burst> bursts;
 
--- a/bilberrylead/load/load_run.cpp
+++ b/bilberrylead/load/load_run.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/load/caller_connections.hpp"
 #include "bilberrylead/load/caller_exchange.hpp"
 #include "bilberrylead/load/caller_steering.hpp"
+#include "bilberrylead/load/pipelined_connections.hpp"
 #include "bilberrylead/load/request_life.hpp"
 #include "bilberrylead/load/request_plan.hpp"
 
@@ -36,6 +37,7 @@
     load_runner(load_profile const& given, load_run_settings const& more)
         : profile(&given), settings(&more),
           connections(this->context.get_executor()),
+          pipelined(this->connections, given.pipeline_depth),
           steering(this->connections, more.steering, this->result.tally)
     {
     }
@@ -46,6 +48,7 @@
         asio::co_spawn(this->context, this->send_all(begin), asio::detached);
         this->context.run();
         this->result.elapsed = clock_now() - begin;
+        this->result.tally.note_pipelined(this->pipelined.counts());
         this->context.restart();
         asio::co_spawn(this->context, this->collect(), asio::detached);
         this->context.run();
@@ -77,7 +80,7 @@
     asio::awaitable<void> live(planned_request request, instant begin)
     {
         request_life life(*this->profile, *this->settings, request, begin,
-                          this->connections, this->steering,
+                          this->connections, this->pipelined, this->steering,
                           this->result.tally);
         co_await life.run();
     }
@@ -102,6 +105,7 @@
     load_run_result result;
     asio::io_context context{1};
     caller_connections connections;
+    pipelined_connections pipelined;
     caller_steering steering;
 };
 
--- a/bilberrylead/load/load_tally.cpp
+++ b/bilberrylead/load/load_tally.cpp
@@ -186,6 +186,11 @@
         attempt_counts[std::string(to_string(each.first))] = each.second;
     }
     json["attempts"] = attempt_counts;
+    auto const not_own = this->attempts.find(answer_kind::not_own);
+    json["not_own"] =
+        not_own == this->attempts.end() ? std::uint64_t{0} : not_own->second;
+    json["sent_ahead"] = this->pipelined.sent_ahead;
+    json["surplus_answers"] = this->pipelined.surplus_answers;
     json["entry_hosts"] = this->entry_hosts;
     json["kinds"] = by_kind;
     return json;
--- a/bilberrylead/load/load_tally.hpp
+++ b/bilberrylead/load/load_tally.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/load/answer_kind.hpp"
 #include "bilberrylead/load/latency_sample.hpp"
+#include "bilberrylead/load/pipelined_counts.hpp"
 #include "bilberrylead/load/run_counts.hpp"
 
 #include <nlohmann/json_fwd.hpp>
@@ -55,6 +56,12 @@
     /// Counts a request for each entry host.
     void sent_to(std::string const& entry_host);
 
+    /// Sets what was sent over pipelined connections.
+    void note_pipelined(pipelined_counts const& counts)
+    {
+        this->pipelined = counts;
+    }
+
     /// The report as docs/LOAD.md describes it, held against these runs.
     nlohmann::ordered_json report(run_counts const& runs) const;
 
@@ -87,6 +94,7 @@
     std::uint64_t revisions_reverted = 0;
     std::map<std::string, std::uint64_t> entry_hosts;
     std::vector<latency_sample> done_samples;
+    pipelined_counts pipelined;
 };
 
 } // namespace bilberrylead::load
--- a/bilberrylead/load/request_life.cpp
+++ b/bilberrylead/load/request_life.cpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/load/caller_steering.hpp"
 #include "bilberrylead/load/load_run.hpp"
 #include "bilberrylead/load/load_tally.hpp"
+#include "bilberrylead/load/pipelined_connections.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,12 +40,14 @@
 request_life::request_life(load_profile const& load,
                            load_run_settings const& run,
                            planned_request const& planned, instant run_begin,
-                           caller_connections& by, caller_steering& steered,
-                           load_tally& counts)
+                           caller_connections& by,
+                           pipelined_connections& pipelined_by,
+                           caller_steering& steered, load_tally& counts)
     : profile(&load), settings(&run), plan(planned),
       kind(&load.requests[planned.kind]), begin(run_begin),
       attempt_start(run_begin + planned.start), connections(&by),
-      steering(&steered), tally(&counts), random(planned.seed)
+      pipelined(&pipelined_by), steering(&steered), tally(&counts),
+      random(planned.seed)
 {
 }
 
@@ -118,9 +121,20 @@
 request_life::attempt_at(connection_path const& path)
 {
     exchange_request const request = this->next_exchange();
+    if (this->may_be_pipelined())
+    {
+        co_return co_await this->pipelined->exchange(path, request);
+    }
     co_return co_await exchange(*this->connections, path, request);
 }
 
+bool request_life::may_be_pipelined() const
+{
+    return this->profile->pipeline_depth > 1 && this->kind->idempotent &&
+           !this->kind->guarded && this->kind->request_bytes == 0 &&
+           this->plan.keep_alive;
+}
+
 exchange_request request_life::next_exchange() const
 {
     exchange_request request;
@@ -129,6 +143,7 @@
     request.request = this->request_name();
     request.key = this->kind->guarded ? this->request_name() : std::string();
     request.caller = this->plan.caller;
+    request.customer_key = this->plan.customer_key;
     request.request_bytes = this->kind->request_bytes;
     request.answer_bytes = this->kind->answer_bytes;
     request.deadline = this->kind->deadline;
--- a/bilberrylead/load/request_life.hpp
+++ b/bilberrylead/load/request_life.hpp
@@ -20,6 +20,7 @@
 class caller_connections;
 class caller_steering;
 class load_tally;
+class pipelined_connections;
 struct load_run_settings;
 
 /// One request from its start to its final answer, as a sensible caller
@@ -31,8 +32,8 @@
     /// All references must outlive it.
     request_life(load_profile const& load, load_run_settings const& run,
                  planned_request const& planned, instant run_begin,
-                 caller_connections& by, caller_steering& steered,
-                 load_tally& counts);
+                 caller_connections& by, pipelined_connections& pipelined_by,
+                 caller_steering& steered, load_tally& counts);
 
     /// Lives it once.
     boost::asio::awaitable<void> run();
@@ -52,6 +53,7 @@
     attempt_at(connection_path const& path);
     boost::asio::awaitable<void> wait(duration time);
     boost::asio::awaitable<void> resend();
+    bool may_be_pipelined() const;
     exchange_request next_exchange() const;
     next_step decide(exchange_result const& result);
     void start_over();
@@ -65,6 +67,7 @@
     instant begin;
     instant attempt_start;
     caller_connections* connections;
+    pipelined_connections* pipelined;
     caller_steering* steering;
     load_tally* tally;
     std::mt19937_64 random;
--- a/bilberrylead/load/request_plan.cpp
+++ b/bilberrylead/load/request_plan.cpp
@@ -48,6 +48,10 @@
     {
         this->weight_sum += each.weight;
     }
+    for (customer_share const& each : source.customers)
+    {
+        this->customer_weight_sum += each.weight;
+    }
 }
 
 std::optional<planned_request> request_plan::next()
@@ -78,6 +82,7 @@
     this->draw_caller(kind.callers, request);
     request.keep_alive = this->draw_share(this->profile->keep_alive_percent);
     request.resend = kind.guarded && this->draw_share(kind.resend_percent);
+    this->draw_customer(request);
     request.seed = this->random();
     return request;
 }
@@ -107,6 +112,23 @@
     return index;
 }
 
+/// Draws nothing without customers, so that such plans stay as they were.
+void request_plan::draw_customer(planned_request& request)
+{
+    if (this->customer_weight_sum == 0)
+    {
+        return;
+    }
+    std::uint64_t lot = this->random() % this->customer_weight_sum;
+    std::size_t index = 0;
+    while (lot >= this->profile->customers[index].weight)
+    {
+        lot -= this->profile->customers[index].weight;
+        ++index;
+    }
+    request.customer_key = this->profile->customers[index].key;
+}
+
 void request_plan::draw_caller(std::string const& group,
                                planned_request& request)
 {
--- a/bilberrylead/load/request_plan.hpp
+++ b/bilberrylead/load/request_plan.hpp
@@ -25,6 +25,8 @@
     std::size_t kind = 0;
     /// Who sends it, unique over all groups.
     std::string caller;
+    /// Key of the customer that it is sent for; empty for none.
+    std::string customer_key;
     /// Address it is sent from; empty leaves it to the system.
     std::string source;
     /// True: it may use and leave an open connection.
@@ -51,12 +53,14 @@
 private:
     double rate_at(duration time) const;
     std::size_t draw_kind();
+    void draw_customer(planned_request& request);
     void draw_caller(std::string const& group, planned_request& request);
     bool draw_share(std::uint32_t percent);
 
     load_profile const* profile;
     std::mt19937_64 random;
     std::uint32_t weight_sum = 0;
+    std::uint64_t customer_weight_sum = 0;
     double time_s = 0;
     std::uint64_t count = 0;
 };
--- a/tests/unit/load/load_run_test.cpp
+++ b/tests/unit/load/load_run_test.cpp
@@ -200,3 +200,67 @@
     cr_assert_gt(report["requests"], 5);
     cr_assert_eq(report["whole"], report["requests"]);
 }
+
+// Guards against answers that are matched with the wrong request when several
+// are unanswered on a connection.
+Test(load_run, pipelined_requests_when_played_get_their_own_answers)
+{
+    running_stand_ins const upstreams(quick());
+    load_profile profile = small_profile();
+    profile.pipeline_depth = 8;
+    nlohmann::ordered_json const report = upstreams.play(profile);
+    cr_assert_gt(report["sent_ahead"], 10);
+    cr_assert_eq(report["whole"], report["requests"]);
+    cr_assert_eq(report["not_own"], 0);
+    cr_assert_eq(report["surplus_answers"], 0);
+    cr_assert_eq(report["attempts"].size(), 1U);
+}
+
+// Guards against a depth that pipelines work which must not be repeated.
+Test(load_run, work_that_may_not_repeat_when_played_is_not_pipelined)
+{
+    running_stand_ins const upstreams(quick());
+    load_profile profile = small_profile();
+    profile.pipeline_depth = 8;
+    profile.requests[0].idempotent = false;
+    nlohmann::ordered_json const report = upstreams.play(profile);
+    cr_assert_eq(report["sent_ahead"], 0);
+    cr_assert_eq(report["whole"], report["requests"]);
+}
+
+// Guards against an answer that comes twice, or out of order, without being
+// seen by pipelined callers.
+Test(load_run, doubled_and_swapped_pipelined_answers_when_played_are_seen)
+{
+    stand_in_behaviour faulty = quick();
+    faulty.duplicate_percent = 20;
+    load_profile profile = small_profile();
+    profile.pipeline_depth = 8;
+    {
+        running_stand_ins const upstreams(faulty);
+        nlohmann::ordered_json const report = upstreams.play(profile);
+        std::int64_t const seen = report["not_own"].get<std::int64_t>() +
+                                  report["surplus_answers"].get<std::int64_t>();
+        cr_assert_gt(seen, 10);
+    }
+    faulty.duplicate_percent = 0;
+    faulty.swap_percent = 20;
+    running_stand_ins const upstreams(faulty);
+    cr_assert_gt(upstreams.play(profile)["not_own"], 10);
+}
+
+// Guards against requests that are forgotten behind an answer that ends their
+// connection.
+Test(load_run, pipelined_requests_behind_a_cut_answer_are_sent_again)
+{
+    stand_in_behaviour faulty = quick();
+    faulty.cut_percent = 10;
+    running_stand_ins const upstreams(faulty);
+    load_profile profile = small_profile();
+    profile.pipeline_depth = 8;
+    nlohmann::ordered_json const report = upstreams.play(profile);
+    cr_assert_gt(report["attempts"]["cut"], 5);
+    cr_assert_gt(report["whole"].get<double>(),
+                 0.99 * report["requests"].get<double>());
+    cr_assert_eq(report["not_own"], 0);
+}
--- a/tests/unit/load/request_plan_test.cpp
+++ b/tests/unit/load/request_plan_test.cpp
@@ -141,3 +141,23 @@
     cr_assert_not_null(choose_host(*answer, {"a", "b"}, 0));
     cr_assert_not(parse_steering_answer("{}").has_value());
 }
+
+// Guards against customers that send another share than the profile says, and
+// against profiles without customers whose plans change.
+Test(request_plan, customers_when_planned_send_their_shares)
+{
+    load_profile given = profile();
+    request_plan without(given);
+    cr_assert(without.next()->customer_key.empty());
+    given.customers = {{"key-a", 3}, {"key-b", 1}};
+    request_plan plan(given);
+    std::map<std::string, int> sent;
+    int count = 0;
+    while (std::optional<planned_request> const request = plan.next())
+    {
+        ++sent[request->customer_key];
+        ++count;
+    }
+    cr_assert_eq(sent.size(), 2U);
+    cr_assert_float_eq(sent["key-a"] / static_cast<double>(count), 0.75, 0.03);
+}
