Soak: pipelined callers, and a check of the order of answers

Cause: the soak sent one request at a time on a connection, so that answers out of order, doubled or missing behind a pipelined request would not have been seen.

A load of look-ups with depth 8 runs during the faults, and a calm one after them. No answer may be another request's (not_own), none may come twice (surplus_answers), at least one request must have been sent ahead, and the calm one may lose none.

--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -79,7 +79,8 @@
 
     /// Starts a load in the background.
     void start_load(std::string const& name, std::string const& service,
-                    std::uint32_t rate, std::uint32_t seconds);
+                    std::uint32_t rate, std::uint32_t seconds,
+                    std::uint32_t depth);
     /// Waits for a load's end; its report, as JSON text.
     std::string finish_load(std::string const& name);
 
--- a/tests/scenario_runner/deployment_load.cpp
+++ b/tests/scenario_runner/deployment_load.cpp
@@ -23,7 +23,8 @@
 } // namespace
 
 void deployment::start_load(std::string const& name, std::string const& service,
-                            std::uint32_t rate, std::uint32_t seconds)
+                            std::uint32_t rate, std::uint32_t seconds,
+                            std::uint32_t depth)
 {
     std::vector<config::service> const& services = this->configuration.services;
     std::vector<config::service>::const_iterator const found =
@@ -56,6 +57,7 @@
     json const profile = {
         {"rate_per_s", rate},
         {"length_ms", seconds * 1000},
+        {"pipeline_depth", depth},
         {"requests", json::array({request})},
         {"callers", json::array({{{"name", "all"}, {"callers", 40}}})}};
     std::vector<std::string> arguments = {
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -190,11 +190,15 @@
     this->revisions = std::make_unique<revision_watch>(ports, line.word(1));
 }
 
-// load NAME SERVICE rate R for SECONDS
+// load NAME SERVICE rate R for SECONDS [depth D]: with depth, callers send
+// up to D requests on a connection before the first is answered
 void scenario_steps::load(scenario_line const& line)
 {
+    constexpr std::size_t depth_place = 8;
+    std::uint32_t const depth =
+        line.after("depth").empty() ? 1 : line.count(depth_place);
     this->world.start_load(line.word(1), line.word(2), line.count(4),
-                           line.count(6));
+                           line.count(6), depth);
 }
 
 // finish NAME: waits for a load's end
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -18,6 +18,9 @@
 /// How long the loads go on for each fault of the plan, seconds, and besides.
 constexpr std::uint32_t load_s_per_fault = 3;
 constexpr std::uint32_t load_s_besides = 10;
+/// Requests that pipelined callers send on a connection before the first is
+/// answered.
+constexpr std::uint32_t pipeline_depth = 8;
 /// Calm look-ups after the last fault.
 constexpr std::uint32_t calm_rate = 50;
 constexpr std::uint32_t calm_s = 4;
@@ -90,6 +93,9 @@
         load_s_per_fault * this->settings.faults + load_s_besides;
     this->say(fmt::format("load lookups lookup rate {} for {}",
                           this->settings.lookups_per_s, length));
+    this->say(fmt::format("load pipelined lookup rate {} for {} depth {}",
+                          this->settings.lookups_per_s, length,
+                          pipeline_depth));
     this->say(fmt::format("load grants grant rate 20 for {}", length));
     this->say(fmt::format("load bundles bundle rate 1 for {}", length));
 }
@@ -156,19 +162,34 @@
     {
         this->say("wait-caught-up " + control);
     }
-    for (std::string const load : {"lookups", "grants", "bundles"})
+    for (std::string const load : {"lookups", "pipelined", "grants", "bundles"})
     {
         this->say("finish " + load);
         this->say(fmt::format("expect {}.run_twice == 0", load));
         this->say(fmt::format("expect {}.not_run_but_ran == 0", load));
+        this->check_order(load);
     }
+    this->say("expect pipelined.sent_ahead >= 1");
     this->say(
         fmt::format("load calm lookup rate {} for {}", calm_rate, calm_s));
     this->say("finish calm");
     this->say("expect calm.lost == 0");
+    this->say(fmt::format("load calm-pipelined lookup rate {} for {} depth {}",
+                          calm_rate, calm_s, pipeline_depth));
+    this->say("finish calm-pipelined");
+    this->say("expect calm-pipelined.lost == 0");
+    this->check_order("calm-pipelined");
     this->say("expect no-decrease");
 }
 
+/// Answers are read in the order of the requests: one out of order or missing
+/// shows as another request's, one that came twice as that or as a surplus.
+void soak_plan::check_order(std::string const& load)
+{
+    this->say(fmt::format("expect {}.not_own == 0", load));
+    this->say(fmt::format("expect {}.surplus_answers == 0", load));
+}
+
 void soak_plan::kill_entry()
 {
     std::string const host = this->draw_entry();
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -52,6 +52,7 @@
     void end_fault(std::size_t place);
     void end_all();
     void check();
+    void check_order(std::string const& load);
 
     void kill_entry();
     void stop_entry();
