--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -21,6 +21,10 @@
 /// Requests that pipelined callers send on a connection before the first is
 /// answered.
 constexpr std::uint32_t pipeline_depth = 8;
+/// Upstreams that report their speed and are slow for moments.
+constexpr char const* usual_behaviour =
+    R"({"service_time_us":5000,"load_figures":4,"moment_period_ms":600,)"
+    R"("moment_share_percent":15})";
 /// Calm look-ups after the last fault.
 constexpr std::uint32_t calm_rate = 50;
 constexpr std::uint32_t calm_s = 4;
@@ -66,9 +70,8 @@
     {
         for (std::string const service : {"lookup", "grant"})
         {
-            this->say(fmt::format("upstreams {} 3 in {} "
-                                  "{{\"service_time_us\":5000}}",
-                                  service, zone));
+            this->say(fmt::format("upstreams {} 3 in {} {}", service, zone,
+                                  usual_behaviour));
         }
     }
     this->say("upstreams bundle 2 in north {\"download_bytes_per_s\":2000000}");
