--- a/tests/unit/policy/upstream_placement_test.cpp
+++ b/tests/unit/policy/upstream_placement_test.cpp
@@ -278,3 +278,37 @@
     cr_expect_not(objects.contains(2));
     cr_expect(objects.contains(25));
 }
+
+// Guards against slots that stay idle although a restricted request could use
+// them, and against one that waits although it must not.
+Test(upstream_placement,
+     request_without_tolerance_is_placed_on_a_free_slot_only)
+{
+    placement_fixture host;
+    std::vector<placement_candidate> candidates = idle_upstreams(1);
+    placement_request request = request_for(0);
+    request.wait_tolerance = 0;
+    candidates[0].in_flight = 2;
+    cr_expect(std::holds_alternative<placed>(host.place(candidates, request)));
+    candidates[0].in_flight = 3;
+    cr_expect(std::holds_alternative<policy::no_free_capacity>(
+        host.place(candidates, request)));
+    request.wait_tolerance = 1;
+    cr_expect(std::holds_alternative<placed>(host.place(candidates, request)));
+}
+
+// Guards against restricted callers that return while more urgent requests
+// still claim each slot that becomes free.
+Test(upstream_placement, restricted_request_gets_a_later_retry_time)
+{
+    placement_fixture whole;
+    placement_fixture restricted;
+    std::vector<placement_candidate> candidates = idle_upstreams(1);
+    candidates[0].in_flight = 30;
+    placement_request request = request_for(0);
+    placement_verdict const usual = whole.place(candidates, request);
+    request.wait_tolerance = 0.25;
+    placement_verdict const later = restricted.place(candidates, request);
+    cr_expect_gt(std::get<policy::no_free_capacity>(later).retry_after,
+                 std::get<policy::no_free_capacity>(usual).retry_after + 72ms);
+}
