--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -141,6 +141,10 @@
      error_kind::unknown_field,
      "pipelining.max_answers: This field is not "
      "known."},
+    {"\"name\": \"e1\"", "\"admission\": \"ranks\", \"name\": \"e1\"",
+     error_kind::bad_value, "Write \"none\" or \"by_rank\" or \"by_plan\"."},
+    {"\"name\": \"e1\"", "\"admission\": \"by_rank\", \"name\": \"e1\"",
+     error_kind::bad_value, "Set \"waiting\" to \"upstream\""},
 };
 
 template <class Parse>
@@ -216,6 +220,23 @@
     cr_assert_eq(value->remembered_objects, 12U);
 }
 
+// Guards against a setting that is read but not kept.
+Test(settings, admission_of_an_entry_host_when_given_is_kept)
+{
+    using bilberrylead::config::admission_mode;
+    absl::StatusOr<entry_settings> const without =
+        parse_entry_settings(entry_text, "entry.jsonc");
+    cr_assert(without.ok());
+    cr_expect(without->admission == admission_mode::none);
+    std::string text = entry_text;
+    text.insert(text.find("\"name\""),
+                R"("waiting": "upstream", "admission": "by_plan", )");
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_expect(value->admission == admission_mode::by_plan);
+}
+
 Test(settings, bad_texts_when_parsed_name_place_fault_and_remedy)
 {
     expect_errors(control_text, parse_control_settings, bad_control_settings);
