--- a/bilberrylead/ctl/view_commands.cpp
+++ b/bilberrylead/ctl/view_commands.cpp
@@ -242,12 +242,13 @@
     {
         return;
     }
-    std::stable_sort(
-        customers.begin(), customers.end(),
-        [](limited_customer const& left, limited_customer const& right)
-        {
-            return left.refused > right.refused;
-        });
+    std::sort(customers.begin(), customers.end(),
+              [](limited_customer const& left, limited_customer const& right)
+              {
+                  return left.refused != right.refused
+                             ? left.refused > right.refused
+                             : left.cells < right.cells;
+              });
     std::vector<std::vector<std::string>> rows = {
         {"CUSTOMER ABOVE ITS FAIR SHARE", "SERVICE", "RANK", "DEMAND",
          "ADMITTED"}};
