Initialisers of entry types compile as before

tests/unit/entry/routed_request_test.cpp did not compile: the fields for zones stood in the middle of configured_upstream, which the test initialises by position; they now stand at the end. At the same file does not compile either, since upstream_load::run_time_percent has no default and the test names only the first two fields (-Werror=missing-field-initializers); the field gets one. The test is unchanged.

--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -53,14 +53,14 @@
     duration distance{};
     /// Number of the upstream's region, for placement.
     std::uint32_t region = 0;
-    /// Number of the upstream's zone, for placement; see placement_candidate.
-    std::uint32_t zone = policy::placement_candidate::own_zone;
-    /// True if the upstream is in this host's region.
-    bool in_own_region = true;
     /// True if the zone is closed: no new requests.
     bool closed = false;
     /// Time until which the upstream is cold, from the upstream list.
     instant cold_until{};
+    /// Number of the upstream's zone, for placement; see placement_candidate.
+    std::uint32_t zone = policy::placement_candidate::own_zone;
+    /// True if the upstream is in this host's region.
+    bool in_own_region = true;
 };
 
 /// Load state of one service at this entry host: decides which requests wait or
--- a/bilberrylead/entry/upstream_load.hpp
+++ b/bilberrylead/entry/upstream_load.hpp
@@ -16,7 +16,7 @@
     std::uint32_t waiting = 0;
     /// Time that work takes at the upstream at this moment, in percent of the
     /// usual time: 1 to 100,000. Empty if it is not reported.
-    std::optional<std::uint32_t> run_time_percent;
+    std::optional<std::uint32_t> run_time_percent = std::nullopt;
 };
 
 } // namespace bilberrylead::entry
