Pipelining: tests of broken answers, full memory and a caller that does not read

200 seeded connections mix answers that break off among whole ones; 40 requests are sent to a host with memory for two; a caller that reads nothing is cut and its memory returned.

--- a/tests/unit/http/pipelining_test.cpp
+++ b/tests/unit/http/pipelining_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/unit/http/http_fixture.hpp"
 
+#include "bilberrylead/http/http_counters.hpp"
+
 #include <algorithm>
 #include <random>
 
@@ -386,3 +388,143 @@
         }
     }
 }
+
+// An answer that breaks off may end the connection or become a 502, but the
+// answers that arrive must be the right ones, and none may be missing on an
+// open connection.
+Test(pipelining, answers_that_break_off_never_swap_the_others)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            while (std::optional<request_text> const request =
+                       connection.request())
+            {
+                std::string const target(request->target());
+                if (target.ends_with("cut"))
+                {
+                    connection.send(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+                    return;
+                }
+                connection.send(whole_answer_text(target));
+            }
+        });
+    running_server entry(pipelining(4, 1024));
+    entry.configure({upstream.port()});
+    std::mt19937 random(20261204);
+    for (int stream = 0; stream < 200; ++stream)
+    {
+        std::string text;
+        std::vector<std::string> targets;
+        std::size_t const count = 2 + random() % 6;
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            std::string target =
+                "/s/" + std::to_string(stream) + "/" + std::to_string(number);
+            target += random() % 8 == 0 ? "cut" : "";
+            text += get(target);
+            targets.push_back(target);
+        }
+        wire caller = entry.connect();
+        caller.send(text);
+        bool open = true;
+        for (std::string const& target : targets)
+        {
+            std::optional<answer_text> const answer =
+                open ? caller.answer() : std::nullopt;
+            open = open && answer.has_value();
+            // Only an answer of its own that is cut may end the connection.
+            cr_assert(open || answer.has_value() ||
+                      std::any_of(targets.begin(), targets.end(),
+                                  [](std::string const& each)
+                                  {
+                                      return each.ends_with("cut");
+                                  }));
+            if (answer.has_value() && answer->result_int() == 200)
+            {
+                cr_assert_eq(answer->body(), target);
+            }
+            if (answer.has_value() && answer->result_int() == 502)
+            {
+                cr_assert(target.ends_with("cut"));
+            }
+        }
+    }
+}
+
+// Without memory for requests ahead or for answers, each request must still
+// be answered in its turn, and all memory must be returned.
+Test(pipelining, full_memory_delays_answers_and_loses_none)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            echo(connection);
+        });
+    server_settings settings = pipelining(8);
+    settings.memory = 2 * settings.piece + 8;
+    running_server entry(settings);
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    std::string text;
+    for (int number = 0; number < 40; ++number)
+    {
+        text += get("/s/" + std::to_string(number));
+    }
+    caller.send(text);
+    for (int number = 0; number < 40; ++number)
+    {
+        cr_assert_eq(body_of(caller), "/s/" + std::to_string(number));
+    }
+    caller.socket.close();
+    cr_assert(eventually(
+        [&entry]
+        {
+            std::size_t held = 1;
+            entry.call(
+                [&entry, &held]
+                {
+                    http_counters const& counters =
+                        entry.server->connection_counters();
+                    held = counters.memory_in_use + counters.held_answer_bytes;
+                });
+            return held == 0;
+        }));
+}
+
+// A caller that does not read must be cut by the write timeout, and must
+// not hold its requests' memory for longer.
+Test(pipelining, caller_that_does_not_read_is_cut_and_frees_its_memory)
+{
+    std::string const large(std::size_t{32} << 20U, 'x');
+    fake_upstream upstream(
+        [&large](wire& connection, int)
+        {
+            while (connection.request())
+            {
+                connection.send(whole_answer_text(large));
+            }
+        });
+    server_settings settings = pipelining(4);
+    settings.write_timeout = 200ms;
+    running_server entry(settings);
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
+    caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
+    cr_assert(eventually(
+        [&entry]
+        {
+            std::uint64_t ended = 0;
+            std::size_t held = 1;
+            entry.call(
+                [&entry, &ended, &held]
+                {
+                    http_counters const& counters =
+                        entry.server->connection_counters();
+                    ended = counters.connections_cut_short;
+                    held = counters.memory_in_use;
+                });
+            return ended == 1 && held == 0;
+        }));
+}
