--- a/bilberrylead/http/header_names.hpp
+++ b/bilberrylead/http/header_names.hpp
@@ -32,8 +32,8 @@
     /// Names the upstream that a request is for: any other one at its
     /// address turns it away with 421 and does not run it.
     std::string expected_upstream;
-    /// An upstream's load: running, waiting, slots, and optionally the time that
-    /// work takes at this moment in percent of the usual time.
+    /// An upstream's load: running, waiting, slots, and optionally the time
+    /// that work takes at this moment in percent of the usual time.
     std::string load;
     /// Requests a second that an upstream takes from all entry hosts
     /// together, for as long as its answers say so. The first of these that
