--- a/tests/unit/policy/admission_model_runs.hpp
+++ b/tests/unit/policy/admission_model_runs.hpp
@@ -21,6 +21,9 @@
 inline constexpr double min_worst_tenth = 0.9;
 inline constexpr double max_loss_within_fair_share = 0.02;
 
+/// Seeds of tests whose outcome differs between seeds.
+inline constexpr std::uint64_t model_seeds[] = {1, 2, 3};
+
 inline constexpr char const* mode_names[] = {"none", "by_rank", "by_plan",
                                              "ordered_wait"};
 
@@ -125,13 +128,17 @@
 
 inline void check_loss_within_fair_share(std::size_t hosts)
 {
-    model_load load = make_load(model_mode::by_plan, hosts, 1);
-    load.rank_shares = {1};
-    double const usual = served_share_of_small_customers(run(load));
-    load.pressing = 5;
-    double const pressed = served_share_of_small_customers(run(load));
-    cr_expect_geq(pressed, usual - max_loss_within_fair_share,
-                  "%zu hosts: %.3f of %.3f", hosts, pressed, usual);
+    for (std::uint64_t const seed : model_seeds)
+    {
+        model_load load = make_load(model_mode::by_plan, hosts, 1);
+        load.seed = seed;
+        load.rank_shares = {1};
+        double const usual = served_share_of_small_customers(run(load));
+        load.pressing = 5;
+        double const pressed = served_share_of_small_customers(run(load));
+        cr_expect_geq(pressed, usual - max_loss_within_fair_share,
+                      "%zu hosts: %.3f of %.3f", hosts, pressed, usual);
+    }
 }
 
 } // namespace bilberrylead::policy
--- a/tests/unit/policy/admission_model_test.cpp
+++ b/tests/unit/policy/admission_model_test.cpp
@@ -85,14 +85,6 @@
     check_worst_tenth(1.2);
 }
 
-// Guards against a customer that sends five times its usual rate and takes the
-// capacity of the others. One rank: the fair share of a customer is a share of
-// what more urgent ranks leave.
-Test(admission_model, customers_within_their_share_lose_nothing_with_30_hosts)
-{
-    check_loss_within_fair_share(30);
-}
-
 // Guards against a plan that does not help the customers within their share.
 Test(admission_model, customers_within_their_share_lose_less_by_plan)
 {
@@ -121,24 +113,6 @@
     }
 }
 
-// Guards against a burst of 6 s, shorter than a plan is valid, that takes the
-// capacity of urgent requests.
-Test(admission_model, burst_of_a_customer_leaves_urgent_requests_served)
-{
-    for (model_mode const mode : both_modes)
-    {
-        model_load load = make_load(mode, 30, 0.9);
-        load.pressing = 8.5;
-        load.burst_start = instant{} + 20s;
-        load.burst_end = instant{} + 26s;
-        load.warm_up = 20s;
-        load.length = 28s;
-        model_result const result = run(load);
-        expect_rank_order(result, "burst");
-        cr_expect_lt(result.refused_per_100(0), 5);
-    }
-}
-
 // Guards against hosts that depend on state that a restart loses.
 Test(admission_model, restarted_hosts_keep_the_order_of_ranks)
 {
