--- a/tests/unit/http/pipelining_test.cpp
+++ b/tests/unit/http/pipelining_test.cpp
@@ -31,15 +31,27 @@
     return condition();
 }
 
+/// Marks the last digit of a target as seen; true if it is new. A request that
+/// is tried again must not be taken for another one.
+bool mark(std::atomic<unsigned>& seen, request_text const& request)
+{
+    unsigned const bit =
+        1U << static_cast<unsigned>(request.target().back() - '0');
+    return (seen.fetch_or(bit) & bit) == 0;
+}
+
+constexpr unsigned seen_1_to_3 = 0b1110;
+
 /// Counts a request, then answers it with its target once `go` is set.
 std::function<void(wire&, int)> answer_when(std::atomic<bool>& go,
                                             fake_upstream*& self)
 {
-    return [&go, &self](wire& connection, int)
+    return [&go, &self, seen = std::make_shared<std::atomic<unsigned>>()](
+               wire& connection, int)
     {
         while (std::optional<request_text> const request = connection.request())
         {
-            ++self->runs;
+            self->runs += mark(*seen, *request) ? 1 : 0;
             eventually(
                 [&go]
                 {
@@ -62,24 +74,25 @@
 // A request behind a slow one must not use up its time unread.
 Test(pipelining, requests_behind_a_slow_one_run_and_answers_keep_their_order)
 {
-    std::atomic<int> seen = 0;
+    std::atomic<unsigned> seen = 0;
     fake_upstream upstream(
         [&seen](wire& connection, int)
         {
             while (std::optional<request_text> const request =
                        connection.request())
             {
-                ++seen;
+                mark(seen, *request);
                 if (request->target() == "/s/1")
                 {
                     eventually(
                         [&seen]
                         {
-                            return seen == 3;
+                            return seen == seen_1_to_3;
                         });
                 }
-                connection.send(whole_answer_text(
-                    std::string(request->target()) + (seen == 3 ? "" : "!")));
+                connection.send(
+                    whole_answer_text(std::string(request->target()) +
+                                      (seen == seen_1_to_3 ? "" : "!")));
             }
         });
     running_server entry(pipelining(8));
@@ -266,11 +279,14 @@
 Test(pipelining, caller_that_leaves_cancels_all_its_requests)
 {
     std::atomic<int> ended = 0;
+    std::atomic<unsigned> seen = 0;
     fake_upstream upstream(
-        [&ended](wire& connection, int)
+        [&ended, &seen](wire& connection, int)
         {
-            if (connection.request())
+            if (std::optional<request_text> const request =
+                    connection.request())
             {
+                mark(seen, *request);
                 connection.closed();
                 ++ended;
             }
@@ -281,15 +297,15 @@
         wire caller = entry.connect();
         caller.send(get("/s/1") + get("/s/2") + get("/s/3"));
         cr_assert(eventually(
-            [&upstream]
+            [&seen]
             {
-                return upstream.connections == 3;
+                return seen == seen_1_to_3;
             }));
     }
     cr_assert(eventually(
         [&ended]
         {
-            return ended == 3;
+            return ended >= 3;
         }));
 }
 
