--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -44,7 +44,7 @@
   "peer_key": "a-peer-key-of-more-than-32-letters",
   "limits": {"requests": 100, "header_timeout_ms": 500},
   "object_homes": "zone", "zone_crossing_cost_ms": 30,
-  "remembered_objects": 48
+  "remembered_objects": 48,
   "pipelining": {"max_requests": 16, "max_answer_bytes": 32768}
 })";
 
@@ -130,17 +130,14 @@
     {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 1023",
      error_kind::bad_value,
      "pipelining.max_answer_bytes: 1023 is out of range. Write a whole number "
-     "from "
-     "1024 to 16777216."},
+     "from 1024 to 16777216."},
     {"\"max_answer_bytes\": 32768", "\"max_answer_bytes\": 16777217",
      error_kind::bad_value,
      "pipelining.max_answer_bytes: 16777217 is out of range. Write a whole "
-     "number from "
-     "1024 to 16777216."},
+     "number from 1024 to 16777216."},
     {"\"max_answer_bytes\": 32768", "\"max_answers\": 32768",
      error_kind::unknown_field,
-     "pipelining.max_answers: This field is not "
-     "known."},
+     "pipelining.max_answers: This field is not known."},
     {"\"name\": \"e1\"", "\"admission\": \"ranks\", \"name\": \"e1\"",
      error_kind::bad_value, "Write \"none\" or \"by_rank\" or \"by_plan\"."},
     {"\"name\": \"e1\"", "\"admission\": \"by_rank\", \"name\": \"e1\"",
