--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -139,8 +139,10 @@
         .text("scope",
               status.scope == config::object_homes::zone ? "zone" : "region")
         .real("distinct_objects", status.distinct_objects)
-        .number("zone_upstreams", status.zone_upstreams)
-        .number("region_upstreams", status.region_upstreams)
+        .number("zone_upstreams",
+                static_cast<std::int64_t>(status.zone_upstreams))
+        .number("region_upstreams",
+                static_cast<std::int64_t>(status.region_upstreams))
         .write();
 }
 
