--- a/tests/unit/control/admission_size_test.cpp
+++ b/tests/unit/control/admission_size_test.cpp
@@ -160,7 +160,7 @@
         presence.admission = link::to_rows(report);
         std::size_t const added = link::encode(presence).size() - before;
         std::size_t const plan = plan_size(hosts, random);
-        cr_log_warn("%zu hosts: %zu bytes for a report, %zu for a plan", hosts,
+        cr_log_info("%zu hosts: %zu bytes for a report, %zu for a plan", hosts,
                     added, plan);
         cr_expect(added + plan < max_control_traffic / 2);
     }
