Tests: what the linter refuses in the tests of the new parts

A stable sort whose library uses a deprecated buffer becomes a sort by rank and position; an implicit conversion and pointers into temporary strings go.

--- a/tests/unit/load/upstream_model_test.cpp
+++ b/tests/unit/load/upstream_model_test.cpp
@@ -145,8 +145,8 @@
         slow += is_slow ? 1 : 0;
         duration const work = model.start("a", "", now).work;
         cr_assert(work == (is_slow ? milliseconds(25) : milliseconds(10)));
-        cr_assert_str_eq(model.load_header(now).c_str(),
-                         is_slow ? "0,0,2,250" : "0,0,2,100");
+        std::string const header = model.load_header(now);
+        cr_assert_str_eq(header.c_str(), is_slow ? "0,0,2,250" : "0,0,2,100");
     }
     cr_assert(slow > moments / 10 && slow < moments / 5, "%d", slow);
 }
@@ -171,7 +171,9 @@
     cr_assert(model.load_header(start).empty());
     model.arrive(start);
     model.behaviour.load_figures = 3;
-    cr_assert_str_eq(model.load_header(start).c_str(), "1,0,2");
+    std::string const three_figures = model.load_header(start);
+    cr_assert_str_eq(three_figures.c_str(), "1,0,2");
     model.behaviour.load_figures = 2;
-    cr_assert_str_eq(model.load_header(start).c_str(), "1,0");
+    std::string const two_figures = model.load_header(start);
+    cr_assert_str_eq(two_figures.c_str(), "1,0");
 }
--- a/tests/unit/policy/admission_model.hpp
+++ b/tests/unit/policy/admission_model.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <optional>
 #include <queue>
 #include <string>
@@ -142,7 +143,8 @@
         for (std::size_t each = 0; each < this->load.customers; ++each)
         {
             // A few customers are large.
-            this->weights.push_back(1 / std::sqrt(each + 1.0));
+            this->weights.push_back(1 /
+                                    std::sqrt(static_cast<double>(each) + 1.0));
             sum += this->weights.back();
         }
         for (double& weight : this->weights)
@@ -443,14 +445,17 @@
         at.polls = false;
         std::vector<request> waiting = std::move(at.waiting);
         at.waiting.clear();
-        std::stable_sort(waiting.begin(), waiting.end(),
-                         [](request const& one, request const& other)
-                         {
-                             return one.rank < other.rank;
-                         });
-        for (request const& each : waiting)
-        {
-            this->place(each, 1);
+        std::vector<std::size_t> order(waiting.size());
+        std::iota(order.begin(), order.end(), std::size_t{0});
+        std::sort(order.begin(), order.end(),
+                  [&waiting](std::size_t one, std::size_t other)
+                  {
+                      return std::pair(waiting[one].rank, one) <
+                             std::pair(waiting[other].rank, other);
+                  });
+        for (std::size_t const index : order)
+        {
+            this->place(waiting[index], 1);
         }
     }
 
