--- a/tests/unit/policy/region_plan_test.cpp
+++ b/tests/unit/policy/region_plan_test.cpp
@@ -60,6 +60,7 @@
 {
     std::vector<double> const slots{420, 40, 360, 0};
     std::vector<region_capacity> regions;
+    regions.reserve(slots.size());
     for (double const each : slots)
     {
         regions.push_back({300, each, 10});
