--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -171,8 +171,8 @@
                                 bool idempotent)
 {
     request_window::traits traits;
-    // An HTTP/1.0 caller may hear an answer that only the connection's end
-    // ends, so nothing is dispatched behind its requests.
+    // An answer to an HTTP/1.0 caller may end only with the connection, so
+    // nothing is dispatched behind its requests.
     traits.idempotent = idempotent && request->version >= 11;
     traits.received = request->parser.is_done();
     traits.keeps_connection = request->keeps_connection;
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -107,7 +107,7 @@
     {
         return true;
     }
-    // The length, if it is known, spares small answers a whole piece.
+    // A known length avoids reserving a whole piece for a small answer.
     std::size_t const wanted =
         static_cast<std::size_t>(exchange.answer().content_length().value_or(
             std::max(2 * old, this->core->settings().piece)));
@@ -163,7 +163,7 @@
     http::reply decided = std::exchange(carried.reply, entry::answer_problem{});
     if (request.held.state == held_answer::progress::broken)
     {
-        // Nothing of the answer has been sent, so the caller can be told.
+        // Nothing of the answer has been sent, so a 502 can replace it.
         decided = entry::answer_unknown{
             carried.number, entry::refusal_reason::connection_lost, {}};
     }
--- a/bilberrylead/policy/home_scope.hpp
+++ b/bilberrylead/policy/home_scope.hpp
@@ -81,7 +81,7 @@
     std::uint32_t required = 0;
     std::optional<instant> first_request_at;
     std::optional<instant> changed_at;
-    /// Since when the estimate speaks for the other scope without being clear.
+    /// Since when the estimate favours the other scope without being clear.
     std::optional<instant> other_since;
     std::optional<instant> decided_at;
 };
