Release requests whose callers left before their answers were sent

Cause: a request that the caller abandoned kept its reply, the reply the exchange, and the exchange the request. Before pipelining the reply was nearly always taken; now each request whose answer waits for its turn when the connection ends was kept for good: 9,558 bytes for two requests in pipelining/caller_that_does_not_read_is_cut_and_frees_its_memory, found by the leak check of the build under sanitizers. Requests without pipelining had the same fault in the moment between reply and answer.

--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -416,8 +416,10 @@
     if (found != this->carried.end() && found->second->caller_left &&
         !this->reducer.contains(number))
     {
-        // Request and exchange hold each other.
+        // Request and exchange hold each other, also by a reply that its caller
+        // did not wait for.
         found->second->exchange = nullptr;
+        found->second->reply = std::monostate{};
         this->carried.erase(found);
     }
 }
