Scenario runner: settings of entry hosts, one-way heal, leaderless hosts

Cause: a scenario in which an entry host reaches a cut-off control host before the others needs to end single cuts, to wait until a control host knows of no leader, and a wait of its own choice.

Added: "entry-settings JSON", "leaderless HOST", "heal NAME from OTHER|controls". "heal" without words opens every relay as before.

--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -127,6 +127,15 @@
     this->stand_ins[name] = added;
 }
 
+void deployment::set_entry_settings(std::string const& fields)
+{
+    if (!json::parse(fields, nullptr, false).is_object())
+    {
+        throw std::runtime_error("no JSON object: " + fields);
+    }
+    this->entry_settings = fields;
+}
+
 void deployment::start(std::string const& name)
 {
     std::map<std::string, stand_in>::const_iterator const standing =
@@ -376,6 +385,7 @@
     {
         settings["caller_listen"] = loopback(self.second_port);
         settings["neighbours"] = json::parse(this->host_list(name, false));
+        settings.update(json::parse(this->entry_settings));
     }
     return this->write_file(name + ".jsonc", settings.dump(2));
 }
--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -44,6 +44,8 @@
     void add_upstreams(std::string const& service, std::uint32_t count,
                        std::string const& zone, std::string const& behaviour);
 
+    /// Adds fields to the settings of entry hosts that start from now on.
+    void set_entry_settings(std::string const& fields);
     /// Starts one host, or a zone's stand-in upstreams.
     void start(std::string const& name);
     /// Starts every host and stand-in that does not run.
@@ -134,6 +136,8 @@
     std::map<std::string, std::unique_ptr<child_process>> processes;
     std::map<std::string, std::unique_ptr<child_process>> loads;
     config::configuration configuration;
+    /// As JSON text.
+    std::string entry_settings = "{}";
     std::string output;
     std::uint64_t runs = 0;
 };
--- a/tests/scenario_runner/scenario_fault_steps.cpp
+++ b/tests/scenario_runner/scenario_fault_steps.cpp
@@ -7,8 +7,6 @@
 
 #include <signal.h>
 
-#include <algorithm>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -77,12 +75,8 @@
         }
         else if (word == "controls")
         {
-            std::vector<std::string> const names = this->world.control_names();
-            std::copy_if(names.begin(), names.end(), std::back_inserter(others),
-                         [&name](std::string const& other)
-                         {
-                             return other != name;
-                         });
+            std::vector<std::string> const names = this->other_controls(name);
+            others.insert(others.end(), names.begin(), names.end());
         }
         else
         {
@@ -98,10 +92,29 @@
     this->world.cut_zone(line.word(1), relay_mode::silent);
 }
 
-// heal: every cut
-void scenario_steps::heal(scenario_line const&)
+std::vector<std::string>
+scenario_steps::other_controls(std::string const& name) const
 {
-    this->world.heal();
+    std::vector<std::string> names = this->world.control_names();
+    std::erase(names, name);
+    return names;
+}
+
+// heal: every cut | heal NAME from OTHER|controls: the cuts between these
+void scenario_steps::heal(scenario_line const& line)
+{
+    if (line.words.size() == 1)
+    {
+        this->world.heal();
+        return;
+    }
+    std::string const name = this->host_of(line.word(1));
+    std::string const& other = line.word(3);
+    this->world.cut(name,
+                    other == "controls"
+                        ? this->other_controls(name)
+                        : std::vector<std::string>{this->host_of(other)},
+                    relay_mode::open, relay_mode::open);
 }
 
 // set STAND-IN JSON: changes how stand-in upstreams behave
--- a/tests/scenario_runner/scenario_operator_steps.cpp
+++ b/tests/scenario_runner/scenario_operator_steps.cpp
@@ -143,6 +143,19 @@
         "it does not follow");
 }
 
+// leaderless HOST: it knows of no leader
+void scenario_steps::leaderless(scenario_line const& line)
+{
+    this->wait_for_status(
+        this->host_of(line.word(1)),
+        [](json const& status)
+        {
+            return status.is_object() && status.contains("leader") &&
+                   status.at("leader") == "";
+        },
+        "it knows of a leader");
+}
+
 // wait-voter HOST: it votes, in the life that it has now
 void scenario_steps::wait_voter(scenario_line const& line)
 {
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -66,6 +66,7 @@
         {"zone", &scenario_steps::zone},
         {"control", &scenario_steps::control},
         {"entry", &scenario_steps::entry},
+        {"entry-settings", &scenario_steps::entry_settings},
         {"service", &scenario_steps::service},
         {"upstreams", &scenario_steps::upstreams},
         {"start", &scenario_steps::start},
@@ -90,6 +91,7 @@
         {"leads", &scenario_steps::leads},
         {"refuses", &scenario_steps::refuses},
         {"follows", &scenario_steps::follows},
+        {"leaderless", &scenario_steps::leaderless},
         {"wait-voter", &scenario_steps::wait_voter},
         {"wait-caught-up", &scenario_steps::wait_caught_up},
         {"change", &scenario_steps::change},
@@ -135,6 +137,12 @@
     this->world.add_entry(line.word(1), line.after("in"));
 }
 
+// entry-settings JSON: fields added to the settings of entry hosts
+void scenario_steps::entry_settings(scenario_line const& line)
+{
+    this->world.set_entry_settings(line.rest(1));
+}
+
 // service NAME lookups|grants|downloads
 void scenario_steps::service(scenario_line const& line)
 {
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace bilberrylead::scenario
 {
@@ -37,6 +38,7 @@
     void zone(scenario_line const& line);
     void control(scenario_line const& line);
     void entry(scenario_line const& line);
+    void entry_settings(scenario_line const& line);
     void service(scenario_line const& line);
     void upstreams(scenario_line const& line);
     void start(scenario_line const& line);
@@ -48,6 +50,8 @@
     void watch(scenario_line const& line);
     void load(scenario_line const& line);
     void finish(scenario_line const& line);
+    /// Control hosts but the given one.
+    std::vector<std::string> other_controls(std::string const& name) const;
     void kill(scenario_line const& line);
     void stop(scenario_line const& line);
     void ended(scenario_line const& line);
@@ -63,6 +67,7 @@
     void expect(scenario_line const& line);
     void refuses(scenario_line const& line);
     void follows(scenario_line const& line);
+    void leaderless(scenario_line const& line);
     void wait_voter(scenario_line const& line);
     void wait_caught_up(scenario_line const& line);
     void change(scenario_line const& line);
