Entry host: first revision is the newest of several answers

One that starts put the first revision in force that it received, also from a control host that is cut off from the others and holds an older one.

Changed: revision_exchange holds the first updates until a control host that names a leader has answered, a majority of the control hosts has, or first_revision_wait_ms (entry host, 0 to 5000, default 400) is over. The newest revision of all answers is put in force. A newer one that was announced is fetched at once if the pushing link has sent an older one, and awaited for the same time once more. 0 decides as before. A log line says which revision, from how many control hosts, why, and how long was waited.

Ruled out: waiting for a leader (a second without service after a loss of all hosts), a majority alone (delays every start), a leader that is named after the answer (that control host may have rejoined and not have caught up).

--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -67,6 +67,11 @@
     /// Longest time from the order to stop until the process has ended;
     /// zero: until nothing is under way.
     duration stop_time{};
+    /// How long a host that starts waits for the revisions of further control
+    /// hosts after the first one; zero: the first one heard is put in force.
+    /// A remote region's control host answers four round trips (280 ms) after
+    /// it was called: connection, upgrade, handshake, subscription.
+    duration first_revision_wait = std::chrono::milliseconds(400);
     /// How long callers may use a steering answer.
     duration steering_ttl = std::chrono::seconds(5);
     /// What all entry hosts together may send beyond first tries.
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -184,6 +184,8 @@
     visitor.number("remembered_objects", value.remembered_objects, {1, 10'000});
     visitor.choice("admission", value.admission, admission_mode_names);
     visitor.section("pipelining", value.pipelining);
+    visitor.time("first_revision_wait_ms", value.first_revision_wait,
+                 std::chrono::milliseconds(0), std::chrono::milliseconds(5000));
 }
 
 } // namespace bilberrylead::config
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -76,11 +76,24 @@
                                                     {
                                                         this->reload();
                                                     }),
-      exchange({}), claims(claim_settings()), most_entry_hosts(count_memory),
-      most_in_a_region(count_memory),
+      exchange(exchange_settings()), claims(claim_settings()),
+      most_entry_hosts(count_memory), most_in_a_region(count_memory),
       control_links(settings.id, settings.region)
 {
 }
+
+distribution::exchange_settings
+entry_program::implementation::exchange_settings() const
+{
+    distribution::exchange_settings wanted;
+    wanted.first_revision_wait = this->settings.first_revision_wait;
+    for (config::host_address const& host : this->settings.control_hosts)
+    {
+        wanted.control_hosts.insert(host.id);
+    }
+    return wanted;
+}
+
 once_client::once_client_settings
 entry_program::implementation::claim_settings() const
 {
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -44,6 +44,7 @@
                    settings_source<config::entry_settings> file,
                    entry_bindings outside);
 
+    distribution::exchange_settings exchange_settings() const;
     once_client::once_client_settings claim_settings() const;
     http::server_settings server_settings() const;
     link::peer_node_settings peer_settings() const;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -6,7 +6,9 @@
 #include "bilberrylead/policy/generator.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -30,6 +32,38 @@
 /// How often a control host is asked for a newer listing of upstreams.
 constexpr std::chrono::seconds listing_refresh{1};
 
+std::string_view text_of(distribution::first_revision_basis basis)
+{
+    switch (basis)
+    {
+    case distribution::first_revision_basis::leader:
+        return "one names a leader";
+    case distribution::first_revision_basis::majority:
+        return "a majority";
+    case distribution::first_revision_basis::timeout:
+        break;
+    }
+    return "the wait is over";
+}
+
+/// `control_hosts` is 0 in a choice if the group is unknown.
+std::string group_size_text(distribution::first_revision_choice const& choice)
+{
+    return choice.control_hosts == 0 ? std::string("an unknown number")
+                                     : fmt::to_string(choice.control_hosts);
+}
+
+void log_first_revision(revision number,
+                        distribution::first_revision_choice const& choice)
+{
+    log.info(
+        "Revision {} is chosen at the start: {} of {} control hosts "
+        "answered ({}), {} ms after the first answer.",
+        number, choice.answers, group_size_text(choice), text_of(choice.basis),
+        std::chrono::duration_cast<std::chrono::milliseconds>(choice.waited)
+            .count());
+}
+
 } // namespace
 
 void entry_program::implementation::dial_peers()
@@ -111,6 +145,8 @@
 
         void operator()(link::leader_notice const& held) const
         {
+            this->owner.on_exchange(
+                distribution::leader_notice_received{this->number, held});
             this->owner.on_leader(held.leader);
             this->owner.control_links.leader_received(this->number, held.leader,
                                                       clock_now());
@@ -137,6 +173,8 @@
 
         void operator()(link::group_news const& held) const
         {
+            this->owner.on_exchange(
+                distribution::group_news_received{this->number, held});
             this->owner.on_group(this->number, held);
         }
 
@@ -225,6 +263,10 @@
 void entry_program::implementation::install(
     distribution::install_revision const& wanted)
 {
+    if (wanted.first.has_value())
+    {
+        log_first_revision(wanted.number, *wanted.first);
+    }
     absl::StatusOr<accepted_revision> parsed =
         this->adapter.read_revision(*wanted.document);
     if (!parsed.ok())
--- a/bilberrylead/distribution/exchange_effect.hpp
+++ b/bilberrylead/distribution/exchange_effect.hpp
@@ -2,8 +2,10 @@
 #define BILBERRYLEAD_DISTRIBUTION_EXCHANGE_EFFECT_HPP
 
 #include "bilberrylead/distribution/exchange_event.hpp"
+#include "bilberrylead/distribution/first_revision_choice.hpp"
 #include "bilberrylead/link/message.hpp"
 
+#include <optional>
 #include <variant>
 
 namespace bilberrylead::distribution
@@ -24,6 +26,9 @@
     revision number = 0;
     /// Its document, not validated yet.
     shared_document document;
+    /// How it was chosen; only for the first revision of a process that waits
+    /// for several answers.
+    std::optional<first_revision_choice> first;
 };
 
 /// What an exchange wants done.
--- a/bilberrylead/distribution/exchange_event.hpp
+++ b/bilberrylead/distribution/exchange_event.hpp
@@ -4,6 +4,8 @@
 #include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/link/messages/configuration_update.hpp"
+#include "bilberrylead/link/messages/group_news.hpp"
+#include "bilberrylead/link/messages/leader_notice.hpp"
 #include "bilberrylead/link/messages/revision_announcement.hpp"
 #include "bilberrylead/link/messages/subscription.hpp"
 #include "bilberrylead/link/peer_callbacks.hpp"
@@ -61,6 +63,24 @@
     link::configuration_update content;
 };
 
+/// A control host has reported which control host leads.
+struct leader_notice_received
+{
+    /// Link that the message arrived on.
+    link::link_number link = 0;
+    /// The message.
+    link::leader_notice content;
+};
+
+/// A control host has reported the control hosts of the group.
+struct group_news_received
+{
+    /// Link that the message arrived on.
+    link::link_number link = 0;
+    /// The message.
+    link::group_news content;
+};
+
 /// This process has obtained a revision from its own log or disk.
 struct revision_published
 {
@@ -78,8 +98,8 @@
 /// Every event that an exchange handles.
 using exchange_event =
     std::variant<link_opened, link_closed, subscription_received,
-                 announcement_received, update_received, revision_published,
-                 exchange_tick>;
+                 announcement_received, update_received, leader_notice_received,
+                 group_news_received, revision_published, exchange_tick>;
 
 } // namespace bilberrylead::distribution
 
--- a/bilberrylead/distribution/revision_exchange.cpp
+++ b/bilberrylead/distribution/revision_exchange.cpp
@@ -10,6 +10,11 @@
 revision_exchange::revision_exchange(exchange_settings const& settings)
     : settings(settings)
 {
+    if (!settings.is_source && settings.first_revision_wait > duration::zero())
+    {
+        this->first.emplace(settings.first_revision_wait,
+                            settings.control_hosts);
+    }
 }
 
 std::vector<exchange_effect>
@@ -73,15 +78,14 @@
 void revision_exchange::on(link_closed const& event)
 {
     this->links.erase(event.link);
-    if (this->pushing_link != event.link)
+    if (this->pushing_link == event.link)
     {
-        return;
+        // The pushing link has closed, perhaps with a revision in flight. The
+        // peer of the new pushing link sends whatever is missing.
+        this->pushing_link.reset();
+        this->choose_pushing_link();
     }
-
-    // The pushing link has closed, perhaps with a revision in flight. The
-    // peer of the new pushing link sends whatever is missing.
-    this->pushing_link.reset();
-    this->choose_pushing_link();
+    this->settle_first();
 }
 
 void revision_exchange::on(subscription_received const& event)
@@ -113,6 +117,7 @@
     if (!this->settings.is_source && event.content.in_force > this->current)
     {
         this->record_missing(event.link, event.content.in_force);
+        this->record_answer(event.link, event.content.in_force);
     }
 }
 
@@ -125,11 +130,34 @@
     {
         return;
     }
-    this->install(event.content.target,
-                  std::make_shared<bytes const>(event.content.content));
-    this->effects.emplace_back(install_revision{this->current, this->document});
-    this->notify_all();
-    this->subscribe_all();
+    if (this->first.has_value())
+    {
+        this->hold(event.content);
+        this->record_answer(event.link, event.content.target);
+        return;
+    }
+    this->put_in_force(event.content.target,
+                       std::make_shared<bytes const>(event.content.content),
+                       std::nullopt);
+}
+
+void revision_exchange::on(leader_notice_received const& event)
+{
+    link_map::const_iterator const found = this->links.find(event.link);
+    if (this->first.has_value() && found != this->links.end())
+    {
+        this->first->leader_received(found->second.peer.id,
+                                     !event.content.leader.empty());
+    }
+}
+
+void revision_exchange::on(group_news_received const& event)
+{
+    if (this->first.has_value())
+    {
+        this->first->group_received(event.content);
+        this->settle_first();
+    }
 }
 
 void revision_exchange::on(revision_published const& event)
@@ -149,6 +177,7 @@
         return;
     }
     this->fetch_missing();
+    this->settle_first();
     if (this->time - this->refreshed_at >= this->settings.refresh_interval)
     {
         this->subscribe_all();
@@ -166,6 +195,104 @@
     }
 }
 
+void revision_exchange::put_in_force(
+    revision number, shared_document content,
+    std::optional<first_revision_choice> const& choice)
+{
+    this->install(number, std::move(content));
+    this->effects.emplace_back(
+        install_revision{this->current, this->document, choice});
+    this->notify_all();
+    this->subscribe_all();
+}
+
+void revision_exchange::record_answer(link::link_number number,
+                                      revision reported)
+{
+    link_map::iterator const found = this->links.find(number);
+    if (!this->first.has_value() || found == this->links.end())
+    {
+        return;
+    }
+    revision& newest = found->second.reported_revision;
+    newest = std::max(newest, reported);
+    this->first->answer_received(found->second.peer, this->time);
+    this->settle_first();
+}
+
+void revision_exchange::hold(link::configuration_update const& update)
+{
+    if (update.target > this->held)
+    {
+        this->held = update.target;
+        this->held_document = std::make_shared<bytes const>(update.content);
+    }
+}
+
+/// Puts the first revision in force once enough peers have answered and the
+/// newest revision that they hold has arrived, or is overdue.
+void revision_exchange::settle_first()
+{
+    if (!this->first.has_value())
+    {
+        return;
+    }
+    link_map::const_iterator const newest = this->newest_link();
+    bool const is_missing = newest != this->links.end() &&
+                            newest->second.reported_revision > this->held;
+    if (is_missing)
+    {
+        this->fetch_first(newest);
+    }
+    std::optional<first_revision_choice> const choice =
+        this->first->choose(this->time);
+    if (!choice.has_value() || this->held == 0)
+    {
+        return;
+    }
+    if (!this->chosen_at.has_value())
+    {
+        this->chosen_at = this->time;
+    }
+    bool const is_overdue =
+        this->time - *this->chosen_at >= this->settings.first_revision_wait;
+    if (is_missing && !is_overdue)
+    {
+        return;
+    }
+    this->first.reset();
+    this->put_in_force(this->held, std::move(this->held_document), choice);
+}
+
+/// Fetches a newer revision at once if the peer of the pushing link has sent an
+/// older one. Otherwise its push may be in flight, and fetch_missing() replaces
+/// it when it does not arrive.
+void revision_exchange::fetch_first(link_map::const_iterator newest)
+{
+    if (!this->pushing_link.has_value())
+    {
+        return;
+    }
+    revision const pushed =
+        this->links.at(*this->pushing_link).reported_revision;
+    if (pushed > 0 && pushed < newest->second.reported_revision)
+    {
+        this->request_pushes(newest->first);
+    }
+}
+
+revision_exchange::link_map::const_iterator
+revision_exchange::newest_link() const
+{
+    return std::max_element(
+        this->links.begin(), this->links.end(),
+        [](link_map::value_type const& one, link_map::value_type const& other)
+        {
+            return one.second.reported_revision <
+                   other.second.reported_revision;
+        });
+}
+
 void revision_exchange::notify(link::link_number number, peer_link& peer)
 {
     bool const is_up_to_date =
@@ -225,9 +352,14 @@
     {
         return;
     }
+    this->request_pushes(best->first);
+}
+
+void revision_exchange::request_pushes(link::link_number number)
+{
     std::optional<link::link_number> const previous = this->pushing_link;
-    this->pushing_link = best->first;
-    this->subscribe(best->first);
+    this->pushing_link = number;
+    this->subscribe(number);
     if (previous.has_value())
     {
         this->subscribe(*previous);
@@ -268,7 +400,7 @@
 void revision_exchange::fetch_missing()
 {
     bool const is_due =
-        this->announced > this->current &&
+        this->announced > std::max(this->current, this->held) &&
         this->time - this->announced_at >= this->settings.fetch_after;
     if (!is_due)
     {
@@ -285,13 +417,7 @@
         this->subscribe_all();
         return;
     }
-    std::optional<link::link_number> const previous = this->pushing_link;
-    this->pushing_link = this->announcing_link;
-    this->subscribe(this->announcing_link);
-    if (previous.has_value())
-    {
-        this->subscribe(*previous);
-    }
+    this->request_pushes(this->announcing_link);
 }
 
 void revision_exchange::send(link::link_number to, link::message content)
--- a/bilberrylead/distribution/revision_exchange.hpp
+++ b/bilberrylead/distribution/revision_exchange.hpp
@@ -5,6 +5,7 @@
 #include "bilberrylead/distribution/exchange_effect.hpp"
 #include "bilberrylead/distribution/exchange_event.hpp"
 #include "bilberrylead/distribution/exchange_settings.hpp"
+#include "bilberrylead/distribution/first_revision.hpp"
 
 #include <cstddef>
 #include <map>
@@ -23,7 +24,9 @@
 /// Documents are pushed over one link only, the pushing link. Over the others
 /// only revision numbers are announced, and a revision that stays missing is
 /// fetched from the peer that announced it. The revision in force never
-/// decreases: older ones are dropped wherever they come from.
+/// decreases: older ones are dropped wherever they come from. Since an entry
+/// host has no disk, one that restarts waits for the answers of several
+/// control hosts (see first_revision) and takes the newest revision.
 class revision_exchange
 {
 public:
@@ -53,6 +56,8 @@
         revision revision_in_force = 0;
         /// Newest revision that was sent or announced to the peer.
         revision sent_revision = 0;
+        /// Newest revision that the peer has announced or sent.
+        revision reported_revision = 0;
         /// How the peer wants to receive newer revisions.
         link::delivery requested_delivery = link::delivery::announced;
         /// True once the peer has subscribed.
@@ -66,13 +71,23 @@
     void on(subscription_received const& event);
     void on(announcement_received const& event);
     void on(update_received const& event);
+    void on(leader_notice_received const& event);
+    void on(group_news_received const& event);
     void on(revision_published const& event);
     void on(exchange_tick const& event);
 
     void install(revision number, shared_document document);
+    void put_in_force(revision number, shared_document document,
+                      std::optional<first_revision_choice> const& choice);
+    void record_answer(link::link_number number, revision reported);
+    void hold(link::configuration_update const& update);
+    void settle_first();
+    void fetch_first(link_map::const_iterator newest);
+    link_map::const_iterator newest_link() const;
     void notify(link::link_number number, peer_link& peer);
     void notify_all();
     void choose_pushing_link();
+    void request_pushes(link::link_number number);
     void subscribe(link::link_number number);
     void subscribe_all();
     void record_missing(link::link_number announced_by, revision number);
@@ -84,6 +99,14 @@
     link_map links;
     revision current = 0;
     shared_document document;
+    /// Engaged until the first revision is in force, if several answers are
+    /// to be awaited.
+    std::optional<first_revision> first;
+    /// Newest revision received while `first` is engaged, 0 for none.
+    revision held = 0;
+    shared_document held_document;
+    /// When no further answers were awaited any more.
+    std::optional<instant> chosen_at;
     std::optional<link::link_number> pushing_link;
     revision announced = 0;
     link::link_number announcing_link = 0;
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -138,6 +138,10 @@
     {"\"max_answer_bytes\": 32768", "\"max_answers\": 32768",
      error_kind::unknown_field,
      "pipelining.max_answers: This field is not known."},
+    {"\"name\": \"e1\"", "\"first_revision_wait_ms\": 5001, \"name\": \"e1\"",
+     error_kind::bad_value,
+     "first_revision_wait_ms: 5001 is out of range. Write a whole number from "
+     "0 to 5000."},
     {"\"name\": \"e1\"", "\"admission\": \"ranks\", \"name\": \"e1\"",
      error_kind::bad_value, "Write \"none\" or \"by_rank\" or \"by_plan\"."},
     {"\"name\": \"e1\"", "\"admission\": \"by_rank\", \"name\": \"e1\"",
@@ -276,3 +280,19 @@
     cr_assert_eq(value->pipelining.max_requests, 1U);
     cr_assert_eq(value->pipelining.max_answer_bytes, 65536U);
 }
+
+// A host whose settings do not name the wait must not take the first revision
+// that it hears, which may come from a control host that is cut off.
+Test(settings, first_revision_wait_when_given_or_absent_has_its_value)
+{
+    absl::StatusOr<entry_settings> const without =
+        parse_entry_settings(entry_text, "entry.jsonc");
+    cr_assert(without.ok(), "%s", without.status().ToString().c_str());
+    cr_expect(without->first_revision_wait == std::chrono::milliseconds(400));
+    std::string text = entry_text;
+    text.insert(text.find("\"name\""), "\"first_revision_wait_ms\": 0, ");
+    absl::StatusOr<entry_settings> const value =
+        parse_entry_settings(text, "entry.jsonc");
+    cr_assert(value.ok(), "%s", value.status().ToString().c_str());
+    cr_expect(value->first_revision_wait == bilberrylead::duration::zero());
+}
