--- a/tests/scenario_runner/scenario_operator_steps.cpp
+++ b/tests/scenario_runner/scenario_operator_steps.cpp
@@ -150,8 +150,7 @@
         this->host_of(line.word(1)),
         [](json const& status)
         {
-            return status.is_object() && status.contains("leader") &&
-                   status.at("leader") == "";
+            return status.value("leader", "unknown").empty();
         },
         "it knows of a leader");
 }
--- a/tests/unit/distribution/first_revision_test.cpp
+++ b/tests/unit/distribution/first_revision_test.cpp
@@ -91,6 +91,7 @@
     std::vector<revision> numbers() const
     {
         std::vector<revision> result;
+        result.reserve(this->installed.size());
         for (install_revision const& each : this->installed)
         {
             result.push_back(each.number);
