--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -189,6 +189,8 @@
     visitor.choice("object_overflow", value.overflow, object_overflow_names);
     visitor.choice("admission", value.admission, admission_mode_names);
     visitor.section("pipelining", value.pipelining);
+    visitor.time("first_revision_wait_ms", value.first_revision_wait,
+                 std::chrono::milliseconds(0), std::chrono::milliseconds(5000));
 }
 
 } // namespace bilberrylead::config
