--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -167,13 +167,19 @@
     co_return co_await this->carry(request, std::move(arrival), rules);
 }
 
+/// True if a request may be under way beside others. An answer to an HTTP/1.0
+/// caller may end only with the connection, so its requests run alone.
+bool caller_connection::may_overlap(caller_request const& request,
+                                    bool idempotent)
+{
+    return idempotent && request.version >= 11;
+}
+
 void caller_connection::enqueue(std::shared_ptr<caller_request> request,
                                 bool idempotent)
 {
     request_window::traits traits;
-    // An answer to an HTTP/1.0 caller may end only with the connection, so
-    // nothing is dispatched behind its requests.
-    traits.idempotent = idempotent && request->version >= 11;
+    traits.idempotent = may_overlap(*request, idempotent);
     traits.received = request->parser.is_done();
     traits.keeps_connection = request->keeps_connection;
     this->window.add(traits);
@@ -398,8 +404,8 @@
     }
     entry::request_arrived arrival;
     entry::body_rules const rules = this->rules_for(*request, arrival);
-    request->waits_for_turn =
-        !this->window.admits(rules.idempotent, this->core->closing());
+    request->waits_for_turn = !this->window.admits(
+        may_overlap(*request, rules.idempotent), this->core->closing());
     if (request->waits_for_turn ||
         !request->memory.take(this->core->settings().piece))
     {
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -72,6 +72,7 @@
     static std::optional<head_fault> check_head(caller_request& request);
     bool is_page(caller_request const& request) const;
     task<bool> serve_page(std::shared_ptr<caller_request> request);
+    static bool may_overlap(caller_request const& request, bool idempotent);
     void enqueue(std::shared_ptr<caller_request> request, bool idempotent);
     void dispatch_ahead();
     bool parse_ahead(caller_request& request);
