--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -28,6 +30,15 @@
 /// caller that sends more ahead is no longer watched for going away.
 constexpr std::size_t largest_ahead = std::size_t{16} << 10U;
 
+/// True if the other side has ended the connection, also while there are bytes
+/// of it that have not been read.
+bool has_left(tcp_socket& socket)
+{
+    ::pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace
 
 caller_connection::caller_connection(std::shared_ptr<server_core> owner,
@@ -67,6 +78,7 @@
 
 void caller_connection::expire(instant now)
 {
+    this->check_unwatched();
     if (now < this->give_up_at)
     {
         return;
@@ -77,6 +89,23 @@
     this->socket.cancel(ignored);
 }
 
+/// A caller that has sent far more than its window is not read, so its leaving
+/// is not seen by reading. Without pipelining it is noticed with its next
+/// request.
+void caller_connection::check_unwatched()
+{
+    bool const unwatched = !this->watching && !this->gone &&
+                           !this->requests.empty() &&
+                           this->requests.front()->parser.is_done() &&
+                           this->buffer.size() >= largest_ahead &&
+                           this->core->settings().pipelining.max_requests > 1;
+    if (unwatched && has_left(this->socket))
+    {
+        this->note_caller_gone();
+        this->wake.notify();
+    }
+}
+
 void caller_connection::cut()
 {
     error_code ignored;
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -113,6 +113,7 @@
     bool begin_answer();
     void note_received();
     void start_watch();
+    void check_unwatched();
     task<void> end_watch();
     void note_caller_gone();
     void abandon_requests();
