Work ahead of unanswered requests leaves half of the memory

Requests ahead and held answers now take memory only while at most half of it is in use afterwards. A request that finds none waits for its turn, an answer is streamed in its turn, as before. Without pipelining nothing asks for it.

--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -436,7 +436,7 @@
     request->waits_for_turn = !this->window.admits(
         may_overlap(*request, rules.idempotent), this->core->closing());
     if (request->waits_for_turn ||
-        !request->memory.take(this->core->settings().piece))
+        !request->memory.take_ahead(this->core->settings().piece))
     {
         return false;
     }
--- a/bilberrylead/http/memory_share.cpp
+++ b/bilberrylead/http/memory_share.cpp
@@ -23,9 +23,14 @@
     return true;
 }
 
+bool memory_share::take_ahead(std::size_t count)
+{
+    return this->core->has_memory_ahead(count) && this->take(count);
+}
+
 bool memory_share::take_for_answer(std::size_t count)
 {
-    if (!this->take(count))
+    if (!this->take_ahead(count))
     {
         return false;
     }
--- a/bilberrylead/http/memory_share.hpp
+++ b/bilberrylead/http/memory_share.hpp
@@ -27,7 +27,11 @@
     /// Takes more; false if there is none left.
     bool take(std::size_t count);
 
-    /// Takes more for a held answer, which is counted apart as well.
+    /// Takes more for work ahead of an unanswered request; false if less than
+    /// half of the host's memory would be left.
+    bool take_ahead(std::size_t count);
+
+    /// The same for a held answer, which is counted apart as well.
     bool take_for_answer(std::size_t count);
 
 private:
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -62,6 +62,14 @@
     /// Takes memory for a body; false if there is none left.
     bool reserve(std::size_t count);
 
+    /// True if that much may be taken for work ahead of unanswered requests,
+    /// which leaves half of the memory to those that are first: callers that
+    /// pipeline and do not read must not take it from the others.
+    bool has_memory_ahead(std::size_t count) const
+    {
+        return this->counted.memory_in_use + count <= this->chosen.memory / 2;
+    }
+
     /// Gives memory back.
     void unreserve(std::size_t count);
 
