Idle time ends when a request that waited has its turn

A head that had been parsed ahead was served without its head limit, and with it the idle limit of the wait before was left in force. It cut the body that an upstream was still taking once the idle time had passed. New test, failing first: pipelining_timeouts/idle_time_does_not_run_for_a_request_that_waited. With the default settings the kept part of a body resets the limit, so only a host that keeps nothing of bodies (kept_body 0) could meet it.

Other tests: idle time does not run while requests are unanswered, head time runs from the turn of the request. They set the time of the look for expired limits forward instead of waiting.

--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -265,6 +265,8 @@
     request.begun = true;
     if (request.parser.is_header_done() || request.head_error)
     {
+        // The idle time ends here; it must not cut the request's body.
+        this->clear_limit();
         co_return true;
     }
     this->set_limit(this->core->caller_limits().header_timeout);
