Memory of a body that comes in small parts

For each part of a body that came, a whole piece (16 KiB by default) was taken from the host's memory and kept until the end of the request, however small the part. A caller that sent a body of 64 KiB byte by byte would have been charged 1 GiB, was refused with 503 "out of memory", and took the memory of all others until then.

Only what goes beyond the bytes already taken is taken now. This concerns hosts without pipelining too: they refuse fewer bodies, nothing else changes.

--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -265,15 +265,18 @@
             co_return false;
         }
     }
+    std::size_t taken = 0;
     while (!request->parser.is_done() && carried.kept.size() < keep)
     {
         std::size_t const old = carried.kept.size();
         std::size_t const more =
             std::min(this->core->settings().piece, keep - old);
-        if (!request->memory.take(more))
+        // A body that comes in small parts needs no more than a whole one.
+        if (!request->memory.take(old + more - taken))
         {
             co_return co_await this->refuse_for_memory(*request);
         }
+        taken = old + more;
         carried.kept.resize(old + more);
         std::size_t count = 0;
         bool const came = co_await this->read_piece(
