--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -28,6 +30,15 @@
 /// caller that sends more ahead is no longer watched for going away.
 constexpr std::size_t largest_ahead = std::size_t{16} << 10U;
 
+/// True if the other side has ended the connection, also while there are bytes
+/// of it that have not been read.
+bool has_left(tcp_socket& socket)
+{
+    ::pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace
 
 caller_connection::caller_connection(std::shared_ptr<server_core> owner,
@@ -67,6 +78,7 @@
 
 void caller_connection::expire(instant now)
 {
+    this->check_unwatched();
     if (now < this->give_up_at)
     {
         return;
@@ -77,6 +89,23 @@
     this->socket.cancel(ignored);
 }
 
+/// A caller that has sent far more than its window is not read, so its leaving
+/// is not seen by reading. Without pipelining it is noticed with its next
+/// request.
+void caller_connection::check_unwatched()
+{
+    bool const unwatched = !this->watching && !this->gone &&
+                           !this->requests.empty() &&
+                           this->requests.front()->parser.is_done() &&
+                           this->buffer.size() >= largest_ahead &&
+                           this->core->settings().pipelining.max_requests > 1;
+    if (unwatched && has_left(this->socket))
+    {
+        this->note_caller_gone();
+        this->wake.notify();
+    }
+}
+
 void caller_connection::cut()
 {
     error_code ignored;
@@ -167,13 +196,19 @@
     co_return co_await this->carry(request, std::move(arrival), rules);
 }
 
+/// True if a request may be under way beside others. An answer to an HTTP/1.0
+/// caller may end only with the connection, so its requests run alone.
+bool caller_connection::may_overlap(caller_request const& request,
+                                    bool idempotent)
+{
+    return idempotent && request.version >= 11;
+}
+
 void caller_connection::enqueue(std::shared_ptr<caller_request> request,
                                 bool idempotent)
 {
     request_window::traits traits;
-    // An answer to an HTTP/1.0 caller may end only with the connection, so
-    // nothing is dispatched behind its requests.
-    traits.idempotent = idempotent && request->version >= 11;
+    traits.idempotent = may_overlap(*request, idempotent);
     traits.received = request->parser.is_done();
     traits.keeps_connection = request->keeps_connection;
     this->window.add(traits);
@@ -230,6 +265,8 @@
     request.begun = true;
     if (request.parser.is_header_done() || request.head_error)
     {
+        // The idle time ends here; it must not cut the request's body.
+        this->clear_limit();
         co_return true;
     }
     this->set_limit(this->core->caller_limits().header_timeout);
@@ -398,10 +435,10 @@
     }
     entry::request_arrived arrival;
     entry::body_rules const rules = this->rules_for(*request, arrival);
-    request->waits_for_turn =
-        !this->window.admits(rules.idempotent, this->core->closing());
+    request->waits_for_turn = !this->window.admits(
+        may_overlap(*request, rules.idempotent), this->core->closing());
     if (request->waits_for_turn ||
-        !request->memory.take(this->core->settings().piece))
+        !request->memory.take_ahead(this->core->settings().piece))
     {
         return false;
     }
