bilberryctl: report the acceptance of its own resent change

Cause: an operator's change is committed, its answer is lost (the leader loses its office, ends, or its data folder fails), and bilberryctl sends the change again. The catalog answers every resend with already_accepted, which bilberryctl passed on, as if another call had submitted the change. Seen as "the outcome is 'already_accepted'" in scenario.frozen_leader and scenario.second_loss_after_repair on a busy machine.

Changed: operator_client notes whether an earlier sending of a request may have been carried out without its outcome being received: sent and not answered, "outcome unknown" (504), or the data folder failed (503). With such a loss, already_accepted becomes accepted if the change was not accepted before the call: its base was the newest revision when the call began. For an id that the operator chose, bilberryctl reads the newest configuration first. Otherwise already_accepted stays, and the table form says so too. A call that gives up after a lost outcome names the change and how to ask again, also if the last host answered "not the leader".

Ruled out: a mark of the call in the replicated command. It would be exact for two calls with one id at the same time as well, but replicas of an older version cannot read such a command.

--- a/bilberrylead/ctl/change_commands.cpp
+++ b/bilberrylead/ctl/change_commands.cpp
@@ -29,15 +29,68 @@
     return fmt::format("{:08x}{:08x}", source(), source());
 }
 
+/// A change that this call proposes.
+struct proposed_change
+{
+    /// Its id.
+    std::string id;
+    /// The revision that it is based on.
+    std::uint64_t base = 0;
+    /// The configuration.
+    std::string document;
+    /// The newest revision that had been accepted when this call began.
+    std::uint64_t accepted_before = 0;
+};
+
+/// An answer that says "accepted already" of this call's own change says
+/// "accepted" instead: the call sent it twice, and the outcome of the first
+/// sending was lost. A change on the newest revision cannot have been accepted
+/// before; otherwise an earlier call may have submitted it under the same id.
+void report_own_acceptance(operator_answer& answer,
+                           proposed_change const& change)
+{
+    if (!answer.outcome_was_lost || change.accepted_before > change.base)
+    {
+        return;
+    }
+    absl::StatusOr<nlohmann::json> body = body_of(answer);
+    if (body.ok() && body->value("outcome", "") == "already_accepted")
+    {
+        (*body)["outcome"] = "accepted";
+        answer.body = body->dump();
+    }
+}
+
 absl::StatusOr<operator_answer> send_change(operator_client& client,
-                                            std::string const& change_id,
-                                            std::uint64_t base_revision,
-                                            std::string const& document)
+                                            proposed_change const& change)
+{
+    nlohmann::json const body = {{"change_id", change.id},
+                                 {"base_revision", change.base},
+                                 {"document", change.document}};
+    absl::StatusOr<operator_answer> answer =
+        client.ask("POST", "/v1/changes", body.dump());
+    if (answer.ok())
+    {
+        report_own_acceptance(*answer, change);
+    }
+    return answer;
+}
+
+/// True if the change may have been accepted and no host said whether it was.
+bool is_outcome_unknown(operator_answer const& answer)
+{
+    absl::StatusOr<nlohmann::json> const body = body_of(answer);
+    return answer.outcome_was_lost && !(body.ok() && body->contains("outcome"));
+}
+
+/// Tells the operator how to learn the outcome of a change that may have been
+/// accepted.
+void explain_unknown_outcome(proposed_change const& change)
 {
-    nlohmann::json const body = {{"change_id", change_id},
-                                 {"base_revision", base_revision},
-                                 {"document", document}};
-    return client.ask("POST", "/v1/changes", body.dump());
+    fmt::print(stderr,
+               "bilberryctl: What became of change {} is not known. Send "
+               "it again with --change-id {} --base {}.\n",
+               change.id, change.id, change.base);
 }
 
 exit_code show_change(command_line const& line, std::string const& change_id,
@@ -74,8 +127,11 @@
     }
     else
     {
-        fmt::print("Revision {} is accepted (change {}).\n",
-                   body->value("revision", std::uint64_t{0}), change_id);
+        fmt::print("Revision {} {} (change {}).\n",
+                   body->value("revision", std::uint64_t{0}),
+                   outcome == "already_accepted" ? "was accepted already"
+                                                 : "is accepted",
+                   change_id);
     }
     if (outcome == "conflict")
     {
@@ -143,6 +199,34 @@
     return config::render_configuration(*parsed);
 }
 
+/// The change that the command line asks for. An id made here is new. One
+/// that the operator chose may have been submitted before, which only the
+/// newest accepted revision tells.
+absl::StatusOr<proposed_change> prepare_change(command_line const& line,
+                                               operator_client& client,
+                                               std::string const& document)
+{
+    bool const has_new_id = line.change_id.empty();
+    proposed_change change = {has_new_id ? make_change_id() : line.change_id,
+                              line.base_revision, document, line.base_revision};
+    if (has_new_id && line.has_base_revision)
+    {
+        return change;
+    }
+    absl::StatusOr<accepted_configuration> const accepted =
+        fetch_accepted(client);
+    if (!accepted.ok())
+    {
+        return accepted.status();
+    }
+    change.accepted_before = accepted->number;
+    if (!line.has_base_revision)
+    {
+        change.base = accepted->number;
+    }
+    return change;
+}
+
 exit_code change_leaving(command_line const& line, bool leaving)
 {
     operator_client client(line.client);
@@ -160,9 +244,10 @@
         {
             return report(edited.status());
         }
-        std::string const change_id = make_change_id();
+        proposed_change const change = {make_change_id(), accepted->number,
+                                        *edited, accepted->number};
         absl::StatusOr<operator_answer> const answer =
-            send_change(client, change_id, accepted->number, *edited);
+            send_change(client, change);
         if (!answer.ok())
         {
             return report(answer.status());
@@ -170,7 +255,7 @@
         bool const lost_a_race = answer->status == 409 && left > 1;
         if (!lost_a_race)
         {
-            return show_change(line, change_id, *answer);
+            return show_change(line, change.id, *answer);
         }
     }
 }
@@ -220,30 +305,19 @@
         return report(parsed.status());
     }
     operator_client client(line.client);
-    std::uint64_t base = line.base_revision;
-    if (!line.has_base_revision)
+    absl::StatusOr<proposed_change> const change =
+        prepare_change(line, client, *text);
+    if (!change.ok())
     {
-        absl::StatusOr<accepted_configuration> const accepted =
-            fetch_accepted(client);
-        if (!accepted.ok())
-        {
-            return report(accepted.status());
-        }
-        base = accepted->number;
+        return report(change.status());
     }
-    std::string const change_id =
-        line.change_id.empty() ? make_change_id() : line.change_id;
-    absl::StatusOr<operator_answer> const answer =
-        send_change(client, change_id, base, *text);
-    if (!answer.ok())
+    absl::StatusOr<operator_answer> const answer = send_change(client, *change);
+    if (!answer.ok() || is_outcome_unknown(*answer))
     {
-        fmt::print(stderr,
-                   "bilberryctl: What became of change {} is not known. Send "
-                   "it again with --change-id {} --base {}.\n",
-                   change_id, change_id, base);
-        return report(answer.status());
+        explain_unknown_outcome(*change);
     }
-    return show_change(line, change_id, *answer);
+    return answer.ok() ? show_change(line, change->id, *answer)
+                       : report(answer.status());
 }
 
 exit_code run_drain(command_line const& line)
--- a/bilberrylead/ctl/operator_client.cpp
+++ b/bilberrylead/ctl/operator_client.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/ctl/operator_client.hpp"
 
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/ctl/report.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -64,12 +65,19 @@
                                std::move(this->parser.get().body()), 0};
     }
 
+    /// True if a part of the request may have reached the host.
+    bool was_sent() const
+    {
+        return this->sent;
+    }
+
 private:
     void on_connected(error_code const& error)
     {
         this->failed = error;
         if (!error)
         {
+            this->sent = true;
             http::async_write(this->stream, this->request,
                               [this](error_code const& outcome, std::size_t)
                               {
@@ -97,6 +105,7 @@
     http::request<http::string_body> request;
     http::response_parser<http::string_body> parser;
     error_code failed;
+    bool sent = false;
 };
 
 bool is_final(unsigned status)
@@ -105,8 +114,31 @@
            status != gateway_timeout;
 }
 
+/// True if the host may have carried out what it did not report as done: it
+/// lost the leadership, or its data folder failed, with the request open.
+bool leaves_outcome_open(operator_answer const& answer)
+{
+    if (answer.status != unavailable)
+    {
+        return answer.status == gateway_timeout;
+    }
+    absl::StatusOr<nlohmann::json> const body = body_of(answer);
+    return body.ok() &&
+           body->value("error", "") == to_string(error_kind::storage);
+}
+
 } // namespace
 
+/// One sending of a request.
+struct operator_client::sending
+{
+    /// The host's answer.
+    absl::StatusOr<operator_answer> answer;
+    /// True if the request may have been carried out and the answer does not
+    /// say so.
+    bool outcome_is_open = false;
+};
+
 operator_client::operator_client(operator_client_settings settings)
     : settings(std::move(settings))
 {
@@ -121,13 +153,20 @@
     absl::StatusOr<operator_answer> last =
         make_error(error_kind::connection, "No control host is known.",
                    "Name one with --control ADDRESS:PORT.");
+    bool outcome_was_lost = false;
     while (this->host_count() > 0)
     {
         for (std::size_t step = 0; step < this->host_count(); ++step)
         {
             std::size_t const host =
                 (this->first_host + step) % this->host_count();
-            last = this->ask_one(host, method, target, body);
+            sending const next = this->send(host, method, target, body);
+            outcome_was_lost = outcome_was_lost || next.outcome_is_open;
+            last = next.answer;
+            if (last.ok())
+            {
+                last->outcome_was_lost = outcome_was_lost;
+            }
             if (last.ok() && is_final(last->status))
             {
                 // The next question goes to the leader at once.
@@ -147,12 +186,20 @@
 absl::StatusOr<operator_answer>
 operator_client::ask_one(std::size_t host, std::string const& method,
                          std::string const& target, std::string const& body)
+{
+    return this->send(host, method, target, body).answer;
+}
+
+operator_client::sending operator_client::send(std::size_t host,
+                                               std::string const& method,
+                                               std::string const& target,
+                                               std::string const& body)
 {
     config::endpoint const& where = this->settings.control_hosts.at(host);
     absl::StatusOr<asio::ip::tcp::endpoint> const address = link::to_tcp(where);
     if (!address.ok())
     {
-        return address.status();
+        return {address.status()};
     }
     http::request<http::string_body> request(http::string_to_verb(method),
                                              target, 11);
@@ -166,11 +213,13 @@
     exchange once(this->settings.answer_timeout);
     absl::StatusOr<operator_answer> answer =
         once.run(*address, std::move(request));
+    bool outcome_is_open = once.was_sent();
     if (answer.ok())
     {
         answer->host = host;
+        outcome_is_open = leaves_outcome_open(*answer);
     }
-    return answer;
+    return {std::move(answer), outcome_is_open};
 }
 
 std::size_t operator_client::host_count() const
--- a/bilberrylead/ctl/operator_client.hpp
+++ b/bilberrylead/ctl/operator_client.hpp
@@ -41,6 +41,10 @@
     std::string body;
     /// Which host gave it, as an index into the settings' list.
     std::size_t host = 0;
+    /// True if this request was sent before and may have been carried out
+    /// without its outcome being received. Set by operator_client::ask; if no
+    /// host gave an outcome, this answer's own sending counts too.
+    bool outcome_was_lost = false;
 };
 
 /// Asks control hosts over HTTP, one after another, until one that can
@@ -69,6 +73,11 @@
     std::size_t host_count() const;
 
 private:
+    struct sending;
+
+    sending send(std::size_t host, std::string const& method,
+                 std::string const& target, std::string const& body);
+
     operator_client_settings settings;
     std::size_t first_host = 0;
 };
