Agreement: a leader that was paused reads its replies before it steps down

Cause: a control host syncs on the thread that also reads and sends, so a slow sync pauses its heartbeats and its reading. On resuming, a leader checked its quorum at the beginning of its first call, before it had read the replies that waited, and stepped down after a pause of about 560 ms, although no voter elects another leader within 700 ms of its last message. Changes under way lost their answers, and the group had no leader until the next election.

Changed: with replica_settings::wait_after_pause, which control hosts switch on, a leader whose calls were more than half an election timeout apart first gets one heartbeat interval to read. It steps down in any case two election timeouts after the last heartbeat that a quorum answered. The lease, the voters' waits and the followers' timers are unchanged, and so is the time to a successor after a loss.

Ruled out: the same wait for followers before they stand for election. No test needed it, since heartbeats are read before another follower's pre-vote, and on a scratch copy it made two followers stand at the same time again and again. Syncs beside the loop, which would also cover a pause of the only other follower, are not a small change.

Result: pause/group_when_paused_together_keeps_its_leader and pause/leader_when_paused_alone_within_the_timeout_keeps_leading failed before and pass. Trials: without the bound of two timeouts pause/isolated_leader_when_paused_repeatedly_steps_down fails; without the wait the other two fail.

--- a/bilberrylead/agreement/leadership.cpp
+++ b/bilberrylead/agreement/leadership.cpp
@@ -17,6 +17,8 @@
 void leadership::begin()
 {
     this->elected_at = this->core.now;
+    this->checked_at = this->core.now;
+    this->resumed_at.reset();
     this->term_start_index = this->core.log.last_index() + 1;
     this->lease_released = false;
     this->peers.clear();
@@ -40,11 +42,16 @@
 
 void leadership::check_quorum()
 {
+    this->record_pause();
     instant const acked = std::max(
         this->quorum_acked_send_time(this->core.now).value_or(this->elected_at),
         this->elected_at);
-    bool const lost =
-        this->core.now - acked > this->core.settings.election_timeout;
+
+    // Replies that arrived during a pause may be unread. Reads do not rely on
+    // this check: the lease ends by the time itself.
+    duration const timeout = this->core.settings.election_timeout;
+    duration const bound = this->has_just_resumed() ? 2 * timeout : timeout;
+    bool const lost = this->core.now - acked > bound;
     if (lost && this->core.enabled_safeguards.quorum_check)
     {
         this->core.leader = host_id();
@@ -52,6 +59,31 @@
     }
 }
 
+/// A pause up to half an election timeout alone does not make the leader step
+/// down: the last reply was to a heartbeat at most two intervals and a round
+/// trip before it.
+void leadership::record_pause()
+{
+    replica_settings const& settings = this->core.settings;
+    bool const was_paused =
+        this->core.now - this->checked_at > settings.election_timeout / 2;
+    this->checked_at = this->core.now;
+    if (settings.wait_after_pause && was_paused)
+    {
+        this->resumed_at = this->core.now;
+    }
+}
+
+/// True for one heartbeat interval after a pause of this process: time for a
+/// tick and a round trip between regions, in which replies that waited are read
+/// and a heartbeat is answered.
+bool leadership::has_just_resumed() const
+{
+    return this->resumed_at.has_value() &&
+           this->core.now - *this->resumed_at <
+               this->core.settings.heartbeat_interval;
+}
+
 std::uint64_t leadership::append(entry_kind kind, bytes payload)
 {
     log_entry next{this->core.hard_state.term, this->core.log.last_index() + 1,
--- a/bilberrylead/agreement/leadership.hpp
+++ b/bilberrylead/agreement/leadership.hpp
@@ -35,7 +35,8 @@
     /// its number.
     void start_round();
 
-    /// Steps down if no quorum replied within an election timeout.
+    /// Steps down if no quorum replied within an election timeout; within two,
+    /// just after a pause of this process (setting wait_after_pause).
     void check_quorum();
 
     /// Appends an entry to the log and returns its index.
@@ -97,6 +98,8 @@
     void commit();
     void send_heartbeats();
     std::optional<instant> quorum_acked_send_time(instant now) const;
+    void record_pause();
+    bool has_just_resumed() const;
 
     replica_core& core;
     log_applier& applier;
@@ -105,6 +108,9 @@
     peer_table peers;
     instant elected_at;
     instant heartbeats_due_at;
+    // Time of the last quorum check, and of the last one after a pause.
+    instant checked_at;
+    std::optional<instant> resumed_at;
     std::uint64_t term_start_index = 0;
     bool lease_released = false;
 };
--- a/bilberrylead/agreement/replica_settings.hpp
+++ b/bilberrylead/agreement/replica_settings.hpp
@@ -31,6 +31,12 @@
     /// crystal oscillator), so that the old lease ends before a successor is
     /// elected.
     duration lease_margin = std::chrono::milliseconds(150);
+    /// True if a leader whose process was paused for more than half an election
+    /// timeout, by a slow sync or a busy machine, gets one heartbeat interval
+    /// to read the replies that it received meanwhile before it steps down for
+    /// want of them. It steps down in any case two election timeouts after the
+    /// last heartbeat that a quorum answered.
+    bool wait_after_pause = false;
     /// Maximum entries in one append; limits what a follower syncs at once.
     std::size_t max_append_entries = 256;
     /// Maximum payload bytes in one append (at least one entry is sent): a 10
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -205,6 +205,7 @@
     wanted.entries.max_ttl = this->settings.steering_ttl;
     wanted.places = this->settings.places;
     wanted.admission = this->settings.admission;
+    wanted.replica.wait_after_pause = true;
     if (this->forms_itself())
     {
         wanted.planner.emplace();
