Probe of an upstream: a connection that is reset met a listener

Cause: an entry host that loses a connection probes the upstream, to learn whether it ended. The listener of a process that ends may outlive its connections for a moment: it takes the probe, and is closed before the probe sees its connection. The kernel then reports ECONNRESET. That counted as no response, after which an upstream is not probed again, so that without a list of upstreams its end was never counted: the next call of a request that ends upstreams ran at a third one. Its logs: e1 lost lookup-a-1 and lookup-d-1, recorded the end of the first, and wrote neither "ended" nor another verdict on the second within 1 s, though e2's attempt at lookup-d-1 failed meanwhile. The record from e2 reached e1 in time, so that a late message is ruled out.

Changed: a reset connection counts as accepted, after which the upstream is probed again within 50 ms and refuses.

The errno of the failed run was not logged.

--- a/bilberrylead/http/upstream_probe.cpp
+++ b/bilberrylead/http/upstream_probe.cpp
@@ -34,9 +34,13 @@
     probe_function done;
 };
 
+} // namespace
+
 entry::probe_outcome outcome_of(error_code const& error)
 {
-    if (!error)
+    // Only a connection that a listener took can be reset: the listener was
+    // closed with it, and the next probe tells.
+    if (!error || error == asio::error::connection_reset)
     {
         return entry::probe_outcome::accepted;
     }
@@ -45,8 +49,6 @@
                : entry::probe_outcome::no_response;
 }
 
-} // namespace
-
 void probe_upstream(executor const& where, config::endpoint const& upstream,
                     duration timeout, probe_function done)
 {
