--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -78,7 +78,8 @@
                                                     }),
       exchange({}), claims(claim_settings()), most_entry_hosts(count_memory),
       most_in_a_region(count_memory),
-      control_links(settings.id, settings.region)
+      control_links(settings.id, settings.region),
+      admission_reports(settings.admission)
 {
 }
 once_client::once_client_settings
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -3,6 +3,7 @@
 
 #include "bilberrylead/core/log.hpp"
 #include "bilberrylead/core/process_seed.hpp"
+#include "bilberrylead/daemon/admission_reporting.hpp"
 #include "bilberrylead/daemon/entry_metrics.hpp"
 #include "bilberrylead/daemon/entry_program.hpp"
 #include "bilberrylead/daemon/peer_book.hpp"
@@ -16,6 +17,7 @@
 #include "bilberrylead/link/peer_node.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
 #include "bilberrylead/once_client/once_client.hpp"
+#include "bilberrylead/policy/plan_order.hpp"
 #include "bilberrylead/policy/recent_peak.hpp"
 #include "bilberrylead/presence/control_link_plan.hpp"
 
@@ -110,9 +112,8 @@
     bool links_seeds = false;
     instant listing_asked_at{};
     link::link_number last_asked = 0;
-    std::uint64_t plan_term = 0;
-    std::uint64_t admission_number = 0;
-    instant admission_reported_at{};
+    policy::plan_order plans;
+    admission_reporting admission_reports;
     host_id leader;
     bool told_ready = false;
     bool has_upstream_contact = true;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -296,15 +296,10 @@
 {
     // A leader that was replaced while it was cut off plans by an old
     // picture.
-    if (said.term < this->plan_term)
+    if (!this->plans.accept_term(said.term))
     {
         return;
     }
-    if (said.term > this->plan_term)
-    {
-        this->admission_number = 0;
-    }
-    this->plan_term = said.term;
     entry::regions_planned plan;
     plan.entry_hosts = said.entry_hosts;
     for (link::region_share const& each : said.shares)
@@ -324,8 +319,7 @@
     if (!reported.empty() && reported != this->leader)
     {
         this->leader = reported;
-        // A new leader plans once it has the demand of most hosts.
-        this->admission_reported_at = instant{};
+        this->admission_reports.leader_changed(reported);
         this->server->dispatch(entry::leader_changed{});
     }
 }
--- a/bilberrylead/daemon/entry_program_reports.cpp
+++ b/bilberrylead/daemon/entry_program_reports.cpp
@@ -3,7 +3,6 @@
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/link/admission_conversion.hpp"
 
-#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -17,12 +16,6 @@
 
 constexpr part_log log{"entry"};
 
-/// Shortest interval between two reports of the demand for admission. Longer
-/// than a heartbeat interval, so that every second heartbeat contains one: a
-/// report may be 2 KB long, and control traffic of a host is limited to 5 KB a
-/// second.
-constexpr std::chrono::milliseconds min_admission_report_interval{750};
-
 } // namespace
 
 void entry_program::implementation::tell_crashes(
@@ -72,11 +65,10 @@
     link::admission_shares const& shares)
 {
     // A control host that was cut off passes an old plan on.
-    if (shares.number <= this->admission_number)
+    if (!this->plans.accept_admission(shares.number))
     {
         return;
     }
-    this->admission_number = shares.number;
     entry::admission_plan_received received;
     received.age = shares.age;
     received.source = this->leader;
@@ -92,16 +84,12 @@
 void entry_program::implementation::add_admission_demand(
     link::link_number to, link::entry_presence& presence)
 {
-    instant const now = clock_now();
     auto const peer = this->links.find(to);
-    if (this->settings.admission != config::admission_mode::by_plan ||
-        peer == this->links.end() || peer->second.id != this->leader ||
-        now - this->admission_reported_at < min_admission_report_interval)
+    if (peer != this->links.end() &&
+        this->admission_reports.take_turn(peer->second.id, clock_now()))
     {
-        return;
+        presence.admission = link::to_rows(this->server->admission_demands());
     }
-    this->admission_reported_at = now;
-    presence.admission = link::to_rows(this->server->admission_demands());
 }
 
 void entry_program::implementation::on_contact_changed(
