Tests: messages of admission by plan in a deployment of mixed versions

Looked into: the reader before demands that a record is read to its end, so it drops a heartbeat or region plan with admission fields (a warning is logged, the link is kept); every second heartbeat of an entry host would be lost. Without the fields the records are byte for byte as before.

Tests: a reader with the layout of that version accepts messages without the fields and rejects those with them; a control host with admission none that receives a plan with admission keeps none and passes none on.

Ruled out: fields that are sent with the setting off.

No fault found.

--- a/tests/unit/control/admission_plan_test.cpp
+++ b/tests/unit/control/admission_plan_test.cpp
@@ -166,12 +166,13 @@
 /// A single control host of region "r" with admission by plan.
 struct admission_follower
 {
-    admission_follower()
+    explicit admission_follower(
+        decltype(&enable_admission) adjust = enable_admission)
     {
         control::control_reducer_settings settings;
         control::control_started started;
         settings.self = control_host(0);
-        enable_admission(settings, started);
+        adjust(settings, started);
         // Files of earlier versions and later ones may hold any plan.
         started.plan = plan(3, 4);
         this->host.emplace(settings, process_seed(settings.self, 1));
@@ -370,6 +371,20 @@
     cr_expect_eq(follower.host->admission_plan()->term, 4U);
 }
 
+// The setting is changed host by host. Guards against a control host without it
+// that passes a plan on, in a message that entry hosts of an earlier version
+// cannot read.
+Test(admission_plan, plan_is_not_passed_on_without_the_setting)
+{
+    admission_follower follower(disable_admission);
+    follower.dispatch(control::peer_message{1, follower.plan(3, 5)});
+    cr_expect_not(follower.host->admission_plan().has_value());
+    std::optional<link::region_plan> const plan = follower.plan_for_new_host();
+    cr_assert(plan.has_value());
+    cr_expect_eq(plan->term, 3U);
+    cr_expect_not(plan->admission.has_value());
+}
+
 // An entry host that starts receives the plan from any control host. Guards
 // against a plan that appears newer at each host that passes it on.
 Test(admission_plan, plan_is_passed_on_with_its_age)
--- a/tests/unit/link/message_test.cpp
+++ b/tests/unit/link/message_test.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/catalog/replicated_command.hpp"
 #include "bilberrylead/core/cbor.hpp"
+#include "bilberrylead/core/cbor_fields.hpp"
 #include "bilberrylead/core/error.hpp"
 
 #include <criterion/criterion.h>
@@ -133,6 +134,47 @@
     };
 }
 
+/// Reads a heartbeat or region plan as the version before admission by plan
+/// does: it knows no fields behind the last one read here.
+bool version_before_admission_reads(bytes const& encoded)
+{
+    constexpr std::uint64_t presence_tag = 11;
+    constexpr std::size_t longest = 255;
+    absl::StatusOr<cbor_fields> fields = cbor_fields::parse(encoded);
+    if (!fields.ok())
+    {
+        return false;
+    }
+    bool const is_presence = fields->take_unsigned() == presence_tag;
+    if (is_presence)
+    {
+        fields->take_text(longest);
+        fields->take_unsigned_16();
+        fields->take_text(longest);
+        fields->take_text(longest);
+        fields->take_bool();
+        fields->take_bool();
+        fields->take_unsigned();
+        fields->take_unsigned();
+    }
+    fields->take_unsigned();
+    std::uint64_t const rows = fields->take_unsigned();
+    for (std::uint64_t row = 0; fields->intact() && row < rows; ++row)
+    {
+        fields->take_text(longest);
+        if (!is_presence)
+        {
+            fields->take_text(longest);
+        }
+        fields->take_unsigned_32();
+    }
+    if (!is_presence && fields->intact() && !fields->complete())
+    {
+        fields->take_unsigned();
+    }
+    return fields->complete();
+}
+
 bytes cbor(json const& record)
 {
     bytes output;
@@ -304,6 +346,26 @@
     cr_expect_not(std::get<link::region_plan>(*old_plan).admission.has_value());
 }
 
+// Guards against a mixed-version deployment that fails while admission by plan
+// is off, and states what setting it too early does: the version before it
+// drops these messages, and only these.
+Test(message, version_before_admission_reads_records_without_it_only)
+{
+    cr_expect(version_before_admission_reads(link::encode(presence_message())));
+    cr_expect_not(version_before_admission_reads(
+        link::encode(presence_with_admission())));
+    link::entry_presence nothing_offered = presence_message();
+    nothing_offered.admission.emplace();
+    cr_expect_not(
+        version_before_admission_reads(link::encode(nothing_offered)));
+
+    link::region_plan const plan{
+        7, {{service_id("s"), region_id("r"), 400}}, 5};
+    cr_expect(version_before_admission_reads(link::encode(plan)));
+    cr_expect_not(version_before_admission_reads(
+        link::encode(plan_with(admission_shares()))));
+}
+
 // A faulty peer must not make the leader or an entry host plan with values
 // without meaning, or keep more of them than fit its memory.
 Test(message, admission_out_of_range_is_a_typed_error)
