Scenario: admission by plan over real processes

Cause: admission by plan had run in models and reducers only.

Added: scenario admission_by_plan (three control hosts, two entry hosts, four stand-ins with 8 slots, two routes of ranks 0 and 2, two customers of which one sends six times as much of the usual route). It checks the way of the reports to the leader and of the plan back (bilberryctl admission, log lines, metrics), the order of ranks and customers, the loss of the leader (the new plan arrives before the old one is ignored, at 10 s), and changed priorities of a customer and a route under load.

The runner has steps for settings, routes, customers, a list of upstreams (the leader plans only for listed ones), the path and customer of a load, and what is shown of a plan. Slots of a stand-in's behaviour are declared for its upstreams as well.

--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -24,8 +24,6 @@
 
 using json = nlohmann::json;
 
-constexpr char const* peer_key = "a-shared-peer-key-for-scenarios-only-0001";
-constexpr char const* operator_key = "an-operator-key-for-scenarios-only-00001";
 constexpr std::chrono::seconds ctl_patience{60};
 
 /// Ports of a stand-in follow each other, so they are looked for together.
@@ -122,7 +120,12 @@
         upstream.zone = zone_id(zone);
         upstream.address = {
             "127.0.0.1", static_cast<std::uint16_t>(added.first_port + number)};
+        upstream.slots = json::parse(behaviour).value("slots", upstream.slots);
         this->configuration.upstreams.push_back(upstream);
+        if (this->list != nullptr)
+        {
+            this->list->add(upstream);
+        }
     }
     this->stand_ins[name] = added;
 }
@@ -270,8 +273,13 @@
 
 std::string deployment::write_configuration()
 {
+    config::configuration content = this->configuration;
+    if (this->list != nullptr)
+    {
+        content.upstreams.clear();
+    }
     return this->write_file("configuration.jsonc",
-                            config::render_configuration(this->configuration));
+                            config::render_configuration(content));
 }
 
 config::configuration& deployment::declared()
@@ -284,6 +292,16 @@
     return this->hosts.at(entry).second_port;
 }
 
+std::uint16_t deployment::metrics_port(std::string const& name) const
+{
+    return this->hosts.at(name).metrics_port;
+}
+
+std::filesystem::path deployment::log_file(std::string const& name) const
+{
+    return this->home / (name + ".out");
+}
+
 std::uint16_t deployment::admin_port(std::string const& stand_in) const
 {
     return this->stand_ins.at(stand_in).admin_port;
@@ -344,63 +362,6 @@
     return this->home;
 }
 
-std::string deployment::write_settings(std::string const& name)
-{
-    host const& self = this->hosts.at(name);
-    std::string region;
-    for (config::place const& place : this->configuration.places)
-    {
-        if (place.zone.text() == self.zone)
-        {
-            region = place.region.text();
-        }
-    }
-    json settings = {
-        {"name", name},
-        {"zone", self.zone},
-        {"region", region},
-        {"peer_listen", loopback(self.peer_port)},
-        {"metrics_listen", loopback(self.metrics_port)},
-        {"control_hosts", json::parse(this->host_list(name, true))},
-        {"peer_key", peer_key}};
-    if (self.is_control)
-    {
-        std::filesystem::path const data = this->home / (name + ".data");
-        std::filesystem::create_directories(data);
-        settings["data_folder"] = data.string();
-        settings["operator_listen"] = loopback(self.second_port);
-        settings["operators"] =
-            json::array({{{"name", "scenario"}, {"key", operator_key}}});
-    }
-    else
-    {
-        settings["caller_listen"] = loopback(self.second_port);
-        settings["neighbours"] = json::parse(this->host_list(name, false));
-    }
-    return this->write_file(name + ".jsonc", settings.dump(2));
-}
-
-std::string deployment::host_list(std::string const& self, bool controls)
-{
-    json list = json::array();
-    std::string const& zone = this->hosts.at(self).zone;
-    for (std::map<std::string, host>::value_type const& row : this->hosts)
-    {
-        bool const wanted = controls ? row.second.is_control
-                                     : !row.second.is_control &&
-                                           row.second.zone == zone &&
-                                           row.first != self;
-        if (wanted)
-        {
-            std::uint16_t const port =
-                row.first == self ? row.second.peer_port
-                                  : this->port_towards(self, row.first);
-            list.push_back({{"name", row.first}, {"address", loopback(port)}});
-        }
-    }
-    return list.dump();
-}
-
 std::uint16_t deployment::port_towards(std::string const& from,
                                        std::string const& to)
 {
--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -2,7 +2,9 @@
 #define BILBERRYLEAD_SCENARIO_RUNNER_DEPLOYMENT_HPP
 
 #include "child_process.hpp"
+#include "load_options.hpp"
 #include "relay.hpp"
+#include "upstream_list.hpp"
 
 #include "bilberrylead/config/configuration.hpp"
 #include "bilberrylead/core/ids.hpp"
@@ -44,6 +46,13 @@
     void add_upstreams(std::string const& service, std::uint32_t count,
                        std::string const& zone, std::string const& behaviour);
 
+    /// Adds fields to the settings of all control hosts, or of all entry
+    /// hosts; JSON. Hosts that run keep theirs.
+    void add_settings(bool controls, std::string const& fields);
+    /// From here on, upstreams are declared in a list that the control hosts
+    /// read, and not in the configuration.
+    void serve_upstream_list();
+
     /// Starts one host, or a zone's stand-in upstreams.
     void start(std::string const& name);
     /// Starts every host and stand-in that does not run.
@@ -79,13 +88,16 @@
 
     /// Starts a load in the background.
     void start_load(std::string const& name, std::string const& service,
-                    std::uint32_t rate, std::uint32_t seconds,
-                    std::uint32_t depth);
+                    load_options const& options);
     /// Waits for a load's end; its report, as JSON text.
     std::string finish_load(std::string const& name);
 
     /// The port on which callers reach an entry host.
     std::uint16_t caller_port(std::string const& entry) const;
+    /// The port of a host's metrics.
+    std::uint16_t metrics_port(std::string const& name) const;
+    /// The file with a host's log lines.
+    std::filesystem::path log_file(std::string const& name) const;
     /// The port of a stand-in's admin paths, by service and zone.
     std::uint16_t admin_port(std::string const& stand_in) const;
     /// The port of an upstream.
@@ -118,6 +130,7 @@
     };
 
     std::string write_settings(std::string const& name);
+    std::string region_of(std::string const& zone) const;
     std::string host_list(std::string const& self, bool controls);
     std::uint16_t port_towards(std::string const& from, std::string const& to);
     std::string write_file(std::string const& name, std::string const& text);
@@ -134,6 +147,9 @@
     std::map<std::string, std::unique_ptr<child_process>> processes;
     std::map<std::string, std::unique_ptr<child_process>> loads;
     config::configuration configuration;
+    // Added settings, as JSON: of entry hosts, of control hosts.
+    std::map<bool, std::string> added_settings;
+    std::unique_ptr<upstream_list> list;
     std::string output;
     std::uint64_t runs = 0;
 };
--- a/tests/scenario_runner/deployment_load.cpp
+++ b/tests/scenario_runner/deployment_load.cpp
@@ -23,8 +23,7 @@
 } // namespace
 
 void deployment::start_load(std::string const& name, std::string const& service,
-                            std::uint32_t rate, std::uint32_t seconds,
-                            std::uint32_t depth)
+                            load_options const& options)
 {
     std::vector<config::service> const& services = this->configuration.services;
     std::vector<config::service>::const_iterator const found =
@@ -54,12 +53,21 @@
         request["path"] = "/download";
         request["answer_bytes"] = 2000000;
     }
-    json const profile = {
-        {"rate_per_s", rate},
-        {"length_ms", seconds * 1000},
-        {"pipeline_depth", depth},
+    if (!options.path.empty())
+    {
+        request["path"] = options.path;
+    }
+    json profile = {
+        {"rate_per_s", options.rate},
+        {"length_ms", std::chrono::milliseconds(options.length).count()},
+        {"pipeline_depth", options.depth},
         {"requests", json::array({request})},
         {"callers", json::array({{{"name", "all"}, {"callers", 40}}})}};
+    if (!options.customer_key.empty())
+    {
+        profile["customers"] =
+            json::array({{{"key", options.customer_key}, {"weight", 1}}});
+    }
     std::vector<std::string> arguments = {
         "--profile", this->write_file(name + ".jsonc", profile.dump(2))};
     for (std::string const& entry : this->entry_names())
--- a/tests/scenario_runner/scenario_files.hpp
+++ b/tests/scenario_runner/scenario_files.hpp
@@ -8,6 +8,10 @@
 namespace bilberrylead::scenario
 {
 
+/// What bilberryctl proves itself with to the control hosts of a scenario.
+inline constexpr char const* operator_key =
+    "an-operator-key-for-scenarios-only-00001";
+
 /// A whole file as text; empty if it can't be read.
 std::string read_all(std::filesystem::path const& path);
 
--- a/tests/scenario_runner/scenario_line.cpp
+++ b/tests/scenario_runner/scenario_line.cpp
@@ -9,6 +9,23 @@
 namespace bilberrylead::scenario
 {
 
+namespace
+{
+
+std::uint32_t read_count(std::string const& text)
+{
+    std::uint32_t value = 0;
+    std::from_chars_result const read =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
+    {
+        throw std::runtime_error(fmt::format("'{}' is no number", text));
+    }
+    return value;
+}
+
+} // namespace
+
 std::string const& scenario_line::word(std::size_t place) const
 {
     if (place >= this->words.size())
@@ -21,15 +38,14 @@
 
 std::uint32_t scenario_line::count(std::size_t place) const
 {
-    std::string const& text = this->word(place);
-    std::uint32_t value = 0;
-    std::from_chars_result const read =
-        std::from_chars(text.data(), text.data() + text.size(), value);
-    if (read.ec != std::errc{} || read.ptr != text.data() + text.size())
-    {
-        throw std::runtime_error(fmt::format("'{}' is no number", text));
-    }
-    return value;
+    return read_count(this->word(place));
+}
+
+std::optional<std::uint32_t>
+scenario_line::count_after(std::string_view marker) const
+{
+    std::string const text = this->after(marker);
+    return text.empty() ? std::nullopt : std::optional(read_count(text));
 }
 
 std::string scenario_line::after(std::string_view marker) const
--- a/tests/scenario_runner/scenario_line.hpp
+++ b/tests/scenario_runner/scenario_line.hpp
@@ -2,6 +2,8 @@
 #define BILBERRYLEAD_SCENARIO_RUNNER_SCENARIO_LINE_HPP
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +25,8 @@
     std::string const& word(std::size_t place) const;
     /// The number that a word is.
     std::uint32_t count(std::size_t place) const;
+    /// The number behind this word, nothing if the line has none.
+    std::optional<std::uint32_t> count_after(std::string_view marker) const;
     /// The word behind this one, empty if the line has none.
     std::string after(std::string_view marker) const;
     /// The line's rest from a place on, as written.
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -100,6 +100,16 @@
         {"expect", &scenario_steps::expect},
         {"call", &scenario_steps::call_entry},
         {"report", &scenario_steps::report},
+        {"settings", &scenario_steps::settings},
+        {"upstream-list", &scenario_steps::upstream_list},
+        {"route", &scenario_steps::route},
+        {"customer", &scenario_steps::customer},
+        {"plan", &scenario_steps::plan},
+        {"new-plan", &scenario_steps::new_plan},
+        {"refusals-show", &scenario_steps::refusals_show},
+        {"always-planned", &scenario_steps::always_planned},
+        {"counted", &scenario_steps::counted},
+        {"refused", &scenario_steps::refused},
     };
     return steps;
 }
@@ -190,15 +200,18 @@
     this->revisions = std::make_unique<revision_watch>(ports, line.word(1));
 }
 
-// load NAME SERVICE rate R for SECONDS [depth D]: with depth, callers send
-// up to D requests on a connection before the first is answered
+// load NAME SERVICE rate R for SECONDS [depth D] [path P] [key K]: with
+// depth, callers send up to D requests on a connection before the first is
+// answered; P follows the service in the path, K is their customer's key
 void scenario_steps::load(scenario_line const& line)
 {
-    constexpr std::size_t depth_place = 8;
-    std::uint32_t const depth =
-        line.after("depth").empty() ? 1 : line.count(depth_place);
-    this->world.start_load(line.word(1), line.word(2), line.count(4),
-                           line.count(6), depth);
+    load_options options;
+    options.rate = line.count(4);
+    options.length = std::chrono::seconds(line.count(6));
+    options.depth = line.count_after("depth").value_or(options.depth);
+    options.path = line.after("path");
+    options.customer_key = line.after("key");
+    this->world.start_load(line.word(1), line.word(2), options);
 }
 
 // finish NAME: waits for a load's end
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -71,7 +71,20 @@
     void post_entry(scenario_line const& line);
     void call_entry(scenario_line const& line);
     void report(scenario_line const& line);
+    void settings(scenario_line const& line);
+    void upstream_list(scenario_line const& line);
+    void route(scenario_line const& line);
+    void customer(scenario_line const& line);
+    void plan(scenario_line const& line);
+    void new_plan(scenario_line const& line);
+    void refusals_show(scenario_line const& line);
+    void always_planned(scenario_line const& line);
+    void counted(scenario_line const& line);
+    void refused(scenario_line const& line);
 
+    /// What bilberryctl shows of a service's admission plan; an empty object
+    /// if nobody answers.
+    nlohmann::json plan_of(std::string const& service);
     nlohmann::json counts_of(std::string const& upstream);
     void declare_leaving(std::string const& name, bool leaving);
     std::string host_of(std::string const& word);
@@ -92,6 +105,7 @@
     std::unique_ptr<revision_watch> revisions;
     std::uint64_t last_revision = 0;
     std::uint64_t changes = 0;
+    std::uint64_t planned_in_term = 0;
 };
 
 } // namespace bilberrylead::scenario
