Admission model: hosts added, plans of a replaced leader

Added: hosts that start during insufficient capacity without state or plan (half as many again, 30 to 300 hosts, both modes): the order of ranks holds, rank 0 is refused at most 5 in 100 more than with all hosts from the start, slots in use at most 0.03 less. Plans of an older term that admit nothing arrive after those of the new leader: every outcome is the same as without them, and differs if plans are not ordered.

--- a/tests/unit/policy/admission_model.hpp
+++ b/tests/unit/policy/admission_model.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/policy/generator.hpp"
 #include "bilberrylead/policy/mean_load.hpp"
 #include "bilberrylead/policy/placement_candidate.hpp"
+#include "bilberrylead/policy/plan_order.hpp"
 #include "bilberrylead/policy/rank_admission.hpp"
 #include "bilberrylead/policy/upstream_estimate.hpp"
 #include "bilberrylead/policy/upstream_placement.hpp"
@@ -61,6 +62,15 @@
     double later_offered = 1;
     /// Time at which all hosts lose their state.
     std::optional<instant> restart_at;
+    /// Hosts that start at `hosts_added_at`, without any state.
+    std::size_t added_hosts = 0;
+    instant hosts_added_at = instant::max();
+    /// Time from which the leader is cut off from the other control hosts, and
+    /// a new one plans. The hosts receive the plans of both; those of the old
+    /// leader admit nothing.
+    instant divided_at = instant::max();
+    /// False: the hosts apply each plan that arrives, for comparison.
+    bool orders_plans = true;
     /// Time from which hosts receive no new plan.
     instant plan_lost_at = instant::max();
     /// Capacity that the plan assumes relative to the real one.
@@ -165,6 +175,14 @@
                    {
                        this->make_plan();
                    });
+        if (this->load.added_hosts > 0)
+        {
+            this->push(this->load.hosts_added_at - this->now,
+                       [this]
+                       {
+                           this->add_hosts();
+                       });
+        }
         if (this->load.restart_at.has_value())
         {
             this->push(*this->load.restart_at - this->now,
@@ -235,6 +253,15 @@
         std::vector<placement_candidate> candidates;
         std::vector<request> waiting;
         bool polls = false;
+        plan_order plans;
+    };
+
+    /// A plan with its leader's term and its number.
+    struct numbered_plan
+    {
+        std::uint64_t term = 1;
+        std::uint64_t number = 0;
+        admission_plan plan;
     };
 
     struct upstream
@@ -262,6 +289,14 @@
             {this->now + delay, this->event_count++, std::move(action)});
     }
 
+    void add_hosts()
+    {
+        for (std::size_t each = 0; each < this->load.added_hosts; ++each)
+        {
+            this->hosts.emplace_back(std::in_place, this->random.next());
+        }
+    }
+
     bool is_measured(instant when) const
     {
         return when >= instant{} + this->load.warm_up;
@@ -649,17 +684,21 @@
         if (this->load.mode == model_mode::by_plan &&
             this->now < this->load.plan_lost_at)
         {
-            admission_plan const plan =
-                this->plan_for(capacity_slots * this->load.plan_error);
-            this->push(this->load.plan_delay,
-                       [this, plan]
-                       {
-                           for (std::optional<host>& each : this->hosts)
-                           {
-                               each->admission.apply(
-                                   plan, this->load.plan_delay, this->now);
-                           }
-                       });
+            numbered_plan plan;
+            plan.plan = this->plan_for(capacity_slots * this->load.plan_error);
+            plan.number = ++this->plan_count;
+            plan.term = this->is_divided() ? 2 : 1;
+            this->send_plan(plan);
+            if (this->is_divided())
+            {
+                plan.term = 1;
+                for (rank_share& each : plan.plan.ranks)
+                {
+                    each.share = 0;
+                }
+                plan.plan.customers.clear();
+                this->send_plan(plan);
+            }
         }
         this->push(1s,
                    [this]
@@ -668,6 +707,33 @@
                    });
     }
 
+    bool is_divided() const
+    {
+        return this->now >= this->load.divided_at;
+    }
+
+    void send_plan(numbered_plan const& sent)
+    {
+        this->push(this->load.plan_delay,
+                   [this, sent]
+                   {
+                       for (std::optional<host>& each : this->hosts)
+                       {
+                           this->receive_plan(*each, sent);
+                       }
+                   });
+    }
+
+    void receive_plan(host& at, numbered_plan const& received)
+    {
+        if (!this->load.orders_plans ||
+            (at.plans.accept_term(received.term) &&
+             at.plans.accept_admission(received.number)))
+        {
+            at.admission.apply(received.plan, this->load.plan_delay, this->now);
+        }
+    }
+
     model_load load;
     generator random;
     std::vector<std::optional<host>> hosts;
@@ -683,6 +749,7 @@
     double busy_time = 0;
     double total_time = 0;
     std::uint32_t incarnation = 0;
+    std::uint64_t plan_count = 0;
     model_result result;
 };
 
--- a/tests/unit/policy/admission_model_test.cpp
+++ b/tests/unit/policy/admission_model_test.cpp
@@ -129,6 +129,51 @@
     }
 }
 
+// Guards against hosts that are added while capacity is insufficient: they
+// start without state and without a plan, and must not take the slots of urgent
+// requests at the other hosts, nor leave slots idle.
+Test(admission_model, added_hosts_keep_the_order_of_ranks)
+{
+    for (std::size_t const hosts : host_counts)
+    {
+        for (model_mode const mode : both_modes)
+        {
+            model_load load = make_load(mode, hosts, 1.5);
+            load.added_hosts = hosts / 2;
+            load.hosts_added_at = instant{} + 20s;
+            load.warm_up = 20s;
+            load.length = 40s;
+            model_result const added = run(load);
+            expect_rank_order(added, "hosts added");
+            load.hosts += load.added_hosts;
+            load.added_hosts = 0;
+            model_result const from_start = run(load);
+            cr_expect_leq(added.refused_per_100(0),
+                          from_start.refused_per_100(0) +
+                              100 * max_less_often_served,
+                          "%zu hosts", hosts);
+            cr_expect_geq(added.slots_in_use, from_start.slots_in_use - 0.03,
+                          "%zu hosts", hosts);
+        }
+    }
+}
+
+// Guards against hosts that follow a leader which was cut off and replaced: its
+// plans, of an older term, arrive after those of the new leader.
+Test(admission_model, plans_of_an_older_term_change_nothing)
+{
+    for (std::size_t const hosts : host_counts)
+    {
+        model_load load = make_load(model_mode::by_plan, hosts, 1.2);
+        model_result const whole = run(load);
+        load.divided_at = instant{} + 15s;
+        expect_equal(run(load), whole);
+        // The plans of the old leader matter to hosts that follow them.
+        load.orders_plans = false;
+        cr_expect_neq(run(load).ranks.at(0).served, whole.ranks.at(0).served);
+    }
+}
+
 // Guards against hosts that follow an old plan or none at all after the leader
 // is lost: from 10 s on they decide alone.
 Test(admission_model, lost_plan_leaves_the_order_of_ranks)
