Split rank_admission by concern

The same rules for ranks and customers of a plan are stated once. select_next returns nothing.

Ruled out: a change of decisions. The generator is drawn from in the same order.

--- a/bilberrylead/policy/rank_admission.cpp
+++ b/bilberrylead/policy/rank_admission.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace bilberrylead::policy
 {
@@ -17,17 +16,13 @@
 /// present.
 constexpr double min_rate = 0.01;
 
-/// A share as a number from 0 to 1; a value that is no number admits all.
-double valid_share(double share)
-{
-    return std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 1.0;
-}
-
 } // namespace
 
 rank_admission::rank_admission(rank_admission_settings const& settings,
                                std::uint64_t seed)
-    : settings(settings), random(seed)
+    : settings(settings),
+      customers(settings.demand_window, settings.max_tracked_customers),
+      shares(settings, seed)
 {
 }
 
@@ -92,9 +87,9 @@
     state.demand.add(now);
     if (!customer.empty())
     {
-        this->count_customer(rank, customer, now);
+        this->customers.record(rank, customer, now);
     }
-    this->select_next(rank, customer, now);
+    this->shares.select_next(rank, customer, now);
 }
 
 void rank_admission::record_served(std::uint32_t rank, instant now)
@@ -119,40 +114,6 @@
     this->advance(now);
 }
 
-void rank_admission::count_customer(std::uint32_t rank,
-                                    customer_id const& customer, instant now)
-{
-    auto smallest = this->customers.end();
-    double smallest_rate = 0;
-    for (auto each = this->customers.begin(); each != this->customers.end();
-         ++each)
-    {
-        if (each->rank == rank && each->customer == customer)
-        {
-            each->demand.add(now);
-            return;
-        }
-        double const rate = each->demand.per_second(now);
-        if (smallest == this->customers.end() || rate < smallest_rate)
-        {
-            smallest = each;
-            smallest_rate = rate;
-        }
-    }
-    if (this->customers.size() < this->settings.max_tracked_customers)
-    {
-        this->customers.push_back({customer, rank,
-                                   arrival_rate(this->settings.demand_window),
-                                   arrival_rate(this->settings.demand_window)});
-        this->customers.back().demand.add(now);
-        return;
-    }
-    smallest->customer = customer;
-    smallest->rank = rank;
-    smallest->error = smallest->demand;
-    smallest->demand.add(now);
-}
-
 /// Refused share; one more request counts as served, so that the first refusal
 /// at an idle host does not count as a share of 1.
 double rank_admission::refused_share(double refused, double served) const
@@ -218,7 +179,7 @@
                     this->settings.tolerated_refusals) /
                        this->settings.full_pressure,
                    0.0, 1.0) *
-        (1 - this->plan_weight(now));
+        (1 - this->shares.weight(now));
     int position = 0;
     for (rank_state& state : this->ranks)
     {
@@ -234,93 +195,11 @@
     }
 }
 
-double rank_admission::plan_weight(instant now) const
-{
-    if (!this->planned_at.has_value())
-    {
-        return 0;
-    }
-    duration const age = now - *this->planned_at;
-    duration const span =
-        this->settings.ignored_age - this->settings.full_weight_age;
-    double const left =
-        static_cast<double>((this->settings.ignored_age - age).count()) /
-        static_cast<double>(span.count());
-    return std::clamp(left, 0.0, 1.0);
-}
-
-/// The share with regard to the age of the plan.
-double rank_admission::effective_share(followed_share const& share,
-                                       instant now) const
-{
-    return 1 - this->plan_weight(now) *
-                   (1 - share.at(now, this->settings.max_share_change_per_s));
-}
-
-std::map<std::uint32_t, followed_share>::const_iterator
-rank_admission::find_rank_share(std::uint32_t rank) const
-{
-    auto const exact = this->planned_for_ranks.find(rank);
-    if (exact != this->planned_for_ranks.end())
-    {
-        return exact;
-    }
-    // Ranks that are not contained are admitted in full if they are more urgent
-    // than all contained ones, else like the least urgent contained one.
-    auto least_urgent = this->planned_for_ranks.end();
-    bool is_most_urgent = true;
-    for (auto each = this->planned_for_ranks.begin();
-         each != this->planned_for_ranks.end(); ++each)
-    {
-        if (each->second.contained)
-        {
-            least_urgent = each;
-            is_most_urgent = is_most_urgent && rank < each->first;
-        }
-    }
-    return is_most_urgent ? this->planned_for_ranks.end() : least_urgent;
-}
-
-/// True if the next request is within the planned share.
-bool rank_admission::select_next(std::uint32_t rank,
-                                 customer_id const& customer, instant now)
-{
-    if (this->plan_weight(now) == 0)
-    {
-        return true;
-    }
-    auto const own = this->planned_for_customers.find({customer, rank});
-    if (own != this->planned_for_customers.end())
-    {
-        own->second.select_next(this->effective_share(own->second, now));
-        return own->second.is_selected();
-    }
-    auto const found = this->find_rank_share(rank);
-    if (found == this->planned_for_ranks.end())
-    {
-        return true;
-    }
-    followed_share& share = this->planned_for_ranks.find(found->first)->second;
-    share.select_next(this->effective_share(share, now));
-    return share.is_selected();
-}
-
 bool rank_admission::is_within_share(std::uint32_t rank,
                                      customer_id const& customer,
                                      instant now) const
 {
-    if (this->plan_weight(now) == 0)
-    {
-        return true;
-    }
-    auto const own = this->planned_for_customers.find({customer, rank});
-    if (own != this->planned_for_customers.end())
-    {
-        return own->second.is_selected();
-    }
-    auto const found = this->find_rank_share(rank);
-    return found == this->planned_for_ranks.end() ||
-           found->second.is_selected();
+    return this->shares.is_within_share(rank, customer, now);
 }
 
 double rank_admission::tolerance(std::uint32_t rank,
@@ -345,45 +224,16 @@
     {
         basis.threshold = state->bounded_threshold();
     }
-    if (this->plan_weight(now) == 0)
+    if (this->shares.weight(now) > 0)
     {
-        return basis;
-    }
-    basis.plan_age = now - *this->planned_at;
-    auto const found = this->find_rank_share(rank);
-    basis.share = found == this->planned_for_ranks.end()
-                      ? 1
-                      : this->effective_share(found->second, now);
-    auto const own = this->planned_for_customers.find({customer, rank});
-    if (own != this->planned_for_customers.end())
-    {
-        basis.customer_share = this->effective_share(own->second, now);
+        basis.plan_age = this->shares.age(now);
+        basis.share = this->shares.share_of_rank(rank, now);
+        basis.customer_share =
+            this->shares.share_of_customer(rank, customer, now);
     }
     return basis;
 }
 
-/// Share that a plan gives to a rank.
-double rank_admission::planned_rank_share(admission_plan const& plan,
-                                          std::uint32_t rank) const
-{
-    double share = 1;
-    for (rank_share const& each : plan.ranks)
-    {
-        if (each.rank == rank)
-        {
-            return valid_share(each.share);
-        }
-        share = valid_share(each.share);
-    }
-    bool const is_most_urgent =
-        std::all_of(plan.ranks.begin(), plan.ranks.end(),
-                    [rank](rank_share const& each)
-                    {
-                        return rank < each.rank;
-                    });
-    return is_most_urgent ? 1 : share;
-}
-
 void rank_admission::apply(admission_plan const& plan, duration age,
                            instant now)
 {
@@ -392,76 +242,7 @@
         return;
     }
     this->advance(now);
-    if (this->plan_weight(now) == 0)
-    {
-        this->planned_for_ranks.clear();
-        this->planned_for_customers.clear();
-    }
-    this->apply_ranks(plan, now);
-    this->apply_customers(plan, now);
-    this->planned_at = now - std::max(age, duration::zero());
-}
-
-void rank_admission::apply_ranks(admission_plan const& plan, instant now)
-{
-    double const max_change = this->settings.max_share_change_per_s;
-    for (auto& [rank, share] : this->planned_for_ranks)
-    {
-        share.contained = false;
-        share.set_target(this->planned_rank_share(plan, rank), max_change, now);
-    }
-    for (rank_share const& each : plan.ranks)
-    {
-        if (!this->planned_for_ranks.contains(each.rank) &&
-            this->planned_for_ranks.size() >= this->settings.max_ranks)
-        {
-            continue;
-        }
-        followed_share& share =
-            this->planned_for_ranks
-                .try_emplace(each.rank, this->random.unit(), now)
-                .first->second;
-        share.contained = true;
-        share.set_target(valid_share(each.share), max_change, now);
-    }
-    std::erase_if(this->planned_for_ranks,
-                  [now, max_change](auto const& entry)
-                  {
-                      return !entry.second.contained &&
-                             entry.second.is_settled(now, max_change);
-                  });
-}
-
-void rank_admission::apply_customers(admission_plan const& plan, instant now)
-{
-    double const max_change = this->settings.max_share_change_per_s;
-    for (auto& [key, share] : this->planned_for_customers)
-    {
-        share.contained = false;
-        share.set_target(this->planned_rank_share(plan, key.second), max_change,
-                         now);
-    }
-    for (customer_share_of_rank const& each : plan.customers)
-    {
-        customer_of_rank const key{each.customer, each.rank};
-        if (!this->planned_for_customers.contains(key) &&
-            this->planned_for_customers.size() >=
-                this->settings.max_planned_customers)
-        {
-            continue;
-        }
-        followed_share& share = this->planned_for_customers
-                                    .try_emplace(key, this->random.unit(), now)
-                                    .first->second;
-        share.contained = true;
-        share.set_target(valid_share(each.share), max_change, now);
-    }
-    std::erase_if(this->planned_for_customers,
-                  [now, max_change](auto const& entry)
-                  {
-                      return !entry.second.contained &&
-                             entry.second.is_settled(now, max_change);
-                  });
+    this->shares.apply(plan, age, now);
 }
 
 admission_demand rank_admission::demand(duration usual_run, instant now) const
@@ -478,24 +259,8 @@
             demand.ranks.push_back({state.rank, rate * run});
         }
     }
-    for (customer_state const& each : this->customers)
-    {
-        double const rate =
-            each.demand.per_second(now) - each.error.per_second(now);
-        if (rate >= min_rate)
-        {
-            demand.customers.push_back({each.customer, each.rank, rate * run});
-        }
-    }
-    std::sort(demand.customers.begin(), demand.customers.end(),
-              [](customer_demand const& one, customer_demand const& other)
-              {
-                  return one.slots > other.slots;
-              });
-    if (demand.customers.size() > this->settings.max_reported_customers)
-    {
-        demand.customers.resize(this->settings.max_reported_customers);
-    }
+    demand.customers = this->customers.largest(
+        run, min_rate, this->settings.max_reported_customers, now);
     return demand;
 }
 
--- a/bilberrylead/policy/rank_admission.hpp
+++ b/bilberrylead/policy/rank_admission.hpp
@@ -7,17 +7,14 @@
 #include "bilberrylead/policy/admission_demand.hpp"
 #include "bilberrylead/policy/admission_plan.hpp"
 #include "bilberrylead/policy/arrival_rate.hpp"
-#include "bilberrylead/policy/followed_share.hpp"
-#include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/policy/customer_demand_counter.hpp"
+#include "bilberrylead/policy/planned_shares.hpp"
 #include "bilberrylead/policy/rank_admission_settings.hpp"
 
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <map>
-#include <optional>
-#include <utility>
 #include <vector>
 
 namespace bilberrylead::policy
@@ -94,7 +91,7 @@
     /// Number of customers with a planned share.
     std::size_t planned_customers() const
     {
-        return this->planned_for_customers.size();
+        return this->shares.customer_count();
     }
 
 private:
@@ -127,51 +124,21 @@
         }
     };
 
-    /// Requests of one customer and rank. The count of a customer that replaced
-    /// another includes that one's count, as an upper bound (space-saving
-    /// algorithm).
-    struct customer_state
-    {
-        customer_id customer;
-        std::uint32_t rank = 0;
-        arrival_rate demand;
-        /// Part of `demand` that may belong to customers it replaced.
-        arrival_rate error;
-    };
-
-    using customer_of_rank = std::pair<customer_id, std::uint32_t>;
-
     rank_state& state_of(std::uint32_t rank, instant now);
     rank_state const* find_state(std::uint32_t rank) const;
-    void count_customer(std::uint32_t rank, customer_id const& customer,
-                        instant now);
     void advance(instant now);
     void advance_threshold(double& threshold, double refused,
                            std::chrono::duration<double> elapsed) const;
     double refused_share(double refused, double served) const;
-    double plan_weight(instant now) const;
-    double effective_share(followed_share const& share, instant now) const;
-    std::map<std::uint32_t, followed_share>::const_iterator
-    find_rank_share(std::uint32_t rank) const;
-    void apply_ranks(admission_plan const& plan, instant now);
-    void apply_customers(admission_plan const& plan, instant now);
-    double planned_rank_share(admission_plan const& plan,
-                              std::uint32_t rank) const;
-    bool select_next(std::uint32_t rank, customer_id const& customer,
-                     instant now);
 
     rank_admission_settings settings;
-    generator random;
     // In ascending order of rank.
     std::vector<rank_state> ranks;
-    std::vector<customer_state> customers;
-    std::map<std::uint32_t, followed_share> planned_for_ranks;
-    std::map<customer_of_rank, followed_share> planned_for_customers;
+    customer_demand_counter customers;
+    planned_shares shares;
     // Threshold of the requests beyond a planned share: it rises while those
     // within the shares are served, as the plan then admits too little.
     double threshold_beyond_share = 0;
-    // Time at which the plan was made; empty without a plan.
-    std::optional<instant> planned_at;
     instant advanced_at{};
 };
 
