--- a/tests/scenario_runner/scenario_admission_steps.cpp
+++ b/tests/scenario_runner/scenario_admission_steps.cpp
@@ -100,11 +100,12 @@
                       std::vector<std::string> const& labels)
 {
     double sum = 0;
+    std::string const start = name + "{";
     std::istringstream lines(text);
     for (std::string line; std::getline(lines, line);)
     {
         bool const matches =
-            line.starts_with(name + "{") &&
+            line.starts_with(start) &&
             std::all_of(labels.begin(), labels.end(),
                         [&line](std::string const& label)
                         {
@@ -201,7 +202,7 @@
 // bilberryctl shows such a plan, made from the demand of all entry hosts
 void scenario_steps::plan(scenario_line const& line)
 {
-    std::string const service = line.word(1);
+    std::string const& service = line.word(1);
     std::optional<std::uint32_t> const rank = line.count_after("rank");
     std::string const customer = line.after("limits");
     json reply;
@@ -318,7 +319,8 @@
                       });
         fmt::print("    {}: oldest plan {:.0f} ms\n", name, oldest_ms);
         this->need(has_plan, name + " has followed no plan");
-        this->need(wrong.empty(), name + " had no plan: " + wrong);
+        this->need(wrong.empty(),
+                   fmt::format("{} had no plan: {}", name, wrong));
     }
 }
 
