--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -8,7 +8,6 @@
 #include "bilberrylead/config/entry_limits.hpp"
 #include "bilberrylead/config/host_address.hpp"
 #include "bilberrylead/config/object_homes.hpp"
-#include "bilberrylead/config/object_overflow.hpp"
 #include "bilberrylead/config/pipelining_limits.hpp"
 #include "bilberrylead/config/place.hpp"
 #include "bilberrylead/config/retry_bounds.hpp"
@@ -93,8 +92,6 @@
     duration zone_crossing_cost{};
     /// Number of objects that an upstream caches.
     std::uint32_t remembered_objects = 12;
-    /// What happens to requests while the homes of their object are full.
-    object_overflow overflow = object_overflow::refuse;
     /// Whose requests are admitted while capacity is insufficient.
     admission_mode admission = admission_mode::none;
     /// How far it works ahead on one caller connection.
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -70,10 +70,6 @@
 /// Names of where objects have their homes, in the order of object_homes.
 inline constexpr std::array<std::string_view, 2> object_homes_names = {"region",
                                                                        "zone"};
-/// Names of what happens while the homes of an object are full, in the order
-/// of object_overflow.
-inline constexpr std::array<std::string_view, 2> object_overflow_names = {
-    "refuse", "free_slot"};
 /// Names of how requests are admitted, in the order of admission_mode.
 inline constexpr std::array<std::string_view, 3> admission_mode_names = {
     "none", "by_rank", "by_plan"};
@@ -186,7 +182,6 @@
     visitor.time("zone_crossing_cost_ms", value.zone_crossing_cost,
                  std::chrono::milliseconds(0), std::chrono::milliseconds(1000));
     visitor.number("remembered_objects", value.remembered_objects, {1, 10'000});
-    visitor.choice("object_overflow", value.overflow, object_overflow_names);
     visitor.choice("admission", value.admission, admission_mode_names);
     visitor.section("pipelining", value.pipelining);
     visitor.time("first_revision_wait_ms", value.first_revision_wait,
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -121,7 +121,6 @@
         this->settings.zone_crossing_cost;
     wanted.entry.placement.remembered_objects =
         this->settings.remembered_objects;
-    wanted.entry.placement.overflow = this->settings.overflow;
     wanted.entry.admission = this->settings.admission;
     wanted.entry.retries = this->settings.retries;
     wanted.entry.cold = this->settings.cold;
--- a/bilberrylead/policy/placement_settings.hpp
+++ b/bilberrylead/policy/placement_settings.hpp
@@ -2,7 +2,6 @@
 #define BILBERRYLEAD_POLICY_PLACEMENT_SETTINGS_HPP
 
 #include "bilberrylead/config/object_homes.hpp"
-#include "bilberrylead/config/object_overflow.hpp"
 #include "bilberrylead/core/time.hpp"
 
 #include <chrono>
@@ -23,12 +22,6 @@
     /// has been evicted from its caches again in the meantime. A small factor
     /// would fill the caches of both upstreams with the same objects.
     double second_choice_run_factor = 7;
-    /// Run time on an upstream that does not have the object cached, relative
-    /// to one that does, without the cost of the evicted object.
-    double cold_run_factor = 3.3;
-    /// What happens to a request whose wait at the upstreams that have its
-    /// object cached would be too long.
-    config::object_overflow overflow = config::object_overflow::refuse;
     /// Wait for a slot that is always accepted, as a share of the service time.
     /// With a lower limit, slots would stand idle between two arrivals, and a
     /// caller that has already missed its target latency would be delayed
--- a/bilberrylead/policy/upstream_placement.cpp
+++ b/bilberrylead/policy/upstream_placement.cpp
@@ -36,24 +36,6 @@
                : scaled(candidate.service_time, excess / candidate.slots);
 }
 
-placed upstream_placement::evaluate(placement_candidate const& candidate,
-                                    std::size_t index, double run_factor)
-{
-    duration const wait = expected_wait(candidate);
-    return placed{index,
-                  2 * candidate.one_way_latency + wait +
-                      scaled(candidate.service_time, run_factor) +
-                      candidate.penalty,
-                  wait, run_factor};
-}
-
-bool upstream_placement::is_too_late(placed const& found,
-                                     placement_request const& request) const
-{
-    return found.completion > scaled(request.time_to_deadline,
-                                     this->settings.usable_deadline_share);
-}
-
 void upstream_placement::ranking::add(std::size_t index, std::uint64_t weight)
 {
     ++this->upstreams;
@@ -167,60 +149,6 @@
                                : this->settings.uncached_run_factor;
 }
 
-std::optional<placed> upstream_placement::find_free_slot(
-    std::span<placement_candidate const> candidates,
-    placement_request const& request, std::uint32_t region,
-    generator& random) const
-{
-    preferred_upstreams const preferred =
-        find_preferred_upstreams(candidates, request, region);
-    std::optional<placed> best;
-    duration best_cost{};
-    std::uint32_t ties = 0;
-    for (std::size_t index = 0; index < candidates.size(); ++index)
-    {
-        placement_candidate const& candidate = candidates[index];
-        if (!candidate.allowed || candidate.tried ||
-            candidate.region != region ||
-            expected_wait(candidate) > duration::zero())
-        {
-            continue;
-        }
-        double const cost_factor =
-            this->run_factor(candidate, index, preferred, request);
-        placed const found =
-            evaluate(candidate, index,
-                     std::min(cost_factor, this->settings.cold_run_factor));
-        if (this->is_too_late(found, request))
-        {
-            continue;
-        }
-        duration const cost =
-            found.completion + this->crossing_cost(candidate, preferred);
-        if (best.has_value() && cost > best_cost)
-        {
-            continue;
-        }
-        ties = best.has_value() && cost == best_cost ? ties + 1 : 1;
-        if (ties == 1 || random.below(ties) == 0)
-        {
-            best = found;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
-duration
-upstream_placement::crossing_cost(placement_candidate const& candidate,
-                                  preferred_upstreams const& preferred) const
-{
-    return preferred.own_zone.has_value() &&
-                   candidate.zone != placement_candidate::own_zone
-               ? this->settings.zone_crossing_cost
-               : duration::zero();
-}
-
 placement_verdict
 upstream_placement::place(std::span<placement_candidate const> candidates,
                           placement_request const& request,
@@ -240,8 +168,7 @@
     preferred_upstreams preferred;
     std::optional<std::uint32_t> preferred_region;
     std::uint32_t ties = 0;
-    // The cost of a crossing is no time.
-    duration best_crossing_cost{};
+    bool best_crosses = false;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
         placement_candidate const& candidate = candidates[index];
@@ -256,28 +183,34 @@
             preferred =
                 find_preferred_upstreams(candidates, request, candidate.region);
         }
-        placed found =
-            evaluate(candidate, index,
-                     this->run_factor(candidate, index, preferred, request));
-        duration const crossing = this->crossing_cost(candidate, preferred);
-        found.completion += crossing;
+        duration const wait = expected_wait(candidate);
+        double const factor =
+            this->run_factor(candidate, index, preferred, request);
+        duration const run = scaled(candidate.service_time, factor);
+        duration completion =
+            2 * candidate.one_way_latency + wait + run + candidate.penalty;
+        bool const crosses = preferred.own_zone.has_value() &&
+                             candidate.zone != placement_candidate::own_zone;
+        if (crosses)
+        {
+            completion += this->settings.zone_crossing_cost;
+        }
         if (candidate.tried)
         {
             // Prefers any other upstream, but uses this one rather than
             // refusing the request.
-            found.completion += request.time_to_deadline;
+            completion += request.time_to_deadline;
         }
-        if (best.has_value() && found.completion > best->completion)
+        if (best.has_value() && completion > best->completion)
         {
             continue;
         }
-        bool const better =
-            !best.has_value() || found.completion < best->completion;
+        bool const better = !best.has_value() || completion < best->completion;
         ties = better ? 1 : ties + 1;
         if (better || random.below(ties) == 0)
         {
-            best = found;
-            best_crossing_cost = crossing;
+            best = placed{index, completion, wait, factor};
+            best_crosses = crosses;
         }
     }
     if (!best.has_value())
@@ -289,7 +222,11 @@
     {
         best->completion -= request.time_to_deadline;
     }
-    best->completion -= best_crossing_cost;
+    if (best_crosses)
+    {
+        // The cost of a crossing is no time.
+        best->completion -= this->settings.zone_crossing_cost;
+    }
     duration const time_besides_waiting = best->completion - best->wait;
     duration const whole_tolerated_wait =
         std::max(request.time_to_target - time_besides_waiting,
@@ -299,20 +236,13 @@
         request.wait_tolerance >= 1
             ? whole_tolerated_wait
             : scaled(whole_tolerated_wait, request.wait_tolerance);
-    if (best->wait <= tolerated_wait && !this->is_too_late(*best, request))
+    bool const too_late =
+        best->completion >
+        scaled(request.time_to_deadline, this->settings.usable_deadline_share);
+    if (best->wait <= tolerated_wait && !too_late)
     {
         return *best;
     }
-    if (this->settings.overflow == config::object_overflow::free_slot &&
-        request.object != 0 && request.wait_tolerance >= 1)
-    {
-        std::optional<placed> const free = this->find_free_slot(
-            candidates, request, best_candidate.region, random);
-        if (free.has_value())
-        {
-            return *free;
-        }
-    }
     // A restricted request has to wait for a slot that no more urgent request
     // claims; on average that takes up to a run longer.
     duration const claimed_by_others =
--- a/bilberrylead/policy/upstream_placement.hpp
+++ b/bilberrylead/policy/upstream_placement.hpp
@@ -39,12 +39,6 @@
 /// other regions, and hosts that use the homes of the region, therefore send to
 /// upstreams that have the object cached.
 ///
-/// A popular object may need more slots than its home has. While the upstreams
-/// that have the object cached are full, the assumed cost of a cold run keeps
-/// requests away from the others, and they are refused although slots are free.
-/// With `object_overflow::free_slot` such a request runs cold in a free slot;
-/// from then on the object is cached there too.
-///
 /// A request that would complete too late on every upstream is refused at once:
 /// a slot that works on it would delay the following requests as well.
 class upstream_placement
@@ -102,20 +96,6 @@
         bool is_home_of_zone(std::size_t index, std::uint32_t required) const;
     };
 
-    /// Expected completion on the candidate if its run takes that many times as
-    /// long as one whose object is cached.
-    static placed evaluate(placement_candidate const& candidate,
-                           std::size_t index, double run_factor);
-    bool is_too_late(placed const& found,
-                     placement_request const& request) const;
-    duration crossing_cost(placement_candidate const& candidate,
-                           preferred_upstreams const& preferred) const;
-    /// The upstream with a free slot that completes the request first, at the
-    /// real duration of cold runs; none if all slots are taken.
-    std::optional<placed>
-    find_free_slot(std::span<placement_candidate const> candidates,
-                   placement_request const& request, std::uint32_t region,
-                   generator& random) const;
     static preferred_upstreams
     find_preferred_upstreams(std::span<placement_candidate const> candidates,
                              placement_request const& request,
--- a/tests/unit/config/settings_test.cpp
+++ b/tests/unit/config/settings_test.cpp
@@ -15,7 +15,6 @@
 using bilberrylead::config::control_settings;
 using bilberrylead::config::entry_settings;
 using bilberrylead::config::object_homes;
-using bilberrylead::config::object_overflow;
 using bilberrylead::config::parse_control_settings;
 using bilberrylead::config::parse_entry_settings;
 
@@ -45,7 +44,7 @@
   "peer_key": "a-peer-key-of-more-than-32-letters",
   "limits": {"requests": 100, "header_timeout_ms": 500},
   "object_homes": "zone", "zone_crossing_cost_ms": 30,
-  "remembered_objects": 48, "object_overflow": "free_slot",
+  "remembered_objects": 48,
   "pipelining": {"max_requests": 16, "max_answer_bytes": 32768}
 })";
 
@@ -122,9 +121,6 @@
      "10000."},
     {"\"remembered_objects\": 48", "\"remembered_objects\": 10001",
      error_kind::bad_value, "remembered_objects: 10001 is out of range."},
-    {"\"object_overflow\": \"free_slot\"", "\"object_overflow\": \"any\"",
-     error_kind::bad_value,
-     "object_overflow: This is string. Write \"refuse\" or \"free_slot\""},
     {"\"max_requests\": 16", "\"max_requests\": 0", error_kind::bad_value,
      "pipelining.max_requests: 0 is out of range. Write a whole number from 1 "
      "to 256."},
@@ -210,7 +206,6 @@
     cr_assert(value->homes == object_homes::zone);
     cr_assert(value->zone_crossing_cost == std::chrono::milliseconds(30));
     cr_assert_eq(value->remembered_objects, 48U);
-    cr_assert(value->overflow == object_overflow::free_slot);
 }
 
 Test(settings, object_homes_when_not_given_are_those_of_the_region)
@@ -224,7 +219,6 @@
     cr_assert(value->homes == object_homes::region);
     cr_assert(value->zone_crossing_cost == bilberrylead::duration::zero());
     cr_assert_eq(value->remembered_objects, 12U);
-    cr_assert(value->overflow == object_overflow::refuse);
 }
 
 // Guards against a setting that is read but not kept.
