Pipelined streams: a close may not come before the last dispatched request

The reference allowed any close once a stop had begun. It now fails if a request behind a closing answer had been dispatched, or arrives after it. Trials that changed one condition in the window or the held answer and were reverted: work behind requests that run once, work behind a close, a window larger by one, a broken answer not replaced, a stop that closes at once.

--- a/tests/unit/http/stream_check.hpp
+++ b/tests/unit/http/stream_check.hpp
@@ -171,6 +171,7 @@
         std::size_t const answered = this->caller->answers.size();
         ++this->attempts[place];
         this->check(request.reaches_upstream(), "must not reach an upstream");
+        this->check(not this->closed, "arrives behind the end");
         this->check(place >= answered, "arrives behind its answer");
         // What an upstream has not run may go to another one.
         this->check(not request.runs_once() || this->attempts[place] == 1 ||
@@ -218,6 +219,15 @@
         this->check(not this->closed || this->stopping ||
                         request.ends_connection() || ends_with_answer(request),
                     "the connection must go on");
+        bool const has_others = std::any_of(
+            this->attempts.begin() + static_cast<std::ptrdiff_t>(place) + 1,
+            this->attempts.end(),
+            [](unsigned count)
+            {
+                return count > 0;
+            });
+        this->check(not this->closed || not has_others,
+                    "the connection ends before the last dispatched request");
     }
 
     /// Of an answer without a length an HTTP/1.0 caller sees the end only
