--- a/tests/unit/http/pipelining_refusal_test.cpp
+++ b/tests/unit/http/pipelining_refusal_test.cpp
@@ -29,14 +29,7 @@
     /// Sends it and waits until so many requests are at upstreams.
     void send(std::string const& text, std::size_t at_upstreams)
     {
-        cr_assert(this->caller->send(text));
-        cr_assert(this->host.run_until(
-            [this, at_upstreams]
-            {
-                return this->host.unanswered().size() == at_upstreams;
-            }));
-        this->host.settle();
-        cr_assert_eq(this->host.unanswered().size(), at_upstreams);
+        this->host.send(*this->caller, text, at_upstreams);
     }
 
     /// Upstreams answer what they have with the targets.
--- a/tests/unit/http/pipelining_timeouts_test.cpp
+++ b/tests/unit/http/pipelining_timeouts_test.cpp
@@ -41,13 +41,7 @@
     /// Sends it and waits until so many requests are at upstreams.
     void send(std::string const& text, std::size_t at_upstreams)
     {
-        cr_assert(this->caller->send(text));
-        cr_assert(this->host.run_until(
-            [this, at_upstreams]
-            {
-                return this->host.unanswered().size() == at_upstreams;
-            }));
-        this->host.settle();
+        this->host.send(*this->caller, text, at_upstreams);
     }
 
     /// The earliest request at an upstream is answered.
--- a/tests/unit/http/stepped_host.hpp
+++ b/tests/unit/http/stepped_host.hpp
@@ -167,6 +167,21 @@
         return condition();
     }
 
+    /// Sends a text from a caller and asserts that then so many requests are
+    /// at upstreams.
+    void send(stepped_caller& caller, std::string const& text,
+              std::size_t at_upstreams)
+    {
+        cr_assert(caller.send(text));
+        cr_assert(this->run_until(
+            [this, at_upstreams]
+            {
+                return this->unanswered().size() == at_upstreams;
+            }));
+        this->settle();
+        cr_assert_eq(this->unanswered().size(), at_upstreams);
+    }
+
     /// Requests that upstreams have read and not answered.
     std::vector<upstream_side*> unanswered()
     {
