Entry metrics: one function adds the counts of a label

Requests, crossings, split parts and ranks each had the same loop over pairs of name and count. Names, labels and values are unchanged.

--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <initializer_list>
 #include <limits>
 #include <string>
 #include <utility>
@@ -66,6 +67,20 @@
     std::vector<prometheus::MetricFamily> families;
 };
 
+/// Adds a count for each value of one label; the other labels are the same.
+void add_counts(
+    family_builder& builder, label_list const& others, char const* varied,
+    std::initializer_list<std::pair<char const*, std::uint64_t>> counts)
+{
+    for (std::pair<char const*, std::uint64_t> const& each : counts)
+    {
+        label_list labels = others;
+        labels.push_back({varied, each.first});
+        builder.add(std::move(labels)).counter.value =
+            static_cast<double>(each.second);
+    }
+}
+
 void add_requests(family_builder& builder,
                   entry::entry_counters const& counters)
 {
@@ -75,20 +90,13 @@
     for (std::pair<service_id const, entry::service_counters> const& row :
          counters.services)
     {
-        std::pair<char const*, std::uint64_t> const outcomes[] = {
-            {"done", row.second.done},
-            {"not_run", row.second.not_run},
-            {"unknown", row.second.unknown},
-            {"problem", row.second.problems},
-            {"recorded", row.second.recorded},
-            {"caller_gone", row.second.callers_gone}};
-        for (std::pair<char const*, std::uint64_t> const& outcome : outcomes)
-        {
-            builder
-                .add(
-                    {{"service", row.first.text()}, {"outcome", outcome.first}})
-                .counter.value = static_cast<double>(outcome.second);
-        }
+        add_counts(builder, {{"service", row.first.text()}}, "outcome",
+                   {{"done", row.second.done},
+                    {"not_run", row.second.not_run},
+                    {"unknown", row.second.unknown},
+                    {"problem", row.second.problems},
+                    {"recorded", row.second.recorded},
+                    {"caller_gone", row.second.callers_gone}});
     }
 }
 
@@ -102,10 +110,9 @@
     for (std::pair<service_id const, entry::service_counters> const& row :
          counters.services)
     {
-        builder.add({{"service", row.first.text()}, {"between", "zones"}})
-            .counter.value = static_cast<double>(row.second.crossed_zones);
-        builder.add({{"service", row.first.text()}, {"between", "regions"}})
-            .counter.value = static_cast<double>(row.second.crossed_regions);
+        add_counts(builder, {{"service", row.first.text()}}, "between",
+                   {{"zones", row.second.crossed_zones},
+                    {"regions", row.second.crossed_regions}});
     }
 }
 
@@ -226,18 +233,12 @@
                   prometheus::MetricType::Counter);
     for (auto const& [part, row] : counters.split_parts)
     {
-        std::pair<char const*, std::uint64_t> const outcomes[] = {
-            {"answered", row.answered},
-            {"not_run", row.not_run},
-            {"other", row.other}};
-        for (std::pair<char const*, std::uint64_t> const& outcome : outcomes)
-        {
-            builder
-                .add({{"route", part.route},
-                      {"service", part.service.text()},
-                      {"outcome", outcome.first}})
-                .counter.value = static_cast<double>(outcome.second);
-        }
+        add_counts(builder,
+                   {{"route", part.route}, {"service", part.service.text()}},
+                   "outcome",
+                   {{"answered", row.answered},
+                    {"not_run", row.not_run},
+                    {"other", row.other}});
     }
 }
 
@@ -251,20 +252,14 @@
     {
         for (auto const& [rank, row] : ranks)
         {
-            std::pair<char const*, std::uint64_t> const outcomes[] = {
-                {"offered", row.offered},
-                {"answered", row.answered},
-                {"late", row.late},
-                {"refused", row.refused}};
-            for (std::pair<char const*, std::uint64_t> const& outcome :
-                 outcomes)
-            {
-                builder
-                    .add({{"service", service.text()},
-                          {"rank", std::to_string(rank)},
-                          {"outcome", outcome.first}})
-                    .counter.value = static_cast<double>(outcome.second);
-            }
+            add_counts(
+                builder,
+                {{"service", service.text()}, {"rank", std::to_string(rank)}},
+                "outcome",
+                {{"offered", row.offered},
+                 {"answered", row.answered},
+                 {"late", row.late},
+                 {"refused", row.refused}});
         }
     }
 }
