Load tool: one weighted draw, one time limit for connections

The draw of a customer repeated that of a request's kind, and pipelined connections had their own copy of the time limit. Drawn plans are unchanged.

--- a/bilberrylead/load/caller_exchange.cpp
+++ b/bilberrylead/load/caller_exchange.cpp
@@ -35,7 +35,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::chrono::seconds connect_timeout(3);
 /// Longest silence within an answer that has begun.
 constexpr std::chrono::seconds progress_timeout(30);
 constexpr std::chrono::seconds fetch_timeout(30);
--- a/bilberrylead/load/caller_exchange.hpp
+++ b/bilberrylead/load/caller_exchange.hpp
@@ -19,6 +19,9 @@
 /// from none.
 inline constexpr std::chrono::seconds late_answer_wait(5);
 
+/// Longest time to open a connection.
+inline constexpr std::chrono::seconds connect_timeout(3);
+
 /// What one attempt sends and what it must get back.
 struct exchange_request
 {
--- a/bilberrylead/load/pipelined_connections.cpp
+++ b/bilberrylead/load/pipelined_connections.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <chrono>
 #include <utility>
 
 // g++ 12 takes the coroutine frames' own new and delete for a mismatch.
@@ -15,13 +14,6 @@
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-constexpr std::chrono::seconds connect_timeout(3);
-
-} // namespace
-
 /// A connection and whose turn it is to write and to read.
 struct pipelined_connection
 {
--- a/bilberrylead/load/request_plan.cpp
+++ b/bilberrylead/load/request_plan.cpp
@@ -100,18 +100,26 @@
     return rate;
 }
 
-std::size_t request_plan::draw_kind()
+/// Draws the index of a row in proportion to the rows' weights.
+template <class Row>
+std::size_t request_plan::draw_by_weight(std::vector<Row> const& rows,
+                                         std::uint64_t weights)
 {
-    std::uint64_t lot = this->random() % this->weight_sum;
+    std::uint64_t lot = this->random() % weights;
     std::size_t index = 0;
-    while (lot >= this->profile->requests[index].weight)
+    while (lot >= rows[index].weight)
     {
-        lot -= this->profile->requests[index].weight;
+        lot -= rows[index].weight;
         ++index;
     }
     return index;
 }
 
+std::size_t request_plan::draw_kind()
+{
+    return this->draw_by_weight(this->profile->requests, this->weight_sum);
+}
+
 /// Draws nothing without customers, so that such plans stay as they were.
 void request_plan::draw_customer(planned_request& request)
 {
@@ -119,14 +127,10 @@
     {
         return;
     }
-    std::uint64_t lot = this->random() % this->customer_weight_sum;
-    std::size_t index = 0;
-    while (lot >= this->profile->customers[index].weight)
-    {
-        lot -= this->profile->customers[index].weight;
-        ++index;
-    }
-    request.customer_key = this->profile->customers[index].key;
+    std::vector<customer_share> const& customers = this->profile->customers;
+    request.customer_key =
+        customers[this->draw_by_weight(customers, this->customer_weight_sum)]
+            .key;
 }
 
 void request_plan::draw_caller(std::string const& group,
--- a/bilberrylead/load/request_plan.hpp
+++ b/bilberrylead/load/request_plan.hpp
@@ -52,6 +52,9 @@
 
 private:
     double rate_at(duration time) const;
+    template <class Row>
+    std::size_t draw_by_weight(std::vector<Row> const& rows,
+                               std::uint64_t weights);
     std::size_t draw_kind();
     void draw_customer(planned_request& request);
     void draw_caller(std::string const& group, planned_request& request);
