Admission: one conversion of rows, shares kept for one plan at a time

Rows became a demand and a plan by two copies of the same loops. The shares by rank that an operator's view needs were kept beyond the plan that they belong to. The control hosts' age limit of a plan was a second 10 s beside the one that entry hosts use; it is that one now.

--- a/bilberrylead/control/control_reducer_admission.cpp
+++ b/bilberrylead/control/control_reducer_admission.cpp
@@ -25,6 +25,7 @@
     void add(policy::admission_region const& region,
              policy::admission_plan const& plan)
     {
+        std::map<std::uint32_t, double> rank_shares;
         for (auto const& [rank, slots] : region.ranks)
         {
             auto const above =
@@ -38,16 +39,15 @@
                 rank_sum& sum = this->ranks[above->rank];
                 sum.demand += slots;
                 sum.admitted += slots * above->share;
-                this->rank_shares[above->rank] = above->share;
+                rank_shares[above->rank] = above->share;
             }
         }
         for (policy::customer_share_of_rank const& each : plan.customers)
         {
             auto const demand =
                 region.customers.find({each.rank, each.customer});
-            auto const rank = this->rank_shares.find(each.rank);
-            if (demand == region.customers.end() ||
-                rank == this->rank_shares.end())
+            auto const rank = rank_shares.find(each.rank);
+            if (demand == region.customers.end() || rank == rank_shares.end())
             {
                 continue;
             }
@@ -106,7 +106,6 @@
     };
 
     std::map<std::uint32_t, rank_sum> ranks;
-    std::map<std::uint32_t, double> rank_shares;
     std::map<std::pair<std::uint32_t, customer_id>, admission_customer_status>
         customers;
 };
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -12,6 +12,7 @@
 #include "bilberrylead/once/once_settings.hpp"
 #include "bilberrylead/policy/admission_planner_settings.hpp"
 #include "bilberrylead/policy/customer_limit_settings.hpp"
+#include "bilberrylead/policy/rank_admission_settings.hpp"
 #include "bilberrylead/policy/region_plan_settings.hpp"
 #include "bilberrylead/presence/entry_table_settings.hpp"
 
@@ -87,7 +88,7 @@
     double min_reporting_recent = 0.5;
     /// Age from which entry hosts ignore an admission plan; an older one is not
     /// passed on.
-    duration max_admission_age = std::chrono::seconds(10);
+    duration max_admission_age = policy::rank_admission_settings().ignored_age;
     /// How customers' limits are divided among entry hosts.
     policy::customer_limit_settings customer_limits;
     /// The zones and their regions; if empty, no regions are planned.
--- a/bilberrylead/link/admission_conversion.cpp
+++ b/bilberrylead/link/admission_conversion.cpp
@@ -30,6 +30,21 @@
     return std::max<std::uint32_t>(1, to_thousandths(std::min(share, 1.0)));
 }
 
+/// Appends the values of the ranks and customers to a demand or a plan.
+template <class Content>
+void append_values(admission_rows const& rows, Content& content)
+{
+    for (admission_rank const& each : rows.ranks)
+    {
+        content.ranks.push_back({each.rank, from_thousandths(each.amount)});
+    }
+    for (admission_customer const& each : rows.customers)
+    {
+        content.customers.push_back(
+            {each.customer, each.rank, from_thousandths(each.amount)});
+    }
+}
+
 admission_rows to_rows(policy::admission_demand const& demand)
 {
     admission_rows rows;
@@ -129,15 +144,7 @@
 {
     policy::admission_demand demand;
     demand.service = rows.service;
-    for (admission_rank const& each : rows.ranks)
-    {
-        demand.ranks.push_back({each.rank, from_thousandths(each.amount)});
-    }
-    for (admission_customer const& each : rows.customers)
-    {
-        demand.customers.push_back(
-            {each.customer, each.rank, from_thousandths(each.amount)});
-    }
+    append_values(rows, demand);
     return demand;
 }
 
@@ -147,15 +154,7 @@
     policy::admission_plan plan;
     plan.service = rows.service;
     plan.region = region;
-    for (admission_rank const& each : rows.ranks)
-    {
-        plan.ranks.push_back({each.rank, from_thousandths(each.amount)});
-    }
-    for (admission_customer const& each : rows.customers)
-    {
-        plan.customers.push_back(
-            {each.customer, each.rank, from_thousandths(each.amount)});
-    }
+    append_values(rows, plan);
     return plan;
 }
 
