--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -67,31 +67,20 @@
                                std::shared_ptr<upstream_exchange> exchange)
 {
     held_answer& held = request->held;
-    bool goes_on = true;
-    while (goes_on)
+    error_code error;
+    while (!error && !held.whole && this->grow_held(*request, *exchange))
     {
-        if (!this->grow_held(*request, *exchange))
-        {
-            held.state = held_answer::progress::complete;
-            break;
-        }
-        error_code error;
         std::size_t const count = co_await exchange->read_some(
             std::span(held.bytes).subspan(held.size), error);
         held.size += count;
-        if (error)
-        {
-            held.state = held_answer::progress::broken;
-            ++this->core->counters().held_answers_broken;
-            break;
-        }
-        held.whole = exchange->ended();
-        goes_on = !held.whole;
+        held.whole = !error && exchange->ended();
     }
-    if (held.whole)
+    if (error)
     {
-        held.state = held_answer::progress::complete;
+        ++this->core->counters().held_answers_broken;
     }
+    held.state =
+        error ? held_answer::progress::broken : held_answer::progress::complete;
     this->wake.notify();
 }
 
