--- a/tests/unit/policy/object_homes_fleet.hpp
+++ b/tests/unit/policy/object_homes_fleet.hpp
@@ -117,13 +117,7 @@
         {
             this->add_host(foreign, false);
         }
-        // Some objects are requested several times as often as others.
-        double sum = 0;
-        for (std::uint32_t object = 0; object < given.objects; ++object)
-        {
-            sum += 1 / std::sqrt(object + 1.0);
-            this->popularity.push_back(sum);
-        }
+        this->set_objects(given.objects);
         this->reset();
     }
 
@@ -185,7 +179,8 @@
         return this->scope_changes;
     }
 
-    /// Callers request that many objects from now on.
+    /// Callers request that many objects from now on, some of them several
+    /// times as often as others.
     void set_objects(std::uint32_t objects)
     {
         this->popularity.clear();
