Upstream limits: a report reaches an entry host once by a control host

Cause: a control host passed a report on to the other control hosts, over both links where two hosts had dialled each other, and each of them to its entry hosts. Entry hosts of a group of nine are linked to all of them, so that one report arrived 17 times.

Now the other control hosts are left out where entry hosts link to all of them, and hear it over one link each otherwise. Failed before: control_reducer/limit_notice_is_sent_once_where_all_hosts_are_linked.

--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -204,6 +204,7 @@
     void hold_admission(std::uint64_t term,
                         link::admission_shares const& shares);
     void send_crash_records(link::link_number to);
+    bool is_linked_to_all_entry_hosts() const;
     void allocate_limits();
 
     void propose(waiter requester, catalog::replicated_command const& command);
--- a/bilberrylead/control/control_reducer_relay.cpp
+++ b/bilberrylead/control/control_reducer_relay.cpp
@@ -88,15 +88,27 @@
 void control_reducer::on_peer(link::link_number from,
                               link::limit_notice const& message)
 {
-    bool const from_entry = this->links.at(from).role == link::peer_role::entry;
     for (auto const& [number, peer] : this->links)
     {
-        bool const is_entry = peer.role == link::peer_role::entry;
-        if (number != from && (from_entry || is_entry))
+        if (number != from && peer.role == link::peer_role::entry)
+        {
+            this->send(number, message);
+        }
+    }
+    bool const from_entry = this->links.at(from).role == link::peer_role::entry;
+    if (from_entry && !this->is_linked_to_all_entry_hosts())
+    {
+        for (auto const& [host, number] : this->control_links)
         {
             this->send(number, message);
         }
     }
 }
 
+bool control_reducer::is_linked_to_all_entry_hosts() const
+{
+    return this->replica.membership().members.size() <=
+           this->settings.max_fully_linked_hosts;
+}
+
 } // namespace bilberrylead::control
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -17,6 +17,7 @@
 #include "bilberrylead/presence/entry_table_settings.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -89,6 +90,10 @@
     /// Age from which entry hosts ignore an admission plan; an older one is not
     /// passed on.
     duration max_admission_age = policy::rank_admission_settings().ignored_age;
+    /// Largest group in which every entry host links to every control host, so
+    /// that reports of one entry host to the others need not be passed on to
+    /// other control hosts; 0 if entry hosts link to listed ones only.
+    std::size_t max_fully_linked_hosts = 0;
     /// How customers' limits are divided among entry hosts.
     policy::customer_limit_settings customer_limits;
     /// The zones and their regions; if empty, no regions are planned.
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/daemon/listing_log.hpp"
+#include "bilberrylead/presence/control_link_settings.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -210,6 +211,8 @@
     {
         wanted.planner.emplace();
         wanted.planner->losses = this->settings.losses;
+        wanted.max_fully_linked_hosts =
+            presence::control_link_settings{}.max_fully_linked_hosts;
     }
     if (this->settings.upstream_list.port != 0)
     {
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -507,6 +507,42 @@
     }
 }
 
+// Guards against counts that each entry host receives once by every control
+// host, which become most of the hosts' load.
+Test(control_reducer, limit_notice_is_sent_once_where_all_hosts_are_linked)
+{
+    control_group group(std::nullopt,
+                        [](control::control_reducer_settings& settings,
+                           control::control_started&)
+                        {
+                            settings.max_fully_linked_hosts =
+                                control_group::hosts;
+                        });
+    std::size_t const leader = group.wait_for_leader();
+    for (std::size_t index = 0; index < control_group::hosts; ++index)
+    {
+        group.connect(index, control_group::entry_link, host_id("e1"),
+                      link::peer_role::entry);
+        group.connect(index, control_group::entry_link + 1, host_id("e2"),
+                      link::peer_role::entry);
+    }
+    group.sent_to_entry_hosts.clear();
+    group.send_from_entry_host(
+        leader, link::limit_notice{host_id("e1"),
+                                   {{upstream_id("u1"), 2.5,
+                                     std::chrono::milliseconds(3), 4}}});
+    std::size_t notices = 0;
+    for (auto const& [at, messages] : group.sent_to_entry_hosts)
+    {
+        for (link::message const& sent : messages)
+        {
+            notices +=
+                std::holds_alternative<link::limit_notice>(sent) ? 1U : 0U;
+        }
+    }
+    cr_expect_eq(notices, 1U);
+}
+
 // Guards against requests that stay refused because no operator can lift
 // their crash record.
 Test(control_reducer, lifted_crash_record_is_cleared_on_all_hosts)
