Upstream limits: hosts out of contact divide the limit

Cause: a host without a link to any other host counts its own requests only and spends the whole limit by itself, and so do all others.

Failed before: limited_upstream/hosts_out_of_contact_together_keep_the_limit (80 hosts, limit 2.7: 70 in 4 s, allowed 21; 300 hosts, limit 0.5: 68 in 4 s, allowed 8). Now each host uses two thirds of an equal share from the moment at which its last link closes, without saving, beginning at a random level. With whole shares 80 hosts still sent 24 of 21. Passes at 2, 10, 80 and 300 hosts, limits 0.5 to 10.

Not covered: hosts that are linked to control hosts, all of which are silent, for the time until the links close (3 s, 1.5 s where a group forms itself).

--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -87,6 +87,10 @@
 void entry_program::implementation::on_connected(
     link::link_number number, link::peer_identity const& peer)
 {
+    if (this->links.empty())
+    {
+        this->server->dispatch(entry::peer_contact_changed{true});
+    }
     this->links[number] = peer;
     this->on_exchange(distribution::link_opened{number, peer});
     std::vector<policy::crash_record> crashes =
@@ -118,6 +122,10 @@
         this->on_claims(once_client::control_link_closed{number});
     }
     this->links.erase(number);
+    if (this->links.empty())
+    {
+        this->server->dispatch(entry::peer_contact_changed{false});
+    }
 }
 
 void entry_program::implementation::on_message(link::link_number number,
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -97,13 +97,16 @@
         return found->second;
     }
     config::service const* configured = this->find_service(service);
-    return this->service_states
-        .try_emplace(service,
-                     configured == nullptr ? config::work_length::brief
-                                           : configured->length,
-                     this->placement_seed + this->service_states.size(),
-                     this->host_settings.placement)
-        .first->second;
+    service_state& created =
+        this->service_states
+            .try_emplace(service,
+                         configured == nullptr ? config::work_length::brief
+                                               : configured->length,
+                         this->placement_seed + this->service_states.size(),
+                         this->host_settings.placement)
+            .first->second;
+    created.divide_limits(this->limit_divisor, this->now);
+    return created;
 }
 
 void entry_reducer::on(request_arrived const& event)
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -155,6 +155,7 @@
     void on(upstream_connected const& event);
     void on(relay_hosts_received const& event);
     void on(crash_records_received const& event);
+    void on(peer_contact_changed const& event);
     void on(limits_received const& event);
     void on(limits_allocated const& event);
     void on(leader_changed const& event);
@@ -292,6 +293,7 @@
     discovery::list_position listing_position;
     std::set<zone_id> closed;
     entry_hosts_counted entry_hosts;
+    std::uint64_t limit_divisor = 1;
     regions_planned region_plan;
     policy::generator split_random;
     policy::generator customer_random;
--- a/bilberrylead/entry/entry_reducer_limits.cpp
+++ b/bilberrylead/entry/entry_reducer_limits.cpp
@@ -2,6 +2,8 @@
 
 #include "bilberrylead/policy/retry_time.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 /// Rate limits that upstreams set for all entry hosts together.
@@ -40,6 +42,20 @@
     }
 }
 
+/// Hosts that cannot report to each other divide the limits equally.
+void entry_reducer::on(peer_contact_changed const& event)
+{
+    std::uint64_t const divisor =
+        event.is_in_contact
+            ? 1
+            : std::max<std::uint64_t>(this->entry_hosts.hosts, 1);
+    for (auto& [service, state] : this->service_states)
+    {
+        state.divide_limits(divisor, this->now);
+    }
+    this->limit_divisor = divisor;
+}
+
 void entry_reducer::report_limits()
 {
     send_limits message;
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -318,6 +318,14 @@
     std::vector<policy::limit_report> reports;
 };
 
+/// The last link to a control host or to another entry host was closed, or the
+/// first one was opened.
+struct peer_contact_changed
+{
+    /// False if there is no link.
+    bool is_in_contact = true;
+};
+
 /// The leader sent this host's shares of the customers' limits.
 struct limits_allocated
 {
@@ -342,14 +350,16 @@
 };
 
 /// Any event that an entry host handles.
-using event = std::variant<
-    configuration_received, request_arrived, claim_answered, completion_stored,
-    upstream_signals_received, upstream_head_received, upstream_answer_finished,
-    upstream_failed, caller_gone, load_reported, tick, drain_requested,
-    control_reachable, control_unreachable, upstreams_listed,
-    entry_hosts_counted, regions_planned, upstream_probed, upstream_connected,
-    relay_hosts_received, crash_records_received, limits_received,
-    limits_allocated, leader_changed, admission_plan_received>;
+using event =
+    std::variant<configuration_received, request_arrived, claim_answered,
+                 completion_stored, upstream_signals_received,
+                 upstream_head_received, upstream_answer_finished,
+                 upstream_failed, caller_gone, load_reported, tick,
+                 drain_requested, control_reachable, control_unreachable,
+                 upstreams_listed, entry_hosts_counted, regions_planned,
+                 upstream_probed, upstream_connected, relay_hosts_received,
+                 crash_records_received, limits_received, peer_contact_changed,
+                 limits_allocated, leader_changed, admission_plan_received>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -174,6 +174,10 @@
     bool receive_limit(host_id const& sender,
                        policy::limit_report const& report, instant now);
 
+    /// Sets by how many hosts the limits of upstreams are divided; 1 while the
+    /// hosts report their requests to each other.
+    void divide_limits(std::uint64_t hosts, instant now);
+
     /// Removes and returns the limit reports that have accumulated since the
     /// last call.
     std::vector<policy::limit_report> pop_limit_reports(instant now);
@@ -351,6 +355,7 @@
     // Upstreams whose limits or request counts have not been sent to the other
     // entry hosts yet.
     std::set<upstream_id> unsent_limits;
+    std::uint64_t limit_divisor = 1;
     std::map<reach, policy::admission_queue> queues;
     policy::least_completion_choice choice;
     policy::service_time_estimate slot_time;
--- a/bilberrylead/entry/service_state_limits.cpp
+++ b/bilberrylead/entry/service_state_limits.cpp
@@ -20,6 +20,7 @@
                                  std::optional<double> limit, instant now)
 {
     upstream_record& record = this->record_of(id);
+    record.limit.divide(this->limit_divisor, now, this->random);
     bool const changed = record.limit.observe(limit, now);
     bool const is_old =
         now - record.sent_limit_seen_at >= limit_report_interval;
@@ -34,13 +35,23 @@
                                   policy::limit_report const& report,
                                   instant now)
 {
-    policy::shared_limit& limit = this->record_of(report.upstream).limit;
-    duration const age = std::max(report.age, duration::zero());
-    bool const changed = limit.observe(report.per_second, now - age);
-    limit.record_peer_sent(sender, report.sent, now, this->random);
+    upstream_record& record = this->record_of(report.upstream);
+    instant const seen = now - std::max(report.age, duration::zero());
+    record.limit.divide(this->limit_divisor, now, this->random);
+    bool const changed = record.limit.observe(report.per_second, seen);
+    record.limit.record_peer_sent(sender, report.sent, now, this->random);
     return changed;
 }
 
+void service_state::divide_limits(std::uint64_t hosts, instant now)
+{
+    this->limit_divisor = hosts;
+    for (auto& [id, record] : this->records)
+    {
+        record.limit.divide(hosts, now, this->random);
+    }
+}
+
 std::vector<policy::limit_report> service_state::pop_limit_reports(instant now)
 {
     std::vector<policy::limit_report> reports;
--- a/bilberrylead/policy/shared_limit.cpp
+++ b/bilberrylead/policy/shared_limit.cpp
@@ -16,12 +16,18 @@
 
 double shared_limit::fill_rate() const
 {
-    return std::max(this->rate.value_or(0), this->settings.min_rate);
+    double const limit =
+        std::max(this->rate.value_or(0), this->settings.min_rate);
+    return this->divisor > 1 ? limit * this->settings.divided_part /
+                                   static_cast<double>(this->divisor)
+                             : limit;
 }
 
 double shared_limit::max_saved() const
 {
-    return std::min(this->settings.max_saved, this->fill_rate());
+    return this->divisor > 1
+               ? 0
+               : std::min(this->settings.max_saved, this->fill_rate());
 }
 
 /// Number of tokens from which on this host sends a request.
@@ -101,6 +107,21 @@
     }
 }
 
+void shared_limit::divide(std::uint64_t hosts, instant now, generator& random)
+{
+    if (hosts == this->divisor)
+    {
+        return;
+    }
+    // With random levels the hosts spend their first tokens one after another.
+    // What others sent in the meantime is unknown, so nothing is left of the
+    // tokens once they are shared again.
+    double const max_tokens = hosts > 1 ? random.unit() : 0;
+    this->tokens = std::min(this->level(now), max_tokens);
+    this->updated_at = std::max(this->updated_at, now);
+    this->divisor = hosts;
+}
+
 bool shared_limit::has_token(instant now) const
 {
     return !this->is_in_force(now) ||
--- a/bilberrylead/policy/shared_limit.hpp
+++ b/bilberrylead/policy/shared_limit.hpp
@@ -44,6 +44,11 @@
     void record_peer_sent(host_id const& host, std::uint64_t sent, instant now,
                           generator& random);
 
+    /// Sets by how many hosts the limit is divided: 1 while the hosts report
+    /// their requests to each other, else the number of hosts, each of which
+    /// then uses an equal part of `divided_part` and saves nothing up.
+    void divide(std::uint64_t hosts, instant now, generator& random);
+
     /// True if this host may send a request.
     bool has_token(instant now) const;
 
@@ -81,6 +86,7 @@
 
     shared_limit_settings settings;
     std::optional<double> rate;
+    std::uint64_t divisor = 1;
     instant seen_at{};
     double tokens = 0;
     instant updated_at{};
--- a/bilberrylead/policy/shared_limit_settings.hpp
+++ b/bilberrylead/policy/shared_limit_settings.hpp
@@ -22,6 +22,9 @@
     /// Maximum token debt, in seconds of the limit. Requests sent before the
     /// hosts received the limit are not compensated for beyond that.
     double max_debt_seconds = 4;
+    /// Part of the limit that the hosts use together while it is divided among
+    /// them. The rest covers the chance that several send at the same time.
+    double divided_part = 2.0 / 3;
 };
 
 } // namespace bilberrylead::policy
--- a/tests/unit/entry/limited_upstream_test.cpp
+++ b/tests/unit/entry/limited_upstream_test.cpp
@@ -192,3 +192,23 @@
     send_requests(fleet, 40, 10s);
     expect_limit_kept(fleet, 2.7);
 }
+
+// Guards against hosts that each spend the whole limit while they are out of
+// contact with all others.
+Test(limited_upstream, hosts_out_of_contact_together_keep_the_limit)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        for (double const limit : limits)
+        {
+            upstream_fleet fleet(
+                {.hosts = hosts, .upstreams = 3, .limit = limit});
+            send_requests(fleet, 40, 8s);
+            fleet.set_contact(false);
+            send_requests(fleet, 40, 20s);
+            fleet.set_contact(true);
+            send_requests(fleet, 40, 8s);
+            expect_limit_kept(fleet, limit);
+        }
+    }
+}
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -302,6 +302,16 @@
         this->silent_control_hosts.erase(control_host(control_index));
     }
 
+    /// Cuts all hosts off from each other and tells them so, or ends this.
+    void set_contact(bool is_in_contact)
+    {
+        this->all_partitioned = !is_in_contact;
+        for (std::size_t host = 0; host < this->processes.size(); ++host)
+        {
+            this->deliver(host, peer_contact_changed{is_in_contact});
+        }
+    }
+
     /// Largest number of requests that reached upstream 0 in any span of that
     /// length from `from` on.
     std::size_t max_limited_within(duration span, instant from) const
@@ -434,8 +444,8 @@
 
     bool are_partitioned(std::size_t one, std::size_t other) const
     {
-        return this->partitioned.contains(one) !=
-               this->partitioned.contains(other);
+        return this->all_partitioned || this->partitioned.contains(one) !=
+                                            this->partitioned.contains(other);
     }
 
     /// Sends all crash records of one host to another.
@@ -739,6 +749,7 @@
     std::optional<instant> limit_named_at;
     std::size_t ended_count = 0;
     std::set<std::size_t> partitioned;
+    bool all_partitioned = false;
     std::set<host_id> silent_control_hosts;
     std::map<std::uint64_t, std::size_t> refusals;
     std::uint64_t last_request = 0;
