Hosts without upstreams learn of hosts of every region

What callers saw: requests on routes that are bound to another region are refused by a host without upstreams although hosts of that region serve them. Cause: the list of hosts to pass requests on to was sorted by the asking host's region and cut at eight; a region with more hosts fills it.

Failed before: relay_hosts/include_hosts_of_every_region (71 hosts in three regions: eight of the asking host's region, none of the others). Now eight of its own and at least four of each other region, hosts of one region together, so that the choice by load within a region has more than one candidate; the order of the regions differs between hosts.

Ruled out: a choice by the requester that leaves the regions of the route (relayed_request/stays_in_the_regions_of_its_route passes).

--- a/bilberrylead/presence/entry_table.cpp
+++ b/bilberrylead/presence/entry_table.cpp
@@ -1,17 +1,37 @@
 #include "bilberrylead/presence/entry_table.hpp"
 
 #include "bilberrylead/core/process_seed.hpp"
-#include "bilberrylead/policy/generator.hpp"
+#include "bilberrylead/presence/host_rank.hpp"
 
 #include <algorithm>
-#include <functional>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 namespace bilberrylead::presence
 {
 
+namespace
+{
+
+/// Hosts by their ranks.
+using relay_candidates = std::map<std::uint64_t, link::relay_host>;
+
+void append_first(link::relay_host_list& list,
+                  relay_candidates const& candidates, std::size_t count)
+{
+    for (auto const& [rank, candidate] : candidates)
+    {
+        if (count == 0)
+        {
+            return;
+        }
+        list.hosts.push_back(candidate);
+        --count;
+    }
+}
+
+} // namespace
+
 entry_table::entry_table(entry_table_settings const& initial_settings,
                          process_seed const& seed)
     : settings(initial_settings), rotation(seed.of(random_sequence::steering))
@@ -41,41 +61,41 @@
                                                    instant now) const
 {
     auto const asking = this->rows.find(host);
-    region_id const region = asking == this->rows.end()
-                                 ? region_id()
-                                 : asking->second.heartbeat.region;
-    struct candidate
-    {
-        bool is_remote = false;
-        std::uint64_t rank = 0;
-        link::relay_host found;
-    };
-    std::vector<candidate> candidates;
-    std::uint64_t const salt = std::hash<host_id>{}(host);
+    region_id const own_region = asking == this->rows.end()
+                                     ? region_id()
+                                     : asking->second.heartbeat.region;
+    std::map<region_id, relay_candidates> by_region;
     for (auto const& [id, entry] : this->rows)
     {
         if (id != host && this->is_usable(entry, now) &&
             !this->without_upstreams.contains(id))
         {
-            candidates.push_back(
-                {entry.heartbeat.region != region,
-                 policy::generator(salt ^ std::hash<host_id>{}(id)).next(),
-                 {id, entry.heartbeat.address, entry.heartbeat.region}});
+            region_id const& region = entry.heartbeat.region;
+            by_region[region].emplace(
+                host_rank(host, id),
+                link::relay_host{id, entry.heartbeat.address, region});
         }
     }
-    std::sort(candidates.begin(), candidates.end(),
-              [](candidate const& one, candidate const& other)
-              {
-                  return std::tie(one.is_remote, one.rank) <
-                         std::tie(other.is_remote, other.rank);
-              });
     link::relay_host_list list;
-    for (candidate& each : candidates)
+    append_first(list, by_region[own_region], this->settings.relay_hosts);
+    by_region.erase(own_region);
+
+    // The host passes requests that are bound to no region on to the region
+    // that follows its own, which differs between hosts.
+    std::map<std::uint64_t, relay_candidates> remote;
+    for (auto& [region, candidates] : by_region)
     {
-        if (list.hosts.size() < this->settings.relay_hosts)
-        {
-            list.hosts.push_back(std::move(each.found));
-        }
+        remote.emplace(host_rank(host, host_id(region.text())),
+                       std::move(candidates));
+    }
+    std::size_t const missing = this->settings.relay_hosts - list.hosts.size();
+    std::size_t const regions = std::max<std::size_t>(remote.size(), 1);
+    std::size_t const per_region =
+        std::max(this->settings.min_relay_hosts_per_region,
+                 (missing + regions - 1) / regions);
+    for (auto const& [rank, candidates] : remote)
+    {
+        append_first(list, candidates, per_region);
     }
     return list;
 }
--- a/bilberrylead/presence/entry_table.hpp
+++ b/bilberrylead/presence/entry_table.hpp
@@ -42,8 +42,9 @@
     void record_contact(host_id const& host, bool is_lost);
 
     /// Returns hosts to which `host`, which has lost its way to all upstreams,
-    /// may pass requests on: ready ones that have not, at most `relay_hosts`,
-    /// those of its region first. Different hosts receive different ones.
+    /// may pass requests on: ready ones that have not, those of its region
+    /// first, and some of each other region, since requests may be bound to
+    /// any. Different hosts receive different ones.
     link::relay_host_list relay_hosts_for(host_id const& host,
                                           instant now) const;
 
@@ -54,7 +55,9 @@
     /// not only of its zone, so that the failure of a zone's few hosts costs
     /// its callers no more than a retry. Hosts of other regions are returned
     /// only if its own has none, and hosts that have lost their way to all
-    /// upstreams only if there are no others. If there are many hosts,
+    /// upstreams only if there are no others in the allowed regions: they pass
+    /// requests on, and requests must not reach other regions. Hosts of regions
+    /// that are not allowed are returned last. If there are many hosts,
     /// successive replies rotate through them, so that callers are spread over
     /// all of them. Each control host begins at a different position.
     steering_reply reply_to(steering_query const& query, instant now);
--- a/bilberrylead/presence/entry_table_settings.hpp
+++ b/bilberrylead/presence/entry_table_settings.hpp
@@ -25,9 +25,12 @@
     /// failing host costs a retry instead of a look-up; more only make the
     /// reply longer.
     std::size_t max_hosts_per_reply = 16;
-    /// Maximum number of hosts that one without upstreams is told to pass
-    /// requests on to.
+    /// Number of hosts that one without upstreams is told to pass requests on
+    /// to, if they are in its region. Hosts of other regions make up for
+    /// missing ones.
     std::size_t relay_hosts = 8;
+    /// Minimum number of such hosts of each other region.
+    std::size_t min_relay_hosts_per_region = 4;
 };
 
 } // namespace bilberrylead::presence
--- a/tests/unit/presence/entry_table_test.cpp
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -34,7 +34,10 @@
 
 steering_query query_from(std::string const& region)
 {
-    return {region_id(region), zone_id("z")};
+    steering_query query;
+    query.region = region_id(region);
+    query.zone = zone_id("z");
+    return query;
 }
 
 } // namespace
@@ -259,3 +262,77 @@
     }
     cr_expect_gt(all.size(), 24U);
 }
+
+namespace
+{
+
+/// 71 entry hosts in three regions, as control hosts list them: e0, e3, ... in
+/// r0, and so on.
+struct three_regions
+{
+    three_regions()
+    {
+        for (std::uint16_t number = 0; number < 71; ++number)
+        {
+            this->table.record_heartbeat(
+                number, host_id("e" + std::to_string(number)),
+                ready_host(number, "r" + std::to_string(number % 3)), start);
+        }
+    }
+
+    /// Lets all hosts of a region report that they reach no upstream.
+    void cut(unsigned region)
+    {
+        for (unsigned number = region; number < 71; number += 3)
+        {
+            this->table.record_contact(host_id("e" + std::to_string(number)),
+                                       true);
+        }
+    }
+
+    entry_table table{{}, test_seed};
+};
+
+} // namespace
+
+// Guards against a host that learns of no host of the region to which requests
+// are bound, since its own region has many.
+Test(relay_hosts, include_hosts_of_every_region)
+{
+    three_regions hosts;
+    hosts.table.record_contact(host_id("e0"), true);
+    std::map<region_id, std::size_t> count;
+    std::vector<link::relay_host> const list =
+        hosts.table.relay_hosts_for(host_id("e0"), start).hosts;
+    for (link::relay_host const& host : list)
+    {
+        ++count[host.region];
+    }
+    cr_expect_eq(count[region_id("r0")], 8U);
+    cr_expect_eq(count[region_id("r1")], 4U);
+    cr_expect_eq(count[region_id("r2")], 4U);
+    for (std::size_t place = 0; place < 8 && place < list.size(); ++place)
+    {
+        cr_expect(list[place].region == region_id("r0"), "its own come first");
+    }
+}
+
+// Guards against hosts without upstreams that all use the same other region
+// first.
+Test(relay_hosts, follow_by_region_in_different_order)
+{
+    three_regions hosts;
+    hosts.cut(0);
+    std::set<region_id> first;
+    for (unsigned number = 0; number < 71; number += 3)
+    {
+        std::vector<link::relay_host> const list =
+            hosts.table
+                .relay_hosts_for(host_id("e" + std::to_string(number)), start)
+                .hosts;
+        cr_assert_eq(list.size(), 8U);
+        first.insert(list.front().region);
+        cr_expect(list.front().region == list[3].region);
+    }
+    cr_expect_eq(first.size(), 2U);
+}
