Steering stays in the regions of a name's routes

What callers saw: requests outside their home region. While all hosts of a caller's region have lost their way to the upstreams, or none is ready, steering named hosts of any other region, so that requests on routes with one home were received in a third region. Cause: steering knew the caller's region, not the regions of the routes of the host name that it is asked for.

Now a control host derives the regions that all bound routes of a name allow from each revision in force; hosts of these come first, then the caller's own hosts, which pass requests on, and other regions only if there is nobody else.

--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -8,6 +8,7 @@
 #include "bilberrylead/agreement/effects/sync.hpp"
 #include "bilberrylead/agreement/events/membership_change_requested.hpp"
 #include "bilberrylead/control/operator_reply.hpp"
+#include "bilberrylead/core/bytes.hpp"
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_position.hpp"
@@ -18,6 +19,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -101,6 +103,13 @@
     std::size_t closed_zones = 0;
 };
 
+/// A revision is in force. Callers are directed by the regions of its routes.
+struct revision_in_force
+{
+    /// The document, as entry hosts receive it.
+    std::shared_ptr<bytes const> document;
+};
+
 /// The leader proposes a membership change. For the process log only.
 struct membership_planned
 {
@@ -125,7 +134,7 @@
                  agreement::role_changed, send_to_peer, answer_operator,
                  link_members, call_upstream_list, listing_changed,
                  listing_delivered, listing_budget_changed, orders_changed,
-                 membership_planned, crash_record_lifted>;
+                 revision_in_force, membership_planned, crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -209,6 +209,7 @@
 
     void propose(waiter requester, catalog::replicated_command const& command);
     void publish();
+    void publish(revision number, bytes content);
     void exchange_event(distribution::exchange_event const& event);
     void answer(std::uint64_t number, operator_reply reply);
     void answer_accepted(waiting_operator const& requester,
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -226,20 +226,25 @@
         this->effects.emplace_back(
             orders_changed{orders.current_revision(), orders.version(),
                            orders.closed_zones().size()});
-        this->exchange_event(distribution::revision_published{
-            orders.current_revision(),
-            std::make_shared<bytes const>(orders.encode())});
+        this->publish(orders.current_revision(), orders.encode());
         return;
     }
     catalog::stored_revision const* const current =
         this->replicated.configurations().current();
     if (current != nullptr)
     {
-        this->exchange_event(distribution::revision_published{
-            current->number, std::make_shared<bytes const>(current->document)});
+        this->publish(current->number, current->document);
     }
 }
 
+void control_reducer::publish(revision number, bytes content)
+{
+    std::shared_ptr<bytes const> const document =
+        std::make_shared<bytes const>(std::move(content));
+    this->effects.emplace_back(revision_in_force{document});
+    this->exchange_event(distribution::revision_published{number, document});
+}
+
 void control_reducer::answer_accepted(waiting_entry_host const& requester,
                                       std::uint64_t index)
 {
--- a/bilberrylead/daemon/control_adapter.hpp
+++ b/bilberrylead/daemon/control_adapter.hpp
@@ -4,6 +4,8 @@
 #include "bilberrylead/config/endpoint.hpp"
 #include "bilberrylead/control/operator_reply.hpp"
 #include "bilberrylead/control/operator_request.hpp"
+#include "bilberrylead/core/bytes.hpp"
+#include "bilberrylead/daemon/accepted_revision.hpp"
 #include "bilberrylead/discovery/list_page.hpp"
 #include "bilberrylead/discovery/page_call.hpp"
 #include "bilberrylead/link/http_endpoint.hpp"
@@ -27,7 +29,7 @@
     requires(link::http_request const& request, std::string const& text,
              control::operator_reply const& reply,
              std::optional<config::endpoint> const& leader,
-             presence::steering_reply const& steering,
+             presence::steering_reply const& steering, bytes const& document,
              discovery::page_call const& call) {
         {
             Adapter::read_operator_request(request, text)
@@ -41,6 +43,9 @@
         {
             Adapter::write_steering_reply(steering)
         } -> std::same_as<link::http_answer>;
+        {
+            Adapter::read_revision(document)
+        } -> std::same_as<absl::StatusOr<accepted_revision>>;
         { Adapter::list_target(call) } -> std::same_as<std::string>;
         {
             Adapter::read_list_page(text)
@@ -64,6 +69,8 @@
     /// Writes the answer to it.
     link::http_answer (*write_steering_reply)(
         presence::steering_reply const& steering);
+    /// Reads what control hosts distribute.
+    absl::StatusOr<accepted_revision> (*read_revision)(bytes const& document);
     /// The target that asks for a page of the list of upstreams.
     std::string (*list_target)(discovery::page_call const& call);
     /// Reads a page of the list of upstreams.
@@ -75,11 +82,9 @@
 template <control_adapter Adapter>
 control_bindings bindings_of()
 {
-    return {&Adapter::read_operator_request,
-            &Adapter::write_operator_reply,
-            &Adapter::read_steering_question,
-            &Adapter::write_steering_reply,
-            &Adapter::list_target,
+    return {&Adapter::read_operator_request,  &Adapter::write_operator_reply,
+            &Adapter::read_steering_question, &Adapter::write_steering_reply,
+            &Adapter::read_revision,          &Adapter::list_target,
             &Adapter::read_list_page};
 }
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -427,6 +427,11 @@
                      wanted.number, wanted.version, wanted.closed_zones);
         }
 
+        void operator()(control::revision_in_force const& wanted) const
+        {
+            this->owner.read_name_regions(*wanted.document);
+        }
+
         void operator()(control::membership_planned const& wanted) const
         {
             log.info("Membership: {} {} of incarnation {} is asked for.",
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -113,17 +113,35 @@
     link::http_request const& request,
     link::http_endpoint::answer_function const& answer)
 {
-    absl::StatusOr<presence::steering_query> const asked =
+    absl::StatusOr<presence::steering_query> asked =
         this->adapter.read_steering_question(request);
     if (!asked.ok())
     {
         answer(write_operator_reply(asked.status()));
         return;
     }
+    asked->allowed_regions = this->regions_of_names.find(asked->name);
     answer(this->adapter.write_steering_reply(
         this->reducer->steer(*asked, clock_now())));
 }
 
+void control_program::implementation::read_name_regions(bytes const& document)
+{
+    absl::StatusOr<accepted_revision> const read =
+        this->adapter.read_revision(document);
+    if (!read.ok())
+    {
+        log.error("The regions of the routes cannot be read; callers are "
+                  "directed by those of the last revision: {}",
+                  std::string(read.status().message()));
+        return;
+    }
+    if (read->content != nullptr)
+    {
+        this->regions_of_names = presence::name_regions(*read->content);
+    }
+}
+
 absl::StatusOr<discovery::list_page> control_program::implementation::page_of(
     absl::StatusOr<link::http_result> const& result) const
 {
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -16,6 +16,7 @@
 #include "bilberrylead/link/peer_node.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
 #include "bilberrylead/link/update_encoder.hpp"
+#include "bilberrylead/presence/name_regions.hpp"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -69,6 +70,7 @@
                         link::http_endpoint::answer_function answer);
     void serve_caller(link::http_request const& request,
                       link::http_endpoint::answer_function const& answer);
+    void read_name_regions(bytes const& document);
     std::optional<config::endpoint> leader_port(host_id const& leader) const;
     void call_list(discovery::page_call const& call);
     absl::StatusOr<discovery::list_page>
@@ -105,6 +107,7 @@
     std::map<std::pair<zone_id, bool>, link::http_caller> lists;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
+    presence::name_regions regions_of_names;
     std::optional<message_memory> listing_memory;
     std::optional<message_memory> plan_memory;
     std::optional<link::region_plan> told_plan;
--- a/bilberrylead/daemon/own_control_adapter.cpp
+++ b/bilberrylead/daemon/own_control_adapter.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/core/error.hpp"
 #include "bilberrylead/daemon/operator_api.hpp"
+#include "bilberrylead/daemon/own_entry_adapter.hpp"
 #include "bilberrylead/link/query.hpp"
 
 #include <nlohmann/json.hpp>
@@ -78,7 +79,8 @@
                           "Ask for /steering?region=REGION&zone=ZONE.");
     }
     return presence::steering_query{region_id(asked.text("region")),
-                                    zone_id(asked.text("zone"))};
+                                    zone_id(asked.text("zone")),
+                                    asked.text("name"), std::nullopt};
 }
 
 link::http_answer own_control_adapter::write_steering_reply(
@@ -98,6 +100,12 @@
     return answer;
 }
 
+absl::StatusOr<accepted_revision>
+own_control_adapter::read_revision(bytes const& document)
+{
+    return own_entry_adapter::read_revision(document);
+}
+
 std::string own_control_adapter::list_target(discovery::page_call const& call)
 {
     return link::target_with_query(
--- a/bilberrylead/daemon/own_control_adapter.hpp
+++ b/bilberrylead/daemon/own_control_adapter.hpp
@@ -19,12 +19,15 @@
     write_operator_reply(link::http_request const& request,
                          control::operator_reply const& reply,
                          std::optional<config::endpoint> const& leader);
-    /// GET /steering?region=REGION&zone=ZONE
+    /// GET /steering?region=REGION&zone=ZONE&name=HOST
     static absl::StatusOr<presence::steering_query>
     read_steering_question(link::http_request const& request);
     /// {"entry_hosts": ["192.0.2.1:80"], "ttl_s": 2}
     static link::http_answer
     write_steering_reply(presence::steering_reply const& steering);
+    /// See control_bindings.
+    static absl::StatusOr<accepted_revision>
+    read_revision(bytes const& document);
     /// /upstreams?zone=ZONE&page=PAGE
     static std::string list_target(discovery::page_call const& call);
     /// {"upstreams": [{"name", "service", "zone", "address", "slots",
--- a/bilberrylead/presence/entry_table.cpp
+++ b/bilberrylead/presence/entry_table.cpp
@@ -122,32 +122,44 @@
            now - entry.received_at < this->settings.heartbeat_timeout;
 }
 
+/// Order in which a caller should use a host; hosts of a lower number exclude
+/// those of all higher ones.
+std::size_t entry_table::preference(row const& entry, bool reaches_upstreams,
+                                    steering_query const& query) const
+{
+    region_id const& region = entry.heartbeat.region;
+    bool const is_local = query.region.empty() || region == query.region;
+    bool const is_allowed = is_local || !query.allowed_regions.has_value() ||
+                            query.allowed_regions->contains(region);
+    if (!is_allowed)
+    {
+        return reaches_upstreams ? 3 : 4;
+    }
+    if (!reaches_upstreams)
+    {
+        return 2;
+    }
+    return is_local ? 0 : 1;
+}
+
 steering_reply entry_table::reply_to(steering_query const& query, instant now)
 {
     steering_reply reply;
     reply.ttl = std::min(this->settings.ttl, this->settings.max_ttl);
-    std::vector<config::endpoint> remote_hosts;
-    std::vector<config::endpoint> hosts_without_upstreams;
+    std::map<std::size_t, std::vector<config::endpoint>> by_preference;
     for (auto const& [host, entry] : this->rows)
     {
-        if (!this->is_usable(entry, now))
+        if (this->is_usable(entry, now))
         {
-            continue;
+            bool const reaches_upstreams =
+                !this->without_upstreams.contains(host);
+            by_preference[this->preference(entry, reaches_upstreams, query)]
+                .push_back(entry.heartbeat.address);
         }
-        bool const is_local =
-            query.region.empty() || entry.heartbeat.region == query.region;
-        (this->without_upstreams.contains(host) ? hosts_without_upstreams
-         : is_local                             ? reply.entry_hosts
-                                                : remote_hosts)
-            .push_back(entry.heartbeat.address);
-    }
-    if (reply.entry_hosts.empty())
-    {
-        reply.entry_hosts = std::move(remote_hosts);
     }
-    if (reply.entry_hosts.empty())
+    if (!by_preference.empty())
     {
-        reply.entry_hosts = std::move(hosts_without_upstreams);
+        reply.entry_hosts = std::move(by_preference.begin()->second);
     }
     std::size_t const count = reply.entry_hosts.size();
     if (count > this->settings.max_hosts_per_reply)
--- a/bilberrylead/presence/entry_table.hpp
+++ b/bilberrylead/presence/entry_table.hpp
@@ -87,6 +87,8 @@
 
 private:
     bool is_usable(row const& entry, instant now) const;
+    std::size_t preference(row const& entry, bool reaches_upstreams,
+                           steering_query const& query) const;
 
     entry_table_settings settings;
     std::map<host_id, row> rows;
--- a/bilberrylead/presence/steering_query.hpp
+++ b/bilberrylead/presence/steering_query.hpp
@@ -3,6 +3,10 @@
 
 #include "bilberrylead/core/ids.hpp"
 
+#include <optional>
+#include <set>
+#include <string>
+
 namespace bilberrylead::presence
 {
 
@@ -13,6 +17,11 @@
     region_id region;
     /// The caller's availability zone; empty if not given.
     zone_id zone;
+    /// The host name that the caller sends its requests to; empty if not given.
+    std::string name;
+    /// Regions, besides the caller's, in which hosts may receive the requests;
+    /// nothing for all.
+    std::optional<std::set<region_id>> allowed_regions;
 };
 
 } // namespace bilberrylead::presence
--- a/tests/unit/presence/entry_table_test.cpp
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -290,11 +290,62 @@
         }
     }
 
+    /// Numbers of the regions whose hosts callers from r0 are sent to.
+    std::set<unsigned> regions_for(std::set<region_id> const& allowed)
+    {
+        std::set<unsigned> regions;
+        for (int count = 0; count < 10; ++count)
+        {
+            steering_query query = query_from("r0");
+            query.allowed_regions = allowed;
+            for (config::endpoint const& host :
+                 this->table.reply_to(query, start).entry_hosts)
+            {
+                regions.insert(host.port % 3U);
+            }
+        }
+        return regions;
+    }
+
     entry_table table{{}, test_seed};
 };
 
 } // namespace
 
+// Guards against callers that are sent to a region in which their requests must
+// not be received, while the hosts of their own region reach no upstreams.
+Test(steering_without_upstreams, region_without_upstreams_uses_allowed_regions)
+{
+    three_regions hosts;
+    hosts.cut(0);
+    cr_expect(hosts.regions_for({region_id("r2")}) == std::set<unsigned>{2});
+    cr_expect(hosts.regions_for({region_id("r1"), region_id("r2")}) ==
+              std::set<unsigned>({1, 2}));
+}
+
+// Guards against callers that leave their region although its hosts can pass
+// their requests on and no other region may receive them.
+Test(steering_without_upstreams, own_region_is_used_if_no_other_is_allowed)
+{
+    three_regions hosts;
+    hosts.cut(0);
+    cr_expect(hosts.regions_for({region_id("r0")}) == std::set<unsigned>{0});
+    cr_expect(hosts.regions_for({}) == std::set<unsigned>{0});
+    hosts.cut(2);
+    cr_expect(hosts.regions_for({region_id("r2")}) ==
+              std::set<unsigned>({0, 2}));
+}
+
+// Guards against callers that receive no host at all.
+Test(steering_without_upstreams, other_regions_are_used_if_there_is_no_host)
+{
+    entry_table table({}, test_seed);
+    table.record_heartbeat(1, host_id("e1"), ready_host(1, "far"), start);
+    steering_query query = query_from("near");
+    query.allowed_regions.emplace();
+    cr_expect_eq(table.reply_to(query, start).entry_hosts.size(), 1U);
+}
+
 // Guards against a host that learns of no host of the region to which requests
 // are bound, since its own region has many.
 Test(relay_hosts, include_hosts_of_every_region)
