Requests that are passed on take their regions along

What callers saw: requests outside their home region, and 404 for a route that is in force on the host that they reached. Cause: the host that carries a request decides by its own revision. If that is older, it places a request anywhere whose homes were added, and answers 404 (or 401) where the route (or the customer) was. Class: a fact that each host holds by itself, while the rule binds the whole way of a request.

Failed before: relayed_request/keeps_the_regions_of_the_host_that_passed_it_on, of_an_unknown_route_is_not_run_rather_than_not_found, names_its_regions_to_the_other_host, is_bound_to_the_regions_known_to_the_first_ host (over sockets: 200 from an upstream outside the regions). Now the regions go with the request and are added to the other host's own; a route or customer that this one does not know is refused as not run (older-configuration).

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -53,6 +53,9 @@
     /// True if the request goes to another entry host, as the caller sent it;
     /// `upstream` and `customer` are empty then.
     bool to_entry_host = false;
+    /// Regions in which the request may run; empty for all. Another entry host
+    /// is told of them, since its configuration may be older.
+    std::vector<region_id> regions;
 };
 
 /// The way to all upstreams is lost from now on, or there again: reports it to
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -137,6 +137,13 @@
     {
         is_routed = this->fill_from_service(request, event);
     }
+    if (!is_routed && event.is_relayed)
+    {
+        // The other host has found the route, in a newer configuration.
+        this->return_token(request);
+        this->refuse_arrival(event, refusal_reason::older_configuration);
+        return;
+    }
     if (!is_routed)
     {
         this->return_token(request);
@@ -152,6 +159,12 @@
             refusal_reason::key_missing, duration::zero());
         return;
     }
+    if (!this->restrict_regions(request, event.relayed_regions))
+    {
+        this->return_token(request);
+        this->refuse_arrival(event, refusal_reason::no_common_region);
+        return;
+    }
     instant const requested_deadline = event.time_left.has_value()
                                            ? this->now + *event.time_left
                                            : request.deadline;
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -184,6 +184,8 @@
     bool admit_customer(live_request& request,
                         config::request_route const& route,
                         request_arrived const& event);
+    static bool restrict_regions(live_request& request,
+                                 std::vector<region_id> const& regions);
     bool accept_within_limit(live_request& request,
                              request_arrived const& event);
     void refuse_customer(live_request const& request,
--- a/bilberrylead/entry/entry_reducer_customers.cpp
+++ b/bilberrylead/entry/entry_reducer_customers.cpp
@@ -41,7 +41,15 @@
                                    config::request_route const& route,
                                    request_arrived const& event)
 {
-    if (this->customers->lacks_customer(route, event.customer_key))
+    bool const is_unknown =
+        this->customers->lacks_customer(route, event.customer_key);
+    if (is_unknown && event.is_relayed)
+    {
+        // The other host has identified the customer.
+        this->refuse_arrival(event, refusal_reason::older_configuration);
+        return false;
+    }
+    if (is_unknown)
     {
         this->refuse_customer(request, event, status_unauthorized,
                               refusal_reason::unknown_customer,
@@ -57,20 +65,27 @@
     }
     request.customer = customer->id;
     request.rank = customer->priority;
-    if (request.regions.empty())
+    if (!this->restrict_regions(request, customer->regions))
     {
-        request.regions = customer->regions;
+        this->refuse_arrival(event, refusal_reason::no_common_region);
+        return false;
     }
-    else if (!customer->regions.empty())
+    return this->accept_within_limit(request, event);
+}
+
+/// Restricts the regions of a request to the given ones; empty is all. False if
+/// none is left.
+bool entry_reducer::restrict_regions(live_request& request,
+                                     std::vector<region_id> const& regions)
+{
+    if (regions.empty())
     {
-        request.regions = common_regions(route.regions, customer->regions);
-        if (request.regions.empty())
-        {
-            this->refuse_arrival(event, refusal_reason::no_common_region);
-            return false;
-        }
+        return true;
     }
-    return this->accept_within_limit(request, event);
+    request.regions = request.regions.empty()
+                          ? regions
+                          : common_regions(request.regions, regions);
+    return !request.regions.empty();
 }
 
 bool entry_reducer::accept_within_limit(live_request& request,
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -327,7 +327,7 @@
     this->pending_effects.push_back(start_upstream{
         request.number, request.service, upstream->id, upstream->address,
         request.customer, request.deadline, request.progress_timeout,
-        !request.repeatable, request.tried.size() > 1});
+        !request.repeatable, request.tried.size() > 1, false, request.regions});
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_relay.cpp
+++ b/bilberrylead/entry/entry_reducer_relay.cpp
@@ -230,6 +230,7 @@
     order.run_once = !request.repeatable;
     order.new_connection_only = request.relayed_to.size() > 1;
     order.to_entry_host = true;
+    order.regions = request.regions;
     this->pending_effects.push_back(std::move(order));
     return true;
 }
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -136,6 +136,8 @@
     /// True if another entry host, which reaches no upstream, passed the
     /// request on: it must not be passed on again.
     bool is_relayed = false;
+    /// Regions in which that host allows the request to run; empty for all.
+    std::vector<region_id> relayed_regions;
     /// Time for which the caller will still wait; empty if it named none.
     std::optional<duration> time_left;
 };
--- a/bilberrylead/entry/refusal_reason.cpp
+++ b/bilberrylead/entry/refusal_reason.cpp
@@ -9,13 +9,17 @@
 {
 
 constexpr std::array<std::string_view, refusal_reason_count> names = {
-    "not-ready",       "unknown-service",   "key-missing",
-    "key-mismatch",    "in-progress",       "no-upstream",
-    "no-room",         "caller-share",      "deadline",
-    "claim-refused",   "connect-failed",    "upstream-refused",
-    "connection-lost", "upstream-silent",   "earlier-unknown",
-    "no-memory",       "crashes-upstreams", "unknown-customer",
-    "over-limit",      "no-common-region",  "upstreams-resting"};
+    "not-ready",         "unknown-service",
+    "key-missing",       "key-mismatch",
+    "in-progress",       "no-upstream",
+    "no-room",           "caller-share",
+    "deadline",          "claim-refused",
+    "connect-failed",    "upstream-refused",
+    "connection-lost",   "upstream-silent",
+    "earlier-unknown",   "no-memory",
+    "crashes-upstreams", "unknown-customer",
+    "over-limit",        "no-common-region",
+    "upstreams-resting", "older-configuration"};
 
 } // namespace
 
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
+#include "bilberrylead/http/region_header.hpp"
 #include "bilberrylead/http/request_digest.hpp"
 #include "bilberrylead/http/server_core.hpp"
 
@@ -200,6 +201,13 @@
     request.parser.body_limit(rules.max_bytes);
     carried.message.base() = head.base();
     arrival.is_relayed = header_of(head, names.relayed) == "1";
+    if (arrival.is_relayed)
+    {
+        beast::string_view const regions =
+            header_of(head, names.relayed_regions);
+        arrival.relayed_regions =
+            read_regions({regions.data(), regions.size()});
+    }
     carried.customer_key = arrival.customer_key;
     strip_connection_headers(carried.message);
     strip_upstream_headers(carried.message, names);
--- a/bilberrylead/http/header_names.hpp
+++ b/bilberrylead/http/header_names.hpp
@@ -46,6 +46,9 @@
     /// To another entry host: set to 1 in a request that its sender cannot pass
     /// to any upstream itself. Never sent to an upstream.
     std::string relayed = "Bilberry-Relayed";
+    /// To another entry host: the regions in which such a request may run,
+    /// separated by commas. Never sent to an upstream.
+    std::string relayed_regions = "Bilberry-Regions";
     /// Stands in every successful answer of an upstream that is its own.
     std::string answer_mark;
     /// True if callers give each request its id; false if this system does.
--- a/bilberrylead/http/header_rules.cpp
+++ b/bilberrylead/http/header_rules.cpp
@@ -55,7 +55,8 @@
 {
     for (std::string const* const name :
          {&names.not_run, &names.deadline, &names.expected_upstream,
-          &names.load, &names.customer_key, &names.customer, &names.relayed})
+          &names.load, &names.customer_key, &names.customer, &names.relayed,
+          &names.relayed_regions})
     {
         if (!name->empty())
         {
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
+#include "bilberrylead/http/region_header.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
 
@@ -139,6 +140,7 @@
 void upstream_exchange::address_upstream(request_message& message) const
 {
     message.erase(this->names.relayed);
+    message.erase(this->names.relayed_regions);
     if (!this->names.customer_key.empty())
     {
         message.erase(this->names.customer_key);
@@ -157,6 +159,11 @@
 void upstream_exchange::address_entry_host(request_message& message) const
 {
     message.set(this->names.relayed, "1");
+    if (!this->order.regions.empty())
+    {
+        message.set(this->names.relayed_regions,
+                    write_regions(this->order.regions));
+    }
     for (std::string const* const name :
          {&this->names.expected_upstream, &this->names.customer})
     {
--- a/tests/unit/entry/relayed_request_test.cpp
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -275,3 +275,63 @@
         upstream_probed{upstream_id(upstream), probe_outcome::refused});
     cr_expect(entry.reducer.crash_records().records().empty());
 }
+
+namespace
+{
+
+/// Passes a request that another entry host, which allows it in `regions`, has
+/// passed on.
+void arrive_relayed(routed_entry& entry, std::string const& path,
+                    std::vector<region_id> const& regions = {},
+                    std::uint64_t number = 1)
+{
+    request_arrived arrival;
+    arrival.request = static_cast<request_number>(number);
+    arrival.host = "a.example";
+    arrival.path = path;
+    arrival.is_relayed = true;
+    arrival.relayed_regions = regions;
+    entry.reduce(arrival);
+}
+
+} // namespace
+
+// Guards against a request that runs outside its regions at a host whose
+// configuration is older than that of the host which the caller reached.
+Test(relayed_request, keeps_the_regions_of_the_host_that_passed_it_on)
+{
+    routed_entry entry;
+    arrive_relayed(entry, "/r/x", {region_id("r2")});
+    cr_expect_eq(entry.sent_to(), "read-far");
+    arrive_relayed(entry, "/r/x", {region_id("r1")}, 2);
+    cr_expect_neq(entry.sent_to(), "read-far");
+    cr_expect_neq(entry.sent_to(), "");
+    arrive_relayed(entry, "/home/x", {region_id("r1")}, 3);
+    cr_expect_eq(entry.sent_to(), "");
+    cr_expect_not_null(entry.find<answer_not_run>());
+}
+
+// Guards against 404 for a route that is in force on the host which the caller
+// reached.
+Test(relayed_request, of_an_unknown_route_is_not_run_rather_than_not_found)
+{
+    routed_entry entry;
+    arrive_relayed(entry, "/added/x");
+    cr_expect_null(entry.find<answer_problem>());
+    answer_not_run const* const answer = entry.find<answer_not_run>();
+    cr_assert_not_null(answer);
+    cr_expect(answer->reason == refusal_reason::older_configuration);
+    entry.arrive(2, "/added/x");
+    cr_expect_not_null(entry.find<answer_problem>());
+}
+
+// Guards against a request whose regions the other host does not learn.
+Test(relayed_request, names_its_regions_to_the_other_host)
+{
+    cut_off_entry entry;
+    entry.cut();
+    entry.arrive(1, "/home/x");
+    start_upstream const* const order = entry.find<start_upstream>();
+    cr_assert_not_null(order);
+    cr_expect(order->regions == std::vector<region_id>{region_id("r2")});
+}
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -574,6 +574,7 @@
             return 1;
         }
         std::vector<link::group_host> linked;
+        linked.reserve(this->settings.control_hosts);
         for (std::size_t index = 0; index < this->settings.control_hosts;
              ++index)
         {
--- a/tests/unit/http/relayed_request_test.cpp
+++ b/tests/unit/http/relayed_request_test.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace bilberrylead;
 using namespace bilberrylead::http;
@@ -24,7 +25,7 @@
 /// upstream. Both know a customer.
 struct two_entry_hosts
 {
-    two_entry_hosts()
+    explicit two_entry_hosts(std::vector<region_id> const& regions = {})
     {
         auto const add_customer = [](config::configuration& content)
         {
@@ -34,17 +35,23 @@
             route.idempotent = true;
             route.targets = {{service_id("s"), 1}};
             route.timeout = 2s;
-            content.request_routes = {route};
+            content.request_routes = {route, route};
+            content.request_routes.back().path_prefix = "/bound/";
             content.customers = {
                 {customer_id("c1"), {"secret-1"}, 0, 0, 0, {}}};
         };
-        this->cut_off.adjust = add_customer;
+        this->cut_off.adjust = [&](config::configuration& content)
+        {
+            add_customer(content);
+            content.request_routes.back().regions = regions;
+        };
         this->sound.adjust = add_customer;
         this->cut_off.configure({closed_port(), closed_port()});
         this->sound.configure({this->upstream.port()});
         entry::relay_host host;
         host.id = host_id("e2");
         host.address = {"127.0.0.1", this->sound.server->port()};
+        host.region = regions.empty() ? region_id("r1") : regions.front();
         this->cut_off.dispatch(entry::relay_hosts_received{{host}});
         // The failed attempts show that the way to all upstreams is lost.
         for (int attempt = 0; attempt < 4; ++attempt)
@@ -120,3 +127,22 @@
     cr_assert(answer.has_value());
     cr_expect_eq(answer->result_int(), 401U);
 }
+
+// Guards against a request that runs outside its regions, as the other host
+// does not know of these yet.
+Test(relayed_request, is_bound_to_the_regions_known_to_the_first_host)
+{
+    two_entry_hosts here({region_id("r1"), region_id("r2")});
+    std::optional<answer_text> answer = here.ask("/bound/x");
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->result_int(), 200U);
+    {
+        std::lock_guard<std::mutex> const lock(here.guard);
+        cr_assert(here.last.has_value());
+        cr_expect((*here.last)["Bilberry-Regions"].empty());
+    }
+    two_entry_hosts elsewhere({region_id("r2")});
+    answer = elsewhere.ask("/bound/x");
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->result_int(), 503U);
+}
