--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -120,7 +120,7 @@
         answer(write_operator_reply(asked.status()));
         return;
     }
-    asked->allowed_regions = this->regions_of_names.find(asked->name);
+    asked->permitted_regions = this->regions_of_names.find(asked->name);
     answer(this->adapter.write_steering_reply(
         this->reducer->steer(*asked, clock_now())));
 }
--- a/bilberrylead/presence/entry_table.cpp
+++ b/bilberrylead/presence/entry_table.cpp
@@ -129,8 +129,8 @@
 {
     region_id const& region = entry.heartbeat.region;
     bool const is_local = query.region.empty() || region == query.region;
-    bool const is_allowed = is_local || !query.allowed_regions.has_value() ||
-                            query.allowed_regions->contains(region);
+    bool const is_allowed = is_local || !query.permitted_regions.has_value() ||
+                            query.permitted_regions->contains(region);
     if (!is_allowed)
     {
         return reaches_upstreams ? 3 : 4;
--- a/bilberrylead/presence/steering_query.hpp
+++ b/bilberrylead/presence/steering_query.hpp
@@ -21,7 +21,7 @@
     std::string name;
     /// Regions, besides the caller's, in which hosts may receive the requests;
     /// nothing for all.
-    std::optional<std::set<region_id>> allowed_regions;
+    std::optional<std::set<region_id>> permitted_regions;
 };
 
 } // namespace bilberrylead::presence
--- a/tests/unit/entry/allowed_regions_test.cpp
+++ b/tests/unit/entry/request_regions_test.cpp
@@ -201,7 +201,7 @@
 // Guards against requests that leave the regions of their route on any path:
 // first and further tries, withdrawn and waiting requests, changed listings and
 // configurations, rests, limits, and requests that are passed on.
-Test(allowed_regions, bind_every_order_in_any_sequence_of_events)
+Test(request_regions, bind_every_order_in_any_sequence_of_events)
 {
     std::size_t checked = 0;
     std::size_t relayed = 0;
--- a/tests/unit/presence/entry_table_test.cpp
+++ b/tests/unit/presence/entry_table_test.cpp
@@ -297,7 +297,7 @@
         for (int count = 0; count < 10; ++count)
         {
             steering_query query = query_from("r0");
-            query.allowed_regions = allowed;
+            query.permitted_regions = allowed;
             for (config::endpoint const& host :
                  this->table.reply_to(query, start).entry_hosts)
             {
@@ -314,7 +314,8 @@
 
 // Guards against callers that are sent to a region in which their requests must
 // not be received, while the hosts of their own region reach no upstreams.
-Test(steering_without_upstreams, region_without_upstreams_uses_allowed_regions)
+Test(steering_without_upstreams,
+     region_without_upstreams_uses_permitted_regions)
 {
     three_regions hosts;
     hosts.cut(0);
@@ -342,7 +343,7 @@
     entry_table table({}, test_seed);
     table.record_heartbeat(1, host_id("e1"), ready_host(1, "far"), start);
     steering_query query = query_from("near");
-    query.allowed_regions.emplace();
+    query.permitted_regions.emplace();
     cr_expect_eq(table.reply_to(query, start).entry_hosts.size(), 1U);
 }
 
