Upstream limits: one way of a report is in the sender's own zone

Found by the review: hosts of a zone that is cut off chose both control hosts beyond the cut more often than not, so that they did not hear each other for the 1.5 s until the links close, although their zone's control host lives. report_links/control_host_of_the_own_zone_is_used; the tests of silent control hosts and regions pass as before.

--- a/bilberrylead/daemon/entry_program_reports.cpp
+++ b/bilberrylead/daemon/entry_program_reports.cpp
@@ -45,7 +45,7 @@
         }
     }
     std::set<host_id> receivers =
-        this->control_links.report_links(linked_hosts);
+        this->control_links.report_links(linked_hosts, this->settings.zone);
     link::limit_notice const notice{this->settings.id, wanted.reports};
     for (auto const& [number, peer] : this->links)
     {
--- a/bilberrylead/presence/control_link_plan.cpp
+++ b/bilberrylead/presence/control_link_plan.cpp
@@ -101,7 +101,8 @@
 }
 
 std::set<host_id>
-control_link_plan::report_links(std::vector<host_id> const& linked_hosts) const
+control_link_plan::report_links(std::vector<host_id> const& linked_hosts,
+                                zone_id const& zone) const
 {
     std::vector<link::group_host> const known = this->all_hosts();
     std::vector<link::group_host> linked;
@@ -116,7 +117,7 @@
         linked.push_back(found == known.end() ? link::group_host{id, {}, {}}
                                               : *found);
     }
-    return choose_report_links(linked, this->self);
+    return choose_report_links(linked, {this->self, zone, this->region});
 }
 
 } // namespace bilberrylead::presence
--- a/bilberrylead/presence/control_link_plan.hpp
+++ b/bilberrylead/presence/control_link_plan.hpp
@@ -51,10 +51,10 @@
     /// Returns the control hosts to keep links to.
     std::set<host_id> desired_links(instant now) const;
 
-    /// Returns those of the linked control hosts, in the order of their links,
-    /// that pass this host's reports on to the other entry hosts.
-    std::set<host_id>
-    report_links(std::vector<host_id> const& linked_hosts) const;
+    /// Returns those of the linked control hosts that pass the reports of this
+    /// host, which is in `zone`, on to the other entry hosts.
+    std::set<host_id> report_links(std::vector<host_id> const& linked_hosts,
+                                   zone_id const& zone) const;
 
 private:
     std::set<host_id> leaders() const;
--- a/bilberrylead/presence/report_links.cpp
+++ b/bilberrylead/presence/report_links.cpp
@@ -4,33 +4,46 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <functional>
-#include <utility>
+#include <tuple>
 
 namespace bilberrylead::presence
 {
 
 std::set<host_id>
 choose_report_links(std::vector<link::group_host> const& linked_hosts,
-                    host_id const& self)
+                    link::group_host const& self)
 {
-    std::vector<std::pair<std::uint64_t, link::group_host const*>> ranked;
+    struct ranked_host
+    {
+        bool is_in_zone = false;
+        bool is_in_region = false;
+        std::uint64_t rank = 0;
+        link::group_host const* host = nullptr;
+    };
+    std::vector<ranked_host> ranked;
     ranked.reserve(linked_hosts.size());
     for (link::group_host const& host : linked_hosts)
     {
-        ranked.emplace_back(host_rank(self, host.id), &host);
+        ranked.push_back({host.zone == self.zone, host.region == self.region,
+                          host_rank(self.id, host.id), &host});
     }
-    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::sort(ranked.begin(), ranked.end(),
+              [](ranked_host const& one, ranked_host const& other)
+              {
+                  return std::tie(one.is_in_zone, one.is_in_region, one.rank) >
+                         std::tie(other.is_in_zone, other.is_in_region,
+                                  other.rank);
+              });
     std::set<host_id> chosen;
     std::set<region_id> regions;
     for (bool const any_region : {false, true})
     {
-        for (auto const& [rank, host] : ranked)
+        for (ranked_host const& each : ranked)
         {
             if (chosen.size() < report_paths &&
-                (regions.insert(host->region).second || any_region))
+                (regions.insert(each.host->region).second || any_region))
             {
-                chosen.insert(host->id);
+                chosen.insert(each.host->id);
             }
         }
     }
--- a/bilberrylead/presence/report_links.hpp
+++ b/bilberrylead/presence/report_links.hpp
@@ -15,16 +15,17 @@
 constexpr std::size_t report_paths = 2;
 
 /// Selects the control hosts that pass the reports of entry host `self` on to
-/// the other entry hosts: at most `report_paths` of the linked ones, in
-/// different regions if possible.
+/// the other entry hosts: at most `report_paths` of the linked ones. The first
+/// is in the zone of `self`, or else in its region, so that the entry hosts of
+/// a zone that is cut off hear each other; the second is in another region.
 ///
-/// A control host that is frozen or slow keeps its links open for seconds, in
-/// which the reports sent to it are lost. Entry hosts select by rendezvous
-/// hashing, so that the failure of one control host concerns few of them, and
-/// no region is the only path of any.
+/// A control host that is frozen or cut off keeps its links open for seconds,
+/// in which the reports sent to it are lost. Within a zone or region, entry
+/// hosts select by rendezvous hashing, so that the failure of one control host
+/// concerns few of them.
 std::set<host_id>
 choose_report_links(std::vector<link::group_host> const& linked_hosts,
-                    host_id const& self);
+                    link::group_host const& self);
 
 } // namespace bilberrylead::presence
 
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -583,8 +583,10 @@
                               region_id(fmt::format("r{}", index % 3))});
         }
         std::size_t paths = 0;
-        for (host_id const& each :
-             presence::choose_report_links(linked, name_of_host(host)))
+        for (host_id const& each : presence::choose_report_links(
+                 linked,
+                 {name_of_host(host), zone_id(fmt::format("z{}", host % 9)),
+                  region_id(fmt::format("r{}", host % 3))}))
         {
             paths += this->silent_control_hosts.contains(each) ? 0U : 1U;
         }
--- a/tests/unit/presence/report_links_test.cpp
+++ b/tests/unit/presence/report_links_test.cpp
@@ -27,6 +27,15 @@
     return hosts;
 }
 
+/// An entry host; they are spread over the zones of nine control hosts.
+link::group_host entry_host(int number)
+{
+    int const zone = number % 9;
+    return {host_id("e" + std::to_string(number)),
+            zone_id("z" + std::to_string(zone)),
+            region_id("r" + std::to_string(zone / 3))};
+}
+
 } // namespace
 
 // Guards against entry hosts whose reports all depend on the same control host
@@ -38,7 +47,7 @@
     for (int number = 0; number < 71; ++number)
     {
         std::set<host_id> const chosen =
-            choose_report_links(hosts, host_id("e" + std::to_string(number)));
+            choose_report_links(hosts, entry_host(number));
         cr_assert_eq(chosen.size(), 2U);
         std::set<region_id> regions;
         for (link::group_host const& host : hosts)
@@ -61,7 +70,7 @@
 
 Test(report_links, one_region_or_one_host_is_used_if_there_is_no_other)
 {
-    host_id const self("e1");
+    link::group_host const self = entry_host(1);
     cr_expect_eq(choose_report_links(control_hosts(3), self).size(), 2U);
     cr_expect_eq(choose_report_links(control_hosts(1), self).size(), 1U);
     cr_expect(choose_report_links({}, self).empty());
@@ -71,5 +80,22 @@
 {
     std::vector<link::group_host> const hosts = {{host_id("c1"), {}, {}},
                                                  {host_id("c2"), {}, {}}};
-    cr_expect_eq(choose_report_links(hosts, host_id("e1")).size(), 2U);
+    cr_expect_eq(choose_report_links(hosts, entry_host(1)).size(), 2U);
+}
+
+// Guards against entry hosts of a cut-off zone that report to control hosts
+// beyond the cut only, although one is in their zone.
+Test(report_links, control_host_of_the_own_zone_is_used)
+{
+    std::vector<link::group_host> const hosts = control_hosts(9);
+    for (int number = 0; number < 71; ++number)
+    {
+        cr_expect(choose_report_links(hosts, entry_host(number))
+                      .contains(host_id("c" + std::to_string(number % 9))));
+    }
+    // The first control host, in zone z0 of region r0, has no link.
+    std::vector<link::group_host> const others(hosts.begin() + 1, hosts.end());
+    std::set<host_id> const chosen = choose_report_links(others, entry_host(0));
+    cr_expect(chosen.contains(host_id("c1")) || chosen.contains(host_id("c2")),
+              "one of the own region");
 }
