Upstream limits: random levels also for a limit first heard out of contact

Found by the review: a limit that hosts out of contact hear about for the first time set all of them to the same level, so that they spent their first tokens together. A debt is divided, too: it was repaid at the share's rate before.

--- a/bilberrylead/policy/shared_limit.cpp
+++ b/bilberrylead/policy/shared_limit.cpp
@@ -71,7 +71,7 @@
     }
     else if (is_new)
     {
-        this->tokens = 0;
+        this->tokens = this->initial_tokens;
         this->updated_at = seen;
     }
     return changed;
@@ -116,8 +116,11 @@
     // With random levels the hosts spend their first tokens one after another.
     // What others sent in the meantime is unknown, so nothing is left of the
     // tokens once they are shared again.
-    double const max_tokens = hosts > 1 ? random.unit() : 0;
-    this->tokens = std::min(this->level(now), max_tokens);
+    this->initial_tokens = hosts > 1 ? random.unit() : 0;
+    double const shared = this->level(now);
+    this->tokens =
+        std::min(shared < 0 ? shared / static_cast<double>(hosts) : shared,
+                 this->initial_tokens);
     this->updated_at = std::max(this->updated_at, now);
     this->divisor = hosts;
 }
--- a/bilberrylead/policy/shared_limit.hpp
+++ b/bilberrylead/policy/shared_limit.hpp
@@ -87,6 +87,8 @@
     shared_limit_settings settings;
     std::optional<double> rate;
     std::uint64_t divisor = 1;
+    // Tokens at the time at which a limit is first applied.
+    double initial_tokens = 0;
     instant seen_at{};
     double tokens = 0;
     instant updated_at{};
--- a/tests/unit/entry/limited_upstream_test.cpp
+++ b/tests/unit/entry/limited_upstream_test.cpp
@@ -212,3 +212,30 @@
         }
     }
 }
+
+// Guards against hosts out of contact that receive a limit at about the same
+// time and then spend their first tokens together, and against hosts that send
+// nothing.
+Test(limited_upstream, limit_first_set_out_of_contact_is_kept_and_used)
+{
+    constexpr double limit = 2.7;
+    // Out of contact, each host learns of the limit from its own requests.
+    constexpr duration learning_time = 30s;
+    for (std::size_t const hosts : {2U, 10U, 80U})
+    {
+        upstream_fleet fleet({.hosts = hosts, .upstreams = 3});
+        fleet.set_contact(false);
+        send_requests(fleet, 60, 4s);
+        fleet.set_limit(limit);
+        send_requests(fleet, 60, learning_time);
+        instant const begin = fleet.now;
+        send_requests(fleet, 60, 50s);
+        std::size_t const max_count =
+            fleet.max_limited_within(propagation_time, begin);
+        cr_expect_leq(static_cast<double>(max_count), allowed(limit),
+                      "%zu hosts: %zu in 4 s", hosts, max_count);
+        cr_expect_gt(static_cast<double>(fleet.limited_since(begin)),
+                     0.3 * limit * 50, "%zu hosts: %zu in 50 s", hosts,
+                     fleet.limited_since(begin));
+    }
+}
