Steering without a revision keeps callers in their region

Found by the review: a control host that has just started knows no routes and took every region as permitted. By reading; no test of its own, the order of preference is tested with the empty set of regions.

--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -120,7 +121,10 @@
         answer(write_operator_reply(asked.status()));
         return;
     }
-    asked->permitted_regions = this->regions_of_names.find(asked->name);
+    // Without a revision the regions of the routes are unknown.
+    asked->permitted_regions = this->regions_of_names.has_value()
+                                   ? this->regions_of_names->find(asked->name)
+                                   : std::set<region_id>();
     answer(this->adapter.write_steering_reply(
         this->reducer->steer(*asked, clock_now())));
 }
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -107,7 +107,8 @@
     std::map<std::pair<zone_id, bool>, link::http_caller> lists;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
-    presence::name_regions regions_of_names;
+    // Nothing before the first revision.
+    std::optional<presence::name_regions> regions_of_names;
     std::optional<message_memory> listing_memory;
     std::optional<message_memory> plan_memory;
     std::optional<link::region_plan> told_plan;
