Upstream limits: hosts without a leader count as out of contact

Found by the review: on each side of a partition that has a control host, entry hosts kept the whole limit. By reading; the daemon has no test that plays it.

--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -63,6 +63,7 @@
     void add_admission_demand(link::link_number to,
                               link::entry_presence& presence);
     void tell_crashes(entry::send_crash_records const& wanted);
+    void update_peer_contact();
     void tell_limits(entry::send_limits const& wanted);
     void on_leader(host_id const& reported);
     void send_customer_report(entry::send_customer_report const& effect);
@@ -117,6 +118,7 @@
     admission_reporting admission_reports;
     host_id leader;
     bool told_ready = false;
+    bool has_peer_contact = true;
     bool has_upstream_contact = true;
     bool stopping = false;
     entry_metrics metrics;
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -87,11 +87,8 @@
 void entry_program::implementation::on_connected(
     link::link_number number, link::peer_identity const& peer)
 {
-    if (this->links.empty())
-    {
-        this->server->dispatch(entry::peer_contact_changed{true});
-    }
     this->links[number] = peer;
+    this->update_peer_contact();
     this->on_exchange(distribution::link_opened{number, peer});
     std::vector<policy::crash_record> crashes =
         this->server->crash_history().records();
@@ -122,9 +119,18 @@
         this->on_claims(once_client::control_link_closed{number});
     }
     this->links.erase(number);
-    if (this->links.empty())
+    this->update_peer_contact();
+}
+
+/// Without a leader for some time, this host may be on the smaller side of a
+/// partition, whose reports do not reach the other side.
+void entry_program::implementation::update_peer_contact()
+{
+    bool const is_in_contact = !this->links.empty() && !this->links_seeds;
+    if (is_in_contact != this->has_peer_contact)
     {
-        this->server->dispatch(entry::peer_contact_changed{false});
+        this->has_peer_contact = is_in_contact;
+        this->server->dispatch(entry::peer_contact_changed{is_in_contact});
     }
 }
 
@@ -327,6 +333,7 @@
     if (searching != this->links_seeds)
     {
         this->links_seeds = searching;
+        this->update_peer_contact();
         this->book->set_seeds(searching ? this->settings.seeds
                                         : std::vector<config::endpoint>{});
         log.info("{}", searching ? "No leader is known; all control hosts are "
--- a/bilberrylead/entry/entry_reducer_limits.cpp
+++ b/bilberrylead/entry/entry_reducer_limits.cpp
@@ -2,8 +2,6 @@
 
 #include "bilberrylead/policy/retry_time.hpp"
 
-#include <algorithm>
-#include <cstdint>
 #include <utility>
 
 /// Rate limits that upstreams set for all entry hosts together.
@@ -42,18 +40,20 @@
     }
 }
 
-/// Hosts that cannot report to each other divide the limits equally.
 void entry_reducer::on(peer_contact_changed const& event)
 {
-    std::uint64_t const divisor =
-        event.is_in_contact
-            ? 1
-            : std::max<std::uint64_t>(this->entry_hosts.hosts, 1);
+    this->has_peer_contact = event.is_in_contact;
+    this->divide_limits();
+}
+
+/// Hosts that cannot report to each other divide the limits equally.
+void entry_reducer::divide_limits()
+{
+    this->limit_divisor = this->has_peer_contact ? 1 : this->entry_hosts.hosts;
     for (auto& [service, state] : this->service_states)
     {
-        state.divide_limits(divisor, this->now);
+        state.divide_limits(this->limit_divisor, this->now);
     }
-    this->limit_divisor = divisor;
 }
 
 void entry_reducer::report_limits()
