Requests that are passed on take their revision along

What callers saw: 404 for a route that is in force on the host that they reached, and treatment by an older revision. Now the revision goes along; a host with an older one, or without the route or the customer, answers 421 to the other host, which tries a second one and then refuses as not run.

Tests: relayed_request/is_misdirected_at_a_host_with_an_older_revision, goes_to_another_host_if_the_first_is_misdirected (new, not run against the code before, which has no revision to compare); of_an_unknown_route_... asked for 503 instead of 404 and now asks for 421 to the other host.

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -53,9 +53,10 @@
     /// True if the request goes to another entry host, as the caller sent it;
     /// `upstream` and `customer` are empty then.
     bool to_entry_host = false;
-    /// Regions in which the request may run; empty for all. Another entry host
-    /// is told of them, since its configuration may be older.
+    /// Regions in which the request may run; empty for all. Sent to another
+    /// entry host, as is the revision by which the route was found.
     std::vector<region_id> regions;
+    bilberrylead::revision routed_by = 0;
 };
 
 /// The way to all upstreams is lost from now on, or there again: reports it to
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -117,6 +117,11 @@
         this->refuse_arrival(event, refusal_reason::not_ready);
         return;
     }
+    if (event.relayed_revision > this->revision)
+    {
+        this->refuse_relayed(event);
+        return;
+    }
     live_request request;
     request.number = event.request;
     request.arrived_at = this->now;
@@ -139,9 +144,9 @@
     }
     if (!is_routed && event.is_relayed)
     {
-        // The other host has found the route, in a newer configuration.
+        // The other host has found the route.
         this->return_token(request);
-        this->refuse_arrival(event, refusal_reason::older_configuration);
+        this->refuse_relayed(event);
         return;
     }
     if (!is_routed)
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -227,6 +227,7 @@
     void record_leaving(upstream_signals_received const& event);
     void record_rest(upstream_signals_received const& event);
     void place_stranded(service_id const& service);
+    void divide_limits();
     void report_limits();
     void configure_customer_limits();
     void report_customers();
@@ -256,6 +257,7 @@
     bool relay(live_request& request);
     relay_host const* find_relay_host(live_request const& request) const;
     relay_host const* choose_relay_host(live_request const& request) const;
+    void relay_elsewhere(live_request& request);
     void on_relay_head(live_request& request,
                        upstream_head_received const& event);
     void on_relay_failure(live_request& request, upstream_failed const& event);
@@ -270,6 +272,7 @@
     void forget_ended_splits();
     void release_claim(live_request& request);
     void refuse_arrival(request_arrived const& event, refusal_reason reason);
+    void refuse_relayed(request_arrived const& event);
     void answer_with_problem(request_number number, service_id const& service,
                              std::uint16_t status, refusal_reason reason,
                              duration retry_after);
@@ -295,6 +298,7 @@
     discovery::list_position listing_position;
     std::set<zone_id> closed;
     entry_hosts_counted entry_hosts;
+    bool has_peer_contact = true;
     std::uint64_t limit_divisor = 1;
     regions_planned region_plan;
     policy::generator split_random;
--- a/bilberrylead/entry/entry_reducer_customers.cpp
+++ b/bilberrylead/entry/entry_reducer_customers.cpp
@@ -46,7 +46,7 @@
     if (is_unknown && event.is_relayed)
     {
         // The other host has identified the customer.
-        this->refuse_arrival(event, refusal_reason::older_configuration);
+        this->refuse_relayed(event);
         return false;
     }
     if (is_unknown)
--- a/bilberrylead/entry/entry_reducer_relay.cpp
+++ b/bilberrylead/entry/entry_reducer_relay.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t verifying_probes = 4;
 /// Most entry hosts that a request is passed on to, one after another.
 constexpr std::size_t max_relays = 2;
+/// Status by which an entry host refuses a request of another one that has
+/// another configuration.
+constexpr std::uint16_t status_misdirected = 421;
 
 } // namespace
 
@@ -231,6 +234,7 @@
     order.new_connection_only = request.relayed_to.size() > 1;
     order.to_entry_host = true;
     order.regions = request.regions;
+    order.routed_by = request.routed_by;
     this->pending_effects.push_back(std::move(order));
     return true;
 }
@@ -238,6 +242,11 @@
 void entry_reducer::on_relay_head(live_request& request,
                                   upstream_head_received const& event)
 {
+    if (event.status == status_misdirected)
+    {
+        this->relay_elsewhere(request);
+        return;
+    }
     request.status = event.status;
     request.time_to_head = this->now - request.sent_at;
     request.life_cycle.stream();
@@ -246,6 +255,38 @@
     this->pending_effects.push_back(stream_answer{request.number});
 }
 
+/// Passes a request on to another host after one with another configuration
+/// has not run it.
+void entry_reducer::relay_elsewhere(live_request& request)
+{
+    this->pending_effects.push_back(cancel_upstream{request.number});
+    this->release_slot(request);
+    request.life_cycle.pause();
+    if (!request.body_kept || !this->relay(request))
+    {
+        this->refuse(request, refusal_reason::other_configuration);
+    }
+}
+
+/// Refuses a request that another host has passed on by another configuration,
+/// so that this host might treat it otherwise.
+void entry_reducer::refuse_relayed(request_arrived const& event)
+{
+    request_ended end;
+    end.request = event.request;
+    end.routed_by = this->revision;
+    end.digest = event.digest;
+    end.caller = event.caller;
+    end.is_relayed = true;
+    end.outcome = request_outcome::not_run;
+    end.reason = refusal_reason::other_configuration;
+    end.status = status_misdirected;
+    this->pending_effects.push_back(std::move(end));
+    this->answer_with_problem(event.request, {}, status_misdirected,
+                              refusal_reason::other_configuration,
+                              duration::zero());
+}
+
 void entry_reducer::on_relay_failure(live_request& request,
                                      upstream_failed const& event)
 {
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -138,6 +138,8 @@
     bool is_relayed = false;
     /// Regions in which that host allows the request to run; empty for all.
     std::vector<region_id> relayed_regions;
+    /// Revision by which that host has found the route; 0 if unknown.
+    bilberrylead::revision relayed_revision = 0;
     /// Time for which the caller will still wait; empty if it named none.
     std::optional<duration> time_left;
 };
--- a/bilberrylead/entry/refusal_reason.cpp
+++ b/bilberrylead/entry/refusal_reason.cpp
@@ -19,7 +19,7 @@
     "earlier-unknown",   "no-memory",
     "crashes-upstreams", "unknown-customer",
     "over-limit",        "no-common-region",
-    "upstreams-resting", "older-configuration"};
+    "upstreams-resting", "other-configuration"};
 
 } // namespace
 
--- a/bilberrylead/entry/refusal_reason.hpp
+++ b/bilberrylead/entry/refusal_reason.hpp
@@ -53,14 +53,14 @@
     no_common_region,
     /// Every upstream that could run the request has asked for a rest.
     upstreams_resting,
-    /// Another entry host passed the request on by a configuration that is not
-    /// in force on this one.
-    older_configuration,
+    /// Another entry host passed the request on by another configuration than
+    /// the one in force here.
+    other_configuration,
 };
 
 /// Number of reasons, for counters.
 constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::older_configuration) + 1;
+    static_cast<std::size_t>(refusal_reason::other_configuration) + 1;
 
 /// Name of the reason in problem bodies, metrics and logs.
 std::string_view to_string(refusal_reason reason);
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -77,6 +77,15 @@
     return service_id(std::string(path.substr(0, path.find('/'))));
 }
 
+/// The revision that another entry host names; 0 if it names none.
+revision parse_revision(beast::string_view text)
+{
+    revision number = 0;
+    std::from_chars_result const result =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    return result.ec == std::errc{} ? number : 0;
+}
+
 std::optional<duration> parse_deadline(std::string_view text)
 {
     std::int64_t count = -1;
@@ -203,6 +212,8 @@
     arrival.is_relayed = header_of(head, names.relayed) == "1";
     if (arrival.is_relayed)
     {
+        arrival.relayed_revision =
+            parse_revision(header_of(head, names.relayed_revision));
         beast::string_view const regions =
             header_of(head, names.relayed_regions);
         arrival.relayed_regions =
--- a/bilberrylead/http/header_names.hpp
+++ b/bilberrylead/http/header_names.hpp
@@ -49,6 +49,9 @@
     /// To another entry host: the regions in which such a request may run,
     /// separated by commas. Never sent to an upstream.
     std::string relayed_regions = "Bilberry-Regions";
+    /// To another entry host: the revision by which the route of such a request
+    /// was found. Never sent to an upstream.
+    std::string relayed_revision = "Bilberry-Revision";
     /// Stands in every successful answer of an upstream that is its own.
     std::string answer_mark;
     /// True if callers give each request its id; false if this system does.
--- a/bilberrylead/http/header_rules.cpp
+++ b/bilberrylead/http/header_rules.cpp
@@ -56,7 +56,7 @@
     for (std::string const* const name :
          {&names.not_run, &names.deadline, &names.expected_upstream,
           &names.load, &names.customer_key, &names.customer, &names.relayed,
-          &names.relayed_regions})
+          &names.relayed_regions, &names.relayed_revision})
     {
         if (!name->empty())
         {
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -66,8 +66,8 @@
         return "The route and the customer share no region.";
     case refusal_reason::upstreams_resting:
         return "Every upstream has asked for a rest.";
-    case refusal_reason::older_configuration:
-        return "This entry host has an older configuration.";
+    case refusal_reason::other_configuration:
+        return "This entry host has another configuration.";
     }
     return "";
 }
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -141,6 +141,7 @@
 {
     message.erase(this->names.relayed);
     message.erase(this->names.relayed_regions);
+    message.erase(this->names.relayed_revision);
     if (!this->names.customer_key.empty())
     {
         message.erase(this->names.customer_key);
@@ -159,6 +160,8 @@
 void upstream_exchange::address_entry_host(request_message& message) const
 {
     message.set(this->names.relayed, "1");
+    message.set(this->names.relayed_revision,
+                std::to_string(this->order.routed_by));
     if (!this->order.regions.empty())
     {
         message.set(this->names.relayed_regions,
--- a/tests/unit/entry/relayed_request_test.cpp
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -313,16 +313,60 @@
 
 // Guards against 404 for a route that is in force on the host which the caller
 // reached.
-Test(relayed_request, of_an_unknown_route_is_not_run_rather_than_not_found)
+Test(relayed_request, of_an_unknown_route_is_misdirected_rather_than_not_found)
 {
     routed_entry entry;
     arrive_relayed(entry, "/added/x");
-    cr_expect_null(entry.find<answer_problem>());
-    answer_not_run const* const answer = entry.find<answer_not_run>();
+    answer_problem const* const answer = entry.find<answer_problem>();
     cr_assert_not_null(answer);
-    cr_expect(answer->reason == refusal_reason::older_configuration);
+    cr_expect_eq(answer->status, 421);
+    cr_expect(answer->reason == refusal_reason::other_configuration);
     entry.arrive(2, "/added/x");
-    cr_expect_not_null(entry.find<answer_problem>());
+    cr_assert_not_null(entry.find<answer_problem>());
+    cr_expect_eq(entry.find<answer_problem>()->status, 404);
+}
+
+// Guards against a request that a host with an older configuration treats as
+// the caller's host no longer does.
+Test(relayed_request, is_misdirected_at_a_host_with_an_older_revision)
+{
+    routed_entry entry;
+    request_arrived arrival;
+    arrival.request = static_cast<request_number>(1);
+    arrival.host = "a.example";
+    arrival.path = "/r/x";
+    arrival.is_relayed = true;
+    arrival.relayed_revision = 2;
+    entry.reduce(arrival);
+    cr_assert_not_null(entry.find<answer_problem>());
+    cr_expect_eq(entry.find<answer_problem>()->status, 421);
+    cr_expect_null(entry.find<start_upstream>());
+    arrival.request = static_cast<request_number>(2);
+    arrival.relayed_revision = 1;
+    entry.reduce(arrival);
+    cr_expect_not_null(entry.find<start_upstream>());
+}
+
+// Guards against callers that receive the refusal of a host with another
+// configuration while others can carry the request.
+Test(relayed_request, goes_to_another_host_if_the_first_is_misdirected)
+{
+    cut_off_entry entry;
+    entry.cut();
+    entry.arrive(1, "/w/x");
+    std::uint16_t const first = entry.relayed_to();
+    upstream_head_received head;
+    head.request = static_cast<request_number>(1);
+    head.status = 421;
+    entry.reduce(head);
+    cr_expect_not_null(entry.find<cancel_upstream>());
+    cr_expect_neq(entry.relayed_to(), 0);
+    cr_expect_neq(entry.relayed_to(), first);
+    entry.reduce(head);
+    answer_not_run const* const answer = entry.find<answer_not_run>();
+    cr_assert_not_null(answer);
+    cr_expect(answer->reason == refusal_reason::other_configuration);
+    cr_expect_eq(entry.reducer.requests_in_progress(), 0U);
 }
 
 // Guards against a request whose regions the other host does not learn.
--- a/tests/unit/http/relayed_request_test.cpp
+++ b/tests/unit/http/relayed_request_test.cpp
@@ -140,6 +140,7 @@
         std::lock_guard<std::mutex> const lock(here.guard);
         cr_assert(here.last.has_value());
         cr_expect((*here.last)["Bilberry-Regions"].empty());
+        cr_expect((*here.last)["Bilberry-Revision"].empty());
     }
     two_entry_hosts elsewhere({region_id("r2")});
     answer = elsewhere.ask("/bound/x");
