--- a/tests/unit/presence/report_links_test.cpp
+++ b/tests/unit/presence/report_links_test.cpp
@@ -18,6 +18,7 @@
 std::vector<link::group_host> control_hosts(std::size_t count)
 {
     std::vector<link::group_host> hosts;
+    hosts.reserve(count);
     for (std::size_t index = 0; index < count; ++index)
     {
         hosts.push_back({host_id("c" + std::to_string(index)),
