Request regions test: no request is withdrawn after its answer

The histories withdrew requests whose answer had begun, which no exchange does: a withdrawal comes before the first byte is sent. The sanitizers' build stopped at the reducer's assertion.

--- a/tests/unit/entry/request_regions_test.cpp
+++ b/tests/unit/entry/request_regions_test.cpp
@@ -74,9 +74,7 @@
             this->fail();
             return;
         case 4:
-            this->entry.answer(static_cast<std::uint64_t>(this->any_request()),
-                               this->draw(3) == 0 ? 500 : 200,
-                               this->draw(2) == 0, this->draw(5) == 0);
+            this->answer();
             return;
         case 5:
             this->list_some();
@@ -125,17 +123,29 @@
     void fail()
     {
         constexpr exchange_fault faults[] = {
-            exchange_fault::connect_failed, exchange_fault::no_response,
-            exchange_fault::connection_lost, exchange_fault::withdrawn};
-        exchange_fault const fault = faults[this->draw(4)];
+            exchange_fault::connection_lost, exchange_fault::no_response,
+            exchange_fault::connect_failed, exchange_fault::withdrawn};
+        request_number const number = this->any_request();
+        // Nothing has been sent only as long as there is no answer.
+        exchange_fault const fault =
+            faults[this->draw(this->answered.contains(number) ? 2 : 4)];
         bool const not_sent = fault == exchange_fault::withdrawn ||
                               fault == exchange_fault::connect_failed;
         this->entry.reduce(upstream_failed{
-            this->any_request(),
+            number,
             not_sent ? exchange_phase::not_sent : exchange_phase::maybe_sent,
             fault});
     }
 
+    void answer()
+    {
+        request_number const number = this->any_request();
+        this->answered.insert(number);
+        this->entry.answer(static_cast<std::uint64_t>(number),
+                           this->draw(3) == 0 ? 500 : 200, this->draw(2) == 0,
+                           this->draw(5) == 0);
+    }
+
     void list_some()
     {
         auto all = this->entry.listing();
@@ -192,6 +202,7 @@
     policy::generator random;
     routed_entry entry;
     std::set<request_number> bound;
+    std::set<request_number> answered;
     std::uint64_t last_number = 0;
     bilberrylead::revision number = 1;
 };
