Entry: limits are divided anew only if the divisor changes; regions for relays only

Each count of entry hosts, several a second by every control host, walked the records of all upstreams although the divisor was the same; each order to an upstream copied the request's regions, which only an order to another entry host reads. The comment on peer_contact_changed told of links only. No change of behaviour: unit.entry 143 of 143, unit.http 100 of 100 in the release build; format, names and lint of the two sources clean. The rest of the checks was not run again.

--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -53,8 +53,8 @@
     /// True if the request goes to another entry host, as the caller sent it;
     /// `upstream` and `customer` are empty then.
     bool to_entry_host = false;
-    /// Regions in which the request may run; empty for all. Sent to another
-    /// entry host, as is the revision by which the route was found.
+    /// For another entry host: regions in which the request may run, empty for
+    /// all, and the revision by which its route was found.
     std::vector<region_id> regions;
     bilberrylead::revision routed_by = 0;
 };
--- a/bilberrylead/entry/entry_reducer_limits.cpp
+++ b/bilberrylead/entry/entry_reducer_limits.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/policy/retry_time.hpp"
 
+#include <cstdint>
 #include <utility>
 
 /// Rate limits that upstreams set for all entry hosts together.
@@ -49,7 +50,13 @@
 /// Hosts that cannot report to each other divide the limits equally.
 void entry_reducer::divide_limits()
 {
-    this->limit_divisor = this->has_peer_contact ? 1 : this->entry_hosts.hosts;
+    std::uint64_t const divisor =
+        this->has_peer_contact ? 1 : this->entry_hosts.hosts;
+    if (divisor == this->limit_divisor)
+    {
+        return;
+    }
+    this->limit_divisor = divisor;
     for (auto& [service, state] : this->service_states)
     {
         state.divide_limits(this->limit_divisor, this->now);
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -324,10 +324,17 @@
                            this->host_settings.attempt_share;
     this->set_timer(request,
                     last_attempt ? request.deadline : this->now + share);
-    this->pending_effects.push_back(start_upstream{
-        request.number, request.service, upstream->id, upstream->address,
-        request.customer, request.deadline, request.progress_timeout,
-        !request.repeatable, request.tried.size() > 1, false, request.regions});
+    this->pending_effects.push_back(start_upstream{request.number,
+                                                   request.service,
+                                                   upstream->id,
+                                                   upstream->address,
+                                                   request.customer,
+                                                   request.deadline,
+                                                   request.progress_timeout,
+                                                   !request.repeatable,
+                                                   request.tried.size() > 1,
+                                                   false,
+                                                   {}});
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -322,11 +322,12 @@
     std::vector<policy::limit_report> reports;
 };
 
-/// The last link to a control host or to another entry host was closed, or the
-/// first one was opened.
+/// This host has lost contact with the other entry hosts, or has it again: it
+/// has a link to a control host or to another entry host, and control hosts
+/// have not been without a leader for long.
 struct peer_contact_changed
 {
-    /// False if there is no link.
+    /// True if reports reach the other entry hosts.
     bool is_in_contact = true;
 };
 
