Upstream limits: a line for each request says what the host knew

No decision changes.

limited_request: tokens before the request, time since another host's report. bilberry_entry_limited_requests_total.

--- a/bilberrylead/daemon/entry_metrics.cpp
+++ b/bilberrylead/daemon/entry_metrics.cpp
@@ -365,6 +365,9 @@
     builder.counter("bilberry_entry_crash_records_evicted_total",
                     "Records that were evicted, since there were too many.",
                     crashes.evicted_count());
+    builder.counter("bilberry_entry_limited_requests_total",
+                    "Requests sent to upstreams with a limit.",
+                    counters.limited_requests);
     builder.counter("bilberry_entry_unreadable_limits_total",
                     "Answers of upstreams with a limit that is no number.",
                     counters.unreadable_limits);
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/discovery/list_position.hpp"
 #include "bilberrylead/entry/admission_report.hpp"
 #include "bilberrylead/entry/home_scope_status.hpp"
+#include "bilberrylead/entry/limit_use.hpp"
 #include "bilberrylead/entry/refusal_reason.hpp"
 #include "bilberrylead/entry/request_number.hpp"
 #include "bilberrylead/entry/request_outcome.hpp"
@@ -250,6 +251,14 @@
     bool ended = false;
 };
 
+/// Reports that a request goes to an upstream with a rate limit. For the log.
+struct limited_request_sent
+{
+    request_number request{};
+    upstream_id upstream;
+    limit_use use;
+};
+
 /// Reports that an upstream's rate limit has changed. For the log.
 struct upstream_limit_changed
 {
@@ -349,10 +358,10 @@
     request_claim, report_completion, report_release, report_unknown,
     cancel_upstream, close_connections_after_answer, stop_accepting_connections,
     request_ended, drained, probe_upstream, connection_loss_resolved,
-    upstream_limit_changed, upstream_rest_requested, upstream_leaving_noticed,
-    close_idle_connections, crash_record_changed, send_crash_records,
-    send_limits, send_customer_report, upstream_contact_changed,
-    home_scope_changed>;
+    limited_request_sent, upstream_limit_changed, upstream_rest_requested,
+    upstream_leaving_noticed, close_idle_connections, crash_record_changed,
+    send_crash_records, send_limits, send_customer_report,
+    upstream_contact_changed, home_scope_changed>;
 
 /// Effects in the order in which they must be performed.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_counters.hpp
+++ b/bilberrylead/entry/entry_counters.hpp
@@ -95,6 +95,8 @@
     /// Requests of split routes, by the target that was drawn. Removed with the
     /// split.
     std::map<split_part, split_part_counters> split_parts;
+    /// Requests sent to upstreams with a rate limit.
+    std::uint64_t limited_requests = 0;
     /// Rate limits in upstream answers that could not be parsed.
     std::uint64_t unreadable_limits = 0;
     /// Rests of upstreams that began or were extended.
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -312,7 +312,14 @@
 {
     config::upstream const* const upstream = &target_upstream;
     service_state& state = this->state_of(request.service);
-    state.acquire_slot(upstream->id, this->now);
+    std::optional<limit_use> const limited =
+        state.acquire_slot(upstream->id, this->now);
+    if (limited.has_value())
+    {
+        ++this->current_counters.limited_requests;
+        this->pending_effects.push_back(
+            limited_request_sent{request.number, upstream->id, *limited});
+    }
     request.tried.push_back(upstream->id);
     request.placed_by = this->listing_position;
     request.sent_to = upstream->address;
--- a/bilberrylead/entry/service_state.cpp
+++ b/bilberrylead/entry/service_state.cpp
@@ -389,20 +389,25 @@
                              : nullptr;
 }
 
-void service_state::acquire_slot(upstream_id const& id, instant now)
+std::optional<limit_use> service_state::acquire_slot(upstream_id const& id,
+                                                     instant now)
 {
     upstream_record& record = this->record_of(id);
     if (now < record.cold_until)
     {
         record.cold_tokens.consume(this->cold.requests_per_second, now);
     }
+    std::optional<limit_use> use;
     if (record.limit.is_in_force(now))
     {
+        use = limit_use{record.limit.per_second().value_or(0),
+                        record.limit.level(now), record.limit.report_age(now)};
         record.limit.consume(now, this->random);
         this->unsent_limits.insert(id);
     }
     ++record.in_flight;
     ++this->slots_held;
+    return use;
 }
 
 void service_state::release_slot(upstream_id const& id)
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -6,6 +6,7 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/entry/home_scope_status.hpp"
+#include "bilberrylead/entry/limit_use.hpp"
 #include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/entry/upstream_record.hpp"
 #include "bilberrylead/policy/admission_queue.hpp"
@@ -243,7 +244,8 @@
     }
 
     /// Acquires a slot of the upstream for a request that is being sent.
-    void acquire_slot(upstream_id const& id, instant now);
+    /// Returns what was known of its rate limit, if one is in force.
+    std::optional<limit_use> acquire_slot(upstream_id const& id, instant now);
 
     /// Releases a slot after the request ended in any way.
     void release_slot(upstream_id const& id);
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -118,6 +118,21 @@
         .write();
 }
 
+void log_limited_request(entry::limited_request_sent const& sent,
+                         std::string const& id)
+{
+    log_line line("entry", "limited_request");
+    line.text("id", id)
+        .text("upstream", sent.upstream.text())
+        .real("per_second", sent.use.per_second)
+        .real("tokens", sent.use.tokens);
+    if (sent.use.report_age.has_value())
+    {
+        line.time("report_age_ms", *sent.use.report_age);
+    }
+    line.write();
+}
+
 void log_limit(entry::upstream_limit_changed const& changed)
 {
     log_line line("entry", "upstream_limit");
--- a/bilberrylead/http/decision_log.hpp
+++ b/bilberrylead/http/decision_log.hpp
@@ -8,6 +8,7 @@
 struct crash_record_changed;
 struct connection_loss_resolved;
 struct home_scope_changed;
+struct limited_request_sent;
 struct request_ended;
 struct upstream_leaving_noticed;
 struct upstream_limit_changed;
@@ -23,6 +24,11 @@
 /// Writes what became of an upstream that lost connections.
 void log_loss(entry::connection_loss_resolved const& settled);
 
+/// Writes that a request goes to an upstream with a limit, and what was known
+/// of it; `id` is that of the request.
+void log_limited_request(entry::limited_request_sent const& sent,
+                         std::string const& id);
+
 /// Writes that an upstream's limit is another one.
 void log_limit(entry::upstream_limit_changed const& changed);
 
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -240,6 +240,11 @@
     {
         log_loss(*settled);
     }
+    else if (entry::limited_request_sent const* sent =
+                 std::get_if<entry::limited_request_sent>(&decided))
+    {
+        log_limited_request(*sent, this->id_of(sent->request));
+    }
     else if (entry::upstream_limit_changed const* limited =
                  std::get_if<entry::upstream_limit_changed>(&decided))
     {
--- a/bilberrylead/policy/shared_limit.cpp
+++ b/bilberrylead/policy/shared_limit.cpp
@@ -43,6 +43,15 @@
                     1 + this->max_saved());
 }
 
+std::optional<duration> shared_limit::report_age(instant now) const
+{
+    if (!this->last_report_at.has_value())
+    {
+        return std::nullopt;
+    }
+    return now - *this->last_report_at;
+}
+
 bool shared_limit::is_in_force(instant now) const
 {
     return this->rate.has_value() &&
@@ -95,6 +104,7 @@
 void shared_limit::record_peer_sent(host_id const& host, std::uint64_t sent,
                                     instant now, generator& random)
 {
+    this->last_report_at = now;
     auto const [entry, is_first] = this->sent_by.try_emplace(host, sent);
     std::uint64_t const previous = std::exchange(entry->second, sent);
     // For a host that reports for the first time or has restarted, the number
--- a/bilberrylead/policy/shared_limit.hpp
+++ b/bilberrylead/policy/shared_limit.hpp
@@ -55,6 +55,12 @@
     /// Time until this host may send a request, if no other host sends one.
     duration until_token(instant now) const;
 
+    /// Tokens available; negative after too many requests.
+    double level(instant now) const;
+
+    /// Time since the last report of another host; empty before the first.
+    std::optional<duration> report_age(instant now) const;
+
     /// True while a limit is in force.
     bool is_in_force(instant now) const;
 
@@ -81,7 +87,6 @@
     double fill_rate() const;
     double max_saved() const;
     double required_tokens() const;
-    double level(instant now) const;
     void spend(double tokens, instant now, generator& random);
 
     shared_limit_settings settings;
@@ -96,6 +101,7 @@
     // tokens that may be saved beyond one; drawn anew after each request.
     double reserve_fraction = 0;
     std::uint64_t own_sent = 0;
+    std::optional<instant> last_report_at;
     std::map<host_id, std::uint64_t> sent_by;
 };
 
