Log of limited requests: beyond 20 a second only sampled ones

One line for each request to a limited upstream has no bound where the limit is high; the log must stay bounded.

--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint64_t ticks_between_sweeps = 5;
 /// Statuses from here on say that the upstream failed.
 constexpr std::uint16_t first_failure_status = 500;
+/// Limit of an upstream, in requests per second, up to which each request to it
+/// gets a line.
+constexpr double max_logged_limit = 20;
 
 template <class Event>
 concept speaks_of_request = requires(Event const& event) {
@@ -243,7 +246,7 @@
     else if (entry::limited_request_sent const* sent =
                  std::get_if<entry::limited_request_sent>(&decided))
     {
-        log_limited_request(*sent, this->id_of(sent->request));
+        this->log_sent(*sent);
     }
     else if (entry::upstream_limit_changed const* limited =
                  std::get_if<entry::upstream_limit_changed>(&decided))
@@ -303,15 +306,27 @@
 
 /// Each failure has its line. Of plain successes one in some is written,
 /// chosen by the request's id: the same one on every host that it passed.
+bool server_core::is_sampled(std::string const& id) const
+{
+    return std::hash<std::string>{}(id) % this->chosen.success_sample == 0;
+}
+
+void server_core::log_sent(entry::limited_request_sent const& sent)
+{
+    std::string const id = this->id_of(sent.request);
+    if (sent.use.per_second <= max_logged_limit || this->is_sampled(id))
+    {
+        log_limited_request(sent, id);
+    }
+}
+
 void server_core::log_end(entry::request_ended const& end)
 {
     std::string const id = this->id_of(end.request);
     bool const plain = end.outcome == entry::request_outcome::answered &&
                        end.status < first_failure_status &&
                        end.tried.size() <= 1;
-    bool const sampled =
-        std::hash<std::string>{}(id) % this->chosen.success_sample == 0;
-    if (plain && !sampled)
+    if (plain && !this->is_sampled(id))
     {
         return;
     }
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -127,6 +127,8 @@
     void start(entry::start_upstream const& order);
     void probe(entry::probe_upstream const& wanted);
     void release_if_over(entry::request_number number);
+    bool is_sampled(std::string const& id) const;
+    void log_sent(entry::limited_request_sent const& sent);
     void log_end(entry::request_ended const& end);
     void end_drain();
     void close_idle_callers();
