--- a/tests/unit/entry/limited_upstream_test.cpp
+++ b/tests/unit/entry/limited_upstream_test.cpp
@@ -38,6 +38,20 @@
                   max_count);
 }
 
+/// Expects that most of the limit is used in 30 s.
+void expect_limit_used(std::size_t hosts, double limit,
+                       fleet_callers const& callers)
+{
+    constexpr double min_use = 0.7;
+    upstream_fleet fleet({.hosts = hosts, .upstreams = 3, .limit = limit});
+    send_requests(fleet, 40, 10s, callers);
+    instant const begin = fleet.now;
+    send_requests(fleet, 40, 30s, callers);
+    double const sent = static_cast<double>(fleet.limited_since(begin));
+    cr_expect_geq(sent, min_use * limit * 30,
+                  "%zu hosts, limit %.1f: %.0f in 30 s", hosts, limit, sent);
+}
+
 } // namespace
 
 // Guards against hosts that enforce an upstream's limit each on its own, or not
@@ -59,20 +73,11 @@
 // Guards against a limit that is kept by sending too few requests.
 Test(limited_upstream, limit_is_used)
 {
-    constexpr double min_use = 0.7;
     for (std::size_t const hosts : fleet_sizes)
     {
         for (double const limit : limits)
         {
-            upstream_fleet fleet(
-                {.hosts = hosts, .upstreams = 3, .limit = limit});
-            send_requests(fleet, 40, 10s);
-            instant const begin = fleet.now;
-            send_requests(fleet, 40, 30s);
-            double const sent = static_cast<double>(fleet.limited_since(begin));
-            cr_expect_geq(sent, min_use * limit * 30,
-                          "%zu hosts, limit %.1f: %.0f in 30 s", hosts, limit,
-                          sent);
+            expect_limit_used(hosts, limit, {});
         }
     }
 }
@@ -322,21 +327,11 @@
 // some hosts have callers.
 Test(limited_upstream, limit_is_used_with_callers_at_a_third_of_the_hosts)
 {
-    constexpr double min_use = 0.7;
     for (std::size_t const hosts : many_hosts)
     {
         for (double const limit : limits)
         {
-            fleet_callers const callers{.hosts = hosts / 3};
-            upstream_fleet fleet(
-                {.hosts = hosts, .upstreams = 3, .limit = limit});
-            send_requests(fleet, 40, 10s, callers);
-            instant const begin = fleet.now;
-            send_requests(fleet, 40, 30s, callers);
-            double const sent = static_cast<double>(fleet.limited_since(begin));
-            cr_expect_geq(sent, min_use * limit * 30,
-                          "%zu hosts, limit %.1f: %.0f in 30 s", hosts, limit,
-                          sent);
+            expect_limit_used(hosts, limit, {.hosts = hosts / 3});
         }
     }
 }
