--- a/bilberrylead/entry/service_state_limits.cpp
+++ b/bilberrylead/entry/service_state_limits.cpp
@@ -46,6 +46,10 @@
 void service_state::set_peers(std::uint64_t hosts, bool is_in_contact,
                               instant now)
 {
+    if (hosts == this->entry_hosts && is_in_contact == this->has_peer_contact)
+    {
+        return;
+    }
     this->entry_hosts = hosts;
     this->has_peer_contact = is_in_contact;
     for (auto& [id, record] : this->records)
