Upstream connections are reused only after a whole request and its whole answer

Its bytes were read by the upstream as the rest of an earlier caller's upload.

Cause: upstream_exchange::finish() gave a connection back to the pool by the answer alone. An upstream may answer before it has read a long body. Sending ended early when the caller left (or when a write failed), the early answer was read all the same, and nothing knew that the request had not been written to its end.

Why this works: is_reusable() is the only place that decides, every path ends in finish(), and request_sent is set only where the serializer is done. Ruled out: the pool's own check before use (a peek finds nothing, the connection is silent), the next request's framing.

--- a/bilberrylead/http/upstream_connection.hpp
+++ b/bilberrylead/http/upstream_connection.hpp
@@ -8,7 +8,7 @@
 {
 
 /// One TCP connection to an upstream. Carries one exchange at a time and
-/// is used again only after a whole answer.
+/// is used again only after a whole request and its whole answer.
 struct upstream_connection
 {
     /// Makes one that is not connected yet.
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -208,15 +208,15 @@
     // From here on a byte may have reached the upstream.
     this->phase = entry::exchange_phase::maybe_sent;
     this->give_up_at = clock_now() + this->order.progress_timeout;
-    error_code error;
-    co_await this->send_message(error);
+    co_await this->send_message();
     // An upstream may answer and close before it has read all; so after a
     // failed write its answer is looked for all the same.
     co_return !this->over;
 }
 
-task<void> upstream_exchange::send_message(error_code& error)
+task<void> upstream_exchange::send_message()
 {
+    error_code error;
     request_message& message = this->request->message;
     beast::http::request_serializer<beast::http::buffer_body> serializer{
         message};
@@ -229,7 +229,8 @@
         {
             error = {};
         }
-        if (error || this->over || serializer.is_done())
+        this->request_sent = !error && serializer.is_done();
+        if (error || this->over || this->request_sent)
         {
             co_return;
         }
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -27,8 +27,8 @@
 
 /// One request sent to one upstream over one connection, and its answer.
 /// Ends in exactly one of: answer finished, failed (both reported) or
-/// cancelled (not reported). Unless the answer came whole, the connection
-/// is closed and never used again.
+/// cancelled (not reported). Unless the request was written and the answer
+/// read to their ends, the connection is closed and never used again.
 class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
 {
 public:
@@ -84,7 +84,7 @@
     task<bool> connect();
     bool withdraw();
     task<bool> send();
-    task<void> send_message(error_code& error);
+    task<void> send_message();
     task<bool> read_head();
     task<bool> read_one_head();
     task<bool> skip_answer();
@@ -100,6 +100,7 @@
     void prepare_message();
     void address_upstream(request_message& message) const;
     void address_entry_host(request_message& message) const;
+    bool is_reusable() const;
     void finish();
     void fail(entry::exchange_fault fault);
     void note_silence();
@@ -117,6 +118,8 @@
     instant began{};
     instant give_up_at = instant::max();
     entry::exchange_phase phase = entry::exchange_phase::not_sent;
+    // True once the request has been written to its end.
+    bool request_sent = false;
     bool timed_out = false;
     bool over = false;
 };
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -277,12 +277,20 @@
                                                  std::move(answer)});
 }
 
+/// An upstream may answer before it has read the whole request. What is written
+/// next would then be read as the rest of that request.
+bool upstream_exchange::is_reusable() const
+{
+    return this->request_sent && this->parser->is_done() &&
+           this->parser->keep_alive() && !this->parser->need_eof() &&
+           this->connection->buffer.size() == 0;
+}
+
 void upstream_exchange::finish()
 {
     this->over = true;
     this->give_up_at = instant::max();
-    if (this->parser->keep_alive() && !this->parser->need_eof() &&
-        this->connection->buffer.size() == 0)
+    if (this->is_reusable())
     {
         this->pool.give_back(std::move(this->connection), clock_now());
     }
--- a/bilberrylead/http/upstream_pool.hpp
+++ b/bilberrylead/http/upstream_pool.hpp
@@ -15,9 +15,9 @@
 
 struct upstream_connection;
 
-/// Keeps connections to upstreams between exchanges. Only a connection
-/// whose last exchange ended with a whole answer may be given back, so a
-/// late answer can never meet another request.
+/// Keeps connections to upstreams between exchanges. Only a connection whose
+/// last request was written and whose answer was read to its end may be given
+/// back, so that neither meets another request.
 class upstream_pool
 {
 public:
@@ -32,7 +32,7 @@
     std::unique_ptr<upstream_connection>
     take(config::endpoint const& upstream, duration longest_idle, instant now);
 
-    /// Keeps a connection after a whole answer.
+    /// Keeps a connection after a whole request and its whole answer.
     void give_back(std::unique_ptr<upstream_connection> connection,
                    instant now);
 
--- /dev/null
+++ b/tests/unit/http/left_upload_test.cpp
@@ -0,0 +1,98 @@
+#include "tests/unit/http/upload_upstream.hpp"
+
+#include <thread>
+
+using namespace bilberrylead;
+using namespace bilberrylead::http;
+
+namespace
+{
+
+using counts = upload_upstream::counts;
+
+std::string outcome_of(answer_text const& answer)
+{
+    return std::string(answer["Bilberry-Outcome"]);
+}
+
+/// An entry host before one upstream. Its service runs nothing twice, and none
+/// of its time limits ends a test.
+struct uploading_entry
+{
+    explicit uploading_entry(server_settings settings = {},
+                             duration progress = std::chrono::hours(1))
+        : entry(std::move(settings))
+    {
+        this->entry.configure({this->upstream.port()},
+                              [progress](config::service& service)
+                              {
+                                  service.idempotent = false;
+                                  service.largest_request = 2 * upload_size;
+                                  service.deadline = std::chrono::hours(1);
+                                  service.progress_timeout = progress;
+                              });
+    }
+
+    /// A whole upload over a connection of its own.
+    std::optional<answer_text> upload(int number, std::size_t size)
+    {
+        return this->entry.ask(
+            measured_head(number, answer_time::after_body, size) +
+            upload_bytes(number, 0, size));
+    }
+
+    std::uint64_t idle_connections()
+    {
+        std::uint64_t count = 0;
+        this->entry.call(
+            [this, &count]
+            {
+                count = this->entry.server->connection_counters().upstream_idle;
+            });
+        return count;
+    }
+
+    upload_upstream upstream;
+    running_server entry;
+};
+
+} // namespace
+
+// Guards against a connection that is used again while the rest of an upload,
+// which was answered early and then left by its caller, is due on it.
+Test(left_upload, answered_early_its_connection_takes_no_other_request)
+{
+    uploading_entry host;
+    {
+        wire caller = host.entry.connect();
+        caller.send(measured_head(1, answer_time::after_head) +
+                    upload_bytes(1, 0, upload_part));
+        cr_assert(host.upstream.await(&counts::begun));
+    }
+    while (host.upstream.seen().cut == 0 && host.idle_connections() == 0)
+    {
+        std::this_thread::sleep_for(1ms);
+    }
+    std::optional<answer_text> const next = host.upload(2, 100);
+    cr_assert(next.has_value());
+    cr_expect_eq(next->body(), "2");
+    cr_expect_eq(host.upstream.seen().foreign, 0);
+    cr_expect_eq(host.upstream.connections(), 2);
+}
+
+// Guards against an early answer that is lost because its upstream closes the
+// connection before it has read the upload.
+Test(left_upload, early_answer_of_an_upstream_that_closes_is_delivered)
+{
+    uploading_entry host;
+    wire caller = host.entry.connect();
+    caller.send(measured_head(1, answer_time::before_close) +
+                upload_bytes(1, 0, upload_part));
+    cr_assert(host.upstream.await(&counts::closed));
+    caller.send(upload_bytes(1, upload_part, upload_size - upload_part));
+    std::optional<answer_text> const answer = caller.answer();
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->body(), "1");
+    cr_expect_eq(host.idle_connections(), 0U);
+    cr_expect_eq(host.upload(2, 100)->body(), "2");
+}
