Uploads that cannot become whole end at once, at the upstream and for the caller

What callers saw: a caller whose upload had a broken chunk, or grew over the limit, behind the first 64 KiB got no answer until the deadline. What upstreams saw: an upload whose caller had left stayed open until the deadline plus the progress timeout, and held a slot.

Cause: an error of reading the rest of a body ended only the sending. The exchange then waited for an answer that could not come, and the caller's connection, which sleeps until there is a reply, learnt nothing of the error.

Now the connection of the caller decides: a caller that has left is reported as gone; anything else is the new event request_body_failed, upon which the upstream is cancelled and the connection answers 400 or 413 with outcome unknown, since a part has reached an upstream (never 408, which promises that nothing has run). The exchange cancels itself if its request cannot go on. A reading that is still open when the answer comes from elsewhere (deadline) is ended before the answer is written: both would use the socket and its limit.

--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -143,6 +143,7 @@
     void on(upstream_answer_finished const& event);
     void on(upstream_failed const& event);
     void on(caller_gone const& event);
+    void on(request_body_failed const& event);
     void on(load_reported const& event);
     void on(tick const& event);
     void on(drain_requested const& event);
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -166,6 +166,26 @@
     this->finish(*request);
 }
 
+void entry_reducer::on(request_body_failed const& event)
+{
+    live_request* request = this->find(event.request);
+    if (request == nullptr ||
+        request->life_cycle.current() != request_state::running)
+    {
+        return;
+    }
+    // Guarded requests are read whole before they are sent.
+    assert(!request->guarded);
+    request->outcome = request_outcome::problem;
+    request->reason = refusal_reason::body_incomplete;
+    ++this->current_counters.refusals.at(
+        static_cast<std::size_t>(refusal_reason::body_incomplete));
+    ++this->current_counters.services[request->service].problems;
+    this->pending_effects.push_back(cancel_upstream{request->number});
+    this->release_slot(*request);
+    this->finish(*request);
+}
+
 void entry_reducer::on(tick const& /*event*/)
 {
     while (!this->timers.empty() && this->timers.begin()->first <= this->now)
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -255,6 +255,15 @@
     request_number request{};
 };
 
+/// The rest of a request's body, of which a part has been passed on, cannot be
+/// read: it is not valid, too large or too slow. The caller's connection
+/// answers the request; nothing more of it is of interest.
+struct request_body_failed
+{
+    /// The request of that caller.
+    request_number request{};
+};
+
 /// An upstream reported the number of its slots in use.
 struct load_reported
 {
@@ -355,16 +364,15 @@
 };
 
 /// Any event that an entry host handles.
-using event =
-    std::variant<configuration_received, request_arrived, claim_answered,
-                 completion_stored, upstream_signals_received,
-                 upstream_head_received, upstream_answer_finished,
-                 upstream_failed, caller_gone, load_reported, tick,
-                 drain_requested, control_reachable, control_unreachable,
-                 upstreams_listed, entry_hosts_counted, regions_planned,
-                 upstream_probed, upstream_connected, relay_hosts_received,
-                 crash_records_received, limits_received, peer_contact_changed,
-                 limits_allocated, leader_changed, admission_plan_received>;
+using event = std::variant<
+    configuration_received, request_arrived, claim_answered, completion_stored,
+    upstream_signals_received, upstream_head_received, upstream_answer_finished,
+    upstream_failed, caller_gone, load_reported, tick, drain_requested,
+    control_reachable, control_unreachable, upstreams_listed,
+    entry_hosts_counted, regions_planned, upstream_probed, upstream_connected,
+    relay_hosts_received, crash_records_received, limits_received,
+    peer_contact_changed, limits_allocated, leader_changed,
+    admission_plan_received, request_body_failed>;
 
 } // namespace bilberrylead::entry
 
--- a/bilberrylead/entry/refusal_reason.cpp
+++ b/bilberrylead/entry/refusal_reason.cpp
@@ -19,7 +19,8 @@
     "earlier-unknown",   "no-memory",
     "crashes-upstreams", "unknown-customer",
     "over-limit",        "no-common-region",
-    "upstreams-resting", "other-configuration"};
+    "upstreams-resting", "other-configuration",
+    "body-incomplete"};
 
 } // namespace
 
--- a/bilberrylead/entry/refusal_reason.hpp
+++ b/bilberrylead/entry/refusal_reason.hpp
@@ -56,11 +56,14 @@
     /// Another entry host passed the request on by another configuration than
     /// the one in force here.
     other_configuration,
+    /// The rest of the body, of which a part had been passed on, was not valid,
+    /// too large or too slow.
+    body_incomplete,
 };
 
 /// Number of reasons, for counters.
 constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::other_configuration) + 1;
+    static_cast<std::size_t>(refusal_reason::body_incomplete) + 1;
 
 /// Name of the reason in problem bodies, metrics and logs.
 std::string_view to_string(refusal_reason reason);
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -90,8 +90,12 @@
                          entry::body_rules const& rules);
     task<bool> read_piece(caller_request& request, std::span<char> piece,
                           std::size_t& count);
-    task<std::size_t> read_rest(request_parser& parser, std::span<char> piece,
+    task<std::size_t> read_some(request_parser& parser, std::span<char> piece,
                                 error_code& error);
+    task<std::size_t> read_rest(std::shared_ptr<caller_request> request,
+                                std::span<char> piece, error_code& error);
+    void note_rest_lost(caller_request& request, error_code error);
+    task<void> end_rest();
     static void frame_request(caller_request& request);
     void take_reply(std::shared_ptr<caller_request> const& request);
     task<void> hold_answer(std::shared_ptr<caller_request> request,
@@ -108,6 +112,7 @@
     task<bool> refuse(caller_request& request, beast::http::status status,
                       std::string_view title, std::string_view detail);
     task<bool> refuse_body(caller_request& request, error_code error);
+    task<bool> refuse_rest(caller_request& request);
     task<bool> refuse_for_memory(caller_request& request);
     task<void> linger();
     bool begin_answer();
@@ -136,6 +141,8 @@
     std::shared_ptr<caller_request> next;
     bool timed_out = false;
     bool watching = false;
+    // True while the rest of a body is read for the exchange that passes it on.
+    bool reading_rest = false;
     bool gone = false;
     bool serving = false;
 };
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -114,10 +114,15 @@
 caller_connection::answer_request(std::shared_ptr<caller_request> request)
 {
     bool const replied = co_await this->await_reply(*request);
+    co_await this->end_rest();
     if (!replied)
     {
         co_return false;
     }
+    if (request->body_error)
+    {
+        co_return co_await this->refuse_rest(*request);
+    }
     co_return co_await this->write_reply(*request);
 }
 
@@ -138,6 +143,7 @@
         {
             co_return false;
         }
+        open = open && !request.body_error;
         if (open)
         {
             co_await this->wake.wait();
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -99,6 +99,13 @@
     return std::chrono::milliseconds(std::min(count, longest_deadline_ms));
 }
 
+/// True if nothing more can come from the other side.
+bool is_end_of_connection(error_code const& error)
+{
+    return error == beast::http::error::partial_message ||
+           error.category() == asio::error::get_system_category();
+}
+
 } // namespace
 
 entry::body_rules caller_connection::rules_for(caller_request& request,
@@ -321,8 +328,7 @@
                 error = asio::error::operation_aborted;
                 co_return 0;
             }
-            co_return co_await connection->read_rest(owner->parser, piece,
-                                                     error);
+            co_return co_await connection->read_rest(owner, piece, error);
         };
     }
     co_return true;
@@ -334,7 +340,7 @@
 {
     error_code error;
     this->set_limit(this->core->settings().body_timeout);
-    count = co_await this->read_rest(request.parser, piece, error);
+    count = co_await this->read_some(request.parser, piece, error);
     this->clear_limit();
     if (!error)
     {
@@ -343,7 +349,62 @@
     co_return co_await this->refuse_body(request, error);
 }
 
-task<std::size_t> caller_connection::read_rest(request_parser& parser,
+task<std::size_t>
+caller_connection::read_rest(std::shared_ptr<caller_request> request,
+                             std::span<char> piece, error_code& error)
+{
+    error = {};
+    if (request->parser.is_done())
+    {
+        co_return 0;
+    }
+    this->reading_rest = true;
+    std::size_t const count =
+        co_await this->read_some(request->parser, piece, error);
+    this->reading_rest = false;
+    if (error)
+    {
+        this->note_rest_lost(*request, error);
+    }
+    if (error)
+    {
+        this->wake.notify();
+    }
+    co_return count;
+}
+
+/// A request that has its answer already ends by that.
+void caller_connection::note_rest_lost(caller_request& request,
+                                       error_code error)
+{
+    if (!std::holds_alternative<std::monostate>(request.carried->reply))
+    {
+        return;
+    }
+    if (!this->timed_out && is_end_of_connection(error))
+    {
+        this->note_caller_gone();
+        return;
+    }
+    request.body_error = error;
+    this->core->dispatch(entry::request_body_failed{request.carried->number});
+}
+
+/// Must have ended before anything else uses the socket or its time limit.
+task<void> caller_connection::end_rest()
+{
+    if (this->reading_rest)
+    {
+        error_code ignored;
+        this->socket.cancel(ignored);
+    }
+    while (this->reading_rest)
+    {
+        co_await this->wake.wait();
+    }
+}
+
+task<std::size_t> caller_connection::read_some(request_parser& parser,
                                                std::span<char> piece,
                                                error_code& error)
 {
@@ -379,8 +440,7 @@
                                         "The request's body is too large.",
                                         "Send a smaller one.");
     }
-    if (error == beast::http::error::partial_message ||
-        error.category() == asio::error::get_system_category())
+    if (is_end_of_connection(error))
     {
         co_return false;
     }
@@ -389,4 +449,18 @@
                                     "Check the lengths of its chunks.");
 }
 
+/// A part of the request has reached an upstream, which may have run it. So
+/// the answer must not be one that promises the opposite, as 408 does.
+task<bool> caller_connection::refuse_rest(caller_request& request)
+{
+    ++this->core->counters().bad_requests;
+    this->window.close_after_first();
+    bool const too_large = request.body_error == beast::http::error::body_limit;
+    co_return co_await this->write_whole(
+        request,
+        make_body_problem(too_large ? status::payload_too_large
+                                    : status::bad_request),
+        request.carried->id);
+}
+
 } // namespace bilberrylead::http
--- a/bilberrylead/http/caller_request.hpp
+++ b/bilberrylead/http/caller_request.hpp
@@ -30,6 +30,9 @@
     bool begun = false;
     /// True if its head came too slowly.
     bool late = false;
+    /// Why the rest of its body, of which a part has been passed on, cannot be
+    /// read although its caller is still there.
+    error_code body_error;
     /// True if it must not be dispatched before it is the first one.
     bool waits_for_turn = false;
     /// True once the decisions know of it.
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -68,6 +68,8 @@
         return "Every upstream has asked for a rest.";
     case refusal_reason::other_configuration:
         return "This entry host has another configuration.";
+    case refusal_reason::body_incomplete:
+        return "The rest of the request's body was not valid, or too slow.";
     }
     return "";
 }
@@ -189,6 +191,14 @@
     return make_problem(code, "bad-request", title, detail, "not-run");
 }
 
+whole_answer make_body_problem(status code)
+{
+    return make_problem(code, to_string(refusal_reason::body_incomplete),
+                        title_of(refusal_reason::body_incomplete),
+                        "A part of it was passed on, so it may have run.",
+                        "unknown");
+}
+
 whole_answer make_page(status code, std::string body)
 {
     whole_answer answer{code, 11};
--- a/bilberrylead/http/local_answer.hpp
+++ b/bilberrylead/http/local_answer.hpp
@@ -33,6 +33,10 @@
 whole_answer make_refusal(beast::http::status status, std::string_view title,
                           std::string_view detail);
 
+/// Answers a request the rest of whose body cannot be read, after a part has
+/// been passed on.
+whole_answer make_body_problem(beast::http::status status);
+
 /// A JSON page of this host's own.
 whole_answer make_page(beast::http::status status, std::string body);
 
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -237,7 +237,13 @@
         piece.resize(piece_size);
         std::size_t const count =
             co_await this->request->read_rest(piece, error);
-        if (error || this->over)
+        if (error && !this->over)
+        {
+            // The request can never become whole. Only closing the connection
+            // tells the upstream.
+            this->cancel();
+        }
+        if (this->over)
         {
             co_return;
         }
--- a/tests/unit/http/left_upload_test.cpp
+++ b/tests/unit/http/left_upload_test.cpp
@@ -80,6 +80,57 @@
     cr_expect_eq(host.upstream.connections(), 2);
 }
 
+// Guards against an upstream that works on, and a slot that is held, for an
+// upload that its caller has left.
+Test(left_upload, unanswered_it_is_cancelled_at_once)
+{
+    uploading_entry host;
+    {
+        wire caller = host.entry.connect();
+        caller.send(measured_head(1, answer_time::after_body) +
+                    upload_bytes(1, 0, upload_part));
+        cr_assert(host.upstream.await(&counts::begun));
+    }
+    cr_expect(host.upstream.await(&counts::cut));
+}
+
+// Guards against an answer "not run" for work that an upstream has begun to
+// read, and against a caller and an upstream that wait for a rest that cannot
+// come.
+Test(left_upload, broken_chunk_in_its_rest_is_refused_as_unknown)
+{
+    uploading_entry host;
+    wire caller = host.entry.connect();
+    caller.send(chunked_head(1, answer_time::after_body) +
+                upload_chunk(1, 0, upload_part));
+    cr_assert(host.upstream.await(&counts::begun));
+    caller.send("no length\r\n");
+    std::optional<answer_text> const answer = caller.answer();
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->result_int(), 400);
+    cr_expect_eq(outcome_of(*answer), "unknown");
+    cr_expect_not(answer->keep_alive());
+    cr_expect(host.upstream.await(&counts::cut));
+    cr_expect_eq(host.upload(2, 100)->body(), "2");
+}
+
+// Guards against a body over the limit that shows only after a part has been
+// passed on.
+Test(left_upload, rest_above_the_limit_is_refused_as_unknown)
+{
+    uploading_entry host;
+    wire caller = host.entry.connect();
+    caller.send(chunked_head(1, answer_time::after_body) +
+                upload_chunk(1, 0, upload_part));
+    cr_assert(host.upstream.await(&counts::begun));
+    caller.send(upload_chunk(1, upload_part, 2 * upload_size));
+    std::optional<answer_text> const answer = caller.answer();
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->result_int(), 413);
+    cr_expect_eq(outcome_of(*answer), "unknown");
+    cr_expect(host.upstream.await(&counts::cut));
+}
+
 // Guards against an early answer that is lost because its upstream closes the
 // connection before it has read the upload.
 Test(left_upload, early_answer_of_an_upstream_that_closes_is_delivered)
