A caller's pause in its upload is not the silence of the upstream

What callers saw: an upload with a pause above the upstream's progress timeout was ended with 504, though its upstream was sound; the upstream counted as failing and its idle connections were closed as suspect. A caller that stopped for good held a slot until its deadline.

Cause: the time limit of the upstream's progress also ran while the next bytes were awaited from the caller, and the caller's own body timeout did not run beyond the first 64 KiB.

Now each side has its own limit: body_timeout for the caller (400, outcome unknown), the progress timeout only while the upstream has something to do.

Evidence: left_upload/pause_of_the_caller_is_no_silence_of_the_upstream failed before with 504; stalled_caller_is_refused_as_unknown got no answer.

--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -359,8 +359,10 @@
         co_return 0;
     }
     this->reading_rest = true;
+    this->set_limit(this->core->settings().body_timeout);
     std::size_t const count =
         co_await this->read_some(request->parser, piece, error);
+    this->clear_limit();
     this->reading_rest = false;
     if (error)
     {
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -235,6 +235,8 @@
             co_return;
         }
         piece.resize(piece_size);
+        this->awaits_caller = true;
+        this->give_up_at = instant::max();
         std::size_t const count =
             co_await this->request->read_rest(piece, error);
         if (error && !this->over)
@@ -247,6 +249,7 @@
         {
             co_return;
         }
+        this->awaits_caller = false;
         this->give_up_at = clock_now() + this->order.progress_timeout;
         message.body().data = count > 0 ? piece.data() : nullptr;
         message.body().size = count;
@@ -410,6 +413,7 @@
 {
     instant const now = clock_now();
     if (this->connection != nullptr && this->connection->reused &&
+        !this->awaits_caller &&
         now >= this->began + this->pool.settings().silence_suspicion)
     {
         this->pool.suspect(this->order.address, this->began);
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -120,6 +120,8 @@
     entry::exchange_phase phase = entry::exchange_phase::not_sent;
     // True once the request has been written to its end.
     bool request_sent = false;
+    // True while the upstream can do nothing before the caller sends more.
+    bool awaits_caller = false;
     bool timed_out = false;
     bool over = false;
 };
--- a/tests/unit/http/left_upload_test.cpp
+++ b/tests/unit/http/left_upload_test.cpp
@@ -56,6 +56,13 @@
     running_server entry;
 };
 
+server_settings settings_with_body_timeout(duration timeout)
+{
+    server_settings settings;
+    settings.body_timeout = timeout;
+    return settings;
+}
+
 } // namespace
 
 // Guards against a connection that is used again while the rest of an upload,
@@ -131,6 +138,36 @@
     cr_expect(host.upstream.await(&counts::cut));
 }
 
+// Guards against a caller that stops sending and holds a slot for as long as it
+// likes.
+Test(left_upload, stalled_caller_is_refused_as_unknown)
+{
+    uploading_entry host(settings_with_body_timeout(100ms));
+    wire caller = host.entry.connect();
+    caller.send(measured_head(1, answer_time::after_body) +
+                upload_bytes(1, 0, upload_part));
+    std::optional<answer_text> const answer = caller.answer();
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->result_int(), 400);
+    cr_expect_eq(outcome_of(*answer), "unknown");
+    cr_expect(host.upstream.await(&counts::cut));
+}
+
+// Guards against a caller's pause that is taken for the upstream's silence.
+Test(left_upload, pause_of_the_caller_is_no_silence_of_the_upstream)
+{
+    uploading_entry host({}, 100ms);
+    wire caller = host.entry.connect();
+    caller.send(measured_head(1, answer_time::after_body) +
+                upload_bytes(1, 0, upload_part));
+    cr_assert(host.upstream.await(&counts::begun));
+    std::this_thread::sleep_for(500ms);
+    caller.send(upload_bytes(1, upload_part, upload_size - upload_part));
+    std::optional<answer_text> const answer = caller.answer();
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->body(), "1");
+}
+
 // Guards against an early answer that is lost because its upstream closes the
 // connection before it has read the upload.
 Test(left_upload, early_answer_of_an_upstream_that_closes_is_delivered)
