A caller that leaves after a long body is noticed

What upstreams saw: work went on for a caller that had sent a body above 64 KiB and left before the answer; bodies up to 64 KiB were cancelled at once.

Cause: the connection watches for the caller's going once the body is whole, but looked only when it was woken, and nothing woke it at the end of a body that the exchange read.

Evidence: left_upload/left_after_its_body_it_is_cancelled_at_once failed before (the upstream still worked after 20 s).

--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -368,7 +368,7 @@
     {
         this->note_rest_lost(*request, error);
     }
-    if (error)
+    if (error || request->parser.is_done())
     {
         this->wake.notify();
     }
--- a/tests/unit/http/left_upload_test.cpp
+++ b/tests/unit/http/left_upload_test.cpp
@@ -168,6 +168,20 @@
     cr_expect_eq(answer->body(), "1");
 }
 
+// Guards against work that goes on for a caller that has sent a long body and
+// left.
+Test(left_upload, left_after_its_body_it_is_cancelled_at_once)
+{
+    uploading_entry host;
+    {
+        wire caller = host.entry.connect();
+        caller.send(measured_head(1, answer_time::never) +
+                    upload_bytes(1, 0, upload_size));
+        cr_assert(host.upstream.await(&counts::whole));
+    }
+    cr_expect(host.upstream.await(&counts::left));
+}
+
 // Guards against an early answer that is lost because its upstream closes the
 // connection before it has read the upload.
 Test(left_upload, early_answer_of_an_upstream_that_closes_is_delivered)
