An early answer to an unread upload is not followed by a reset

What callers saw: an upstream's answer that came before the upload was read was followed by a reset, with which a caller may lose an answer that it has not read.

Cause: only answers of the entry host's own read the rest of a request before they closed; a streamed answer closed with bytes unread.

Evidence: left_upload/early_answer_is_followed_by_no_reset failed before ("Connection reset by peer"). On loopback the answer itself still arrived.

--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -282,6 +282,10 @@
             co_return false;
         }
     }
+    if (!request.parser.is_done())
+    {
+        co_await this->linger();
+    }
     co_return keep;
 }
 
--- a/tests/unit/http/left_upload_test.cpp
+++ b/tests/unit/http/left_upload_test.cpp
@@ -198,3 +198,20 @@
     cr_expect_eq(host.idle_connections(), 0U);
     cr_expect_eq(host.upload(2, 100)->body(), "2");
 }
+
+// Guards against an answer that is lost to a reset because its caller's upload
+// has not been read.
+Test(left_upload, early_answer_is_followed_by_no_reset)
+{
+    uploading_entry host;
+    wire caller = host.entry.connect();
+    caller.send(measured_head(1, answer_time::before_close) +
+                upload_bytes(1, 0, upload_part));
+    cr_assert(host.upstream.await(&counts::closed));
+    caller.send(upload_bytes(1, upload_part, upload_size - upload_part));
+    cr_assert(caller.answer().has_value());
+    char byte = 0;
+    boost::system::error_code error;
+    caller.socket.read_some(boost::asio::buffer(&byte, 1), error);
+    cr_expect(error == boost::asio::error::eof, "%s", error.message().c_str());
+}
