Client of the upstream list: bytes behind an answer answer no later call

What operators would see: after a doubled or late second answer each reading of the list of upstreams got the answer of the call before, for as long as the connection lived.

Cause: the same as on connections to upstreams: http_caller kept a connection by the answer's keep-alive alone, and its buffer outlived the answer.

Now a connection is used again only if nothing is buffered and nothing has arrived. Pool and client share the check (link/quiet_socket). A connection that has ended costs no call any more.

Evidence: http_caller/answer_that_comes_twice_answers_no_later_call and connection_that_has_ended_costs_no_call failed before.

--- a/bilberrylead/link/http_caller.cpp
+++ b/bilberrylead/link/http_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/core/error.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
+#include "bilberrylead/link/quiet_socket.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -40,6 +41,7 @@
     {
     }
 
+    bool is_reusable();
     void begin(std::string const& target);
     void send();
     void receive();
@@ -57,17 +59,27 @@
     result_function done;
 };
 
+/// Bytes that came behind the last answer would be read as the next one.
+bool http_caller::implementation::is_reusable()
+{
+    return this->connected && this->buffer.size() == 0 &&
+           is_quiet(this->stream.socket().native_handle());
+}
+
 void http_caller::implementation::begin(std::string const& target)
 {
     this->request = {http::verb::get, target, 11};
     this->request.set(http::field::host, to_string(this->address));
     this->request.keep_alive(true);
     this->stream.expires_after(this->timeout);
-    if (this->connected)
+    if (this->is_reusable())
     {
         this->send();
         return;
     }
+    this->connected = false;
+    this->stream.close();
+    this->buffer.clear();
     absl::StatusOr<tcp::endpoint> const where = to_tcp(this->address);
     if (!where.ok())
     {
@@ -117,7 +129,8 @@
                 return;
             }
             self->stream.expires_never();
-            self->connected = self->parser->keep_alive();
+            self->connected =
+                self->parser->keep_alive() && !self->parser->need_eof();
             if (!self->connected)
             {
                 self->stream.close();
