Load tool: a connection with buffered bytes is not used again

Pages were fetched over connections that went back with bytes behind the answer still buffered; the next call would have read them. Found by reading on the same cause; the connection list now checks it for all its users, by the shared check. No test of its own.

--- a/bilberrylead/load/caller_connections.cpp
+++ b/bilberrylead/load/caller_connections.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/load/caller_connections.hpp"
 
-#include <boost/asio/buffer.hpp>
+#include "bilberrylead/link/quiet_socket.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -37,17 +38,6 @@
     }
 }
 
-/// True if nothing has arrived on an idle connection: bytes would be
-/// somebody else's answer, and an end means that it is closed.
-bool is_quiet(tcp::socket& socket)
-{
-    beast::error_code error;
-    char byte = 0;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 std::unique_ptr<caller_connection>
 make_connection(asio::any_io_executor const& executor)
 {
@@ -110,7 +100,8 @@
     {
         std::unique_ptr<caller_connection> connection = std::move(open.back());
         open.pop_back();
-        if (is_quiet(connection->stream.socket()))
+        if (connection->buffer.size() == 0 &&
+            link::is_quiet(connection->stream.socket().native_handle()))
         {
             return connection;
         }
