A request that is answered in the middle of its upload ends its reading for sure

The connection of a caller waits, before it writes an answer, for the reading of the rest of the body to end. If bytes had arrived in that very moment the reading ended without an error and woke nobody, or began to wait for more; the caller would have got its answer only after the body timeout or never.

--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -143,6 +143,8 @@
     bool watching = false;
     // True while the rest of a body is read for the exchange that passes it on.
     bool reading_rest = false;
+    // True once the request that it belongs to has its answer.
+    bool rest_unwanted = false;
     bool gone = false;
     bool serving = false;
 };
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -364,14 +364,15 @@
         co_await this->read_some(request->parser, piece, error);
     this->clear_limit();
     this->reading_rest = false;
-    if (error)
+    if (this->rest_unwanted && !error)
     {
-        this->note_rest_lost(*request, error);
+        error = asio::error::operation_aborted;
     }
-    if (error || request->parser.is_done())
+    if (error)
     {
-        this->wake.notify();
+        this->note_rest_lost(*request, error);
     }
+    this->wake.notify();
     co_return count;
 }
 
@@ -395,6 +396,7 @@
 /// Must have ended before anything else uses the socket or its time limit.
 task<void> caller_connection::end_rest()
 {
+    this->rest_unwanted = true;
     if (this->reading_rest)
     {
         error_code ignored;
@@ -404,6 +406,7 @@
     {
         co_await this->wake.wait();
     }
+    this->rest_unwanted = false;
 }
 
 task<std::size_t> caller_connection::read_some(request_parser& parser,
@@ -412,7 +415,7 @@
 {
     std::size_t count = 0;
     error = {};
-    while (count == 0 && !parser.is_done() && !error)
+    while (count == 0 && !parser.is_done() && !error && !this->rest_unwanted)
     {
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
--- a/tests/unit/http/left_upload_test.cpp
+++ b/tests/unit/http/left_upload_test.cpp
@@ -24,14 +24,15 @@
 struct uploading_entry
 {
     explicit uploading_entry(server_settings settings = {},
-                             duration progress = std::chrono::hours(1))
+                             duration progress = std::chrono::hours(1),
+                             std::size_t largest = 2 * upload_size)
         : entry(std::move(settings))
     {
         this->entry.configure({this->upstream.port()},
-                              [progress](config::service& service)
+                              [progress, largest](config::service& service)
                               {
                                   service.idempotent = false;
-                                  service.largest_request = 2 * upload_size;
+                                  service.largest_request = largest;
                                   service.deadline = std::chrono::hours(1);
                                   service.progress_timeout = progress;
                               });
@@ -210,3 +211,37 @@
     caller.socket.read_some(boost::asio::buffer(&byte, 1), error);
     cr_expect(error == boost::asio::error::eof, "%s", error.message().c_str());
 }
+
+// Guards against an upstream that works on, and a caller that gets no answer,
+// when the deadline passes in the middle of an upload.
+Test(left_upload, deadline_that_passes_in_it_is_answered_while_bytes_come)
+{
+    constexpr int rounds = 10;
+    constexpr std::size_t large = std::size_t{64} << 20U;
+    uploading_entry host({}, std::chrono::hours(1), large);
+    for (int round = 1; round <= rounds; ++round)
+    {
+        wire caller = host.entry.connect();
+        caller.send(upload_head(
+            round, answer_time::after_body,
+            fmt::format("Content-Length: {}\r\nBilberry-Deadline-Ms: 200",
+                        large)));
+        std::atomic<bool> answered = false;
+        std::thread sender(
+            [&caller, &answered, round]
+            {
+                std::size_t sent = 0;
+                while (!answered && sent < large)
+                {
+                    std::size_t const count = 512;
+                    caller.send(upload_bytes(round, sent, count));
+                    sent += count;
+                }
+            });
+        std::optional<answer_text> const answer = caller.answer();
+        answered = true;
+        sender.join();
+        expect_unknown(answer, 504);
+    }
+    cr_expect(host.upstream.await(&counts::cut, host.upstream.seen().begun));
+}
