Entry test: an upload that cannot be read on frees its slot and blames nobody

The reducer's side of request_body_failed without a network: the upstream is cancelled, the outcome is a problem with reason body-incomplete, no slot stays in use and nothing is sent again.

--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -393,7 +393,7 @@
     this->core->dispatch(entry::request_body_failed{request.carried->number});
 }
 
-/// Must have ended before anything else uses the socket or its time limit.
+/// Ends the reading of a rest, which uses the socket and its time limit.
 task<void> caller_connection::end_rest()
 {
     this->rest_unwanted = true;
--- a/tests/unit/entry/entry_reducer_test.cpp
+++ b/tests/unit/entry/entry_reducer_test.cpp
@@ -162,6 +162,29 @@
     cr_assert_eq(entry.reducer.counters().slots_in_use, 0);
 }
 
+// Guards against a slot that stays in use, a failure that is charged to the
+// upstream, and a second run, when an upload cannot be read to its end.
+Test(entry_reducer, upload_that_cannot_be_read_on_is_cancelled)
+{
+    driven_entry entry;
+    request_arrived arrival;
+    arrival.request = number(1);
+    arrival.service = service_id("lookup");
+    arrival.caller = caller_id("studio");
+    arrival.body_kept = false;
+    entry.reduce(arrival);
+    entry.reduce(request_body_failed{number(1)});
+    cr_expect(entry.has_effect<cancel_upstream>());
+    cr_expect_not(entry.has_effect<answer_not_run>());
+    request_ended const* const end = entry.find<request_ended>();
+    cr_assert_not_null(end);
+    cr_expect(end->outcome == request_outcome::problem);
+    cr_expect(end->reason == refusal_reason::body_incomplete);
+    cr_expect_eq(entry.reducer.counters().slots_in_use, 0);
+    entry.advance(10s);
+    cr_expect_not(entry.has_effect<start_upstream>());
+}
+
 Test(entry_reducer, leaving_upstream_gets_no_new_work)
 {
     // Upstream a announces in an answer that it is leaving, before the
