--- a/tests/unit/link/http_caller_test.cpp
+++ b/tests/unit/link/http_caller_test.cpp
@@ -8,8 +8,11 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace bilberrylead;
