Observability: links to control hosts, members, leader notices, answers to operators

The record of the incident could not tell whether a host stood still, had no links, or named a leader that was gone: lines bore full seconds only, and nothing said which links an entry host had, what a control host named over them, who voted, or what a reader of the configuration was answered.

- Lines bear milliseconds.
- link: each link to a control host, opened and lost, with the reason.
- membership: voters, learners with incarnations, quorum, when they change.
- operator_calls: answered, sent on to whom, refused, when it changes; counter bilberry_control_operator_calls_total.
- leader_notice: what each control host names, at the entry host.
- bilberry_control_names_leader, bilberry_control_voters.
No decision changed.

--- a/bilberrylead/core/log_line.cpp
+++ b/bilberrylead/core/log_line.cpp
@@ -41,11 +41,15 @@
 
 log_line::log_line(std::string_view part, std::string_view event)
 {
-    this->content =
-        fmt::format(R"({{"at":"{:%Y-%m-%dT%H:%M:%S}Z","part":"{}","what":"{}")",
-                    std::chrono::floor<std::chrono::milliseconds>(
-                        std::chrono::system_clock::now()),
-                    part, event);
+    wall_time const now = std::chrono::floor<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+    std::chrono::sys_seconds const second =
+        std::chrono::floor<std::chrono::seconds>(now);
+    // Library versions differ in whether %S writes parts of a second.
+    this->content = fmt::format(
+        R"({{"at":"{:%Y-%m-%dT%H:%M:%S}.{:03}Z","part":"{}","what":"{}")",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(second)),
+        (now - second).count(), part, event);
 }
 
 void log_line::name(std::string_view name)
--- a/bilberrylead/daemon/control_metrics.cpp
+++ b/bilberrylead/daemon/control_metrics.cpp
@@ -97,6 +97,17 @@
     prometheus::Counter& failed_list_calls =
         add_counter(this->registry, "bilberry_control_failed_list_calls_total",
                     "Calls to the list of upstreams that failed.");
+    prometheus::Family<prometheus::Counter>& operator_calls =
+        prometheus::BuildCounter()
+            .Name("bilberry_control_operator_calls_total")
+            .Help("Calls of operators by outcome.")
+            .Register(this->registry);
+    prometheus::Gauge& names_leader =
+        add_gauge(this->registry, "bilberry_control_names_leader",
+                  "1 if this host knows of a leader.");
+    prometheus::Gauge& voters =
+        add_gauge(this->registry, "bilberry_control_voters",
+                  "Members with a vote, as known here.");
     prometheus::Counter& unconfirmed_listings = add_counter(
         this->registry, "bilberry_control_unconfirmed_listings_total",
         "Entry hosts that had not confirmed a listing when the next was sent.");
@@ -195,6 +206,12 @@
     this->impl->failed_list_calls.Increment();
 }
 
+void control_metrics::count_operator_call(std::string_view outcome)
+{
+    this->impl->operator_calls.Add({{"outcome", std::string(outcome)}})
+        .Increment();
+}
+
 void control_metrics::count_listing(control::listing_changed const& listing)
 {
     if (listing.max_age.has_value())
@@ -217,6 +234,8 @@
     catalog::replicated_state const& state = reducer.state();
     this->impl->leads.Set(log.role() == agreement::role::leader ? 1 : 0);
     this->impl->term.Set(static_cast<double>(log.term()));
+    this->impl->names_leader.Set(log.leader().empty() ? 0 : 1);
+    this->impl->voters.Set(static_cast<double>(log.membership().voters()));
     this->impl->commit_index.Set(static_cast<double>(log.commit_index()));
     this->impl->accepted.Set(
         static_cast<double>(state.configurations().current_revision()));
--- a/bilberrylead/daemon/control_metrics.hpp
+++ b/bilberrylead/daemon/control_metrics.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace bilberrylead::control
 {
@@ -37,6 +38,10 @@
     /// Notes a call to the list of upstreams that failed.
     void count_failed_list_call();
 
+    /// Notes an operator's call that was answered, refused, or left to the
+    /// leader (`outcome` is the label of the metric).
+    void count_operator_call(std::string_view outcome);
+
     /// Notes a listing that is held from now on.
     void count_listing(control::listing_changed const& listing);
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -335,6 +335,7 @@
         }
         this->carry_out(effect);
     }
+    this->group.record_members(this->reducer->log().membership());
 }
 
 void control_program::implementation::carry_out(
--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string_view>
 #include <utility>
+#include <variant>
 
 /// What operators, callers and the list of upstreams see of a control
 /// host.
@@ -28,6 +29,11 @@
 
 constexpr unsigned http_ok = 200;
 
+/// Outcomes of operators' calls in logs and metrics.
+constexpr std::string_view operator_call_answered = "answered";
+constexpr std::string_view operator_call_of_leader = "not-leader";
+constexpr std::string_view operator_call_refused = "refused";
+
 } // namespace
 
 absl::Status control_program::implementation::listen_outside()
@@ -96,6 +102,16 @@
     }
     open_operator_call const call = std::move(found->second);
     this->waiting.erase(found);
+    absl::Status const* const failed = std::get_if<absl::Status>(&effect.reply);
+    std::string_view outcome = operator_call_answered;
+    if (failed != nullptr)
+    {
+        outcome = kind_of(*failed) == error_kind::not_leader
+                      ? operator_call_of_leader
+                      : operator_call_refused;
+    }
+    this->metrics.count_operator_call(outcome);
+    this->group.record_operator_call(outcome, effect.leader);
     call.answer(this->adapter.write_operator_reply(
         call.request, effect.reply, this->leader_port(effect.leader)));
 }
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/daemon/control_metrics.hpp"
 #include "bilberrylead/daemon/control_program.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
+#include "bilberrylead/daemon/group_log.hpp"
 #include "bilberrylead/daemon/message_memory.hpp"
 #include "bilberrylead/daemon/operator_api.hpp"
 #include "bilberrylead/daemon/peer_book.hpp"
@@ -107,6 +108,7 @@
     std::map<std::pair<zone_id, bool>, link::http_caller> lists;
     std::optional<link::http_endpoint> metrics_port;
     control_metrics metrics;
+    group_log group;
     // Nothing before the first revision.
     std::optional<presence::name_regions> regions_of_names;
     std::optional<message_memory> listing_memory;
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -65,6 +65,7 @@
     void tell_crashes(entry::send_crash_records const& wanted);
     void update_peer_contact();
     void tell_limits(entry::send_limits const& wanted);
+    void log_leader_notice(link::link_number from, host_id const& reported);
     void on_leader(host_id const& reported);
     void send_customer_report(entry::send_customer_report const& effect);
     void on_contact_changed(entry::upstream_contact_changed const& changed);
@@ -123,6 +124,7 @@
     bool stopping = false;
     entry_metrics metrics;
     std::map<link::link_number, link::peer_identity> links;
+    std::map<link::link_number, host_id> reported_leaders;
 };
 
 } // namespace bilberrylead::daemon
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/daemon/entry_program_parts.hpp"
 
+#include "bilberrylead/core/log_line.hpp"
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/link/thousandths.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
@@ -112,6 +113,7 @@
 {
     this->on_exchange(distribution::link_closed{number});
     this->heard_entry_hosts.erase(number);
+    this->reported_leaders.erase(number);
     this->control_links.link_closed(number);
     this->link_control_hosts();
     if (this->links.at(number).role == link::peer_role::control)
@@ -161,6 +163,7 @@
         {
             this->owner.on_exchange(
                 distribution::leader_notice_received{this->number, held});
+            this->owner.log_leader_notice(this->number, held.leader);
             this->owner.on_leader(held.leader);
             this->owner.control_links.leader_received(this->number, held.leader,
                                                       clock_now());
@@ -371,6 +374,23 @@
     }
 }
 
+/// A notice also answers each claim that is sent to a follower; only a change
+/// is logged.
+void entry_program::implementation::log_leader_notice(link::link_number from,
+                                                      host_id const& reported)
+{
+    auto const found = this->reported_leaders.find(from);
+    if (found != this->reported_leaders.end() && found->second == reported)
+    {
+        return;
+    }
+    this->reported_leaders[from] = reported;
+    log_line("entry", "leader_notice")
+        .text("control", this->links.at(from).id.text())
+        .text("leader", reported.text())
+        .write();
+}
+
 void entry_program::implementation::on_leader(host_id const& reported)
 {
     if (!reported.empty() && reported != this->leader)
--- a/bilberrylead/link/peer_session.cpp
+++ b/bilberrylead/link/peer_session.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/link/peer_session.hpp"
 
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/log_line.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/error.hpp>
@@ -192,6 +193,8 @@
 void peer_session::become_open(peer_identity const& identity)
 {
     this->now_in = phase::open;
+    this->peer = identity;
+    this->log_link("open");
     this->stream.read_message_max(this->settings.largest_message);
     this->owner.opened(identity);
     this->read_next();
@@ -209,7 +212,7 @@
                             {
                                 if (error)
                                 {
-                                    self->fail("the link was lost");
+                                    self->fail(error.message());
                                     return;
                                 }
                                 self->on_read(size);
@@ -264,7 +267,7 @@
             self->writing = false;
             if (error)
             {
-                self->fail("the link was lost");
+                self->fail(error.message());
                 return;
             }
             self->backlog_size -= self->backlog.front().size();
@@ -288,6 +291,23 @@
     this->close();
 }
 
+/// Only links to control hosts are logged: each process has few of them, and
+/// depends on them.
+void peer_session::log_link(std::string_view verdict) const
+{
+    if (this->peer.role != peer_role::control)
+    {
+        return;
+    }
+    log_line("link", "link")
+        .text("control", this->peer.id.text())
+        .number("incarnation",
+                static_cast<std::int64_t>(this->peer.incarnation))
+        .text("side", this->dialled ? calling_side : called_side)
+        .text("verdict", verdict)
+        .write();
+}
+
 void peer_session::fail(std::string_view what)
 {
     if (this->now_in == phase::closed)
@@ -295,6 +315,10 @@
         return;
     }
     log.debug("A link ended: {}.", what);
+    if (this->now_in == phase::open)
+    {
+        this->log_link(what);
+    }
     this->now_in = phase::closed;
     this->stream.next_layer().close();
     this->owner.closed();
--- a/bilberrylead/link/peer_session.hpp
+++ b/bilberrylead/link/peer_session.hpp
@@ -77,10 +77,13 @@
     void on_read(std::size_t size);
     void write_next();
     void fail(std::string_view what);
+    void log_link(std::string_view verdict) const;
 
     boost::beast::websocket::stream<boost::beast::tcp_stream> stream;
     peer_node_settings const& settings;
     callbacks owner;
+    /// Known once the link is open.
+    peer_identity peer;
     phase now_in = phase::handshake;
     bool dialled = false;
     bool writing = false;
