A host without a vote forgets a leader that fell silent

What callers saw: a control host that is a learner, or that gave up its vote, names the leader it last heard from for as long as its process runs. It redirects operators to that host, which may be gone for good (no response), and names it to the entry hosts linked to it, which then have a leader and do not look for another one.

Cause: election::on_tick forgets the leader when the election timer expires, but only in the roles that stand for election. A learner returned before that.

Why it works: the timer runs in every role, since each contact with a leader restarts it.

--- a/bilberrylead/agreement/election.cpp
+++ b/bilberrylead/agreement/election.cpp
@@ -26,14 +26,16 @@
 
 void election::on_tick()
 {
-    bool const waits = this->core.role() == role::follower ||
-                       this->core.role() == role::pre_candidate ||
-                       this->core.role() == role::candidate;
-    if (!waits || this->core.now < this->election_due_at)
+    if (this->core.role() == role::stopped ||
+        this->core.now < this->election_due_at)
     {
         return;
     }
     this->core.leader = host_id();
+    if (this->core.role() == role::learner)
+    {
+        return;
+    }
     if (this->core.enabled_safeguards.pre_vote)
     {
         this->start_pre_vote();
--- a/bilberrylead/agreement/election.hpp
+++ b/bilberrylead/agreement/election.hpp
@@ -27,7 +27,8 @@
     /// Restarts the randomized election timer.
     void restart_timer();
 
-    /// Starts an election if the timer has expired.
+    /// Forgets the leader if the timer has expired, and starts an election if
+    /// this replica may stand for it. Not called while this replica leads.
     void on_tick();
 
     /// Replies whether this replica would vote for the sender.
--- a/tests/unit/agreement/membership_test.cpp
+++ b/tests/unit/agreement/membership_test.cpp
@@ -1,6 +1,8 @@
 #include "group_fixture.hpp"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 
 using namespace bilberrylead::agreement;
 using namespace bilberrylead::agreement::tests;
@@ -12,6 +14,66 @@
 
 constexpr std::uint64_t change_token = 1000;
 
+/// A group of three voters and one further host, a member without a vote.
+struct group_with_learner : group_fixture
+{
+    explicit group_with_learner(bool was_voter)
+        : group_fixture(was_voter ? 4 : 3, was_voter ? 0 : 1)
+    {
+        this->old = *this->leader();
+        this->learner = was_voter ? this->other_than(this->old, this->old) : 3;
+        if (was_voter)
+        {
+            this->change(membership_action::remove);
+        }
+        this->change(membership_action::add_learner);
+        cr_assert(this->replica_of_learner().role() == role::learner, "%s",
+                  this->describe().c_str());
+        cr_assert_eq(this->replica_of_learner().leader(),
+                     this->hosts[this->old].id);
+    }
+
+    void change(membership_action action)
+    {
+        std::uint64_t const token =
+            change_token + static_cast<std::uint64_t>(action);
+        this->process(this->old,
+                      membership_change_requested{
+                          token, action, this->hosts[this->learner].id, 1});
+        this->run_for(1s);
+        cr_assert(this->outcome_of(token) == outcome::accepted, "%s",
+                  this->describe().c_str());
+    }
+
+    replica const& replica_of_learner() const
+    {
+        return *this->hosts[this->learner].replica;
+    }
+
+    /// Isolates the learner for the longest election timeout.
+    void expect_leader_is_forgotten()
+    {
+        std::uint64_t const term = this->replica_of_learner().term();
+        this->isolate(this->learner);
+        this->run_for(2 * this->settings.election_timeout +
+                      2 * this->settings.tick_interval);
+        cr_expect(this->replica_of_learner().leader().empty(), "%s",
+                  this->describe().c_str());
+        cr_expect(this->replica_of_learner().role() == role::learner);
+        cr_expect_eq(this->replica_of_learner().term(), term);
+
+        this->heal();
+        this->run_for(1s);
+        cr_expect_eq(this->replica_of_learner().leader(),
+                     this->hosts[this->old].id);
+        cr_expect_eq(*this->leader(), this->old);
+        this->expect_no_violation();
+    }
+
+    std::size_t old = 0;
+    std::size_t learner = 0;
+};
+
 } // namespace
 
 Test(membership, new_host_when_added_catches_up_and_becomes_a_voter)
@@ -97,3 +159,16 @@
     cr_assert(group.propose_and_deliver(*group.leader()) == outcome::accepted);
     group.expect_no_violation();
 }
+
+// Guards against a learner that names a leader for ever although it no longer
+// hears from it: operators and entry hosts are sent to a host that is gone.
+Test(membership, learner_when_its_leader_is_silent_forgets_it)
+{
+    group_with_learner(false).expect_leader_is_forgotten();
+}
+
+// The same for a host that was a voter.
+Test(membership, former_voter_when_its_leader_is_silent_forgets_it)
+{
+    group_with_learner(true).expect_leader_is_forgotten();
+}
