Class of an upstream's status by its number, not by its name

What callers saw: an upstream that sent "103 Early Hints" before its answer had that interim answer passed on as the final one:

HTTP/1.1 103 Early Hints ... Transfer-Encoding: chunked

The own answer behind it was not passed on. The same came when the upstream sent the 103 whole and then ended. Where upstreams mark their answers, a success with status 209 and without the mark was passed on.

Cause: to_status_class was asked about result(), which is `unknown` (0) for a status that Beast has no name for. So the class was neither informational nor successful.

Why this works: to_status_class(unsigned) takes the class from the first digit of the status, as the standard does for statuses that one doesn't know.

--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -34,6 +34,12 @@
 /// Bytes of such an answer; a longer one costs more than a new connection.
 constexpr std::size_t largest_skipped_answer = std::size_t{256} << 10U;
 
+/// By the number: a status that Beast does not know by name has a class, too.
+beast::http::status_class class_of(answer_parser const& parser)
+{
+    return beast::http::to_status_class(parser.get().result_int());
+}
+
 } // namespace
 
 upstream_exchange::upstream_exchange(executor const& place, upstream_pool& kept,
@@ -327,7 +333,7 @@
             co_return false;
         }
         this->connection->last_heard = clock_now();
-    } while (beast::http::to_status_class(this->parser->get().result()) ==
+    } while (class_of(*this->parser) ==
              beast::http::status_class::informational);
     co_return true;
 }
@@ -372,8 +378,7 @@
 bool upstream_exchange::is_genuine() const
 {
     bool const success =
-        beast::http::to_status_class(this->parser->get().result()) ==
-        beast::http::status_class::successful;
+        class_of(*this->parser) == beast::http::status_class::successful;
     if (this->names.answer_mark.empty() || !success)
     {
         return true;
--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -360,3 +360,74 @@
     }
     cr_expect(is_resting);
 }
+
+// Guards against an interim answer that is taken for the final one because
+// its status is not a known one.
+Test(upstream_failure, interim_answer_of_any_status_is_not_passed_on)
+{
+    for (std::string const status : {"100", "102", "103", "104", "199"})
+    {
+        std::string const interim =
+            "HTTP/1.1 " + status + " Wait\r\nLink: </a>\r\n\r\n";
+        fake_upstream upstream(
+            [&interim](wire& connection, int)
+            {
+                while (std::optional<request_text> const request =
+                           connection.request())
+                {
+                    bool const ends = request->target() == "/s/ends";
+                    connection.send(interim +
+                                    (ends ? "" : whole_answer_text("own")));
+                    if (ends)
+                    {
+                        return;
+                    }
+                }
+            });
+        running_server entry;
+        entry.configure({upstream.port()}, not_repeatable);
+        wire caller = entry.connect();
+        for (int round = 0; round < 2; ++round)
+        {
+            caller.send(get("/s/1"));
+            std::optional<answer_text> answer = caller.answer();
+            cr_assert(answer.has_value(), "%s", status.c_str());
+            cr_assert_eq(answer->result_int(), 200, "%s", status.c_str());
+            cr_assert_eq(answer->body(), "own");
+        }
+        cr_assert_eq(upstream.connections.load(), 1);
+        caller.send(get("/s/ends"));
+        std::optional<answer_text> const answer = caller.answer();
+        cr_assert(answer.has_value(), "%s", status.c_str());
+        cr_assert_eq(answer->result_int(), 502, "%s", status.c_str());
+    }
+}
+
+// Guards against a success that an upstream did not mark as its own and that
+// is passed on because its status is not a known one.
+Test(upstream_failure, unmarked_success_of_any_status_is_not_passed_on)
+{
+    server_settings settings;
+    settings.names.answer_mark = "X-Mark";
+    for (std::string const status : {"200", "209", "226", "299"})
+    {
+        for (bool const marked : {false, true})
+        {
+            std::string const text = "HTTP/1.1 " + status + " Done\r\n" +
+                                     (marked ? "X-Mark: 1\r\n" : "") +
+                                     "Content-Length: 3\r\n\r\nown";
+            fake_upstream upstream(
+                [&text](wire& connection, int)
+                {
+                    connection.request();
+                    connection.send(text);
+                });
+            running_server entry(settings);
+            entry.configure({upstream.port()}, not_repeatable);
+            std::optional<answer_text> const answer = entry.ask(get("/s/1"));
+            cr_assert(answer.has_value(), "%s", text.c_str());
+            std::string const given = std::to_string(answer->result_int());
+            cr_assert(given == (marked ? status : "502"), "%s", text.c_str());
+        }
+    }
+}
