Fetch a missing revision from every peer that announced it

Cause: a source announces a revision once per link, and the exchange kept only the first link that announced it. If that link closed, or its peer fell silent, before the document was fetched, the announcements of all other links had been dropped as not newer. From then on subscriptions were resent every fetch_after and answered by nobody: the other sources count the announcement as sent, and the pushing link, once chosen, is kept while it is open. Where its peer is cut off from the group but not from the entry host, the old revision stays in force until that link closes or a still newer revision is announced.

Change: the newest report of each link is kept, and while a revision is missing one link after the other is asked, newest report first, one per fetch_after. The time-outs are the same. Such a host has the revision one fetch_after later per peer that does not answer.

--- a/bilberrylead/distribution/revision_exchange.cpp
+++ b/bilberrylead/distribution/revision_exchange.cpp
@@ -78,6 +78,7 @@
 void revision_exchange::on(link_closed const& event)
 {
     this->links.erase(event.link);
+    this->fetched_from.erase(event.link);
     if (this->pushing_link == event.link)
     {
         // The pushing link has closed, perhaps with a revision in flight. The
@@ -116,8 +117,8 @@
 {
     if (!this->settings.is_source && event.content.in_force > this->current)
     {
-        this->record_missing(event.link, event.content.in_force);
-        this->record_answer(event.link, event.content.in_force);
+        this->record_report(event.link, event.content.in_force);
+        this->record_answer(event.link);
     }
 }
 
@@ -130,10 +131,11 @@
     {
         return;
     }
+    this->record_report(event.link, event.content.target);
     if (this->first.has_value())
     {
         this->hold(event.content);
-        this->record_answer(event.link, event.content.target);
+        this->record_answer(event.link);
         return;
     }
     this->put_in_force(event.content.target,
@@ -189,10 +191,11 @@
     assert(number > this->current);
     this->current = number;
     this->document = std::move(content);
-    if (this->announced <= this->current)
+    if (!this->is_missing_any())
     {
-        this->announced = 0;
+        this->missing_since.reset();
     }
+    this->fetched_from.clear();
 }
 
 void revision_exchange::put_in_force(
@@ -206,16 +209,13 @@
     this->subscribe_all();
 }
 
-void revision_exchange::record_answer(link::link_number number,
-                                      revision reported)
+void revision_exchange::record_answer(link::link_number number)
 {
     link_map::iterator const found = this->links.find(number);
     if (!this->first.has_value() || found == this->links.end())
     {
         return;
     }
-    revision& newest = found->second.reported_revision;
-    newest = std::max(newest, reported);
     this->first->answer_received(found->second.peer, this->time);
     this->settle_first();
 }
@@ -383,41 +383,91 @@
     }
 }
 
-void revision_exchange::record_missing(link::link_number announced_by,
-                                       revision number)
+void revision_exchange::record_report(link::link_number number,
+                                      revision reported)
 {
-    if (this->announced == 0)
+    link_map::iterator const found = this->links.find(number);
+    if (found == this->links.end())
     {
-        this->announced_at = this->time;
+        return;
     }
-    if (number > this->announced)
+    revision& newest = found->second.reported_revision;
+    newest = std::max(newest, reported);
+    if (this->is_missing_from(found->second) &&
+        !this->missing_since.has_value())
     {
-        this->announced = number;
-        this->announcing_link = announced_by;
+        this->missing_since = this->time;
     }
 }
 
+bool revision_exchange::is_missing_from(peer_link const& peer) const
+{
+    return peer.reported_revision > std::max(this->current, this->held);
+}
+
+bool revision_exchange::is_missing_any() const
+{
+    return std::any_of(this->links.begin(), this->links.end(),
+                       [this](link_map::value_type const& row)
+                       {
+                           return this->is_missing_from(row.second);
+                       });
+}
+
 void revision_exchange::fetch_missing()
 {
-    bool const is_due =
-        this->announced > std::max(this->current, this->held) &&
-        this->time - this->announced_at >= this->settings.fetch_after;
-    if (!is_due)
+    if (!this->is_missing_any())
+    {
+        this->missing_since.reset();
+        return;
+    }
+    if (!this->missing_since.has_value() ||
+        this->time - *this->missing_since < this->settings.fetch_after)
     {
         return;
     }
 
-    // The pushing link does not deliver, so the announcing link becomes the
-    // pushing link. If the announcing link has closed, another pushing link
-    // was chosen at that time.
-    this->announced_at = this->time;
-    if (!this->links.contains(this->announcing_link) ||
-        this->pushing_link == this->announcing_link)
+    // The pushing link does not deliver, so a link whose peer holds the
+    // revision becomes the pushing link. A peer announces a revision only once,
+    // so the announcements of all links are kept: the first peer asked may be
+    // gone or unresponsive.
+    this->missing_since = this->time;
+    link::link_number const next = this->next_link_to_fetch_from();
+    if (this->pushing_link == next)
     {
         this->subscribe_all();
         return;
     }
-    this->request_pushes(this->announcing_link);
+    this->request_pushes(next);
+}
+
+/// The link with the newest missing revision among those not fetched from yet;
+/// starts again once all were. At least one link must have a missing revision.
+link::link_number revision_exchange::next_link_to_fetch_from()
+{
+    link_map::const_iterator best = this->links.end();
+    while (best == this->links.end())
+    {
+        for (link_map::const_iterator row = this->links.begin();
+             row != this->links.end(); ++row)
+        {
+            bool const is_candidate = this->is_missing_from(row->second) &&
+                                      !this->fetched_from.contains(row->first);
+            if (is_candidate && (best == this->links.end() ||
+                                 row->second.reported_revision >
+                                     best->second.reported_revision))
+            {
+                best = row;
+            }
+        }
+        if (best == this->links.end())
+        {
+            assert(!this->fetched_from.empty());
+            this->fetched_from.clear();
+        }
+    }
+    this->fetched_from.insert(best->first);
+    return best->first;
 }
 
 void revision_exchange::send(link::link_number to, link::message content)
--- a/bilberrylead/distribution/revision_exchange.hpp
+++ b/bilberrylead/distribution/revision_exchange.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bilberrylead::distribution
@@ -23,10 +24,10 @@
 ///
 /// Documents are pushed over one link only, the pushing link. Over the others
 /// only revision numbers are announced, and a revision that stays missing is
-/// fetched from the peer that announced it. The revision in force never
-/// decreases: older ones are dropped wherever they come from. Since an entry
-/// host has no disk, one that restarts waits for the answers of several
-/// control hosts (see first_revision) and takes the newest revision.
+/// fetched from the peers that announced it, one after the other. The revision
+/// in force never decreases: older ones are dropped wherever they come from.
+/// Since an entry host has no disk, one that restarts waits for the answers of
+/// several control hosts (see first_revision) and takes the newest revision.
 class revision_exchange
 {
 public:
@@ -79,7 +80,7 @@
     void install(revision number, shared_document document);
     void put_in_force(revision number, shared_document document,
                       std::optional<first_revision_choice> const& choice);
-    void record_answer(link::link_number number, revision reported);
+    void record_answer(link::link_number number);
     void hold(link::configuration_update const& update);
     void settle_first();
     void fetch_first(link_map::const_iterator newest);
@@ -90,8 +91,11 @@
     void request_pushes(link::link_number number);
     void subscribe(link::link_number number);
     void subscribe_all();
-    void record_missing(link::link_number announced_by, revision number);
+    void record_report(link::link_number number, revision reported);
+    bool is_missing_from(peer_link const& peer) const;
+    bool is_missing_any() const;
     void fetch_missing();
+    link::link_number next_link_to_fetch_from();
     void send(link::link_number to, link::message content);
 
     exchange_settings settings;
@@ -108,9 +112,10 @@
     /// When no further answers were awaited any more.
     std::optional<instant> chosen_at;
     std::optional<link::link_number> pushing_link;
-    revision announced = 0;
-    link::link_number announcing_link = 0;
-    instant announced_at;
+    /// When a missing revision was announced or last fetched.
+    std::optional<instant> missing_since;
+    /// Links that a missing revision was fetched from.
+    std::set<link::link_number> fetched_from;
     instant refreshed_at;
     std::vector<exchange_effect> effects;
 };
--- a/tests/unit/distribution/revision_exchange_test.cpp
+++ b/tests/unit/distribution/revision_exchange_test.cpp
@@ -245,6 +245,95 @@
     cr_assert_eq(f.nodes[entry].exchange.current_revision(), 5U);
 }
 
+/// An entry host that receives pushes from a control host which is cut off from
+/// the others, and announcements from two that are not. All hold revision 1.
+struct cut_off_push_fixture : exchange_fixture
+{
+    cut_off_push_fixture()
+    {
+        this->connect(this->cut_off, this->entry);
+        this->deliver_all();
+        this->first_link = this->connect(this->first, this->entry);
+        this->connect(this->second, this->entry);
+        this->deliver_all();
+        for (std::size_t const source :
+             {this->cut_off, this->first, this->second})
+        {
+            this->publish(source, 1);
+        }
+        this->deliver_all();
+    }
+
+    void announce_next()
+    {
+        this->publish(this->first, 2);
+        this->publish(this->second, 2);
+        this->deliver_all();
+    }
+
+    revision held() const
+    {
+        return this->nodes[this->entry].exchange.current_revision();
+    }
+
+    std::size_t const cut_off = this->add("c1", true);
+    std::size_t const first = this->add("c2", true);
+    std::size_t const second = this->add("c3", true);
+    std::size_t const entry = this->add("e1", false);
+    std::size_t first_link = 0;
+};
+
+// Guards against an old revision that stays in force although a linked control
+// host holds a newer one: the host that announced it first is gone before it is
+// asked.
+Test(revision_exchange,
+     announced_revision_when_the_announcer_is_gone_is_fetched_from_another)
+{
+    cut_off_push_fixture f;
+    f.announce_next();
+    f.disconnect(f.first_link);
+    for (int step = 0; step < 4; ++step)
+    {
+        f.advance(exchange_settings{}.fetch_after / 2);
+    }
+    cr_assert_eq(f.held(), 2U);
+}
+
+// The same where the host that announced it first falls silent with its link
+// open, and its link closes later.
+Test(revision_exchange,
+     announced_revision_when_the_announcer_is_silent_is_fetched_from_another)
+{
+    cut_off_push_fixture f;
+    f.announce_next();
+    f.wires[f.first_link].cut = true;
+    for (int step = 0; step < 6; ++step)
+    {
+        f.advance(exchange_settings{}.fetch_after / 2);
+    }
+    cr_expect_eq(f.held(), 2U);
+    f.disconnect(f.first_link);
+    f.publish(f.second, 3);
+    f.deliver_all();
+    f.advance(exchange_settings{}.fetch_after);
+    cr_assert_eq(f.held(), 3U);
+}
+
+// Guards against documents that are sent once more by every control host: those
+// that hold what has arrived meanwhile are not asked.
+Test(revision_exchange, announced_revision_once_received_is_not_fetched_again)
+{
+    cut_off_push_fixture f;
+    f.announce_next();
+    std::size_t const before = f.updates_delivered;
+    for (int step = 0; step < 20; ++step)
+    {
+        f.advance(exchange_settings{}.fetch_after / 2);
+    }
+    cr_expect_eq(f.held(), 2U);
+    cr_assert_eq(f.updates_delivered, before + 1);
+}
+
 // The pushing link closes while an update is in flight. Another pushing link
 // is chosen at once and delivers what is missing, without waiting for a timer.
 Test(revision_exchange, closed_push_link_is_replaced_immediately)
