Agreement tests: draws of a schedule in a stated order

unit.agreement failed on arm64: five safeguard tests found no violation in the one seed that they play (39 of 44 on untouched code, twice). Cause: two draws stood as arguments of one call, which GCC evaluates from right to left on x86-64 and from left to right on arm64, so that a seed gave another schedule.

--- a/tests/unit/agreement/schedule.cpp
+++ b/tests/unit/agreement/schedule.cpp
@@ -328,7 +328,11 @@
     }
     else
     {
-        this->group.block_link(this->leader_or_other(), this->any_host());
+        // Two statements: the order in which arguments are evaluated differs
+        // between processors, and with it the schedule of a seed.
+        std::size_t const to = this->any_host();
+        std::size_t const from = this->leader_or_other();
+        this->group.block_link(from, to);
     }
 }
 
