The time of events counts the suspension of a machine

What was seen: an operator's read, sent 2.6 s after a change was acknowledged, was answered with the version before it, by a leader whose machine had been suspended and resumed (CONFIG: came back older).

Cause: clock_now() was the steady clock, which stands still while a machine is suspended. The resumed leader saw no time pass, so its lease held and its quorum check passed, until it read a message of the newer term; reads that waited in its queue came first.

--- a/bilberrylead/core/process_clock.hpp
+++ b/bilberrylead/core/process_clock.hpp
@@ -8,11 +8,10 @@
 namespace bilberrylead
 {
 
-/// Current monotonic time of this process, used as the time of events.
-inline instant clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
+/// Current monotonic time of this process, used as the time of events. Time
+/// during which the machine was suspended counts: a lease that ended meanwhile
+/// has ended.
+instant clock_now();
 
 /// Current wall-clock time, for display only. No decision depends on it.
 inline wall_time wall_clock_now()
