An answer in a transfer coding other than chunked is a bad answer

What callers saw (the other operators' report): an upstream whose Transfer-Encoding line was empty, cut or unknown gave its caller a 200 that was framed as whole, with an empty body or the raw chunks in it.

Cause: such a body is read to the end of the connection, or by its length; then the header is removed and the answer is framed anew, as if it were whole.

--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -286,7 +286,7 @@
         }
         if (!this->answers_another())
         {
-            if (!this->is_genuine())
+            if (!this->is_genuine() || !this->has_known_coding())
             {
                 this->fail(entry::exchange_fault::bad_answer);
                 co_return false;
@@ -387,6 +387,19 @@
            this->parser->get()[beast::http::field::content_encoding].empty();
 }
 
+/// Requests name no transfer coding, so an answer may be in chunks and nothing
+/// else. Any other value, or one that was cut, leaves its end unknown.
+bool upstream_exchange::has_known_coding() const
+{
+    beast::http::fields const& fields = this->parser->get();
+    std::size_t const count =
+        fields.count(beast::http::field::transfer_encoding);
+    return count == 0 ||
+           (count == 1 &&
+            beast::iequals(fields[beast::http::field::transfer_encoding],
+                           "chunked"));
+}
+
 void upstream_exchange::cancel()
 {
     if (this->over)
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -90,6 +90,7 @@
     task<bool> skip_answer();
     bool answers_another() const;
     bool is_genuine() const;
+    bool has_known_coding() const;
     bool says_not_run() const;
     void report_signals(bool misdirected);
     void add_rest(entry::upstream_signals_received& signals) const;
--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -431,3 +431,36 @@
         }
     }
 }
+
+// Guards against an answer in a transfer coding that nobody removes, or whose
+// Transfer-Encoding is cut, and that is passed on as a whole success.
+Test(upstream_failure, answer_in_an_unknown_transfer_coding_is_not_passed_on)
+{
+    std::string const body = "5\r\nhello\r\n0\r\n\r\n";
+    for (std::string const coding :
+         {"Transfer-Encoding:", "Transfer-Encoding: ",
+          "Transfer-Encoding: chun", "Transfer-Encoding: gzip",
+          "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chun\r\nContent-Length: 0"})
+    {
+        for (std::string const& sent : {std::string(), body})
+        {
+            fake_upstream upstream(
+                [&coding, &sent](wire& connection, int)
+                {
+                    connection.request();
+                    connection.send("HTTP/1.1 200 OK\r\n" + coding +
+                                    "\r\n\r\n" + sent);
+                });
+            running_server entry;
+            entry.configure({upstream.port()}, not_repeatable);
+            std::optional<answer_text> const answer = entry.ask(get("/s/1"));
+            cr_expect(answer.has_value(), "%s", coding.c_str());
+            cr_expect(answer.has_value() && answer->result_int() == 502,
+                      "%s: %u '%s'", coding.c_str(),
+                      answer.has_value() ? answer->result_int() : 0,
+                      answer.has_value() ? answer->body().c_str() : "");
+        }
+    }
+}
