A host without a leader calls the hosts that its peers report

Hosts that are excluded so, one after the other, cost the group its quorum.

Cause: a host with a membership ignored group_news, on the ground that a member takes the membership from the log. A removed one gets no log any more, and the leader asks only hosts in that are linked to it, so nobody began.

While a host knows of no leader, it keeps links to the hosts that its peers report as well as to those of its own log. Reports end with the link that they came over, and with a leader.

--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -119,6 +119,7 @@
     host_id const peer = found->second.id;
     bool const was_control = found->second.role == link::peer_role::control;
     this->links.erase(found);
+    this->reported_members.erase(event.link);
     this->exchange_event(distribution::link_closed{event.link});
     this->entry_hosts.remove_link(event.link);
 
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -185,6 +185,8 @@
     link::group_host group_host_of(host_id const& host) const;
     void send_group_update();
     void send_group_update(link::link_number to);
+    bool needs_reported_members() const;
+    void link_control_hosts();
     void read_list();
     void set_list_expectation();
     void request_listing();
@@ -243,6 +245,8 @@
     presence::entry_table entry_hosts;
     std::map<host_id, link::host_place> places;
     link::group_news sent_group;
+    /// The group as control hosts report it, by open link.
+    std::map<link::link_number, std::set<host_id>> reported_members;
     instant group_sent_at{};
     instant planned_at;
     discovery::upstream_listing listing;
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -64,15 +64,41 @@
     this->places[this->peer_of(from)] = message;
 }
 
-void control_reducer::on_peer(link::link_number,
+void control_reducer::on_peer(link::link_number from,
                               link::group_news const& message)
 {
-    // Only a host that has not joined a group yet uses this message; a
-    // member takes the membership from the replicated log.
-    if (this->replica.membership().members.empty())
+    std::vector<host_id> const names = names_of(message);
+    this->reported_members[from] = {names.begin(), names.end()};
+    if (this->needs_reported_members())
+    {
+        this->link_control_hosts();
+    }
+}
+
+/// A host that hears its leader takes the membership from the replicated log.
+/// One that does not may have been removed meanwhile: its log ends before that,
+/// and the leader may be a host that it has never heard of.
+bool control_reducer::needs_reported_members() const
+{
+    return this->replica.membership().members.empty() ||
+           this->replica.leader().empty();
+}
+
+void control_reducer::link_control_hosts()
+{
+    std::set<host_id> hosts;
+    for (agreement::member const& member : this->replica.membership().members)
     {
-        this->effects.emplace_back(link_members{names_of(message)});
+        hosts.insert(member.host);
+    }
+    if (this->needs_reported_members())
+    {
+        for (auto const& [number, reported] : this->reported_members)
+        {
+            hosts.insert(reported.begin(), reported.end());
+        }
     }
+    this->effects.emplace_back(link_members{{hosts.begin(), hosts.end()}});
 }
 
 link::group_host control_reducer::group_host_of(host_id const& host) const
@@ -111,7 +137,7 @@
     }
     this->sent_group = update;
     this->group_sent_at = this->time;
-    this->effects.emplace_back(link_members{names_of(update)});
+    this->link_control_hosts();
     for (auto const& [number, peer] : this->links)
     {
         this->send(number, update);
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -191,6 +191,10 @@
         return;
     }
     this->known_leader = effect.leader;
+    if (effect.leader.empty() && !this->reported_members.empty())
+    {
+        this->link_control_hosts();
+    }
     this->leader_since = this->time;
     this->limits.start(this->time);
     for (std::pair<link::link_number const, link::peer_identity> const& row :
