Hosts start while no seed can be named

Cause: the group formed itself only if the list of seeds was not empty. The platform names as seeds the control hosts that serve at the time, three or fewer. After a loss of all of them at once there may be none when a process starts again; its settings were then refused (exit code 2, at each new start), so that nobody served, and nobody could ever be named.

Whether a group forms itself is stated by the setting forms_group, which the templates give, and is not guessed from the list. Control hosts find each other by the membership of their data folders. A settings file that names none does not take away the seeds that were known.

--- a/bilberrylead/config/control_settings.hpp
+++ b/bilberrylead/config/control_settings.hpp
@@ -48,6 +48,9 @@
     /// without an operator; each control host is named by its IP address,
     /// and all have the same ports.
     std::vector<endpoint> seeds;
+    /// True if the group forms itself even where no seed is known: after a loss
+    /// of all control hosts there may be none to name.
+    bool forms_group = false;
     /// True only while the whole system starts for the first time, with
     /// blank data folders: the seeds found the group then.
     bool first_start = false;
@@ -84,6 +87,13 @@
 
     friend bool operator==(control_settings const&,
                            control_settings const&) = default;
+
+    /// True if the group forms itself, so that control hosts become known from
+    /// seeds, from each other and from the data folder.
+    bool forms_itself() const
+    {
+        return this->forms_group || !this->seeds.empty();
+    }
 };
 
 /// Reads control host settings from JSON with comments and checks them
--- a/bilberrylead/config/entry_settings.hpp
+++ b/bilberrylead/config/entry_settings.hpp
@@ -59,6 +59,9 @@
     /// `control_hosts`: the others become known from them. Their peer port
     /// is this host's own.
     std::vector<endpoint> seeds;
+    /// True if the group forms itself even where no seed is known: after a loss
+    /// of all control hosts there may be none to name.
+    bool forms_group = false;
     /// The availability zones and their regions, where the configuration
     /// names none.
     std::vector<place> places;
@@ -101,6 +104,13 @@
 
     friend bool operator==(entry_settings const&,
                            entry_settings const&) = default;
+
+    /// True if the group forms itself, so that control hosts become known from
+    /// seeds, from each other and from the data folder.
+    bool forms_itself() const
+    {
+        return this->forms_group || !this->seeds.empty();
+    }
 };
 
 /// Reads entry host settings from JSON with comments and checks them
--- a/bilberrylead/config/parse_settings.cpp
+++ b/bilberrylead/config/parse_settings.cpp
@@ -144,7 +144,7 @@
         errors);
     check_operators(value.operators, value.trust, value.peer_key, errors);
     check_admission(value, errors);
-    if (!value.seeds.empty())
+    if (value.forms_itself())
     {
         check_self_forming(value, errors);
         return;
@@ -172,7 +172,7 @@
     check_unique("neighbours", value.neighbours, errors);
     check_listeners(
         {value.caller_listen, value.peer_listen, value.metrics_listen}, errors);
-    bool const has_none = value.control_hosts.empty() && value.seeds.empty();
+    bool const has_none = value.control_hosts.empty() && !value.forms_itself();
     if (has_none || value.control_hosts.size() > most_control_hosts)
     {
         errors.add(
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -139,6 +139,7 @@
     visitor.list("operators", value.operators);
     visitor.choice("log_level", value.lowest_log_level, log_level_names);
     visitor.optional("seeds", value.seeds);
+    visitor.optional("forms_group", value.forms_group);
     visitor.optional("first_start", value.first_start);
     visitor.section("losses", value.losses);
     visitor.optional("steering_listen", value.steering_listen);
@@ -169,6 +170,7 @@
     visitor.choice("log_level", value.lowest_log_level, log_level_names);
     visitor.optional("readiness_listen", value.readiness_listen);
     visitor.optional("seeds", value.seeds);
+    visitor.optional("forms_group", value.forms_group);
     visitor.list("places", value.places);
     visitor.seconds("region_latency_s", value.region_latency, longest_setting);
     visitor.seconds("stop_time_s", value.stop_time, longest_setting);
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -94,7 +94,7 @@
 
 bool control_program::implementation::forms_itself() const
 {
-    return !this->settings.seeds.empty();
+    return this->settings.forms_itself();
 }
 
 /// The seeds are the same on all hosts at the very first start, and only
@@ -464,7 +464,9 @@
 {
     std::optional<config::control_settings> const changed =
         this->source.changed();
-    if (changed.has_value() && this->book.has_value())
+    // Seeds that were known go on being called while there are none to name.
+    if (changed.has_value() && !changed->seeds.empty() &&
+        this->book.has_value())
     {
         this->settings.seeds = changed->seeds;
         this->book->set_seeds(changed->seeds);
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -114,7 +114,7 @@
     wanted.entry.region = this->settings.region;
     wanted.entry.places = this->settings.places;
     wanted.entry.default_region_latency = this->settings.region_latency;
-    wanted.entry.upstreams_are_listed = !this->settings.seeds.empty();
+    wanted.entry.upstreams_are_listed = this->settings.forms_itself();
     wanted.entry.waiting = this->settings.waiting;
     wanted.entry.placement.homes = this->settings.homes;
     wanted.entry.placement.zone_crossing_cost =
@@ -157,7 +157,7 @@
     wanted.self = {this->settings.id, link::peer_role::entry,
                    this->incarnation};
     wanted.key = this->settings.peer_key;
-    if (!this->settings.seeds.empty())
+    if (this->settings.forms_itself())
     {
         wanted.pace_for_small_group();
     }
@@ -356,7 +356,9 @@
 {
     std::optional<config::entry_settings> const changed =
         this->source.changed();
-    if (changed.has_value() && this->book.has_value())
+    // Seeds that were known go on being called while there are none to name.
+    if (changed.has_value() && !changed->seeds.empty() &&
+        this->book.has_value())
     {
         this->settings.seeds = changed->seeds;
         if (this->links_seeds)
@@ -370,7 +372,7 @@
 
 void entry_program::implementation::start_ticking()
 {
-    bool const listed = !this->settings.seeds.empty();
+    bool const listed = this->settings.forms_itself();
     this->ticker.expires_after(listed ? listed_tick_interval : tick_interval);
     this->ticker.async_wait(
         [this](error_code const& error)
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -77,7 +77,7 @@
     {
         this->peers->dial(host.address);
     }
-    if (!this->settings.seeds.empty())
+    if (this->settings.forms_itself())
     {
         this->book.emplace(*this->peers, this->settings.peer_listen);
         this->links_seeds = true;
--- a/tests/unit/platform/settings_template_test.cpp
+++ b/tests/unit/platform/settings_template_test.cpp
@@ -88,6 +88,19 @@
 
 } // namespace
 
+// Guards against processes that end at their start while the platform can name
+// no seed, as after a loss of all control hosts at once: none of them would ever
+// come back.
+Test(settings_template, start_without_any_seed_is_possible)
+{
+    settings_template given;
+    given.fields["seeds"] = nlohmann::json::array();
+    given.fields["bootstrap"] = false;
+    cr_expect(given.control().forms_itself());
+    cr_expect(given.control().seeds.empty());
+    cr_expect(given.entry().forms_itself());
+}
+
 // The platform states its bounds as integers or as fractions. A process that
 // takes integers only ends at its start, so that no caller is served at all.
 Test(settings_template, bounds_with_fractions_are_taken_as_they_are)
