--- a/tests/unit/platform/settings_template_test.cpp
+++ b/tests/unit/platform/settings_template_test.cpp
@@ -89,8 +89,8 @@
 } // namespace
 
 // Guards against processes that end at their start while the platform can name
-// no seed, as after a loss of all control hosts at once: none of them would ever
-// come back.
+// no seed, as after a loss of all control hosts at once: none of them would
+// ever come back.
 Test(settings_template, start_without_any_seed_is_possible)
 {
     settings_template given;
