--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -450,8 +450,9 @@
                 [&coding, &sent](wire& connection, int)
                 {
                     connection.request();
-                    connection.send("HTTP/1.1 200 OK\r\n" + coding +
-                                    "\r\n\r\n" + sent);
+                    std::string answer = "HTTP/1.1 200 OK\r\n";
+                    answer.append(coding).append("\r\n\r\n").append(sent);
+                    connection.send(answer);
                 });
             running_server entry;
             entry.configure({upstream.port()}, not_repeatable);
