Timers of the load tools wait for the time that remains; a first start names seeds

- Load tool and stand-in gave instants of clock_now() to timers of the steady clock.
Since clock_now() counts suspensions, each wait would be late by all time that the machine was ever suspended.
They wait for the time that remains; the stand-in's server uses the same clock as its connections.
- A first start without seeds was accepted and waited for ever, since nobody founds the group.

--- a/bilberrylead/config/parse_settings.cpp
+++ b/bilberrylead/config/parse_settings.cpp
@@ -128,6 +128,12 @@
                    "A group that forms itself has no fixed hosts.",
                    "Leave out either control_hosts or seeds.");
     }
+    if (value.first_start && value.seeds.empty())
+    {
+        errors.add(error_kind::missing_field, "seeds",
+                   "No seed founds the group.",
+                   "Name the seeds at the first start.");
+    }
     if (value.id.text() != value.peer_listen.address)
     {
         errors.add(error_kind::bad_value, "name",
--- a/bilberrylead/core/process_clock.hpp
+++ b/bilberrylead/core/process_clock.hpp
@@ -10,7 +10,7 @@
 
 /// Current monotonic time of this process, used as the time of events. Time
 /// during which the machine was suspended counts: a lease that ended meanwhile
-/// has ended.
+/// has ended. Timers go by the steady clock: give them the time that remains.
 instant clock_now();
 
 /// Current wall-clock time, for display only. No decision depends on it.
--- a/bilberrylead/load/load_run.cpp
+++ b/bilberrylead/load/load_run.cpp
@@ -63,9 +63,10 @@
         while (std::optional<planned_request> request = plan.next())
         {
             instant const due = begin + request->start;
-            if (clock_now() < due)
+            duration const remaining = due - clock_now();
+            if (remaining > duration::zero())
             {
-                timer.expires_at(due);
+                timer.expires_after(remaining);
                 boost::system::error_code error;
                 co_await timer.async_wait(
                     asio::redirect_error(asio::use_awaitable, error));
--- a/bilberrylead/load/stand_in_connection.cpp
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -238,7 +238,7 @@
 
 asio::awaitable<void> stand_in_connection::pause_until(instant until)
 {
-    this->timer.expires_at(until);
+    this->timer.expires_after(until - clock_now());
     beast::error_code error;
     co_await this->timer.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
--- a/bilberrylead/load/stand_in_server.cpp
+++ b/bilberrylead/load/stand_in_server.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/load/stand_in_server.hpp"
 
+#include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/load/stand_in_admin.hpp"
 #include "bilberrylead/load/stand_in_connection.hpp"
@@ -67,7 +68,7 @@
             std::string_view(target).substr(std::min(mark + 1, target.size())),
             request.body()};
         admin_answer const result =
-            handle_admin(admin, upstreams, std::chrono::steady_clock::now(),
+            handle_admin(admin, upstreams, clock_now(),
                          std::chrono::floor<std::chrono::milliseconds>(
                              std::chrono::system_clock::now()));
         http::response<http::string_body> response;
@@ -157,7 +158,7 @@
                                  std::uint64_t seed)
     : parts(std::make_unique<state>())
 {
-    instant const now = std::chrono::steady_clock::now();
+    instant const now = clock_now();
     for (stand_in_place const& each : places)
     {
         std::uint64_t const own_seed = seed + this->parts->listeners.size();
--- a/tests/unit/platform/settings_template_test.cpp
+++ b/tests/unit/platform/settings_template_test.cpp
@@ -101,6 +101,17 @@
     cr_expect(given.entry().forms_itself());
 }
 
+// Guards against a first start that waits for ever, with nobody to found the
+// group.
+Test(settings_template, first_start_without_any_seed_is_refused)
+{
+    settings_template given;
+    given.fields["seeds"] = nlohmann::json::array();
+    std::string const text =
+        render_template(read_file("deploy/control.settings"), given.fields);
+    cr_expect_not(parse_control_settings(text, "control").ok());
+}
+
 // The platform states its bounds as integers or as fractions. A process that
 // takes integers only ends at its start, so that no caller is served at all.
 Test(settings_template, bounds_with_fractions_are_taken_as_they_are)
