--- a/bilberrylead/core/log_line.cpp
+++ b/bilberrylead/core/log_line.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/core/log_line.hpp"
 
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/core/process_clock.hpp"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -41,8 +42,7 @@
 
 log_line::log_line(std::string_view part, std::string_view event)
 {
-    wall_time const now = std::chrono::floor<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
+    wall_time const now = wall_clock_now();
     std::chrono::sys_seconds const second =
         std::chrono::floor<std::chrono::seconds>(now);
     // Library versions differ in whether %S writes parts of a second.
