Observability: what keeps a control host busy, and the backlog of links

The line of a link says what waited to be sent over it, the line of a listing how many upstreams changed. No logic changed.

--- a/bilberrylead/daemon/control_metrics.cpp
+++ b/bilberrylead/daemon/control_metrics.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/daemon/control_metrics.hpp"
 
 #include "bilberrylead/control/control_reducer.hpp"
+#include "bilberrylead/daemon/batch_times.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
 #include "bilberrylead/discovery/listing_delivery.hpp"
 #include "bilberrylead/link/message.hpp"
@@ -188,6 +189,13 @@
     prometheus::Histogram& delivery = add_histogram(
         this->registry, "bilberry_control_listing_delivery_seconds",
         "Time from the sending of a listing to its last confirmation.");
+    prometheus::Histogram& batches = add_histogram(
+        this->registry, "bilberry_control_batch_seconds",
+        "Time in which a batch of events was handled, messages were queued and "
+        "the disk was written.");
+    prometheus::Histogram& late_ticks = add_histogram(
+        this->registry, "bilberry_control_tick_delay_seconds",
+        "Time by which the timer of the replicated log was late.");
 };
 
 control_metrics::control_metrics() : impl(std::make_unique<implementation>())
@@ -227,6 +235,16 @@
         static_cast<double>(report.hosts - report.confirmed));
 }
 
+void control_metrics::count_batch(batch_times const& batch)
+{
+    this->impl->batches.Observe(seconds_of(batch.total()));
+}
+
+void control_metrics::count_tick(duration late)
+{
+    this->impl->late_ticks.Observe(seconds_of(late));
+}
+
 std::string control_metrics::text(control::control_reducer const& reducer,
                                   control_store const& store)
 {
--- a/bilberrylead/daemon/control_metrics.hpp
+++ b/bilberrylead/daemon/control_metrics.hpp
@@ -1,6 +1,8 @@
 #ifndef BILBERRYLEAD_DAEMON_CONTROL_METRICS_HPP
 #define BILBERRYLEAD_DAEMON_CONTROL_METRICS_HPP
 
+#include "bilberrylead/core/time.hpp"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,6 +22,7 @@
 namespace bilberrylead::daemon
 {
 
+struct batch_times;
 class control_store;
 
 /// A control host's metrics, in Prometheus' text format. Names and units
@@ -48,6 +51,12 @@
     /// Notes how a listing reached the entry hosts.
     void count_delivery(discovery::delivery_report const& report);
 
+    /// Notes what a batch of events took.
+    void count_batch(batch_times const& batch);
+
+    /// Notes by how much a timer fired late.
+    void count_tick(duration late);
+
     /// All metrics as of now.
     std::string text(control::control_reducer const& reducer,
                      control_store const& store);
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -323,8 +323,13 @@
     this->flush_is_due = false;
     std::vector<control::control_event> const events =
         std::exchange(this->pending, {});
+    instant const began = clock_now();
     std::vector<control::control_effect> const effects =
-        this->reducer->reduce(events, clock_now());
+        this->reducer->reduce(events, began);
+    instant before = clock_now();
+    this->batch = {};
+    this->batch.events = events.size();
+    this->batch.reduce = before - began;
     bool const failed_before = this->disk_failed;
     for (control::control_effect const& effect : effects)
     {
@@ -334,8 +339,29 @@
             break;
         }
         this->carry_out(effect);
+        instant const after = clock_now();
+        this->time_of(effect) += after - before;
+        before = after;
     }
     this->group.record_members(this->reducer->log().membership());
+    this->metrics.count_batch(this->batch);
+    log_slow_batch(this->batch);
+}
+
+/// The part of the current batch's time that an effect counts to.
+duration&
+control_program::implementation::time_of(control::control_effect const& effect)
+{
+    if (std::holds_alternative<control::send_to_peer>(effect))
+    {
+        return this->batch.send;
+    }
+    bool const writes =
+        std::holds_alternative<agreement::persist_hard_state>(effect) ||
+        std::holds_alternative<agreement::append_entries>(effect) ||
+        std::holds_alternative<agreement::persist_snapshot>(effect) ||
+        std::holds_alternative<agreement::sync>(effect);
+    return writes ? this->batch.disk : this->batch.other;
 }
 
 void control_program::implementation::carry_out(
@@ -373,8 +399,10 @@
 
         void operator()(control::send_to_peer const& wanted) const
         {
-            this->owner.peers->send(wanted.link,
-                                    this->owner.encoder.encode(wanted.content));
+            bytes const& encoded = this->owner.encoder.encode(wanted.content);
+            ++this->owner.batch.messages;
+            this->owner.batch.bytes += encoded.size();
+            this->owner.peers->send(wanted.link, encoded);
         }
 
         void operator()(control::answer_operator const& wanted) const
@@ -477,12 +505,17 @@
 
 void control_program::implementation::start_ticking()
 {
-    this->ticker.expires_after(agreement::replica_settings{}.tick_interval);
+    duration const interval = agreement::replica_settings{}.tick_interval;
+    instant const due = clock_now() + interval;
+    this->ticker.expires_after(interval);
     this->ticker.async_wait(
-        [this](error_code const& error)
+        [this, due](error_code const& error)
         {
             if (!error)
             {
+                duration const late = clock_now() - due;
+                this->metrics.count_tick(late);
+                log_late_tick(late);
                 this->take(control::control_tick{});
                 this->remember();
                 this->start_ticking();
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/control/control_reducer.hpp"
 #include "bilberrylead/core/error.hpp"
 #include "bilberrylead/core/log.hpp"
+#include "bilberrylead/daemon/batch_times.hpp"
 #include "bilberrylead/daemon/control_metrics.hpp"
 #include "bilberrylead/daemon/control_program.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
@@ -64,6 +65,7 @@
     void refuse_open_calls();
     template <class Effect>
     void write_effect(Effect const& wanted);
+    duration& time_of(control::control_effect const& effect);
     void carry_out(control::control_effect const& effect);
     void write(absl::Status const& written);
     void answer(control::answer_operator const& effect);
@@ -115,6 +117,7 @@
     std::optional<message_memory> plan_memory;
     std::optional<link::region_plan> told_plan;
     std::vector<control::control_event> pending;
+    batch_times batch;
     bool flush_is_due = false;
     bool disk_failed = false;
     std::uint64_t last_request = 0;
--- a/bilberrylead/daemon/listing_log.cpp
+++ b/bilberrylead/daemon/listing_log.cpp
@@ -36,6 +36,8 @@
         log_line("control", "listing_read")
             .text("listing", text_of(listing.position))
             .time("max_age_ms", *listing.max_age)
+            .number("put", static_cast<std::int64_t>(listing.put))
+            .number("removed", static_cast<std::int64_t>(listing.removed))
             .write();
     }
 }
--- a/bilberrylead/link/peer_session.cpp
+++ b/bilberrylead/link/peer_session.cpp
@@ -305,6 +305,7 @@
                 static_cast<std::int64_t>(this->peer.incarnation))
         .text("side", this->dialled ? calling_side : called_side)
         .text("verdict", verdict)
+        .number("backlog_bytes", static_cast<std::int64_t>(this->backlog_size))
         .write();
 }
 
