A message to many links is copied and encoded once

What callers saw: nothing; an upstream that had been listed as leaving got a request 3.062 s later.

Cause: the leader copied and encoded each listing anew for each of some 320 links, and did nothing else meanwhile: no heartbeats, no reading of the list, no replies. Nothing had measured it; the model of the way from the list to the last request had 150 us for each link, whatever the listing's size.

The readings were 1.6 to 1.8 s apart instead of 1.45, the slowest host had a listing 0.5 to 0.9 s later, so that 2.56 s of the 3 were gone in calm seconds.

Change: send_to_peers carries one message for many links; listings, plans of a region, group updates, leader notices, crash reports and notices of limits go that way. Where the same was done elsewhere, it is done so there too.

Test: many_at_once_stay_within_the_bound plays a leader that is busy for 3.3 us for each upstream that it encodes (measured: 1.55 s for 317 links and 1,485 upstreams). With a message for each link it failed: the leader lost its office again and again, and hosts never learned of the listing. It passes now.

--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -36,6 +36,16 @@
     link::message content;
 };
 
+/// Send one message to several peers. It is encoded once, since encoding a
+/// listing for each of hundreds of links would keep the leader busy for longer
+/// than its delivery may take.
+struct send_to_peers
+{
+    /// Links to send on.
+    std::vector<link::link_number> links;
+    link::message content;
+};
+
 /// Answer an operator.
 struct answer_operator
 {
@@ -131,10 +141,11 @@
 using control_effect =
     std::variant<agreement::persist_hard_state, agreement::append_entries,
                  agreement::persist_snapshot, agreement::sync,
-                 agreement::role_changed, send_to_peer, answer_operator,
-                 link_members, call_upstream_list, listing_changed,
-                 listing_delivered, listing_budget_changed, orders_changed,
-                 revision_in_force, membership_planned, crash_record_lifted>;
+                 agreement::role_changed, send_to_peer, send_to_peers,
+                 answer_operator, link_members, call_upstream_list,
+                 listing_changed, listing_delivered, listing_budget_changed,
+                 orders_changed, revision_in_force, membership_planned,
+                 crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -272,6 +272,44 @@
     }
 }
 
+void control_reducer::send(std::vector<link::link_number> links,
+                           link::message content)
+{
+    std::erase_if(links,
+                  [this](link::link_number number)
+                  {
+                      return !this->links.contains(number);
+                  });
+    if (!links.empty())
+    {
+        this->effects.emplace_back(
+            send_to_peers{std::move(links), std::move(content)});
+    }
+}
+
+std::vector<link::link_number> control_reducer::all_links() const
+{
+    std::vector<link::link_number> numbers;
+    numbers.reserve(this->links.size());
+    for (auto const& [number, peer] : this->links)
+    {
+        numbers.push_back(number);
+    }
+    return numbers;
+}
+
+std::vector<link::link_number>
+control_reducer::links_of(link::peer_role role) const
+{
+    std::vector<link::link_number> numbers = this->all_links();
+    std::erase_if(numbers,
+                  [this, role](link::link_number number)
+                  {
+                      return this->links.at(number).role != role;
+                  });
+    return numbers;
+}
+
 host_id const& control_reducer::peer_of(link::link_number number) const
 {
     return this->links.at(number).id;
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -221,6 +221,9 @@
     void refuse(waiter const& requester, absl::Status const& reason,
                 host_id const& leader);
     void send(link::link_number to, link::message content);
+    void send(std::vector<link::link_number> links, link::message content);
+    std::vector<link::link_number> all_links() const;
+    std::vector<link::link_number> links_of(link::peer_role role) const;
     configuration_reply configuration_of(revision wanted) const;
     audit_reply newest_audit(std::size_t max_entries) const;
     status_reply status() const;
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -138,10 +138,7 @@
     this->sent_group = update;
     this->group_sent_at = this->time;
     this->link_control_hosts();
-    for (auto const& [number, peer] : this->links)
-    {
-        this->send(number, update);
-    }
+    this->send(this->all_links(), std::move(update));
 }
 
 void control_reducer::send_group_update(link::link_number to)
@@ -296,18 +293,17 @@
     this->record_listing_change(changes,
                                 this->reader->max_change_age(this->time));
     std::set<host_id> receivers;
-    link::upstream_update const update{std::move(changes)};
     for (auto const& [number, peer] : this->links)
     {
-        this->send(number, update);
         if (peer.role == link::peer_role::entry)
         {
             receivers.insert(peer.id);
         }
     }
     std::optional<discovery::delivery_report> const incomplete =
-        this->delivery.record_sent(update.changes.target, std::move(receivers),
+        this->delivery.record_sent(changes.target, std::move(receivers),
                                    this->time);
+    this->send(this->all_links(), link::upstream_update{std::move(changes)});
     if (incomplete.has_value())
     {
         this->effects.emplace_back(listing_delivered{*incomplete});
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -197,14 +197,8 @@
     }
     this->leader_since = this->time;
     this->limits.start(this->time);
-    for (std::pair<link::link_number const, link::peer_identity> const& row :
-         this->links)
-    {
-        if (row.second.role == link::peer_role::entry)
-        {
-            this->send(row.first, link::leader_notice{effect.leader, 0});
-        }
-    }
+    this->send(this->links_of(link::peer_role::entry),
+               link::leader_notice{effect.leader, 0});
 }
 
 void control_reducer::carry_out(agreement::take_snapshot const& effect)
--- a/bilberrylead/control/control_reducer_regions.cpp
+++ b/bilberrylead/control/control_reducer_regions.cpp
@@ -56,13 +56,18 @@
         return content;
     };
     this->hold_plan(plan_of(this->settings.region));
+    std::map<region_id, std::vector<link::link_number>> receivers;
     for (auto const& [host, row] : this->entry_hosts.hosts())
     {
-        this->send(row.link, plan_of(row.heartbeat.region));
+        receivers[row.heartbeat.region].push_back(row.link);
     }
     for (auto const& [host, number] : this->control_links)
     {
-        this->send(number, plan_of(this->group_host_of(host).region));
+        receivers[this->group_host_of(host).region].push_back(number);
+    }
+    for (auto& [region, links] : receivers)
+    {
+        this->send(std::move(links), plan_of(region));
     }
 }
 
--- a/bilberrylead/control/control_reducer_relay.cpp
+++ b/bilberrylead/control/control_reducer_relay.cpp
@@ -42,13 +42,9 @@
     {
         return;
     }
-    for (auto const& [number, peer] : this->links)
-    {
-        if (number != from)
-        {
-            this->send(number, link::crash_report{merged.changed});
-        }
-    }
+    std::vector<link::link_number> receivers = this->all_links();
+    std::erase(receivers, from);
+    this->send(std::move(receivers), link::crash_report{merged.changed});
 }
 
 void control_reducer::handle_request(operator_request_received const& received,
@@ -78,31 +74,25 @@
     }
     this->effects.emplace_back(
         crash_record_lifted{request.digest, request.operator_name});
-    for (auto const& [number, peer] : this->links)
-    {
-        this->send(number, link::crash_report{{*cleared}});
-    }
+    this->send(this->all_links(), link::crash_report{{*cleared}});
     this->answer(received.number, done_reply{});
 }
 
 void control_reducer::on_peer(link::link_number from,
                               link::limit_notice const& message)
 {
-    for (auto const& [number, peer] : this->links)
-    {
-        if (number != from && peer.role == link::peer_role::entry)
-        {
-            this->send(number, message);
-        }
-    }
+    std::vector<link::link_number> receivers =
+        this->links_of(link::peer_role::entry);
+    std::erase(receivers, from);
     bool const from_entry = this->links.at(from).role == link::peer_role::entry;
     if (from_entry && !this->is_linked_to_all_entry_hosts())
     {
         for (auto const& [host, number] : this->control_links)
         {
-            this->send(number, message);
+            receivers.push_back(number);
         }
     }
+    this->send(std::move(receivers), message);
 }
 
 bool control_reducer::is_linked_to_all_entry_hosts() const
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -352,7 +352,8 @@
 duration&
 control_program::implementation::time_of(control::control_effect const& effect)
 {
-    if (std::holds_alternative<control::send_to_peer>(effect))
+    if (std::holds_alternative<control::send_to_peer>(effect) ||
+        std::holds_alternative<control::send_to_peers>(effect))
     {
         return this->batch.send;
     }
@@ -405,6 +406,17 @@
             this->owner.peers->send(wanted.link, encoded);
         }
 
+        void operator()(control::send_to_peers const& wanted) const
+        {
+            bytes const encoded = link::encode(wanted.content);
+            for (link::link_number const each : wanted.links)
+            {
+                ++this->owner.batch.messages;
+                this->owner.batch.bytes += encoded.size();
+                this->owner.peers->send(each, encoded);
+            }
+        }
+
         void operator()(control::answer_operator const& wanted) const
         {
             this->owner.answer(wanted);
--- a/tests/unit/control/control_group.hpp
+++ b/tests/unit/control/control_group.hpp
@@ -110,8 +110,19 @@
             else if (control::send_to_peer* const sent =
                          std::get_if<control::send_to_peer>(&effect))
             {
+                this->encoded_upstreams[index] += upstreams_in(sent->content);
                 this->post(index, *sent);
             }
+            else if (control::send_to_peers const* const shared =
+                         std::get_if<control::send_to_peers>(&effect))
+            {
+                this->encoded_upstreams[index] += upstreams_in(shared->content);
+                for (link::link_number const each : shared->links)
+                {
+                    control::send_to_peer copy{each, shared->content};
+                    this->post(index, copy);
+                }
+            }
             else if (control::call_upstream_list const* const called =
                          std::get_if<control::call_upstream_list>(&effect))
             {
@@ -120,6 +131,15 @@
         }
     }
 
+    static std::size_t upstreams_in(link::message const& content)
+    {
+        link::upstream_update const* const update =
+            std::get_if<link::upstream_update>(&content);
+        return update == nullptr ? 0
+                                 : update->changes.put.size() +
+                                       update->changes.removed.size();
+    }
+
     void post(std::size_t from, control::send_to_peer& sent)
     {
         if (sent.link >= entry_link)
@@ -133,12 +153,19 @@
 
     /// Delivers until no message is in flight. Messages from or to an
     /// isolated host are lost, and so are messages to one in not_receiving.
+    /// Messages from or to a busy host wait.
     void deliver()
     {
+        std::deque<envelope> waiting;
         while (!this->in_flight.empty())
         {
-            envelope const next = std::move(this->in_flight.front());
+            envelope next = std::move(this->in_flight.front());
             this->in_flight.pop_front();
+            if (this->busy.contains(next.from) || this->busy.contains(next.to))
+            {
+                waiting.push_back(std::move(next));
+                continue;
+            }
             if (!this->isolated.contains(next.from) &&
                 !this->isolated.contains(next.to) &&
                 !this->not_receiving.contains(next.to))
@@ -147,6 +174,7 @@
                     next.to, {control::peer_message{next.from, next.content}});
             }
         }
+        this->in_flight = std::move(waiting);
     }
 
     /// Advances time by ticks; frozen hosts receive no tick.
@@ -226,6 +254,7 @@
     std::set<std::size_t> isolated;
     std::set<std::size_t> not_receiving;
     std::set<std::size_t> frozen;
+    std::set<std::size_t> busy;
     std::map<std::uint64_t, std::vector<control::operator_reply>> answers;
     std::map<std::pair<std::size_t, link::link_number>,
              std::vector<link::message>>
@@ -234,6 +263,9 @@
     /// host that made each.
     std::vector<std::pair<std::size_t, discovery::page_call>> list_calls;
     std::size_t syncs = 0;
+    /// Number of upstreams that each host has encoded in listings; a message
+    /// to several links is encoded once.
+    std::array<std::size_t, hosts> encoded_upstreams{};
 };
 
 } // namespace bilberrylead::tests
--- a/tests/unit/control/leaving_upstream_time_test.cpp
+++ b/tests/unit/control/leaving_upstream_time_test.cpp
@@ -25,6 +25,8 @@
 /// Of each zone, an upstream of the first page and one of the last.
 constexpr std::size_t first_upstream = 0;
 constexpr std::size_t last_upstream = 164;
+/// A quarter of the upstreams.
+constexpr std::size_t leaving_per_zone = 40;
 
 /// Longest time to the last arrival over upstreams that are listed as leaving
 /// at different moments. `prepare` is called as each is listed.
@@ -80,6 +82,28 @@
     }
 }
 
+// Guards against a leader that encodes a listing anew for each of its links and
+// reads, sends and answers nothing meanwhile.
+Test(leaving_upstream_time, many_at_once_stay_within_the_bound)
+{
+    for (std::size_t const hosts : fleet_sizes)
+    {
+        listing_fleet fleet({.entry_hosts = hosts,
+                             .encoding_time = tests::usual_encoding_time});
+        duration longest{};
+        for (duration phase{}; phase < 2s; phase += phase_step)
+        {
+            fleet.run_for(phase);
+            fleet.set_first_leaving(leaving_per_zone);
+            fleet.run_for(8s);
+            longest = std::max(longest, fleet.time_to_last_arrival());
+            fleet.clear_leaving();
+        }
+        cr_expect_leq(longest.count(), bound.count(), "%zu hosts: %.3f s",
+                      hosts, std::chrono::duration<double>(longest).count());
+    }
+}
+
 // Guards against a new leader that learns too late of an upstream that left
 // while there was no leader.
 Test(leaving_upstream_time, change_of_leader_stays_within_the_bound)
--- a/tests/unit/control/listing_fleet.hpp
+++ b/tests/unit/control/listing_fleet.hpp
@@ -6,9 +6,12 @@
 #include "bilberrylead/discovery/upstream_listing.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,8 +34,14 @@
     duration link_queue = std::chrono::milliseconds(500);
     /// Time that the leader takes to send an update over one link.
     duration send_time = std::chrono::microseconds(150);
+    /// Time that a control host takes to encode one upstream of a listing. It
+    /// does nothing else meanwhile.
+    duration encoding_time{};
 };
 
+/// Encoding of one upstream on a control host with a share of 0.3 of a core.
+constexpr duration usual_encoding_time = std::chrono::nanoseconds(3300);
+
 /// A group of control hosts that reads the list of a platform, and entry hosts
 /// that are linked to all of them and send requests all the time. Time advances
 /// only in `run_for`.
@@ -72,7 +81,26 @@
     /// Lists an upstream as leaving from now on.
     void set_leaving(std::size_t zone, std::size_t number)
     {
-        this->leaving = name_of(zone, number);
+        this->set_leaving({name_of(zone, number)});
+    }
+
+    /// Lists the first `count` upstreams of each zone as leaving from now on.
+    void set_first_leaving(std::size_t count)
+    {
+        std::set<upstream_id> names;
+        for (std::size_t zone = 0; zone < this->settings.zones; ++zone)
+        {
+            for (std::size_t number = 0; number < count; ++number)
+            {
+                names.insert(name_of(zone, number));
+            }
+        }
+        this->set_leaving(std::move(names));
+    }
+
+    void set_leaving(std::set<upstream_id> names)
+    {
+        this->leaving = std::move(names);
         this->leaving_since = this->now();
         std::fill(this->leaving_known_at.begin(), this->leaving_known_at.end(),
                   std::nullopt);
@@ -81,7 +109,7 @@
     /// Ends that, as if the upstream was replaced.
     void clear_leaving()
     {
-        this->leaving.reset();
+        this->leaving.clear();
         this->run_for(std::chrono::seconds(5));
     }
 
@@ -191,12 +219,13 @@
             this->next_tick += agreement::replica_settings{}.tick_interval;
             for (std::size_t index = 0; index < control_group::hosts; ++index)
             {
-                if (!this->group.frozen.contains(index))
+                if (this->is_running(index))
                 {
-                    this->group.dispatch(index, {control::control_tick{}});
+                    this->dispatch(index, control::control_tick{});
                 }
             }
         }
+        this->set_receiving();
         this->group.deliver();
         this->start_calls();
         this->read_pages();
@@ -207,6 +236,42 @@
         this->deliver_listings();
     }
 
+    bool is_running(std::size_t index) const
+    {
+        return !this->group.frozen.contains(index) &&
+               this->busy_until[index] <= this->time;
+    }
+
+    void dispatch(std::size_t index, control::control_event const& event)
+    {
+        std::size_t const before = this->group.encoded_upstreams[index];
+        this->group.dispatch(index, {event});
+        std::size_t const encoded =
+            this->group.encoded_upstreams[index] - before;
+        if (encoded > 0)
+        {
+            this->busy_until[index] =
+                this->time + this->settings.encoding_time *
+                                 static_cast<std::int64_t>(encoded);
+        }
+    }
+
+    /// What arrives at a busy host waits.
+    void set_receiving()
+    {
+        for (std::size_t index = 0; index < control_group::hosts; ++index)
+        {
+            if (this->busy_until[index] > this->time)
+            {
+                this->group.busy.insert(index);
+            }
+            else
+            {
+                this->group.busy.erase(index);
+            }
+        }
+    }
+
     void start_calls()
     {
         for (auto const& [reader, call] : this->group.list_calls)
@@ -262,7 +327,7 @@
             discovery::reported_upstream entry;
             entry.upstream.id = name_of(place / per_zone, place % per_zone);
             entry.upstream.zone = zone_of(place / per_zone);
-            entry.upstream.leaving = this->leaving == entry.upstream.id;
+            entry.upstream.leaving = this->leaving.contains(entry.upstream.id);
             page.upstreams.push_back(std::move(entry));
         }
         if (begin + page_size < end)
@@ -279,11 +344,15 @@
         {
             list_answer const answer = std::move(
                 this->answers.extract(this->answers.begin()).mapped());
-            if (!this->group.frozen.contains(answer.reader))
+            if (this->busy_until[answer.reader] > this->time)
+            {
+                this->answers.emplace(this->busy_until[answer.reader], answer);
+            }
+            else if (this->is_running(answer.reader))
             {
-                this->group.dispatch(answer.reader,
-                                     {control::list_page_received{
-                                         answer.call.number, answer.page}});
+                this->dispatch(answer.reader,
+                               control::list_page_received{answer.call.number,
+                                                           answer.page});
             }
         }
     }
@@ -298,7 +367,8 @@
                 if (std::holds_alternative<link::upstream_update>(content))
                 {
                     this->messages.emplace(
-                        this->time + this->settings.link_delay +
+                        std::max(this->time, this->busy_until[link.first]) +
+                            this->settings.link_delay +
                             this->settings.link_queue +
                             this->settings.send_time *
                                 static_cast<std::int64_t>(host),
@@ -327,26 +397,31 @@
             std::get<link::upstream_update>(message.content).changes,
             this->time);
         if (result == discovery::apply_result::base_mismatch &&
-            !this->group.frozen.contains(message.from))
+            this->is_running(message.from))
         {
-            this->group.dispatch(
-                message.from, {control::peer_message{
-                                  control_group::entry_link + message.host,
-                                  link::upstream_request{listing.position()}}});
+            this->dispatch(message.from,
+                           control::peer_message{
+                               control_group::entry_link + message.host,
+                               link::upstream_request{listing.position()}});
         }
         this->check_leaving(message.host);
     }
 
     void check_leaving(std::size_t host)
     {
-        if (!this->leaving.has_value() ||
-            this->leaving_known_at[host].has_value())
+        if (this->leaving.empty() || this->leaving_known_at[host].has_value())
         {
             return;
         }
         auto const& entries = this->listings[host].upstreams();
-        auto const found = entries.find(*this->leaving);
-        if (found == entries.end() || found->second.upstream.leaving)
+        bool const knows_all = std::all_of(
+            this->leaving.begin(), this->leaving.end(),
+            [&entries](upstream_id const& id)
+            {
+                auto const found = entries.find(id);
+                return found == entries.end() || found->second.upstream.leaving;
+            });
+        if (knows_all)
         {
             this->leaving_known_at[host] = this->time;
         }
@@ -357,7 +432,8 @@
     instant time{};
     instant next_tick{};
     bool loses_first_sight = false;
-    std::optional<upstream_id> leaving;
+    std::set<upstream_id> leaving;
+    std::array<instant, control_group::hosts> busy_until{};
     instant leaving_since{};
     std::multimap<instant, list_answer> calls;
     std::multimap<instant, list_answer> answers;
