A host that is behind receives the differences, not the full listing

A host that asks for a newer listing got all of it, 20 KB packed and some 6 ms of a control host's time each (lines of slow batches: 11 answers, 63 ms; 21 answers, 140 ms, beside nothing else), over the very link that was too full for the listing it had missed. Hosts ask once a second, and fall behind just when listings follow each other.

A listing now remembers which upstreams its last 32 changes touched, and answers with those: as few bytes as the host has missed. A host whose listing is not among them (another leader's, never sent; too old; none) gets the full one, as does one for which the differences would be as many.

Tests: host_that_is_behind_receives_only_the_differences, differences_span_a_change_of_leader and two on the bounds. Without the change there was nothing to call.

--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -347,8 +347,8 @@
 {
     if (message.held < this->listing.position())
     {
-        this->send(from, link::upstream_update{
-                             this->listing.full_listing(this->time)});
+        this->send(from, link::upstream_update{this->listing.changes_since(
+                             message.held, this->time)});
     }
 }
 
--- a/bilberrylead/discovery/upstream_listing.cpp
+++ b/bilberrylead/discovery/upstream_listing.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <set>
 #include <utility>
 
 namespace bilberrylead::discovery
@@ -14,6 +16,10 @@
 /// larger difference counts as a change.
 constexpr duration cold_tolerance = std::chrono::milliseconds(400);
 
+/// Number of listings back to which differences are known: several seconds
+/// while the list changes with each reading.
+constexpr std::size_t max_recent_changes = 32;
+
 bool differs(listed_upstream const& before, listed_upstream const& after,
              instant now)
 {
@@ -103,9 +109,29 @@
     changes.target = this->current.term == term
                          ? list_position{term, this->current.number + 1}
                          : list_position{term, 1};
+    this->record_change(changes);
     this->current = changes.target;
 }
 
+void upstream_listing::record_change(list_changes const& changes)
+{
+    if (changes.is_full)
+    {
+        this->recent.clear();
+        return;
+    }
+    recent_change change{changes.base, changes.removed};
+    for (reported_upstream const& each : changes.put)
+    {
+        change.upstreams.push_back(each.upstream.id);
+    }
+    this->recent.push_back(std::move(change));
+    if (this->recent.size() > max_recent_changes)
+    {
+        this->recent.pop_front();
+    }
+}
+
 apply_result upstream_listing::apply(list_changes const& changes, instant now)
 {
     if (changes.target <= this->current)
@@ -130,6 +156,7 @@
             each.upstream.id,
             listed_upstream{each.upstream, now + each.cold_remaining});
     }
+    this->record_change(changes);
     this->current = changes.target;
     return apply_result::applied;
 }
@@ -147,4 +174,37 @@
     return changes;
 }
 
+list_changes upstream_listing::changes_since(list_position held,
+                                             instant now) const
+{
+    auto const first = std::find_if(this->recent.begin(), this->recent.end(),
+                                    [held](recent_change const& each)
+                                    {
+                                        return each.base == held;
+                                    });
+    std::set<upstream_id> changed;
+    for (auto each = first; each != this->recent.end(); ++each)
+    {
+        changed.insert(each->upstreams.begin(), each->upstreams.end());
+    }
+    if (first == this->recent.end() || changed.size() >= this->entries.size())
+    {
+        return this->full_listing(now);
+    }
+    list_changes changes;
+    changes.base = held;
+    changes.target = this->current;
+    for (upstream_id const& id : changed)
+    {
+        auto const found = this->entries.find(id);
+        if (found == this->entries.end())
+        {
+            changes.removed.push_back(id);
+            continue;
+        }
+        changes.put.push_back(to_reported(found->second, now));
+    }
+    return changes;
+}
+
 } // namespace bilberrylead::discovery
--- a/bilberrylead/discovery/upstream_listing.hpp
+++ b/bilberrylead/discovery/upstream_listing.hpp
@@ -6,6 +6,7 @@
 #include "bilberrylead/discovery/list_position.hpp"
 #include "bilberrylead/discovery/listed_upstream.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -57,6 +58,15 @@
     /// Returns the full listing, for a process that holds another base.
     list_changes full_listing(instant now) const;
 
+    /// Returns what a process that holds the listing `held` lacks: the
+    /// differences if they are still known and are fewer than the upstreams,
+    /// otherwise the full listing.
+    ///
+    /// A host behind a slow link falls behind by a listing or two when its link
+    /// is full. The full listing would fill the link further and arrive later
+    /// still.
+    list_changes changes_since(list_position held, instant now) const;
+
     /// Position of the current listing.
     list_position position() const
     {
@@ -70,10 +80,20 @@
     }
 
 private:
+    /// The upstreams in which a listing differs from the one before it.
+    struct recent_change
+    {
+        list_position base;
+        std::vector<upstream_id> upstreams;
+    };
+
     void advance(list_changes& changes, std::uint64_t term);
+    void record_change(list_changes const& changes);
 
     list_position current;
     std::map<upstream_id, listed_upstream> entries;
+    /// In sequence; the last one led to the current listing.
+    std::deque<recent_change> recent;
 };
 
 } // namespace bilberrylead::discovery
--- a/tests/unit/discovery/upstream_listing_test.cpp
+++ b/tests/unit/discovery/upstream_listing_test.cpp
@@ -151,3 +151,75 @@
     cr_expect_not(
         listing.apply_leaving({entry("a", true)}, 4, start).has_value());
 }
+
+// Guards against a host that fell behind on a full link and whose link is
+// filled further by a full listing.
+Test(upstream_listing, host_that_is_behind_receives_only_the_differences)
+{
+    upstream_listing source;
+    source.apply_reading({entry("a"), entry("b"), entry("c"), entry("d")}, 3,
+                         start);
+    upstream_listing behind;
+    behind.apply(source.full_listing(start), start);
+    source.apply_reading({entry("a"), entry("b"), entry("d")}, 3, start + 1s);
+    source.apply_leaving({entry("b", true)}, 3, start + 2s);
+
+    list_changes const changes =
+        source.changes_since(behind.position(), start + 2s);
+    cr_expect_not(changes.is_full);
+    cr_expect_eq(changes.put.size(), 1U);
+    cr_expect_eq(changes.removed.size(), 1U);
+    cr_assert(behind.apply(changes, start + 2s) == apply_result::applied);
+    cr_expect(behind.position() == source.position());
+    cr_expect_not(behind.upstreams().contains(upstream_id("c")));
+    cr_expect(behind.upstreams().at(upstream_id("b")).upstream.leaving);
+}
+
+// A follower that becomes the leader continues from the listing that it
+// received, and hosts may still hold an earlier one.
+Test(upstream_listing, differences_span_a_change_of_leader)
+{
+    upstream_listing old_reader;
+    old_reader.apply_reading({entry("a"), entry("b"), entry("c"), entry("d")},
+                             3, start);
+    upstream_listing behind;
+    upstream_listing new_reader;
+    behind.apply(old_reader.full_listing(start), start);
+    new_reader.apply(old_reader.full_listing(start), start);
+    new_reader.apply(
+        *old_reader.apply_reading(
+            {entry("a"), entry("b", true), entry("c"), entry("d")}, 3, start),
+        start);
+    new_reader.apply_reading({entry("a"), entry("b", true), entry("d")}, 4,
+                             start);
+
+    list_changes const changes =
+        new_reader.changes_since(behind.position(), start);
+    cr_expect_not(changes.is_full);
+    cr_expect_eq(changes.put.size(), 1U);
+    cr_expect_eq(changes.removed.size(), 1U);
+    cr_expect(behind.apply(changes, start) == apply_result::applied);
+}
+
+Test(upstream_listing, host_with_an_unknown_listing_receives_the_full_one)
+{
+    upstream_listing source;
+    source.apply_reading({entry("a")}, 3, start);
+    source.apply_reading({entry("a"), entry("b")}, 3, start);
+    cr_expect(source.changes_since({2, 7}, start).is_full);
+    cr_expect(source.changes_since({}, start).is_full);
+}
+
+// Guards against differences without bound, in memory and in messages.
+Test(upstream_listing, host_that_is_far_behind_receives_the_full_listing)
+{
+    upstream_listing source;
+    source.apply_reading({entry("a"), entry("b"), entry("c")}, 3, start);
+    discovery::list_position const held = source.position();
+    for (int reading = 0; reading < 100; ++reading)
+    {
+        source.apply_reading(
+            {entry("a", reading % 2 == 0), entry("b"), entry("c")}, 3, start);
+    }
+    cr_expect(source.changes_since(held, start).is_full);
+}
