Crash reports that follow each other go out together

What callers saw: nothing; an upstream that had been listed as leaving got a request 3.062 s later.

Cause: when upstreams end, each request that ran on them gets a crash record. An entry host sent each record over all of its links at once, and each control host relayed each one over all of its own, 80 to 320 of them: 2,900 messages a record. When the upstreams of a zone end together there are hundreds of records in a tenth of a second. Behind that flood the heartbeats of the replicated log and their replies are late, the leader finds no quorum and steps down without any fault of the core, and until its successor has read the list nobody learns what leaves.

Change: records that follow each other within 250 ms go out in one report, on entry hosts and on control hosts; the first goes at once. A report passes three hosts, so that all know a request that ends upstreams at most 0.75 s later than before; the rule on it allows four seconds.

Test: burst_of_crash_reports_is_relayed_in_few_messages; 300 reports before, at most 4 now. Two tests asked for a report in the same moment as another one; they ask for it after the interval now, and for its content.

--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -180,6 +180,7 @@
     this->plan_regions();
     this->allocate_limits();
     this->crashes.expire(this->time);
+    this->send_changed_crashes();
 
     // Only the leader measures the log's time. Time without a leader does
     // not count, so that records may live longer but never shorter.
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -20,6 +20,7 @@
 #include "bilberrylead/membership/planned_host.hpp"
 #include "bilberrylead/policy/admission_planner.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
+#include "bilberrylead/policy/crash_report_queue.hpp"
 #include "bilberrylead/policy/limit_allocator.hpp"
 #include "bilberrylead/policy/recent_peak.hpp"
 #include "bilberrylead/presence/entry_table.hpp"
@@ -206,6 +207,7 @@
     void hold_admission(std::uint64_t term,
                         link::admission_shares const& shares);
     void send_crash_records(link::link_number to);
+    void send_changed_crashes();
     bool is_linked_to_all_entry_hosts() const;
     void allocate_limits();
 
@@ -262,6 +264,7 @@
     std::optional<link::region_plan> current_plan;
     instant leader_since{};
     policy::crash_history crashes;
+    policy::crash_report_queue changed_crashes;
     policy::limit_allocator limits;
     policy::recent_peak known_entry_hosts;
     std::uint64_t peak_entry_hosts = 0;
--- a/bilberrylead/control/control_reducer_relay.cpp
+++ b/bilberrylead/control/control_reducer_relay.cpp
@@ -38,13 +38,18 @@
     {
         this->send(from, link::crash_report{merged.missing_at_sender});
     }
-    if (merged.changed.empty())
+    this->changed_crashes.add(merged.changed);
+    this->send_changed_crashes();
+}
+
+void control_reducer::send_changed_crashes()
+{
+    std::vector<policy::crash_record> changed =
+        this->changed_crashes.take_due(this->time);
+    if (!changed.empty())
     {
-        return;
+        this->send(this->all_links(), link::crash_report{std::move(changed)});
     }
-    std::vector<link::link_number> receivers = this->all_links();
-    std::erase(receivers, from);
-    this->send(std::move(receivers), link::crash_report{merged.changed});
 }
 
 void control_reducer::handle_request(operator_request_received const& received,
@@ -74,7 +79,8 @@
     }
     this->effects.emplace_back(
         crash_record_lifted{request.digest, request.operator_name});
-    this->send(this->all_links(), link::crash_report{{*cleared}});
+    this->changed_crashes.add({*cleared});
+    this->send_changed_crashes();
     this->answer(received.number, done_reply{});
 }
 
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -14,6 +14,7 @@
 #include "bilberrylead/policy/admission_demand.hpp"
 #include "bilberrylead/policy/connection_losses.hpp"
 #include "bilberrylead/policy/crash_history.hpp"
+#include "bilberrylead/policy/crash_report_queue.hpp"
 #include "bilberrylead/policy/customer_limits.hpp"
 #include "bilberrylead/policy/generator.hpp"
 #include "bilberrylead/policy/rank_admission.hpp"
@@ -241,6 +242,7 @@
     void repeat_probes();
     void record_sign_of_life(upstream_signals_received const& event);
     void publish_crash_record(policy::crash_record const& record);
+    void send_changed_crashes();
     void refuse_crashing(std::uint64_t digest);
     std::optional<duration> crash_refusal(live_request const& request) const;
     void set_timer(live_request& request, instant when);
@@ -326,6 +328,7 @@
     instant last_activity{};
     entry_counters current_counters;
     policy::crash_history crashes;
+    policy::crash_report_queue changed_crashes;
     policy::connection_losses losses;
     policy::upstream_contact contact;
     std::vector<relay_host> relay_hosts;
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -213,6 +213,7 @@
     this->report_limits();
     this->report_customers();
     this->crashes.expire(this->now);
+    this->send_changed_crashes();
     this->repeat_probes();
     this->probe_for_contact();
     this->losses.expire(this->now);
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -231,7 +231,18 @@
 {
     this->pending_effects.push_back(crash_record_changed{
         record, this->crashes.verdict_of(record.digest), false});
-    this->pending_effects.push_back(send_crash_records{{record}});
+    this->changed_crashes.add({record});
+    this->send_changed_crashes();
+}
+
+void entry_reducer::send_changed_crashes()
+{
+    std::vector<policy::crash_record> changed =
+        this->changed_crashes.take_due(this->now);
+    if (!changed.empty())
+    {
+        this->pending_effects.push_back(send_crash_records{std::move(changed)});
+    }
 }
 
 void entry_reducer::on(crash_records_received const& event)
--- a/tests/unit/control/control_reducer_test.cpp
+++ b/tests/unit/control/control_reducer_test.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -467,6 +469,46 @@
     cr_expect_eq(sent.size(), sent_once);
 }
 
+// Guards against a flood of reports that delays the heartbeats of the
+// replicated log: the upstreams of a zone end at once, and every control host
+// relays the record of each request that they ran over all of its links.
+Test(control_reducer, burst_of_crash_reports_is_relayed_in_few_messages)
+{
+    constexpr std::uint64_t requests = 300;
+    led_group group;
+    constexpr link::link_number second = led_group::entry_link + 1;
+    group.connect(group.follower, second, host_id("e2"),
+                  link::peer_role::entry);
+    std::vector<link::message> const& sent =
+        group.sent_to_entry_hosts[{group.follower, second}];
+    std::size_t const sent_before = sent.size();
+    for (std::uint64_t digest = 1; digest <= requests; ++digest)
+    {
+        group.send_from_entry_host(
+            group.follower,
+            link::crash_report{{{digest, 0, {upstream_id("u1")}}}});
+    }
+    group.advance(10);
+
+    std::size_t reports = 0;
+    std::set<std::uint64_t> relayed;
+    for (std::size_t place = sent_before; place < sent.size(); ++place)
+    {
+        link::crash_report const* const report =
+            std::get_if<link::crash_report>(&sent[place]);
+        if (report != nullptr)
+        {
+            ++reports;
+            for (policy::crash_record const& each : report->records)
+            {
+                relayed.insert(each.digest);
+            }
+        }
+    }
+    cr_expect_eq(relayed.size(), requests);
+    cr_expect_leq(reports, 4U, "%zu reports", reports);
+}
+
 // Guards against entry hosts that start without the records of requests that
 // crash upstreams.
 Test(control_reducer, crash_records_are_sent_to_a_newly_connected_entry_host)
@@ -552,7 +594,7 @@
         {{9, 0, {upstream_id("u1"), upstream_id("u2"), upstream_id("u3")}}}};
     group.send_from_entry_host(group.follower, report);
     group.request(group.leader, 1, control::lift_crash_record{9, "alba"});
-    group.deliver();
+    group.advance(4); // Over the interval of crash reports.
     cr_expect(std::holds_alternative<control::done_reply>(group.answer_to(1)));
     for (std::size_t index = 0; index < control_group::hosts; ++index)
     {
--- a/tests/unit/entry/relayed_request_test.cpp
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -1,3 +1,4 @@
+#include "bilberrylead/policy/crash_report_queue.hpp"
 #include "tests/unit/entry/routed_entry.hpp"
 
 #include <criterion/criterion.h>
@@ -255,7 +256,11 @@
     signals.service = service_id("read");
     signals.upstream = upstream_id(upstream);
     entry.reduce(signals);
-    cr_expect_not_null(entry.find<send_crash_records>());
+    entry.advance(policy::crash_report_queue::interval);
+    cr_assert_not_null(entry.find<send_crash_records>());
+    cr_expect(entry.find<send_crash_records>()
+                  ->records.front()
+                  .ended_upstreams.empty());
     cr_expect(entry.reducer.crash_records()
                   .records()
                   .front()
