The interval of readings follows from measured legs

Cause: the budget of the way from the list to the last request knew the readings' interval, the timer, the delivery (0.6 s, a constant), the sending and a failed call. It left out the reading itself (a page that comes first in one reading may come last in the next), and took a delivery for 0.6 s whatever it was.

Change: the reader takes the recent peak of its own duration and that of the deliveries, which the leader measures anyway, as legs.

Tests: slow_delivery_makes_readings_more_frequent, interval_and_reading_together_stay_within_the_budget; each failed with its leg taken out.

--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -94,8 +94,9 @@
     discovery::delivery_report report;
 };
 
-/// The list of upstreams has become too slow for a leaving upstream to be out
-/// of use within its bound, or is fast enough again. For the process log only.
+/// The list of upstreams is read or delivered too slowly for a leaving upstream
+/// to be out of use within its bound, or fast enough again. For the process log
+/// only.
 struct listing_budget_changed
 {
     /// True if the bound can be kept.
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -192,6 +192,7 @@
     void set_list_expectation();
     void request_listing();
     void send_listing(discovery::list_changes changes);
+    void record_delivery(discovery::delivery_report const& report);
     void check_listing_budget();
     void record_listing_change(discovery::list_changes const& changes,
                                std::optional<duration> max_age);
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -54,10 +54,19 @@
                                         this->time);
     if (report.has_value())
     {
-        this->effects.emplace_back(listing_delivered{*report});
+        this->record_delivery(*report);
     }
 }
 
+void control_reducer::record_delivery(discovery::delivery_report const& report)
+{
+    if (this->reader.has_value())
+    {
+        this->reader->record_delivery(report.slowest_time);
+    }
+    this->effects.emplace_back(listing_delivered{report});
+}
+
 void control_reducer::on_peer(link::link_number from,
                               link::host_place const& message)
 {
@@ -306,7 +315,7 @@
     this->send(this->all_links(), link::upstream_update{std::move(changes)});
     if (incomplete.has_value())
     {
-        this->effects.emplace_back(listing_delivered{*incomplete});
+        this->record_delivery(*incomplete);
     }
 }
 
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -455,11 +455,14 @@
         {
             if (wanted.is_kept)
             {
-                log.info("The list of upstreams is fast enough again.");
+                log.info("The list of upstreams is read and delivered fast "
+                         "enough again.");
                 return;
             }
-            log.warning("The list of upstreams is too slow: a leaving upstream "
-                        "may receive requests beyond leaving_bound_s.");
+            log.warning(
+                "The list of upstreams is read or delivered too slowly: "
+                "a leaving upstream may receive requests beyond "
+                "leaving_bound_s.");
         }
 
         void operator()(control::orders_changed const& wanted) const
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -14,6 +14,14 @@
 /// Weight of one round trip in the smoothed value.
 constexpr std::int64_t round_trip_divisor = 8;
 
+/// Part of a recent peak by which it decreases with each smaller sample.
+constexpr std::int64_t peak_decay_divisor = 8;
+
+duration updated_peak(duration peak, duration sample)
+{
+    return std::max(sample, peak - peak / peak_decay_divisor);
+}
+
 } // namespace
 
 list_reader::list_reader(list_reader_settings const& initial_settings)
@@ -126,6 +134,16 @@
                     this->settings.retry_delay + pages);
 }
 
+measured_legs list_reader::legs() const
+{
+    return {this->reading_time, this->failed_call_time(), this->delivery_time};
+}
+
+void list_reader::record_delivery(duration time)
+{
+    this->delivery_time = updated_peak(this->delivery_time, time);
+}
+
 duration list_reader::longest_interval() const
 {
     return this->parts.size() > 1 ? this->settings.long_list_period
@@ -138,7 +156,7 @@
         this->call_interval() *
         static_cast<std::int64_t>(this->pages_per_part * this->parts.size());
     duration const needed = std::max(this->settings.budget.min_interval, calls);
-    return this->settings.budget.remaining(this->failed_call_time()) >= needed;
+    return this->settings.budget.remaining(this->legs()) >= needed;
 }
 
 /// The part whose call has been unanswered for too long, if any. Lost packets
@@ -315,6 +333,8 @@
     this->previous_reading_started_at =
         std::exchange(this->last_reading_started_at, this->reading_started_at);
     this->last_read_at = now;
+    this->reading_time =
+        updated_peak(this->reading_time, now - this->reading_started_at);
     bool const by_zone = !this->parts.front().zone.empty();
     this->expected = all_upstreams.size();
     if (!by_zone)
@@ -328,7 +348,7 @@
                         });
     }
     duration const interval = this->settings.budget.reading_interval(
-        this->failed_call_time(), this->longest_interval());
+        this->legs(), this->longest_interval());
     this->start_reading(std::max(now, this->reading_started_at + interval));
     return all_upstreams;
 }
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -74,8 +74,12 @@
     /// reading before. Empty if there is none.
     std::optional<duration> max_change_age(instant now) const;
 
-    /// False if the list is too slow for a leaving upstream to be out of use
-    /// within its bound.
+    /// Records the time from the sending of a listing to its last confirmation.
+    /// Slow deliveries make the readings more frequent.
+    void record_delivery(duration time);
+
+    /// False if the list, or the delivery of listings, is too slow for a
+    /// leaving upstream to be out of use within its bound.
     bool keeps_budget() const;
 
     /// Time at which the list was last read completely, if ever.
@@ -95,6 +99,7 @@
     void record_round_trip(list_part const& part, std::uint64_t number,
                            instant now);
     duration failed_call_time() const;
+    measured_legs legs() const;
     duration longest_interval() const;
     void full_scan_page_received(list_page const& page);
     duration call_interval() const;
@@ -113,6 +118,10 @@
     std::size_t completed_readings = 0;
     // Smoothed time from a call to its answer; zero before the first.
     duration round_trip{};
+    // Recent peaks of the time from the start of a reading to its end, and of
+    // the time in which a listing was delivered.
+    duration reading_time{};
+    duration delivery_time{};
     // Pages of the longest part of the last reading.
     std::size_t pages_per_part = 1;
     std::size_t expected = 0;
--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -486,6 +486,91 @@
     }
 }
 
+// Guards against delivery that takes longer than the budget has for it, with
+// readings as rare as ever.
+Test(list_reader, slow_delivery_makes_readings_more_frequent)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.zones = {zone_id("z0"), zone_id("z1")};
+    settings.zone_split_threshold = 1;
+    for (duration const delivery : {duration(600ms), duration(1200ms)})
+    {
+        list_reader reader(settings);
+        reader.expect(2, true);
+        reader.set_active(true, start);
+        std::vector<instant> begins;
+        for (instant now = start; begins.size() < 4; now += 10ms)
+        {
+            std::vector<page_call> calls;
+            while (std::optional<page_call> const call = reader.next_call(now))
+            {
+                calls.push_back(*call);
+            }
+            if (!calls.empty())
+            {
+                begins.push_back(now);
+                reader.record_delivery(delivery);
+            }
+            for (page_call const& call : calls)
+            {
+                list_page one = page("u", "");
+                one.upstreams.back().upstream.zone = call.zone;
+                reader.page_received(call.number, one, now);
+            }
+        }
+        duration const interval = begins.back() - begins[begins.size() - 2];
+        duration const failed_call = 300ms;
+        cr_expect_leq(interval.count(),
+                      (3s - 700ms - delivery - failed_call + 10ms).count());
+    }
+}
+
+// Guards against a reading whose own duration counts to no leg: a page that is
+// first in one reading may be last in the next.
+Test(list_reader, interval_and_reading_together_stay_within_the_budget)
+{
+    constexpr duration round_trip = 100ms;
+    constexpr std::size_t pages = 3;
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.zones = {zone_id("z0"), zone_id("z1")};
+    settings.zone_split_threshold = 1;
+    list_reader reader(settings);
+    reader.expect(pages, true);
+    reader.set_active(true, start);
+    std::vector<instant> begins;
+    instant now = start;
+    while (begins.size() < 5)
+    {
+        std::vector<page_call> calls;
+        while (std::optional<page_call> const call = reader.next_call(now))
+        {
+            calls.push_back(*call);
+        }
+        if (!calls.empty() && calls.front().page.empty())
+        {
+            begins.push_back(now);
+        }
+        now += calls.empty() ? duration(10ms) : round_trip;
+        for (page_call const& call : calls)
+        {
+            std::size_t const number =
+                call.page.empty() ? 1 : std::stoul(call.page);
+            list_page one =
+                page("u", number < pages ? std::to_string(number + 1) : "");
+            one.upstreams.back().upstream.zone = call.zone;
+            reader.page_received(call.number, one, now);
+        }
+    }
+    duration const interval = begins.back() - begins[begins.size() - 2];
+    duration const reading = round_trip * pages;
+    duration const failed_call = 150ms + reading;
+    cr_expect_leq((interval + reading).count(),
+                  (3s - 1300ms - failed_call + 10ms).count());
+    cr_expect(reader.keeps_budget());
+}
+
 // Guards against a list too slow for the bound that nobody is told of.
 Test(list_reader, list_that_is_too_slow_for_the_bound_is_reported)
 {
