A link that falls silent is replaced before it is closed

What callers saw: nothing; some entry hosts learned late that an upstream was leaving.

Cause: a link on which nothing had come in for 1.5 s was closed, whether its peer was gone or the host's own access link was full for a second. With it went what was on its way, and a new connection, a handshake of three round trips and a listing had to pass the same full link. Pongs of the links that are quiet otherwise must come back within 0.75 s; a queue of 0.7 s at a link of 4 Mbit/s closed all links of a host, one after the other.

Change: after 1.5 s of silence the side that dialled opens a second link; the first is closed once that is open, unless it has been heard since. A link is closed without a replacement after 3 s. A connection that went silent for good is replaced as soon as before. A peer that is gone is noticed 1.5 s later than before by its links; what depends on it earlier has time-outs of its own (heartbeats of the log, entry hosts' heartbeats, fetching of a revision after 0.3 s, claims after 1 s).

Tests: link_on_a_full_access_link_stays_open and silent_link_is_replaced_before_it_is_closed failed with the link code before; link_to_a_peer_that_is_gone_is_closed passed and passes.

--- a/bilberrylead/link/peer_node.cpp
+++ b/bilberrylead/link/peer_node.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <set>
 #include <utility>
@@ -46,6 +47,10 @@
         redial_pause pause;
         asio::steady_timer timer;
         link_number link = 0;
+        /// The link that is to take the place of a silent one; 0 if there is
+        /// none.
+        link_number replacement = 0;
+        std::chrono::steady_clock::time_point replacement_began{};
         bool forgotten = false;
     };
 
@@ -66,6 +71,10 @@
     void on_closed(link_number number,
                    std::shared_ptr<dialled_address> const& from);
     void dial_now(std::shared_ptr<dialled_address> const& target);
+    void on_silent(link_number number,
+                   std::shared_ptr<dialled_address> const& from);
+    void close(link_number number);
+    bool is_needed(link_number number, dialled_address const& from) const;
 
     asio::io_context& io;
     peer_node_settings settings;
@@ -113,12 +122,23 @@
     peer_session::callbacks owner;
     owner.opened = [this, number, from](peer_identity const& identity)
     {
+        if (from && !this->is_needed(number, *from))
+        {
+            this->close(number);
+            return;
+        }
         if (from)
         {
             from->pause.reset();
         }
         this->open_links.insert(number);
         this->callbacks.connected(number, identity);
+        if (from && from->replacement == number)
+        {
+            link_number const silent = std::exchange(from->link, number);
+            from->replacement = 0;
+            this->close(silent);
+        }
     };
     owner.received = [this, number](bytes message)
     {
@@ -133,6 +153,13 @@
                        this->on_closed(number, from);
                    });
     };
+    if (from)
+    {
+        owner.silent = [this, number, from]()
+        {
+            this->on_silent(number, from);
+        };
+    }
     this->sessions.emplace(
         number, std::make_shared<peer_session>(
                     std::move(socket), this->settings, std::move(owner)));
@@ -158,8 +185,20 @@
     {
         return;
     }
-
-    from->link = 0;
+    if (from->replacement == number)
+    {
+        from->replacement = 0;
+        return;
+    }
+    if (from->link != number)
+    {
+        return;
+    }
+    from->link = std::exchange(from->replacement, 0);
+    if (from->link != 0)
+    {
+        return;
+    }
     from->timer.expires_after(from->pause.next());
     from->timer.async_wait(
         [this, from](error_code const& error)
@@ -178,6 +217,38 @@
     this->sessions.at(target->link)->start_dialled(target->address);
 }
 
+void peer_node::implementation::on_silent(
+    link_number number, std::shared_ptr<dialled_address> const& from)
+{
+    if (from->forgotten || from->link != number || from->replacement != 0)
+    {
+        return;
+    }
+    from->replacement_began = std::chrono::steady_clock::now();
+    from->replacement = this->add(tcp::socket(this->io), from);
+    this->sessions.at(from->replacement)->start_dialled(from->address);
+}
+
+/// False for a replacement of a link that was heard again since: that one was
+/// only slow, and what is on its way would be lost with it.
+bool peer_node::implementation::is_needed(link_number number,
+                                          dialled_address const& from) const
+{
+    auto const replaced = this->sessions.find(from.link);
+    return from.replacement != number || replaced == this->sessions.end() ||
+           replaced->second->heard_at() < from.replacement_began;
+}
+
+void peer_node::implementation::close(link_number number)
+{
+    auto const found = this->sessions.find(number);
+    if (found != this->sessions.end())
+    {
+        std::shared_ptr<peer_session> const session = found->second;
+        session->close();
+    }
+}
+
 peer_node::peer_node(asio::io_context& io, peer_node_settings settings,
                      peer_callbacks callbacks)
     : impl(std::make_unique<implementation>(io, std::move(settings),
@@ -243,6 +314,7 @@
     found->second->forgotten = true;
     found->second->timer.cancel();
     this->close(found->second->link);
+    this->close(found->second->replacement);
     this->impl->dialled.erase(found);
 }
 
@@ -258,12 +330,7 @@
 
 void peer_node::close(link_number link)
 {
-    auto const found = this->impl->sessions.find(link);
-    if (found != this->impl->sessions.end())
-    {
-        std::shared_ptr<peer_session> const session = found->second;
-        session->close();
-    }
+    this->impl->close(link);
 }
 
 } // namespace bilberrylead::link
--- a/bilberrylead/link/peer_node_settings.hpp
+++ b/bilberrylead/link/peer_node_settings.hpp
@@ -25,9 +25,15 @@
     /// than that is cut off and catches up anew, instead of growing this
     /// process without end.
     std::size_t largest_backlog = std::size_t{512} << 20U;
-    /// A link without a word for so long is closed. Open connections can go
-    /// silent for good while new ones work, so that waiting for the
+    /// A link without a word for so long is replaced: the side that dialled it
+    /// dials anew, and closes it once the new link is open. Open connections
+    /// can go silent for good while new ones work, so that waiting for the
     /// operating system's own time-out (minutes) would be too long.
+    duration silence_timeout = std::chrono::milliseconds(1500);
+    /// A link without a word for so long is closed, also if no new one can be
+    /// opened. Longer than what waits at a full access link: a link that is
+    /// only slow would be closed with the messages that are on their way, and
+    /// opened again over the same full link.
     duration idle_timeout = std::chrono::seconds(3);
     /// Time for a connection to open. A peer that is powered off says
     /// nothing, and neither does the system when the peer is back, so that
@@ -49,7 +55,6 @@
     /// that nobody calls again is one that is missing.
     void pace_for_small_group()
     {
-        this->idle_timeout = std::chrono::milliseconds(1500);
         this->connect_timeout = std::chrono::milliseconds(300);
         this->handshake_timeout = std::chrono::seconds(1);
         this->longest_redial_pause = std::chrono::milliseconds(400);
--- a/bilberrylead/link/peer_session.cpp
+++ b/bilberrylead/link/peer_session.cpp
@@ -24,6 +24,9 @@
 /// no more than this.
 constexpr std::size_t largest_handshake_message = 4096;
 
+/// How often the silence of a link is looked at within the silence time-out.
+constexpr int watches_per_silence = 4;
+
 constexpr std::string_view called_side = "called";
 constexpr std::string_view calling_side = "calling";
 
@@ -31,14 +34,15 @@
 
 peer_session::peer_session(boost::asio::ip::tcp::socket socket,
                            peer_node_settings const& settings, callbacks owner)
-    : stream(std::move(socket)), settings(settings), owner(std::move(owner))
+    : stream(std::move(socket)), watch(stream.get_executor()),
+      settings(settings), owner(std::move(owner))
 {
     this->apply_stream_settings();
 }
 
 void peer_session::apply_stream_settings()
 {
-    // Pings at half of the idle time-out find a link that went silent.
+    // Pings at half of the idle time-out find a link that is dead.
     boost::beast::websocket::stream_base::timeout limits{};
     limits.handshake_timeout = this->settings.handshake_timeout;
     limits.idle_timeout = this->settings.idle_timeout;
@@ -196,10 +200,61 @@
     this->peer = identity;
     this->log_link("open");
     this->stream.read_message_max(this->settings.largest_message);
+    this->last_heard = std::chrono::steady_clock::now();
+    this->stream.control_callback(
+        [this](boost::beast::websocket::frame_type, auto)
+        {
+            this->last_heard = std::chrono::steady_clock::now();
+        });
+    if (this->dialled)
+    {
+        this->watch_silence();
+    }
     this->owner.opened(identity);
     this->read_next();
 }
 
+void peer_session::watch_silence()
+{
+    this->watch.expires_after(this->settings.silence_timeout /
+                              watches_per_silence);
+    this->watch.async_wait(
+        [self = this->shared_from_this()](error_code const& error)
+        {
+            if (!error && self->now_in == phase::open)
+            {
+                self->on_watch();
+                self->watch_silence();
+            }
+        });
+}
+
+/// Asks for a sign of life after half of the silence time-out.
+void peer_session::on_watch()
+{
+    duration const silence =
+        std::chrono::steady_clock::now() - this->last_heard;
+    if (silence >= this->settings.silence_timeout)
+    {
+        if (this->owner.silent)
+        {
+            this->owner.silent();
+        }
+        return;
+    }
+    if (silence < this->settings.silence_timeout / 2 || this->pinging)
+    {
+        return;
+    }
+    this->pinging = true;
+    this->stream.async_ping({},
+                            [self = this->shared_from_this()](error_code const&)
+                            {
+                                // A failure also ends the pending read.
+                                self->pinging = false;
+                            });
+}
+
 void peer_session::read_next()
 {
     if (this->now_in == phase::closed)
@@ -225,6 +280,7 @@
         static_cast<std::uint8_t const*>(this->buffer.data().data());
     bytes message(first, first + size);
     this->buffer.consume(size);
+    this->last_heard = std::chrono::steady_clock::now();
 
     if (this->now_in == phase::handshake)
     {
@@ -286,8 +342,8 @@
 
 void peer_session::detach()
 {
-    this->owner =
-        callbacks{[](peer_identity const&) {}, [](bytes const&) {}, []() {}};
+    this->owner = callbacks{
+        [](peer_identity const&) {}, [](bytes const&) {}, []() {}, {}};
     this->close();
 }
 
@@ -321,6 +377,7 @@
         this->log_link(what);
     }
     this->now_in = phase::closed;
+    this->watch.cancel();
     this->stream.next_layer().close();
     this->owner.closed();
 }
--- a/bilberrylead/link/peer_session.hpp
+++ b/bilberrylead/link/peer_session.hpp
@@ -7,10 +7,12 @@
 #include "bilberrylead/link/peer_node_settings.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/websocket.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -35,6 +37,9 @@
         std::function<void(bytes)> received;
         /// The link is gone; said once, the last thing said.
         std::function<void()> closed;
+        /// Nothing was heard for the silence time-out; repeated while it is so.
+        /// May be left empty.
+        std::function<void()> silent = {};
     };
 
     /// Makes a session over a socket; `settings` must outlive it.
@@ -50,6 +55,12 @@
     /// Queues a message; closes the link if its backlog is full.
     void send(bytes message);
 
+    /// Time at which the peer was last heard, be it by a message or a pong.
+    std::chrono::steady_clock::time_point heard_at() const
+    {
+        return this->last_heard;
+    }
+
     /// Closes the link at once.
     void close();
 
@@ -73,6 +84,8 @@
     void on_challenge(bytes const& message);
     void on_welcome(bytes const& message);
     void become_open(peer_identity const& identity);
+    void watch_silence();
+    void on_watch();
     void read_next();
     void on_read(std::size_t size);
     void write_next();
@@ -80,6 +93,9 @@
     void log_link(std::string_view verdict) const;
 
     boost::beast::websocket::stream<boost::beast::tcp_stream> stream;
+    boost::asio::steady_timer watch;
+    std::chrono::steady_clock::time_point last_heard{};
+    bool pinging = false;
     peer_node_settings const& settings;
     callbacks owner;
     /// Known once the link is open.
--- a/tests/unit/link/peer_node_test.cpp
+++ b/tests/unit/link/peer_node_test.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/link/peer_node.hpp"
 #include "bilberrylead/link/peer_node_settings.hpp"
+#include "tests/unit/link/holding_proxy.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -252,3 +253,148 @@
     }
     cr_expect_geq(given_up, 2);
 }
+
+namespace
+{
+
+/// Two peers that are linked through a proxy, with time-outs that a test can
+/// wait for.
+struct peers_behind_a_proxy
+{
+    peers_behind_a_proxy()
+        : called(io, settings("called"), told(called_state)),
+          calling(io, settings("calling"), told(calling_state))
+    {
+        cr_assert(this->called.listen({"127.0.0.1", 0}).ok());
+        this->proxy.emplace(this->io, this->called.port());
+        this->calling.dial({"127.0.0.1", this->proxy->port()});
+        this->run_until(
+            [this]()
+            {
+                return !this->called_state.open.empty() &&
+                       !this->calling_state.open.empty();
+            });
+    }
+
+    struct state
+    {
+        std::vector<link::link_number> open;
+        std::vector<bytes> messages;
+        int opened = 0;
+        int lost = 0;
+    };
+
+    static link::peer_node_settings settings(std::string const& name)
+    {
+        link::peer_node_settings result = peer::settings(name, "key");
+        result.silence_timeout = std::chrono::milliseconds(200);
+        result.idle_timeout = std::chrono::milliseconds(2000);
+
+        return result;
+    }
+
+    static link::peer_callbacks told(state& to)
+    {
+        return {[&to](link::link_number number, link::peer_identity const&)
+                {
+                    to.open.push_back(number);
+                    ++to.opened;
+                },
+                [&to](link::link_number, bytes message)
+                {
+                    to.messages.push_back(std::move(message));
+                },
+                [&to](link::link_number number)
+                {
+                    std::erase(to.open, number);
+                    ++to.lost;
+                },
+                {}};
+    }
+
+    template <class Condition>
+    void run_until(Condition condition)
+    {
+        std::chrono::steady_clock::time_point const end =
+            std::chrono::steady_clock::now() + patience;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+        {
+            this->io.run_one_for(std::chrono::milliseconds(10));
+        }
+        cr_assert(condition());
+    }
+
+    void run_for(std::chrono::milliseconds time)
+    {
+        this->io.run_for(time);
+        this->io.restart();
+    }
+
+    boost::asio::io_context io;
+    state called_state;
+    state calling_state;
+    link::peer_node called;
+    link::peer_node calling;
+    std::optional<tests::holding_proxy> proxy;
+};
+
+} // namespace
+
+// Guards against news that is late because its link is closed while it waits
+// behind other traffic on a full access link: nothing is lost there, and a new
+// link would wait on the same one.
+Test(peer_node, link_on_a_full_access_link_stays_open)
+{
+    peers_behind_a_proxy peers;
+    peers.proxy->hold(true);
+    peers.called.send(peers.called_state.open.front(), bytes{1});
+    peers.run_for(std::chrono::milliseconds(800));
+    peers.proxy->release();
+    peers.run_until(
+        [&peers]()
+        {
+            return !peers.calling_state.messages.empty();
+        });
+    peers.run_for(std::chrono::milliseconds(300));
+    cr_expect_eq(peers.calling_state.lost, 0);
+    cr_expect_eq(peers.calling_state.opened, 1);
+    cr_expect_eq(peers.called_state.open.size(), 1U);
+}
+
+// Guards against a connection that went silent for good while new ones work.
+Test(peer_node, silent_link_is_replaced_before_it_is_closed)
+{
+    peers_behind_a_proxy peers;
+    peers.proxy->hold(false);
+    peers.run_until(
+        [&peers]()
+        {
+            return peers.calling_state.opened == 2;
+        });
+    cr_expect_eq(peers.calling_state.lost, 0, "the new link opens first");
+    peers.run_until(
+        [&peers]()
+        {
+            return peers.calling_state.lost == 1 &&
+                   peers.called_state.open.size() == 1;
+        });
+    peers.called.send(peers.called_state.open.front(), bytes{1});
+    peers.run_until(
+        [&peers]()
+        {
+            return !peers.calling_state.messages.empty();
+        });
+}
+
+// Guards against a link to a peer that is gone and that is kept for ever.
+Test(peer_node, link_to_a_peer_that_is_gone_is_closed)
+{
+    peers_behind_a_proxy peers;
+    peers.proxy->hold(true);
+    peers.run_until(
+        [&peers]()
+        {
+            return peers.calling_state.lost == 1 &&
+                   peers.called_state.lost == 1;
+        });
+}
