Slow deliveries are forgotten while the list does not change

The recent peak of delivery times decreased with each delivery only. Calls to the list are paid for. The peak decreases with each reading now, after the interval was taken from it.

Test: readings_become_rare_again_after_a_slow_delivery.

--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -350,6 +350,8 @@
     duration const interval = this->settings.budget.reading_interval(
         this->legs(), this->longest_interval());
     this->start_reading(std::max(now, this->reading_started_at + interval));
+    // A list that does not change causes no deliveries.
+    this->record_delivery(duration::zero());
     return all_upstreams;
 }
 
--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -526,6 +526,29 @@
     }
 }
 
+// Guards against calls to the list that stay frequent, and are paid for, long
+// after a slow delivery: a list that does not change causes no further ones.
+Test(list_reader, readings_become_rare_again_after_a_slow_delivery)
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    list_reader reader(settings);
+    reader.set_active(true, start);
+    reader.record_delivery(1500ms);
+    std::vector<instant> begins;
+    for (instant now = start; begins.size() < 12; now += 10ms)
+    {
+        std::optional<page_call> const call = reader.next_call(now);
+        if (call.has_value())
+        {
+            begins.push_back(now);
+            reader.page_received(call->number, page("u", ""), now);
+        }
+    }
+    duration const interval = begins.back() - begins[begins.size() - 2];
+    cr_expect_eq(interval.count(), duration(settings.period).count());
+}
+
 // Guards against a reading whose own duration counts to no leg: a page that is
 // first in one reading may be last in the next.
 Test(list_reader, interval_and_reading_together_stay_within_the_budget)
