List reader tests: one way to collect due calls and to answer by zone

Three tests repeated the same loop over due calls, the same settings of two zones and the same page of one upstream.

--- a/tests/unit/discovery/list_reader_test.cpp
+++ b/tests/unit/discovery/list_reader_test.cpp
@@ -32,6 +32,35 @@
     return made;
 }
 
+/// Settings of a list that is read by two zones.
+list_reader_settings two_zones()
+{
+    list_reader_settings settings;
+    settings.calls_per_second = 1000;
+    settings.zones = {zone_id("z0"), zone_id("z1")};
+    settings.zone_split_threshold = 1;
+    return settings;
+}
+
+std::vector<page_call> due_calls(list_reader& reader, instant now)
+{
+    std::vector<page_call> calls;
+    while (std::optional<page_call> const call = reader.next_call(now))
+    {
+        calls.push_back(*call);
+    }
+    return calls;
+}
+
+/// Answers a call of a reading by zone with a page of one upstream.
+void answer(list_reader& reader, page_call const& call, std::string const& next,
+            instant now)
+{
+    list_page one = page("u", next);
+    one.upstreams.back().upstream.zone = call.zone;
+    reader.page_received(call.number, one, now);
+}
+
 } // namespace
 
 Test(list_reader, pages_read_in_sequence_make_the_complete_list)
@@ -449,10 +478,7 @@
 // more than the time within which a leaving upstream must be out of use.
 Test(list_reader, slower_calls_make_readings_more_frequent)
 {
-    list_reader_settings settings;
-    settings.calls_per_second = 1000;
-    settings.zones = {zone_id("z0"), zone_id("z1")};
-    settings.zone_split_threshold = 1;
+    list_reader_settings const settings = two_zones();
     for (duration const round_trip : {duration(10ms), duration(200ms)})
     {
         list_reader reader(settings);
@@ -462,11 +488,7 @@
         std::vector<instant> begins;
         while (begins.size() < 10)
         {
-            std::vector<page_call> calls;
-            while (std::optional<page_call> const call = reader.next_call(now))
-            {
-                calls.push_back(*call);
-            }
+            std::vector<page_call> const calls = due_calls(reader, now);
             if (!calls.empty())
             {
                 begins.push_back(now);
@@ -474,9 +496,7 @@
             now += calls.empty() ? duration(10ms) : round_trip;
             for (page_call const& call : calls)
             {
-                list_page one = page("u", "");
-                one.upstreams.back().upstream.zone = call.zone;
-                reader.page_received(call.number, one, now);
+                answer(reader, call, "", now);
             }
         }
         duration const interval = begins.back() - begins[begins.size() - 2];
@@ -490,10 +510,7 @@
 // readings as rare as ever.
 Test(list_reader, slow_delivery_makes_readings_more_frequent)
 {
-    list_reader_settings settings;
-    settings.calls_per_second = 1000;
-    settings.zones = {zone_id("z0"), zone_id("z1")};
-    settings.zone_split_threshold = 1;
+    list_reader_settings const settings = two_zones();
     for (duration const delivery : {duration(600ms), duration(1200ms)})
     {
         list_reader reader(settings);
@@ -502,11 +519,7 @@
         std::vector<instant> begins;
         for (instant now = start; begins.size() < 4; now += 10ms)
         {
-            std::vector<page_call> calls;
-            while (std::optional<page_call> const call = reader.next_call(now))
-            {
-                calls.push_back(*call);
-            }
+            std::vector<page_call> const calls = due_calls(reader, now);
             if (!calls.empty())
             {
                 begins.push_back(now);
@@ -514,9 +527,7 @@
             }
             for (page_call const& call : calls)
             {
-                list_page one = page("u", "");
-                one.upstreams.back().upstream.zone = call.zone;
-                reader.page_received(call.number, one, now);
+                answer(reader, call, "", now);
             }
         }
         duration const interval = begins.back() - begins[begins.size() - 2];
@@ -555,22 +566,14 @@
 {
     constexpr duration round_trip = 100ms;
     constexpr std::size_t pages = 3;
-    list_reader_settings settings;
-    settings.calls_per_second = 1000;
-    settings.zones = {zone_id("z0"), zone_id("z1")};
-    settings.zone_split_threshold = 1;
-    list_reader reader(settings);
+    list_reader reader(two_zones());
     reader.expect(pages, true);
     reader.set_active(true, start);
     std::vector<instant> begins;
     instant now = start;
     while (begins.size() < 5)
     {
-        std::vector<page_call> calls;
-        while (std::optional<page_call> const call = reader.next_call(now))
-        {
-            calls.push_back(*call);
-        }
+        std::vector<page_call> const calls = due_calls(reader, now);
         if (!calls.empty() && calls.front().page.empty())
         {
             begins.push_back(now);
@@ -580,10 +583,8 @@
         {
             std::size_t const number =
                 call.page.empty() ? 1 : std::stoul(call.page);
-            list_page one =
-                page("u", number < pages ? std::to_string(number + 1) : "");
-            one.upstreams.back().upstream.zone = call.zone;
-            reader.page_received(call.number, one, now);
+            answer(reader, call,
+                   number < pages ? std::to_string(number + 1) : "", now);
         }
     }
     duration const interval = begins.back() - begins[begins.size() - 2];
