--- a/bilberrylead/control/control_effect.hpp
+++ b/bilberrylead/control/control_effect.hpp
@@ -91,7 +91,31 @@
 struct listing_delivered
 {
     /// The listing and its confirmations.
-    discovery::delivery_report report;
+    discovery::listing_delivery_report report;
+};
+
+/// A change is confirmed to an operator. For the process log and the metrics
+/// only.
+struct change_confirmed
+{
+    /// Revision that the confirmation stands for.
+    revision number = 0;
+    /// Entry hosts linked to this host.
+    std::size_t hosts = 0;
+    /// Number of them in which an older revision is in force.
+    std::size_t hosts_behind = 0;
+    /// One of these; empty if there is none.
+    host_id behind;
+    /// Time since the change was known to be committed.
+    duration waited{};
+};
+
+/// All linked entry hosts have a revision in force, or a newer one was sent
+/// before they did. For the process log and the metrics only.
+struct revision_delivered
+{
+    /// The revision and its confirmations.
+    delivery_report<revision> report;
 };
 
 /// The list of upstreams is read or delivered too slowly for a leaving upstream
@@ -145,8 +169,8 @@
                  agreement::role_changed, send_to_peer, send_to_peers,
                  answer_operator, link_members, call_upstream_list,
                  listing_changed, listing_delivered, listing_budget_changed,
-                 orders_changed, revision_in_force, membership_planned,
-                 crash_record_lifted>;
+                 change_confirmed, revision_delivered, orders_changed,
+                 revision_in_force, membership_planned, crash_record_lifted>;
 
 } // namespace bilberrylead::control
 
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -224,6 +224,7 @@
                               link::subscription const& message)
 {
     this->exchange_event(distribution::subscription_received{from, message});
+    this->record_revision_in_force(from, message.in_force);
 }
 
 void control_reducer::on_peer(link::link_number from,
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -192,7 +192,7 @@
     void set_list_expectation();
     void request_listing();
     void send_listing(discovery::list_changes changes);
-    void record_delivery(discovery::delivery_report const& report);
+    void record_delivery(discovery::listing_delivery_report const& report);
     void check_listing_budget();
     void record_listing_change(discovery::list_changes const& changes,
                                std::optional<duration> max_age);
@@ -216,6 +216,9 @@
     void publish();
     void publish(revision number, bytes content);
     void exchange_event(distribution::exchange_event const& event);
+    void record_confirmation();
+    void record_revision_sent(revision number);
+    void record_revision_in_force(link::link_number from, revision in_force);
     void answer(std::uint64_t number, operator_reply reply);
     void answer_accepted(waiting_operator const& requester,
                          std::uint64_t index);
@@ -260,6 +263,7 @@
     instant listing_requested_at;
     instant listing_sent_at;
     discovery::listing_delivery delivery;
+    delivery_tracker<revision> revision_delivery;
     bool keeps_listing_budget = true;
     instant regions_planned_at;
     std::optional<link::region_plan> current_plan;
--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -49,7 +49,7 @@
     this->record_admission_report(this->peer_of(from), message);
     this->entry_hosts.record_heartbeat(from, this->peer_of(from), message,
                                        this->time);
-    std::optional<discovery::delivery_report> const report =
+    std::optional<discovery::listing_delivery_report> const report =
         this->delivery.record_confirmed(this->peer_of(from), message.listing,
                                         this->time);
     if (report.has_value())
@@ -58,7 +58,8 @@
     }
 }
 
-void control_reducer::record_delivery(discovery::delivery_report const& report)
+void control_reducer::record_delivery(
+    discovery::listing_delivery_report const& report)
 {
     if (this->reader.has_value())
     {
@@ -309,7 +310,7 @@
             receivers.insert(peer.id);
         }
     }
-    std::optional<discovery::delivery_report> const incomplete =
+    std::optional<discovery::listing_delivery_report> const incomplete =
         this->delivery.record_sent(changes.target, std::move(receivers),
                                    this->time);
     this->send(this->all_links(), link::upstream_update{std::move(changes)});
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -241,6 +241,38 @@
         std::make_shared<bytes const>(std::move(content));
     this->effects.emplace_back(revision_in_force{document});
     this->exchange_event(distribution::revision_published{number, document});
+    if (this->replica.role() == agreement::role::leader)
+    {
+        this->record_revision_sent(number);
+    }
+}
+
+void control_reducer::record_revision_sent(revision number)
+{
+    std::set<host_id> receivers;
+    for (auto const& [host, in_force] : this->exchange.peer_revisions())
+    {
+        receivers.insert(host);
+    }
+    std::optional<delivery_report<revision>> const incomplete =
+        this->revision_delivery.record_sent(number, std::move(receivers),
+                                            this->time);
+    if (incomplete.has_value())
+    {
+        this->effects.emplace_back(revision_delivered{*incomplete});
+    }
+}
+
+void control_reducer::record_revision_in_force(link::link_number from,
+                                               revision in_force)
+{
+    std::optional<delivery_report<revision>> const complete =
+        this->revision_delivery.record_confirmed(this->peer_of(from), in_force,
+                                                 this->time);
+    if (complete.has_value())
+    {
+        this->effects.emplace_back(revision_delivered{*complete});
+    }
 }
 
 void control_reducer::answer_accepted(waiting_entry_host const& requester,
--- a/bilberrylead/control/control_reducer_operators.cpp
+++ b/bilberrylead/control/control_reducer_operators.cpp
@@ -104,11 +104,13 @@
     if (catalog::change_outcome const* const change =
             std::get_if<catalog::change_outcome>(&found->second))
     {
+        this->record_confirmation();
         this->answer(requester.number, *change);
     }
     else if (catalog::order_outcome const* const order =
                  std::get_if<catalog::order_outcome>(&found->second))
     {
+        this->record_confirmation();
         this->answer(requester.number, *order);
     }
     else if (absl::Status const* const failed =
@@ -118,6 +120,22 @@
     }
 }
 
+void control_reducer::record_confirmation()
+{
+    change_confirmed confirmed;
+    confirmed.number = this->exchange.current_revision();
+    for (auto const& [host, in_force] : this->exchange.peer_revisions())
+    {
+        ++confirmed.hosts;
+        if (in_force < confirmed.number)
+        {
+            ++confirmed.hosts_behind;
+            confirmed.behind = host;
+        }
+    }
+    this->effects.emplace_back(std::move(confirmed));
+}
+
 configuration_reply control_reducer::configuration_of(revision wanted) const
 {
     catalog::catalog const& configurations = this->replicated.configurations();
--- a/bilberrylead/daemon/control_metrics.cpp
+++ b/bilberrylead/daemon/control_metrics.cpp
@@ -3,7 +3,6 @@
 #include "bilberrylead/control/control_reducer.hpp"
 #include "bilberrylead/daemon/batch_times.hpp"
 #include "bilberrylead/daemon/control_store.hpp"
-#include "bilberrylead/discovery/listing_delivery.hpp"
 #include "bilberrylead/link/message.hpp"
 
 #include <prometheus/counter.h>
@@ -48,8 +47,8 @@
 /// are so many.
 constexpr std::size_t max_admission_gauges = 128;
 
-/// Upper bounds of the buckets of the histograms of listings, seconds.
-prometheus::Histogram::BucketBoundaries const listing_bounds = {
+/// Upper bounds of the buckets of all histograms, seconds.
+prometheus::Histogram::BucketBoundaries const time_bounds = {
     0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0};
 
 prometheus::Histogram& add_histogram(prometheus::Registry& registry,
@@ -59,7 +58,7 @@
         .Name(name)
         .Help(help)
         .Register(registry)
-        .Add({}, listing_bounds);
+        .Add({}, time_bounds);
 }
 
 double seconds_of(duration time)
@@ -189,6 +188,20 @@
     prometheus::Histogram& delivery = add_histogram(
         this->registry, "bilberry_control_listing_delivery_seconds",
         "Time from the sending of a listing to its last confirmation.");
+    prometheus::Histogram& confirmations =
+        add_histogram(this->registry, "bilberry_control_confirmation_seconds",
+                      "Time from the commit of a change to its confirmation.");
+    prometheus::Counter& unconfirmed_hosts = add_counter(
+        this->registry, "bilberry_control_confirmed_ahead_of_hosts_total",
+        "Linked entry hosts in which a change was not in force yet when it was "
+        "confirmed to the operator.");
+    prometheus::Histogram& revision_delivery = add_histogram(
+        this->registry, "bilberry_control_revision_delivery_seconds",
+        "Time from the commit of a revision to the last linked entry host that "
+        "reports it in force.");
+    prometheus::Histogram& times_without_leader =
+        add_histogram(this->registry, "bilberry_control_without_leader_seconds",
+                      "Time for which this host knew of no leader.");
     prometheus::Histogram& batches = add_histogram(
         this->registry, "bilberry_control_batch_seconds",
         "Time in which a batch of events was handled, messages were queued and "
@@ -228,7 +241,26 @@
     }
 }
 
-void control_metrics::count_delivery(discovery::delivery_report const& report)
+void control_metrics::count_confirmation(
+    control::change_confirmed const& change)
+{
+    this->impl->confirmations.Observe(seconds_of(change.waited));
+    this->impl->unconfirmed_hosts.Increment(
+        static_cast<double>(change.hosts_behind));
+}
+
+void control_metrics::count_delivery(delivery_report<revision> const& report)
+{
+    this->impl->revision_delivery.Observe(seconds_of(report.slowest_time));
+}
+
+void control_metrics::count_time_without_leader(duration time)
+{
+    this->impl->times_without_leader.Observe(seconds_of(time));
+}
+
+void control_metrics::count_delivery(
+    discovery::listing_delivery_report const& report)
 {
     this->impl->delivery.Observe(seconds_of(report.slowest_time));
     this->impl->unconfirmed_listings.Increment(
--- a/bilberrylead/daemon/control_metrics.hpp
+++ b/bilberrylead/daemon/control_metrics.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_DAEMON_CONTROL_METRICS_HPP
 
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/listing_delivery.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -11,14 +12,10 @@
 namespace bilberrylead::control
 {
 class control_reducer;
+struct change_confirmed;
 struct listing_changed;
 } // namespace bilberrylead::control
 
-namespace bilberrylead::discovery
-{
-struct delivery_report;
-} // namespace bilberrylead::discovery
-
 namespace bilberrylead::daemon
 {
 
@@ -49,7 +46,16 @@
     void count_listing(control::listing_changed const& listing);
 
     /// Notes how a listing reached the entry hosts.
-    void count_delivery(discovery::delivery_report const& report);
+    void count_delivery(discovery::listing_delivery_report const& report);
+
+    /// Notes a change that is confirmed to an operator.
+    void count_confirmation(control::change_confirmed const& change);
+
+    /// Notes how a revision reached the entry hosts.
+    void count_delivery(delivery_report<revision> const& report);
+
+    /// Notes for how long this host knew of no leader.
+    void count_time_without_leader(duration time);
 
     /// Notes what a batch of events took.
     void count_batch(batch_times const& batch);
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/daemon/listing_log.hpp"
+#include "bilberrylead/daemon/revision_log.hpp"
 #include "bilberrylead/presence/control_link_settings.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -396,6 +397,12 @@
             log.info("Role is {} in term {}, leader is {}.",
                      agreement::to_string(wanted.role), wanted.term,
                      wanted.leader.empty() ? "unknown" : wanted.leader.text());
+            std::optional<duration> const without_leader =
+                this->owner.group.record_role(wanted, clock_now());
+            if (without_leader.has_value())
+            {
+                this->owner.metrics.count_time_without_leader(*without_leader);
+            }
         }
 
         void operator()(control::send_to_peer const& wanted) const
@@ -451,6 +458,18 @@
             log_delivery(wanted.report);
         }
 
+        void operator()(control::change_confirmed const& wanted) const
+        {
+            this->owner.metrics.count_confirmation(wanted);
+            log_confirmation(wanted);
+        }
+
+        void operator()(control::revision_delivered const& wanted) const
+        {
+            this->owner.metrics.count_delivery(wanted.report);
+            log_delivery(wanted.report);
+        }
+
         void operator()(control::listing_budget_changed const& wanted) const
         {
             if (wanted.is_kept)
--- a/bilberrylead/daemon/group_log.cpp
+++ b/bilberrylead/daemon/group_log.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/daemon/group_log.hpp"
 
+#include "bilberrylead/agreement/effects/role_changed.hpp"
 #include "bilberrylead/core/log_line.hpp"
 
 #include <fmt/format.h>
@@ -45,6 +46,31 @@
         .write();
 }
 
+std::optional<duration>
+group_log::record_role(agreement::role_changed const& current, instant now)
+{
+    if (current.leader.empty())
+    {
+        if (!this->without_leader_since.has_value())
+        {
+            this->without_leader_since = now;
+        }
+        return std::nullopt;
+    }
+    if (!this->without_leader_since.has_value())
+    {
+        return std::nullopt;
+    }
+    duration const time = now - *this->without_leader_since;
+    this->without_leader_since.reset();
+    log_line("control", "leader_found")
+        .text("leader", current.leader.text())
+        .number("term", static_cast<std::int64_t>(current.term))
+        .time("without_leader_ms", time)
+        .write();
+    return time;
+}
+
 void group_log::record_operator_call(std::string_view outcome,
                                      host_id const& leader)
 {
--- a/bilberrylead/daemon/listing_log.cpp
+++ b/bilberrylead/daemon/listing_log.cpp
@@ -3,7 +3,6 @@
 #include "bilberrylead/control/control_effect.hpp"
 #include "bilberrylead/core/log.hpp"
 #include "bilberrylead/core/log_line.hpp"
-#include "bilberrylead/discovery/listing_delivery.hpp"
 
 #include <fmt/format.h>
 
@@ -42,7 +41,7 @@
     }
 }
 
-void log_delivery(discovery::delivery_report const& report)
+void log_delivery(discovery::listing_delivery_report const& report)
 {
     log_line("control", "listing_delivered")
         .text("listing", text_of(report.position))
--- a/bilberrylead/daemon/listing_log.hpp
+++ b/bilberrylead/daemon/listing_log.hpp
@@ -1,16 +1,13 @@
 #ifndef BILBERRYLEAD_DAEMON_LISTING_LOG_HPP
 #define BILBERRYLEAD_DAEMON_LISTING_LOG_HPP
 
+#include "bilberrylead/discovery/listing_delivery.hpp"
+
 namespace bilberrylead::control
 {
 struct listing_changed;
 } // namespace bilberrylead::control
 
-namespace bilberrylead::discovery
-{
-struct delivery_report;
-} // namespace bilberrylead::discovery
-
 namespace bilberrylead::daemon
 {
 
@@ -18,7 +15,7 @@
 void log_listing(control::listing_changed const& listing);
 
 /// Logs how a listing reached the entry hosts.
-void log_delivery(discovery::delivery_report const& report);
+void log_delivery(discovery::listing_delivery_report const& report);
 
 } // namespace bilberrylead::daemon
 
