--- a/tests/scenario_runner/deployment.cpp
+++ b/tests/scenario_runner/deployment.cpp
@@ -221,6 +221,26 @@
     }
 }
 
+void deployment::delay_regions(std::chrono::milliseconds one_way)
+{
+    this->region_delay = one_way;
+}
+
+void deployment::signal_all(std::vector<std::string> const& names, int number)
+{
+    for (std::string const& name : names)
+    {
+        this->processes.at(name)->signal(number);
+    }
+    if (number == SIGKILL)
+    {
+        for (std::string const& name : names)
+        {
+            this->kill(name);
+        }
+    }
+}
+
 int deployment::ctl(std::vector<std::string> arguments)
 {
     return this->ctl_at(this->control_names(), std::move(arguments));
@@ -368,7 +388,13 @@
     std::unique_ptr<relay>& between = this->relays[{from, to}];
     if (!between)
     {
-        between = std::make_unique<relay>(this->hosts.at(to).peer_port);
+        host const& target = this->hosts.at(to);
+        between = std::make_unique<relay>(target.peer_port);
+        if (this->region_of(this->hosts.at(from).zone) !=
+            this->region_of(target.zone))
+        {
+            between->set_delay(this->region_delay);
+        }
     }
     return between->port();
 }
--- a/tests/scenario_runner/deployment.hpp
+++ b/tests/scenario_runner/deployment.hpp
@@ -70,6 +70,12 @@
     void cut_zone(std::string const& zone, relay_mode mode);
     /// Opens every relay.
     void heal();
+    /// Delays what hosts of different regions send each other, one way; for
+    /// hosts that start later.
+    void delay_regions(std::chrono::milliseconds one_way);
+    /// Sends a signal to hosts at the same moment, and waits for the end of
+    /// those that it kills.
+    void signal_all(std::vector<std::string> const& names, int number);
 
     /// Runs bilberryctl against all control hosts; what it wrote is in
     /// last_output().
@@ -150,6 +156,7 @@
     // Added settings, as JSON: of entry hosts, of control hosts.
     std::map<bool, std::string> added_settings;
     std::unique_ptr<upstream_list> list;
+    std::chrono::milliseconds region_delay{0};
     std::string output;
     std::uint64_t runs = 0;
 };
--- a/tests/scenario_runner/relay.cpp
+++ b/tests/scenario_runner/relay.cpp
@@ -11,8 +11,10 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace bilberrylead::scenario
 {
@@ -24,13 +26,19 @@
 using asio::ip::tcp;
 using error_code = boost::system::error_code;
 
+using steady = std::chrono::steady_clock;
+
 constexpr std::chrono::milliseconds silence_poll{10};
+/// Bytes of a direction that wait; reading goes on while there are fewer.
+constexpr std::size_t most_waiting_bytes = 1024UL * 1024;
 
 /// The modes that all connections of a relay share.
 struct relay_modes
 {
     std::atomic<relay_mode> forward{relay_mode::open};
     std::atomic<relay_mode> backward{relay_mode::open};
+    std::atomic<std::chrono::milliseconds> one_way{
+        std::chrono::milliseconds(0)};
 };
 
 /// One connection through the relay.
@@ -40,26 +48,66 @@
     relayed(tcp::socket accepted, std::shared_ptr<relay_modes> modes)
         : caller(std::move(accepted)), called(this->caller.get_executor()),
           timer(this->caller.get_executor()), modes(std::move(modes)),
-          up{this->caller, this->called, this->modes->forward, {}, {}},
-          down{this->called, this->caller, this->modes->backward, {}, {}}
+          up(this->caller, this->called, this->modes->forward),
+          down(this->called, this->caller, this->modes->backward)
     {
     }
 
     void start(std::uint16_t target_port)
+    {
+        this->connect_after(this->modes->one_way.load(), target_port);
+    }
+
+private:
+    /// Bytes that were read, or the end behind them.
+    struct piece
+    {
+        steady::time_point due;
+        std::vector<char> content;
+        bool is_end = false;
+    };
+
+    struct direction
+    {
+        direction(tcp::socket& read_from, tcp::socket& write_to,
+                  std::atomic<relay_mode>& shared_mode)
+            : from(read_from), to(write_to), mode(shared_mode),
+              pause(read_from.get_executor())
+        {
+        }
+
+        tcp::socket& from;
+        tcp::socket& to;
+        std::atomic<relay_mode>& mode;
+        std::array<char, 65536> buffer{};
+        std::deque<piece> waiting;
+        std::size_t waiting_bytes = 0;
+        asio::steady_timer pause;
+        bool is_reading = false;
+        bool is_writing = false;
+        bool has_ended = false;
+    };
+
+    void connect_after(steady::duration wait, std::uint16_t target_port)
+    {
+        this->timer.expires_after(wait);
+        this->timer.async_wait(
+            [self = this->shared_from_this(),
+             target_port](error_code const& error)
+            {
+                if (!error)
+                {
+                    self->connect(target_port);
+                }
+            });
+    }
+
+    void connect(std::uint16_t target_port)
     {
         // A call into a partition hangs; it is not refused.
         if (this->modes->forward == relay_mode::silent)
         {
-            this->timer.expires_after(silence_poll);
-            this->timer.async_wait(
-                [self = this->shared_from_this(),
-                 target_port](error_code const& error)
-                {
-                    if (!error)
-                    {
-                        self->start(target_port);
-                    }
-                });
+            this->connect_after(silence_poll, target_port);
             return;
         }
         this->called.async_connect(
@@ -68,60 +116,83 @@
             {
                 if (!error)
                 {
-                    self->pass(self->up);
-                    self->pass(self->down);
+                    self->read(self->up);
+                    self->read(self->down);
                 }
             });
     }
 
-private:
-    struct direction
-    {
-        tcp::socket& from;
-        tcp::socket& to;
-        std::atomic<relay_mode>& mode;
-        std::array<char, 65536> buffer;
-        std::unique_ptr<asio::steady_timer> pause;
-    };
-
-    void pass(direction& way)
+    void read(direction& way)
     {
+        if (way.is_reading || way.has_ended ||
+            way.waiting_bytes >= most_waiting_bytes)
+        {
+            return;
+        }
+        way.is_reading = true;
         way.from.async_read_some(asio::buffer(way.buffer),
                                  [self = this->shared_from_this(), &way](
                                      error_code const& error, std::size_t size)
                                  {
+                                     way.is_reading = false;
                                      self->on_read(way, error, size);
                                  });
     }
 
     void on_read(direction& way, error_code const& error, std::size_t size)
     {
-        // What arrives while silent waits, and so does the end itself.
-        if (way.mode == relay_mode::silent)
+        way.has_ended = static_cast<bool>(error);
+        way.waiting.push_back(
+            {steady::now() + this->modes->one_way.load(),
+             std::vector<char>(way.buffer.begin(),
+                               way.buffer.begin() +
+                                   static_cast<std::ptrdiff_t>(size)),
+             way.has_ended});
+        way.waiting_bytes += size;
+        this->write_next(way);
+        this->read(way);
+    }
+
+    /// Writes the oldest piece once it is due. What is due while the direction
+    /// is silent waits, and so does the end itself.
+    void write_next(direction& way)
+    {
+        if (way.is_writing || way.waiting.empty())
         {
-            way.pause = std::make_unique<asio::steady_timer>(
-                way.from.get_executor(), silence_poll);
-            way.pause->async_wait(
-                [self = this->shared_from_this(), &way, error,
-                 size](error_code const&)
+            return;
+        }
+        way.is_writing = true;
+        steady::time_point const now = steady::now();
+        bool const is_silent = way.mode == relay_mode::silent;
+        if (is_silent || way.waiting.front().due > now)
+        {
+            way.pause.expires_at(is_silent ? now + silence_poll
+                                           : way.waiting.front().due);
+            way.pause.async_wait(
+                [self = this->shared_from_this(), &way](error_code const&)
                 {
-                    self->on_read(way, error, size);
+                    way.is_writing = false;
+                    self->write_next(way);
                 });
             return;
         }
-        if (error)
+        if (way.waiting.front().is_end)
         {
             error_code ignored;
             way.to.shutdown(tcp::socket::shutdown_send, ignored);
             return;
         }
-        asio::async_write(way.to, asio::buffer(way.buffer.data(), size),
+        asio::async_write(way.to, asio::buffer(way.waiting.front().content),
                           [self = this->shared_from_this(),
-                           &way](error_code const& failed, std::size_t)
+                           &way](error_code const& failed, std::size_t size)
                           {
                               if (!failed)
                               {
-                                  self->pass(way);
+                                  way.waiting_bytes -= size;
+                                  way.waiting.pop_front();
+                                  way.is_writing = false;
+                                  self->write_next(way);
+                                  self->read(way);
                               }
                           });
     }
@@ -199,4 +270,9 @@
     this->impl->modes->backward = backward;
 }
 
+void relay::set_delay(std::chrono::milliseconds one_way)
+{
+    this->impl->modes->one_way = one_way;
+}
+
 } // namespace bilberrylead::scenario
--- a/tests/scenario_runner/relay.hpp
+++ b/tests/scenario_runner/relay.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_SCENARIO_RUNNER_RELAY_HPP
 #define BILBERRYLEAD_SCENARIO_RUNNER_RELAY_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 
@@ -34,6 +35,9 @@
     /// Sets both directions, for connections that are open and new ones.
     void set(relay_mode forward, relay_mode backward);
 
+    /// Delays each direction by this much, and the opening of connections.
+    void set_delay(std::chrono::milliseconds one_way);
+
 private:
     struct implementation;
     std::unique_ptr<implementation> impl;
--- a/tests/scenario_runner/scenario_fault_steps.cpp
+++ b/tests/scenario_runner/scenario_fault_steps.cpp
@@ -15,10 +15,10 @@
 namespace bilberrylead::scenario
 {
 
-// kill NAME | kill leader
+// kill NAME... | kill leader | kill controls: at the same moment
 void scenario_steps::kill(scenario_line const& line)
 {
-    this->world.kill(this->host_of(line.word(1)));
+    this->world.signal_all(this->hosts_of(line), SIGKILL);
 }
 
 // stop NAME: asks for a planned stop
@@ -37,16 +37,22 @@
     this->world.kill(name);
 }
 
-// freeze NAME | freeze leader
+// freeze NAME... | freeze leader | freeze controls: at the same moment
 void scenario_steps::freeze(scenario_line const& line)
 {
-    this->world.process(this->host_of(line.word(1))).signal(SIGSTOP);
+    this->world.signal_all(this->hosts_of(line), SIGSTOP);
 }
 
-// thaw NAME
+// thaw NAME... | thaw controls
 void scenario_steps::thaw(scenario_line const& line)
 {
-    this->world.process(this->host_of(line.word(1))).signal(SIGCONT);
+    this->world.signal_all(this->hosts_of(line), SIGCONT);
+}
+
+// delay MILLISECONDS between regions: one way, for hosts that start later
+void scenario_steps::delay(scenario_line const& line)
+{
+    this->world.delay_regions(std::chrono::milliseconds(line.count(1)));
 }
 
 // lose-disk NAME
@@ -92,6 +98,25 @@
     this->world.cut_zone(line.word(1), relay_mode::silent);
 }
 
+/// The hosts that a line names behind its first word.
+std::vector<std::string> scenario_steps::hosts_of(scenario_line const& line)
+{
+    std::vector<std::string> names;
+    for (std::size_t place = 1; place < line.words.size(); ++place)
+    {
+        if (line.word(place) == "controls")
+        {
+            std::vector<std::string> const all = this->world.control_names();
+            names.insert(names.end(), all.begin(), all.end());
+        }
+        else
+        {
+            names.push_back(this->host_of(line.word(place)));
+        }
+    }
+    return names;
+}
+
 std::vector<std::string>
 scenario_steps::other_controls(std::string const& name) const
 {
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -82,6 +82,7 @@
         {"ended", &scenario_steps::ended},
         {"freeze", &scenario_steps::freeze},
         {"thaw", &scenario_steps::thaw},
+        {"delay", &scenario_steps::delay},
         {"lose-disk", &scenario_steps::lose_disk},
         {"cut", &scenario_steps::cut},
         {"cut-zone", &scenario_steps::cut_zone},
@@ -175,7 +176,8 @@
     }
 }
 
-// in-force [REVISION] [at ENTRY...]: waits for the newest revision
+// in-force [REVISION] [within MILLISECONDS] [at ENTRY...]: waits for the newest
+// revision
 void scenario_steps::in_force(scenario_line const& line)
 {
     std::vector<std::string> entries = this->world.entry_names();
@@ -185,9 +187,13 @@
     {
         entries.assign(at + 1, line.words.end());
     }
-    bool const names_one = line.words.size() > 1 && line.word(1) != "at";
-    this->wait_in_force(names_one ? line.count(1) : this->last_revision,
-                        entries);
+    bool const names_one = line.words.size() > 1 && line.word(1) != "at" &&
+                           line.word(1) != "within";
+    std::chrono::milliseconds const waited = this->wait_in_force(
+        names_one ? line.count(1) : this->last_revision, entries);
+    std::optional<std::uint32_t> const bound = line.count_after("within");
+    this->need(!bound.has_value() || waited.count() <= *bound,
+               fmt::format("in force {} ms later", waited.count()));
 }
 
 // watch SERVICE: samples the revisions in force from here on
@@ -370,8 +376,9 @@
     }
 }
 
-void scenario_steps::wait_in_force(std::uint64_t revision,
-                                   std::vector<std::string> const& entries)
+std::chrono::milliseconds
+scenario_steps::wait_in_force(std::uint64_t revision,
+                              std::vector<std::string> const& entries)
 {
     clock::time_point const start = clock::now();
     for (std::string const& name : entries)
@@ -391,10 +398,12 @@
         this->need(there, fmt::format("revision {} is not in force at {}",
                                       revision, name));
     }
+    std::chrono::milliseconds const waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() -
+                                                              start);
     fmt::print("    revision {} in force after {} ms\n", revision,
-               std::chrono::duration_cast<std::chrono::milliseconds>(
-                   clock::now() - start)
-                   .count());
+               waited.count());
+    return waited;
 }
 
 } // namespace bilberrylead::scenario
--- a/tests/scenario_runner/scenario_steps.hpp
+++ b/tests/scenario_runner/scenario_steps.hpp
@@ -51,11 +51,13 @@
     void finish(scenario_line const& line);
     /// Control hosts but the given one.
     std::vector<std::string> other_controls(std::string const& name) const;
+    std::vector<std::string> hosts_of(scenario_line const& line);
     void kill(scenario_line const& line);
     void stop(scenario_line const& line);
     void ended(scenario_line const& line);
     void freeze(scenario_line const& line);
     void thaw(scenario_line const& line);
+    void delay(scenario_line const& line);
     void lose_disk(scenario_line const& line);
     void cut(scenario_line const& line);
     void cut_zone(scenario_line const& line);
@@ -100,8 +102,9 @@
                          std::string const& otherwise);
     void need(bool condition, std::string const& otherwise) const;
     std::string apply_once(std::vector<std::string> arguments);
-    void wait_in_force(std::uint64_t revision,
-                       std::vector<std::string> const& entries);
+    std::chrono::milliseconds
+    wait_in_force(std::uint64_t revision,
+                  std::vector<std::string> const& entries);
 
     deployment world;
     std::map<std::string, nlohmann::json> reports;
