A change is confirmed when it is in force, not when one host knows of it

Cause: the leader confirmed a change as soon as it knew it to be committed. In that moment nobody else knew: followers learn it with the next append or heartbeat (up to 140 ms and a way later), and entry hosts whose pushes come from a follower after that. If the leader is lost in between, the change waits for the next leader; without one it never comes. Class: a promise to the outside that hangs on the life of the process that gives it.

Fix: the leader sends its commit index at once when a revision is committed, followers report theirs in their replies, and the operator is told once a quorum knows the change and all entry hosts linked to the leader report it in force. Entry hosts that do not respond delay that by confirmation_wait_ms (500) at most, below the second after which operators turn to another host; a leader without a lease confirms nothing. A new leader waits a second, or that time, for entry hosts to link to it. So a confirmed change is in force wherever a path led, whatever happens to control hosts next; it is the same for changes that are sent again and for closed zones.

Ruled out: waiting for the disks of all (a quorum has the change on disk already), announcing by the next heartbeat only (140 ms more for each change). The reducer's default is no wait, as in all older tests, which are unchanged but for a new field in the table of messages.

--- a/bilberrylead/agreement/append_receiver.cpp
+++ b/bilberrylead/agreement/append_receiver.cpp
@@ -34,7 +34,9 @@
         request.previous_index + request.entries.size();
     this->applier.commit_through(std::min(request.commit_index, agreed));
     this->core.send_after_sync(
-        from, append_reply{request.round, true, agreed, 0, 0},
+        from,
+        append_reply{request.round, true, agreed, 0, 0,
+                     this->core.commit_index},
         this->core.enabled_safeguards.durable_entries_before_answer);
 }
 
@@ -80,9 +82,9 @@
         retry = std::max(log.first_of_term(request.previous_index),
                          this->core.commit_index + 1);
     }
-    this->core.send_after_sync(
-        from,
-        append_reply{request.round, false, 0, request.previous_index, retry});
+    this->core.send_after_sync(from,
+                               append_reply{request.round, false, 0,
+                                            request.previous_index, retry, 0});
 }
 
 void append_receiver::store(append_request const& request)
--- a/bilberrylead/agreement/event.hpp
+++ b/bilberrylead/agreement/event.hpp
@@ -1,6 +1,7 @@
 #ifndef BILBERRYLEAD_AGREEMENT_EVENT_HPP
 #define BILBERRYLEAD_AGREEMENT_EVENT_HPP
 
+#include "bilberrylead/agreement/events/commit_announcement_requested.hpp"
 #include "bilberrylead/agreement/events/disk_failed.hpp"
 #include "bilberrylead/agreement/events/handover_requested.hpp"
 #include "bilberrylead/agreement/events/membership_change_requested.hpp"
@@ -17,9 +18,10 @@
 {
 
 /// An input to replica::reduce.
-using event = std::variant<started, tick, message_received, propose,
-                           read_requested, membership_change_requested,
-                           handover_requested, snapshot_taken, disk_failed>;
+using event =
+    std::variant<started, tick, message_received, propose, read_requested,
+                 membership_change_requested, handover_requested,
+                 snapshot_taken, disk_failed, commit_announcement_requested>;
 
 } // namespace bilberrylead::agreement
 
--- a/bilberrylead/agreement/leadership.cpp
+++ b/bilberrylead/agreement/leadership.cpp
@@ -222,6 +222,7 @@
     }
     peer->match_index = std::max(peer->match_index, reply.match_index);
     peer->next_index = std::max(peer->next_index, peer->match_index + 1);
+    peer->commit_index = std::max(peer->commit_index, reply.commit_index);
 
     // A heartbeat sent during a snapshot transfer matches at index 0 and proves
     // nothing about the log.
@@ -305,6 +306,12 @@
                                     this->rounds.current());
 }
 
+std::uint64_t leadership::quorum_commit_index() const
+{
+    return this->peers.quorum_commit_index(this->core.is_voter(),
+                                           this->core.commit_index);
+}
+
 std::uint64_t leadership::needed_index() const
 {
     std::uint64_t needed = std::numeric_limits<std::uint64_t>::max();
--- a/bilberrylead/agreement/leadership.hpp
+++ b/bilberrylead/agreement/leadership.hpp
@@ -77,6 +77,9 @@
     /// Latest round that a quorum replied to.
     std::uint64_t quorum_round() const;
 
+    /// Highest index that a quorum knows to be committed.
+    std::uint64_t quorum_commit_index() const;
+
     /// Lowest index that the snapshot transfers in progress will need from the
     /// log; the maximum value if there is none.
     std::uint64_t needed_index() const;
--- a/bilberrylead/agreement/message_json.cpp
+++ b/bilberrylead/agreement/message_json.cpp
@@ -70,7 +70,8 @@
             {"success", value.success},
             {"match_index", value.match_index},
             {"rejected_index", value.rejected_index},
-            {"retry_index", value.retry_index}};
+            {"retry_index", value.retry_index},
+            {"commit_index", value.commit_index}};
 }
 
 void read_into(append_reply& value, record_reader& reader)
@@ -80,6 +81,7 @@
     value.match_index = reader.number("match_index");
     value.rejected_index = reader.number("rejected_index");
     value.retry_index = reader.number("retry_index");
+    value.commit_index = reader.number_or("commit_index", 0);
 }
 
 json write_record(install_snapshot_reply const& value)
--- a/bilberrylead/agreement/peer_progress.hpp
+++ b/bilberrylead/agreement/peer_progress.hpp
@@ -21,6 +21,8 @@
     std::uint64_t next_index = 1;
     /// Last index known to match the leader's log durably.
     std::uint64_t match_index = 0;
+    /// Highest index that it is known to know as committed.
+    std::uint64_t commit_index = 0;
     /// True while the leader searches for the last matching index: one append
     /// at a time.
     bool probing = false;
--- a/bilberrylead/agreement/peer_table.cpp
+++ b/bilberrylead/agreement/peer_table.cpp
@@ -99,6 +99,16 @@
                         });
 }
 
+std::uint64_t peer_table::quorum_commit_index(bool self_votes,
+                                              std::uint64_t own) const
+{
+    return quorum_value(this->rows, self_votes, own,
+                        [](peer_progress const& one)
+                        {
+                            return one.commit_index;
+                        });
+}
+
 std::uint64_t peer_table::quorum_round(bool self_votes, std::uint64_t own) const
 {
     return quorum_value(this->rows, self_votes, own,
--- a/bilberrylead/agreement/peer_table.hpp
+++ b/bilberrylead/agreement/peer_table.hpp
@@ -37,6 +37,10 @@
     /// Highest index that a quorum stores; `own` counts if this replica votes.
     std::uint64_t quorum_match_index(bool self_votes, std::uint64_t own) const;
 
+    /// Highest index that a quorum knows to be committed; `own` counts if this
+    /// replica votes.
+    std::uint64_t quorum_commit_index(bool self_votes, std::uint64_t own) const;
+
     /// Latest round that a quorum replied to; `own` counts if this replica
     /// votes.
     std::uint64_t quorum_round(bool self_votes, std::uint64_t own) const;
--- a/bilberrylead/agreement/replica.cpp
+++ b/bilberrylead/agreement/replica.cpp
@@ -45,6 +45,13 @@
     return this->parts->core.leader;
 }
 
+std::uint64_t replica::quorum_commit_index() const
+{
+    return this->parts->core.role() == agreement::role::leader
+               ? this->parts->leadership.quorum_commit_index()
+               : 0;
+}
+
 std::uint64_t replica::commit_index() const
 {
     return this->parts->core.commit_index;
--- a/bilberrylead/agreement/replica.hpp
+++ b/bilberrylead/agreement/replica.hpp
@@ -59,6 +59,11 @@
     /// Highest index known to be committed.
     std::uint64_t commit_index() const;
 
+    /// Highest index that a quorum knows to be committed, as far as this
+    /// replica has heard; 0 unless it leads. Any successor applies entries up
+    /// to there without an election in between.
+    std::uint64_t quorum_commit_index() const;
+
     /// Index of the last entry in the log, committed or not.
     std::uint64_t last_index() const;
 
--- a/bilberrylead/agreement/replica_parts.cpp
+++ b/bilberrylead/agreement/replica_parts.cpp
@@ -320,6 +320,14 @@
     this->leader_handover.on_handover_requested(event.target);
 }
 
+void replica_parts::on(commit_announcement_requested const&)
+{
+    if (this->core.role() == role::leader)
+    {
+        this->leadership.schedule_heartbeats();
+    }
+}
+
 void replica_parts::on(snapshot_taken const& event)
 {
     if (this->core.role() != role::stopped)
--- a/bilberrylead/agreement/replica_parts.hpp
+++ b/bilberrylead/agreement/replica_parts.hpp
@@ -65,6 +65,7 @@
     void on(read_requested const& event);
     void on(membership_change_requested const& event);
     void on(handover_requested const& event);
+    void on(commit_announcement_requested const& event);
     void on(snapshot_taken const& event);
     void on(disk_failed const& event);
     void bootstrap_group(membership const& initial_membership);
--- a/bilberrylead/config/control_settings.hpp
+++ b/bilberrylead/config/control_settings.hpp
@@ -72,6 +72,9 @@
     /// Time within which an upstream that the list shows as leaving must
     /// receive no more requests.
     duration leaving_bound = std::chrono::seconds(3);
+    /// How long an accepted change may wait for the entry hosts before the
+    /// operator is told. Operators turn to another host after a second.
+    duration confirmation_wait = std::chrono::milliseconds(500);
     /// Whether the leader plans which requests entry hosts admit; by_rank
     /// concerns entry hosts only.
     admission_mode admission = admission_mode::none;
--- a/bilberrylead/config/settings_fields.hpp
+++ b/bilberrylead/config/settings_fields.hpp
@@ -149,6 +149,9 @@
     visitor.fraction("upstream_list_calls_per_s", value.upstream_list_calls, 0,
                      most_bound);
     visitor.seconds("leaving_bound_s", value.leaving_bound, longest_setting);
+    visitor.time("confirmation_wait_ms", value.confirmation_wait,
+                 std::chrono::milliseconds(0),
+                 std::chrono::milliseconds(60'000));
     visitor.choice("trust", value.trust, operator_trust_names);
     visitor.choice("admission", value.admission, admission_mode_names);
 }
--- a/bilberrylead/control/control_reducer.cpp
+++ b/bilberrylead/control/control_reducer.cpp
@@ -58,6 +58,7 @@
             event);
     }
     this->run_replica();
+    this->confirm_changes();
     return std::move(this->effects);
 }
 
@@ -167,6 +168,11 @@
     this->pending_reads.erase(event.number);
     this->pending_audits.erase(event.number);
     this->pending_order_reads.erase(event.number);
+    std::erase_if(this->held_confirmations,
+                  [&event](held_confirmation const& held)
+                  {
+                      return held.number == event.number;
+                  });
 }
 
 void control_reducer::on(control_tick const&)
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -11,6 +11,7 @@
 #include "bilberrylead/control/control_event.hpp"
 #include "bilberrylead/control/control_reducer_settings.hpp"
 #include "bilberrylead/control/held_admission.hpp"
+#include "bilberrylead/control/held_confirmation.hpp"
 #include "bilberrylead/control/pending_requests.hpp"
 #include "bilberrylead/control/region_load_table.hpp"
 #include "bilberrylead/discovery/list_reader.hpp"
@@ -216,7 +217,11 @@
     void publish();
     void publish(revision number, bytes content);
     void exchange_event(distribution::exchange_event const& event);
-    void record_confirmation();
+    void hold_confirmation(waiting_operator const& requester,
+                           std::uint64_t index, operator_reply reply);
+    void confirm_changes();
+    bool is_confirmable(held_confirmation const& held) const;
+    void confirm(held_confirmation const& held);
     void record_revision_sent(revision number);
     void record_revision_in_force(link::link_number from, revision in_force);
     void answer(std::uint64_t number, operator_reply reply);
@@ -243,6 +248,7 @@
     std::map<link::link_number, link::peer_identity> links;
     std::map<host_id, link::link_number> control_links;
     pending_requests pending;
+    std::vector<held_confirmation> held_confirmations;
     std::map<std::uint64_t, read_configuration> pending_reads;
     std::map<std::uint64_t, std::size_t> pending_audits;
     std::set<std::uint64_t> pending_order_reads;
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -244,6 +244,8 @@
     if (this->replica.role() == agreement::role::leader)
     {
         this->record_revision_sent(number);
+        this->replica_events.emplace_back(
+            agreement::commit_announcement_requested{});
     }
 }
 
--- a/bilberrylead/control/control_reducer_operators.cpp
+++ b/bilberrylead/control/control_reducer_operators.cpp
@@ -104,14 +104,20 @@
     if (catalog::change_outcome const* const change =
             std::get_if<catalog::change_outcome>(&found->second))
     {
-        this->record_confirmation();
+        bool const is_accepted =
+            std::holds_alternative<catalog::change_accepted>(*change) ||
+            std::holds_alternative<catalog::change_already_accepted>(*change);
+        if (is_accepted)
+        {
+            this->hold_confirmation(requester, index, *change);
+            return;
+        }
         this->answer(requester.number, *change);
     }
     else if (catalog::order_outcome const* const order =
                  std::get_if<catalog::order_outcome>(&found->second))
     {
-        this->record_confirmation();
-        this->answer(requester.number, *order);
+        this->hold_confirmation(requester, index, *order);
     }
     else if (absl::Status const* const failed =
                  std::get_if<absl::Status>(&found->second))
@@ -120,22 +126,6 @@
     }
 }
 
-void control_reducer::record_confirmation()
-{
-    change_confirmed confirmed;
-    confirmed.number = this->exchange.current_revision();
-    for (auto const& [host, in_force] : this->exchange.peer_revisions())
-    {
-        ++confirmed.hosts;
-        if (in_force < confirmed.number)
-        {
-            ++confirmed.hosts_behind;
-            confirmed.behind = host;
-        }
-    }
-    this->effects.emplace_back(std::move(confirmed));
-}
-
 configuration_reply control_reducer::configuration_of(revision wanted) const
 {
     catalog::catalog const& configurations = this->replicated.configurations();
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -38,6 +38,14 @@
     catalog::catalog_settings catalog;
     /// Limits on the run-at-most-once records.
     once::once_settings once;
+    /// How long the confirmation of a change may wait until a quorum knows that
+    /// the change is committed and all linked entry hosts have it in force.
+    /// Zero: it is confirmed as soon as this host knows.
+    duration confirmation_wait{};
+    /// Time from a change of leader until the entry hosts have linked to the
+    /// new leader, also after a restart of all control hosts. Until then it
+    /// does not know which of them must have a change in force.
+    duration entry_link_time = std::chrono::seconds(1);
     /// Interval at which the leader advances the log's time. Half of the
     /// largest step that the state machine counts in full, so that a delayed
     /// step loses no time.
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -208,6 +208,7 @@
     wanted.places = this->settings.places;
     wanted.admission = this->settings.admission;
     wanted.replica.wait_after_pause = true;
+    wanted.confirmation_wait = this->settings.confirmation_wait;
     if (this->forms_itself())
     {
         wanted.planner.emplace();
--- a/bilberrylead/distribution/revision_exchange.cpp
+++ b/bilberrylead/distribution/revision_exchange.cpp
@@ -62,6 +62,16 @@
     return result;
 }
 
+bool revision_exchange::is_in_force_at_all(revision number) const
+{
+    std::map<host_id, revision> const revisions = this->peer_revisions();
+    return std::all_of(revisions.begin(), revisions.end(),
+                       [number](auto const& entry)
+                       {
+                           return entry.second >= number;
+                       });
+}
+
 void revision_exchange::on(link_opened const& event)
 {
     this->links[event.link].peer = event.peer;
--- a/bilberrylead/distribution/revision_exchange.hpp
+++ b/bilberrylead/distribution/revision_exchange.hpp
@@ -48,6 +48,10 @@
     /// The revision that each subscribed peer has in force.
     std::map<host_id, revision> peer_revisions() const;
 
+    /// True if every peer that has subscribed, over any link, has this revision
+    /// or a newer one in force.
+    bool is_in_force_at_all(revision number) const;
+
 private:
     /// State of one link.
     struct peer_link
--- a/tests/unit/agreement/codec_test.cpp
+++ b/tests/unit/agreement/codec_test.cpp
@@ -39,7 +39,7 @@
         vote_request{8, 3, true},
         vote_reply{true},
         append_request{77, 8, 2, 6, {command, change}},
-        append_reply{77, true, 10, 11, 12},
+        append_reply{77, true, 10, 11, 12, 13},
         install_snapshot_request{78, 8, 3, two_members(), 9, 3, {7, 8}},
         install_snapshot_reply{78, 8, 5, true},
         timeout_now{},
