--- a/tests/scenario_runner/scenario_fault_steps.cpp
+++ b/tests/scenario_runner/scenario_fault_steps.cpp
@@ -7,6 +7,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -114,6 +115,8 @@
             names.push_back(this->host_of(line.word(place)));
         }
     }
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
     return names;
 }
 
--- a/tests/scenario_runner/scenario_steps.cpp
+++ b/tests/scenario_runner/scenario_steps.cpp
@@ -170,9 +170,9 @@
         this->world.start_all();
         return;
     }
-    for (std::size_t place = 1; place < line.words.size(); ++place)
+    for (std::string const& name : this->hosts_of(line))
     {
-        this->world.start(this->host_of(line.word(place)));
+        this->world.start(name);
     }
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,3 +1,4 @@
+#include "confirmation_plan.hpp"
 #include "soak_plan.hpp"
 #include "soak_settings.hpp"
 
@@ -47,6 +48,16 @@
                                "Draws faults of single upstreams, too", line);
     TCLAP::SwitchArg rests("", "upstream-rests",
                            "Draws upstreams that ask for rest, too", line);
+    TCLAP::SwitchArg confirmations(
+        "", "confirmations",
+        "Draws changes whose leader is lost when they are confirmed", line);
+    TCLAP::ValueArg<std::uint32_t> bound(
+        "", "in-force-bound-ms", "With --confirmations: time to be in force",
+        false, 0, "milliseconds", line);
+    TCLAP::ValueArg<std::uint32_t> wait(
+        "", "confirmation-wait-ms",
+        "With --confirmations: the setting of the control hosts", false, 0,
+        "milliseconds", line);
     TCLAP::SwitchArg plan("", "plan", "Prints the plan and ends", line);
     line.parse(count, values);
     asked.binaries = binaries.getValue();
@@ -55,13 +66,45 @@
     asked.settings.entry_hosts = entries.getValue();
     asked.settings.upstream_faults = upstreams.getValue();
     asked.settings.upstream_rests = rests.getValue();
+    asked.settings.confirmations = confirmations.getValue();
+    if (bound.isSet())
+    {
+        asked.settings.in_force_bound_ms = bound.getValue();
+    }
+    if (wait.isSet())
+    {
+        asked.settings.confirmation_wait_ms = wait.getValue();
+    }
     asked.shows_plan_only = plan.getValue();
     return asked;
 }
 
+/// The options that name a plan, for a repetition.
+std::string options_of(soak::soak_settings const& settings)
+{
+    std::string text =
+        fmt::format("--seed {} --faults {} --entry-hosts {}{}{}{}",
+                    settings.seed, settings.faults, settings.entry_hosts,
+                    settings.upstream_faults ? " --upstream-faults" : "",
+                    settings.upstream_rests ? " --upstream-rests" : "",
+                    settings.confirmations ? " --confirmations" : "");
+    if (settings.in_force_bound_ms.has_value())
+    {
+        text +=
+            fmt::format(" --in-force-bound-ms {}", *settings.in_force_bound_ms);
+    }
+    if (settings.confirmation_wait_ms.has_value())
+    {
+        text += fmt::format(" --confirmation-wait-ms {}",
+                            *settings.confirmation_wait_ms);
+    }
+    return text;
+}
+
+template <class Plan>
 int run(soak_command const& asked)
 {
-    soak::soak_plan const plan(asked.settings);
+    Plan const plan(asked.settings);
     std::string const text = fmt::format("{}\n", fmt::join(plan.lines(), "\n"));
     if (asked.shows_plan_only)
     {
@@ -79,12 +122,8 @@
                asked.settings.entry_hosts, held ? "held" : "FAILED");
     if (!held)
     {
-        fmt::print("again: soak_runner {} --seed {} --faults {} "
-                   "--entry-hosts {}{}{}\n",
-                   asked.binaries, asked.settings.seed, asked.settings.faults,
-                   asked.settings.entry_hosts,
-                   asked.settings.upstream_faults ? " --upstream-faults" : "",
-                   asked.settings.upstream_rests ? " --upstream-rests" : "");
+        fmt::print("again: soak_runner {} {}\n", asked.binaries,
+                   options_of(asked.settings));
     }
     return held ? 0 : 1;
 }
@@ -97,7 +136,10 @@
 {
     try
     {
-        return run(read_command(count, values));
+        soak_command const asked = read_command(count, values);
+        return asked.settings.confirmations
+                   ? run<soak::confirmation_plan>(asked)
+                   : run<soak::soak_plan>(asked);
     }
     catch (std::exception const& wrong)
     {
--- a/tests/soak/soak_settings.hpp
+++ b/tests/soak/soak_settings.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_SOAK_SOAK_SETTINGS_HPP
 
 #include <cstdint>
+#include <optional>
 
 namespace bilberrylead::soak
 {
@@ -23,6 +24,15 @@
     bool upstream_faults = false;
     /// True to draw upstreams that refuse requests and ask for rest as well.
     bool upstream_rests = false;
+    /// True to draw changes whose leader is lost when they are confirmed; then
+    /// nothing else is drawn.
+    bool confirmations = false;
+    /// With confirmations: within which time of the loss a change must be in
+    /// force; it is awaited without a bound if empty.
+    std::optional<std::uint32_t> in_force_bound_ms;
+    /// With confirmations: the setting of the control hosts, the default if
+    /// empty.
+    std::optional<std::uint32_t> confirmation_wait_ms;
 };
 
 } // namespace bilberrylead::soak
