A request that may outlast a planned stop is not run

It happens here: an entry host with a bounded stop took every request during the first 45 hundredths of it, whatever its deadline. With 6 s, a request that may last 4 s and arrives after 2.5 s is under way when SIGKILL comes. Requests of up to 3.3 s are safe, which is why the deployments at hand did not show it. Class: a deadline that is promised without asking how long the host is there.

Fix: in a bounded stop a request whose deadline lies later than the end of the stop, less 0.2 s for the way to the caller, is refused as stopping, without Retry-After: another host may take it at once. Requests of before the stop are carried as long as the process lives; cutting their deadline would only break them off.

--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -20,6 +20,9 @@
 /// accepted. By then most callers have a new steering answer, and the remaining
 /// time is longer than a request takes.
 constexpr std::int64_t accepting_share_of_stop = 450;
+/// Time before the end of a stop by which an answer must be complete: it still
+/// has to reach the caller.
+constexpr std::chrono::milliseconds stop_margin{200};
 
 } // namespace
 
@@ -185,6 +188,12 @@
         this->refuse_arrival(event, refusal_reason::deadline);
         return;
     }
+    if (this->ends_after_stop(request.deadline))
+    {
+        this->return_token(request);
+        this->refuse_arrival(event, refusal_reason::stopping);
+        return;
+    }
     request.is_relayed = event.is_relayed;
     this->current_counters.received_from_relays += event.is_relayed ? 1U : 0U;
     request.digest = event.digest;
@@ -330,6 +339,16 @@
     }
 }
 
+/// True if the process may be ended before a request with this deadline is
+/// answered. It must not be run then: it would be cut in the middle.
+bool entry_reducer::ends_after_stop(instant deadline) const
+{
+    bool const is_bounded = this->host_settings.stop_time > duration::zero();
+    return this->draining() && is_bounded &&
+           deadline > this->drain_started_at + this->host_settings.stop_time -
+                          stop_margin;
+}
+
 void entry_reducer::check_drain_progress()
 {
     if (!this->draining())
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -284,6 +284,7 @@
     void count_end(live_request const& request,
                    std::uint64_t service_counters::* kind);
     void check_drain_progress();
+    bool ends_after_stop(instant deadline) const;
     policy::rank_admission& admission_of(service_id const& service);
     rank_counters& rank_counters_of(live_request const& request);
     void record_offered(live_request& request);
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -414,8 +414,12 @@
             event.request, reason, this->host_settings.retry_after});
         return;
     }
+    // Another entry host may take the request at once.
+    duration const retry_after = reason == refusal_reason::stopping
+                                     ? duration::zero()
+                                     : this->host_settings.retry_after;
     this->pending_effects.push_back(
-        answer_not_run{event.request, reason, this->host_settings.retry_after});
+        answer_not_run{event.request, reason, retry_after});
 }
 
 void entry_reducer::answer_with_problem(request_number number,
--- a/bilberrylead/entry/refusal_reason.cpp
+++ b/bilberrylead/entry/refusal_reason.cpp
@@ -20,7 +20,7 @@
     "crashes-upstreams", "unknown-customer",
     "over-limit",        "no-common-region",
     "upstreams-resting", "other-configuration",
-    "body-incomplete"};
+    "body-incomplete",   "stopping"};
 
 } // namespace
 
--- a/bilberrylead/entry/refusal_reason.hpp
+++ b/bilberrylead/entry/refusal_reason.hpp
@@ -59,11 +59,13 @@
     /// The rest of the body, of which a part had been passed on, was not valid,
     /// too large or too slow.
     body_incomplete,
+    /// This host is about to stop, and the request may last longer.
+    stopping,
 };
 
 /// Number of reasons, for counters.
 constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::body_incomplete) + 1;
+    static_cast<std::size_t>(refusal_reason::stopping) + 1;
 
 /// Name of the reason in problem bodies, metrics and logs.
 std::string_view to_string(refusal_reason reason);
--- a/bilberrylead/http/local_answer.cpp
+++ b/bilberrylead/http/local_answer.cpp
@@ -70,6 +70,8 @@
         return "This entry host has another configuration.";
     case refusal_reason::body_incomplete:
         return "The rest of the request's body was not valid, or too slow.";
+    case refusal_reason::stopping:
+        return "This entry host is about to stop.";
     }
     return "";
 }
@@ -132,10 +134,13 @@
 whole_answer make_answer(entry::answer_not_run const& decision,
                          header_names const& names)
 {
-    whole_answer answer = make_problem(
-        status::service_unavailable, to_string(decision.reason),
-        title_of(decision.reason),
-        "It was not run. Send it again after Retry-After.", "not-run");
+    whole_answer answer =
+        make_problem(status::service_unavailable, to_string(decision.reason),
+                     title_of(decision.reason),
+                     decision.reason == refusal_reason::stopping
+                         ? "It was not run. Send it to another entry host."
+                         : "It was not run. Send it again after Retry-After.",
+                     "not-run");
     set_retry_after(answer, decision.retry_after, names);
     return answer;
 }
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -186,6 +187,32 @@
     cr_expect_null(host.find<drained>(), "a request is in progress");
 }
 
+// Guards against a request that is taken in a planned stop, may last longer
+// than the stop and is cut with the process while an upstream runs it.
+Test(routed_request, request_that_may_outlast_a_bounded_stop_is_not_run)
+{
+    routed_entry host;
+    auto const changed =
+        std::make_shared<config::configuration>(*host.configuration);
+    changed->request_routes[2].timeout = 4s;
+    host.reduce(configuration_received{2, changed});
+    host.arrive(1, "/w/x");
+    cr_expect(host.sent_to().starts_with("write-"), "before the stop");
+
+    host.reduce(drain_requested{});
+    host.advance(1500ms);
+    host.arrive(2, "/w/x");
+    cr_expect(host.sent_to().starts_with("write-"), "it ends in time");
+    host.advance(500ms);
+    host.arrive(3, "/w/x");
+    answer_not_run const* const refused = host.find<answer_not_run>();
+    cr_assert_not_null(refused);
+    cr_expect(refused->reason == refusal_reason::stopping);
+    cr_expect(refused->retry_after == duration::zero());
+    host.arrive(4, "/r/x");
+    cr_expect(host.sent_to().starts_with("read-"), "a short one ends in time");
+}
+
 // Requests that are restricted to a region must not leave it, even though the
 // local region has nearer idle upstreams.
 Test(routed_request, route_with_a_region_runs_in_that_region_only)
