Readers hold a bounded number of bytes that they cannot parse

What callers would see (the users' first report): bytes that are no answer, or no request, without end; the entry host keeps them all, runs out of memory and ends with the requests of everybody.

It happens here. Cause: the buffers of all HTTP readers had no maximum. The parser's limits cover heads and bodies; the size and extensions of a chunk and the fields behind a body must be in the buffer as a whole, and nothing counted them. Class: a limit on each part of a message and none on what lies between.

Fix: the library's maximum of the buffer, largest head and 64 KiB, for callers, upstreams, the list of upstreams, operators' and metrics ports and bilberryctl. A caller over it gets 400 and its connection ends; an upstream's answer counts as bad. Links between hosts had a maximum for a message already.

--- a/bilberrylead/ctl/operator_client.cpp
+++ b/bilberrylead/ctl/operator_client.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/ctl/operator_client.hpp"
 
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/ctl/report.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 
@@ -101,7 +102,7 @@
 
     asio::io_context io{1};
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     http::request<http::string_body> request;
     http::response_parser<http::string_body> parser;
     error_code failed;
--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/caller_connection.hpp"
 
+#include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
@@ -249,8 +250,9 @@
 {
     std::shared_ptr<caller_request> request =
         std::make_shared<caller_request>(this->core);
-    request->parser.header_limit(
-        static_cast<std::uint32_t>(this->core->caller_limits().header_bytes));
+    std::size_t const largest_head = this->core->caller_limits().header_bytes;
+    request->parser.header_limit(static_cast<std::uint32_t>(largest_head));
+    this->buffer.max_size(largest_head + max_unparsed_bytes);
     request->parser.body_limit(boost::none);
     return request;
 }
--- a/bilberrylead/http/upstream_connection.hpp
+++ b/bilberrylead/http/upstream_connection.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_HTTP_UPSTREAM_CONNECTION_HPP
 
 #include "bilberrylead/config/endpoint.hpp"
+#include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/http/net.hpp"
 
 namespace bilberrylead::http
@@ -17,6 +18,10 @@
     {
     }
 
+    /// Largest head of an answer.
+    static constexpr std::uint32_t largest_answer_head = std::uint32_t{64}
+                                                         << 10U;
+
     /// True if the other side has closed it, or has sent bytes that answer
     /// nothing: whatever comes next on it cannot be told apart.
     bool spoiled();
@@ -24,7 +29,7 @@
     /// The socket.
     tcp_socket socket;
     /// Bytes read beyond what was parsed.
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{largest_answer_head + max_unparsed_bytes};
     /// Where it leads.
     config::endpoint upstream;
     /// When the other side was last heard.
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -27,7 +27,6 @@
 namespace
 {
 
-constexpr std::uint32_t largest_answer_head = std::uint32_t{64} << 10U;
 constexpr std::size_t piece_size = std::size_t{16} << 10U;
 /// Answers to earlier requests that are skipped in front of the own one.
 constexpr unsigned most_skipped_answers = 2;
@@ -314,7 +313,7 @@
     do
     {
         this->parser.emplace();
-        this->parser->header_limit(largest_answer_head);
+        this->parser->header_limit(upstream_connection::largest_answer_head);
         this->parser->body_limit(boost::none);
         this->parser->skip(this->request->message.method() ==
                            beast::http::verb::head);
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -103,6 +103,7 @@
     void address_entry_host(request_message& message) const;
     bool is_reusable() const;
     void finish();
+    entry::exchange_fault fault_of(error_code const& error) const;
     void fail(entry::exchange_fault fault);
     void note_silence();
     void close();
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -162,6 +162,18 @@
     return !this->parser->get()[this->names.not_run].empty();
 }
 
+/// What a failed read of an answer's body means.
+entry::exchange_fault upstream_exchange::fault_of(error_code const& error) const
+{
+    if (this->timed_out)
+    {
+        return entry::exchange_fault::no_response;
+    }
+    return error == beast::http::error::buffer_overflow
+               ? entry::exchange_fault::bad_answer
+               : entry::exchange_fault::connection_lost;
+}
+
 task<std::size_t> upstream_exchange::read_some(std::span<char> piece,
                                                error_code& error)
 {
@@ -186,9 +198,7 @@
         }
         if (error)
         {
-            this->fail(this->timed_out
-                           ? entry::exchange_fault::no_response
-                           : entry::exchange_fault::connection_lost);
+            this->fail(this->fault_of(error));
             co_return 0;
         }
         count = piece.size() - this->parser->get().body().size;
@@ -243,9 +253,7 @@
         }
         if (error && error != beast::http::error::need_buffer)
         {
-            this->fail(this->timed_out
-                           ? entry::exchange_fault::no_response
-                           : entry::exchange_fault::connection_lost);
+            this->fail(this->fault_of(error));
             co_return;
         }
         std::size_t const count =
--- a/bilberrylead/link/http_caller.cpp
+++ b/bilberrylead/link/http_caller.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/link/http_caller.hpp"
 
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/link/quiet_socket.hpp"
 
@@ -53,7 +54,7 @@
     duration timeout;
     beast::tcp_stream stream;
     bool connected = false;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     http::request<http::empty_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
     result_function done;
--- a/bilberrylead/link/http_endpoint.cpp
+++ b/bilberrylead/link/http_endpoint.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/link/http_endpoint.hpp"
 
+#include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -108,7 +109,7 @@
     http_endpoint::handler const& serve;
     http_endpoint_settings const& settings;
     std::shared_ptr<std::size_t> open;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> answer;
     bool keep_alive = false;
