--- a/tests/unit/discovery/listing_delivery_test.cpp
+++ b/tests/unit/discovery/listing_delivery_test.cpp
@@ -7,8 +7,8 @@
 
 using namespace bilberrylead;
 using namespace std::chrono_literals;
-using discovery::delivery_report;
 using discovery::listing_delivery;
+using discovery::listing_delivery_report;
 
 namespace
 {
@@ -25,7 +25,7 @@
     delivery.record_sent({1, 2}, {near, far}, start);
     cr_expect_not(
         delivery.record_confirmed(near, {1, 2}, start + 40ms).has_value());
-    std::optional<delivery_report> const report =
+    std::optional<listing_delivery_report> const report =
         delivery.record_confirmed(far, {1, 2}, start + 700ms);
     cr_assert(report.has_value());
     cr_expect_eq(report->hosts, 2U);
@@ -51,7 +51,7 @@
     listing_delivery delivery;
     delivery.record_sent({1, 2}, {near, far}, start);
     delivery.record_confirmed(near, {1, 2}, start + 40ms);
-    std::optional<delivery_report> const report =
+    std::optional<listing_delivery_report> const report =
         delivery.record_sent({1, 3}, {near, far}, start + 1s);
     cr_assert(report.has_value());
     cr_expect_eq(report->confirmed, 1U);
