Steering port takes small bodies only; a lower limit of heads cuts nothing off

The port where callers ask for entry hosts is open to all, takes 1500 connections and let each send a body of 64 MiB, the bound of a whole configuration: 96 GB in a control host. Its questions are GETs; 4 KiB now. And a buffer's maximum could fall below what a pipelining caller had sent already, when an operator lowers the limit of heads; it counts what has arrived now. No test of either yet.

--- a/bilberrylead/daemon/control_program_outside.cpp
+++ b/bilberrylead/daemon/control_program_outside.cpp
@@ -27,6 +27,10 @@
 constexpr std::size_t most_steering_connections = 1500;
 constexpr std::chrono::seconds steering_idle_limit{15};
 
+/// Questions have no body; a stray one must not take the memory of the process,
+/// times the connections above.
+constexpr std::size_t largest_steering_body = 4096;
+
 constexpr unsigned http_ok = 200;
 
 /// Outcomes of operators' calls in logs and metrics.
@@ -56,6 +60,7 @@
         link::http_endpoint_settings bounds;
         bounds.most_connections = most_steering_connections;
         bounds.exchange_timeout = steering_idle_limit;
+        bounds.largest_body = largest_steering_body;
         this->steering.emplace(
             this->io,
             [this](link::http_request const& request,
--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -252,7 +252,9 @@
         std::make_shared<caller_request>(this->core);
     std::size_t const largest_head = this->core->caller_limits().header_bytes;
     request->parser.header_limit(static_cast<std::uint32_t>(largest_head));
-    this->buffer.max_size(largest_head + max_unparsed_bytes);
+    // A lower limit of heads must not cut off what has arrived already.
+    this->buffer.max_size(std::max(largest_head, this->buffer.size()) +
+                          max_unparsed_bytes);
     request->parser.body_limit(boost::none);
     return request;
 }
