Confirmations: a quorum must know the change, also once it is overdue

What operators would see: a change confirmed by a leader that was cut off right after the commit, which nobody else knows; or a change that is never confirmed.

Cause: once the wait for entry hosts was over, the lease alone decided. It counts from when the last answered round was sent, so it can outlive the wait, and always does with a wait below about half a second. And a leader whose handover failed has no lease for the rest of its term, so it confirmed nothing beside a late entry host. A change that was sent again also began its wait anew, so that an operator whose calls last a second could be kept waiting again and again.

Fix: a quorum that knows the change is asked for in any case, the wait is for entry hosts only, it counts from the first commit or the change of leader, and half a second (not one) is left to entry hosts to link to a new leader. A follower of the version before reports no commit index; it counts as knowing what it has stored, so that changes are confirmed during an upgrade. Looking at the links allocates nothing any more.

The two older tests of the wait ask for less time than before (a leader has linked its entry hosts after 0.5 s) and for more (the rest of the wait after a resend).

--- a/bilberrylead/agreement/append_receiver.cpp
+++ b/bilberrylead/agreement/append_receiver.cpp
@@ -82,9 +82,9 @@
         retry = std::max(log.first_of_term(request.previous_index),
                          this->core.commit_index + 1);
     }
-    this->core.send_after_sync(from,
-                               append_reply{request.round, false, 0,
-                                            request.previous_index, retry, 0});
+    this->core.send_after_sync(
+        from, append_reply{
+                  request.round, false, 0, request.previous_index, retry, {}});
 }
 
 void append_receiver::store(append_request const& request)
--- a/bilberrylead/agreement/leadership.cpp
+++ b/bilberrylead/agreement/leadership.cpp
@@ -222,7 +222,11 @@
     }
     peer->match_index = std::max(peer->match_index, reply.match_index);
     peer->next_index = std::max(peer->next_index, peer->match_index + 1);
-    peer->commit_index = std::max(peer->commit_index, reply.commit_index);
+
+    // A version that does not report it counts as knowing what it has stored:
+    // during an upgrade changes must still be confirmed.
+    peer->commit_index = std::max(
+        peer->commit_index, reply.commit_index.value_or(reply.match_index));
 
     // A heartbeat sent during a snapshot transfer matches at index 0 and proves
     // nothing about the log.
--- a/bilberrylead/agreement/message_json.cpp
+++ b/bilberrylead/agreement/message_json.cpp
@@ -66,12 +66,16 @@
 
 json write_record(append_reply const& value)
 {
-    return {{"round", value.round},
-            {"success", value.success},
-            {"match_index", value.match_index},
-            {"rejected_index", value.rejected_index},
-            {"retry_index", value.retry_index},
-            {"commit_index", value.commit_index}};
+    json record = {{"round", value.round},
+                   {"success", value.success},
+                   {"match_index", value.match_index},
+                   {"rejected_index", value.rejected_index},
+                   {"retry_index", value.retry_index}};
+    if (value.commit_index.has_value())
+    {
+        record["commit_index"] = *value.commit_index;
+    }
+    return record;
 }
 
 void read_into(append_reply& value, record_reader& reader)
@@ -81,7 +85,7 @@
     value.match_index = reader.number("match_index");
     value.rejected_index = reader.number("rejected_index");
     value.retry_index = reader.number("retry_index");
-    value.commit_index = reader.number_or("commit_index", 0);
+    value.commit_index = reader.optional_number("commit_index");
 }
 
 json write_record(install_snapshot_reply const& value)
--- a/bilberrylead/agreement/messages/append_reply.hpp
+++ b/bilberrylead/agreement/messages/append_reply.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_AGREEMENT_MESSAGES_APPEND_REPLY_HPP
 
 #include <cstdint>
+#include <optional>
 
 namespace bilberrylead::agreement
 {
@@ -19,9 +20,9 @@
     std::uint64_t rejected_index = 0;
     /// On failure: index from which the leader should send again.
     std::uint64_t retry_index = 0;
-    /// On success: highest index that the sender knows to be committed; 0 from
-    /// versions that do not report it.
-    std::uint64_t commit_index = 0;
+    /// On success: highest index that the sender knows to be committed; empty
+    /// from versions that do not report it.
+    std::optional<std::uint64_t> commit_index;
 
     friend bool operator==(append_reply const&, append_reply const&) = default;
 };
--- a/bilberrylead/agreement/record_reader.cpp
+++ b/bilberrylead/agreement/record_reader.cpp
@@ -78,6 +78,12 @@
     return this->source.contains(name) ? this->number(name) : fallback;
 }
 
+std::optional<std::uint64_t> record_reader::optional_number(char const* name)
+{
+    return this->source.contains(name) ? std::optional(this->number(name))
+                                       : std::nullopt;
+}
+
 bool record_reader::flag(char const* name)
 {
     nlohmann::json const* const value = this->field(name);
--- a/bilberrylead/agreement/record_reader.hpp
+++ b/bilberrylead/agreement/record_reader.hpp
@@ -7,6 +7,7 @@
 #include <absl/status/status.h>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,6 +38,8 @@
     /// Reads an unsigned integer, or returns `fallback` if the field does not
     /// exist.
     std::uint64_t number_or(char const* name, std::uint64_t fallback);
+    /// Reads an unsigned integer; empty if the field does not exist.
+    std::optional<std::uint64_t> optional_number(char const* name);
     /// Reads a boolean.
     bool flag(char const* name);
     /// Reads a string.
--- a/bilberrylead/control/control_reducer.hpp
+++ b/bilberrylead/control/control_reducer.hpp
@@ -218,7 +218,7 @@
     void publish(revision number, bytes content);
     void exchange_event(distribution::exchange_event const& event);
     void hold_confirmation(waiting_operator const& requester,
-                           std::uint64_t index, operator_reply reply);
+                           operator_reply reply);
     void confirm_changes();
     bool is_confirmable(held_confirmation const& held) const;
     void confirm(held_confirmation const& held);
@@ -249,6 +249,10 @@
     std::map<host_id, link::link_number> control_links;
     pending_requests pending;
     std::vector<held_confirmation> held_confirmations;
+    /// When this host published its newest revision, and the index in the
+    /// replicated log that it came with.
+    instant published_at{};
+    std::uint64_t published_index = 0;
     std::map<std::uint64_t, read_configuration> pending_reads;
     std::map<std::uint64_t, std::size_t> pending_audits;
     std::set<std::uint64_t> pending_order_reads;
--- a/bilberrylead/control/control_reducer_confirmations.cpp
+++ b/bilberrylead/control/control_reducer_confirmations.cpp
@@ -12,12 +12,14 @@
 {
 
 void control_reducer::hold_confirmation(waiting_operator const& requester,
-                                        std::uint64_t index,
                                         operator_reply reply)
 {
+    // A change that is sent again waits from its first commit, so that
+    // operators get an answer although each of their calls is short.
     this->held_confirmations.push_back(
-        {requester.number, std::move(reply), index,
-         this->exchange.current_revision(), this->time});
+        {requester.number, std::move(reply), this->published_index,
+         this->exchange.current_revision(),
+         std::max(this->published_at, this->leader_since)});
 }
 
 void control_reducer::confirm_changes()
@@ -52,22 +54,21 @@
     }
 }
 
+/// A leader that no quorum hears confirms nothing, however long that takes. An
+/// entry host that does not respond must not keep operators waiting.
 bool control_reducer::is_confirmable(held_confirmation const& held) const
 {
-    // An entry host that does not respond must not keep operators waiting. The
-    // lease shows that a quorum still responds to this host.
-    bool const is_overdue =
-        this->time - held.accepted_at >= this->settings.confirmation_wait;
-    if (is_overdue)
+    if (this->settings.confirmation_wait == duration::zero())
     {
-        return this->settings.confirmation_wait == duration::zero() ||
-               this->replica.holds_lease(this->time);
+        return true;
     }
+    bool const is_overdue =
+        this->time - held.accepted_at >= this->settings.confirmation_wait;
     bool const knows_entry_hosts =
         this->time - this->leader_since >= this->settings.entry_link_time;
-    return knows_entry_hosts &&
-           this->replica.quorum_commit_index() >= held.index &&
-           this->exchange.is_in_force_at_all(held.awaited);
+    return this->replica.quorum_commit_index() >= held.index &&
+           (is_overdue || (knows_entry_hosts &&
+                           this->exchange.is_in_force_at_all(held.awaited)));
 }
 
 void control_reducer::confirm(held_confirmation const& held)
--- a/bilberrylead/control/control_reducer_log.cpp
+++ b/bilberrylead/control/control_reducer_log.cpp
@@ -88,6 +88,7 @@
     if (this->replicated.configurations().current_revision() != before ||
         this->replicated.orders().current_revision() != orders_before)
     {
+        this->published_index = effect.entry.index;
         this->publish();
     }
 }
@@ -102,6 +103,7 @@
         this->replica_events.emplace_back(agreement::disk_failed{});
         return;
     }
+    this->published_index = effect.snapshot.last_index;
     this->publish();
 }
 
@@ -239,6 +241,7 @@
 {
     std::shared_ptr<bytes const> const document =
         std::make_shared<bytes const>(std::move(content));
+    this->published_at = this->time;
     this->effects.emplace_back(revision_in_force{document});
     this->exchange_event(distribution::revision_published{number, document});
     if (this->replica.role() == agreement::role::leader)
--- a/bilberrylead/control/control_reducer_operators.cpp
+++ b/bilberrylead/control/control_reducer_operators.cpp
@@ -109,7 +109,7 @@
             std::holds_alternative<catalog::change_already_accepted>(*change);
         if (is_accepted)
         {
-            this->hold_confirmation(requester, index, *change);
+            this->hold_confirmation(requester, *change);
             return;
         }
         this->answer(requester.number, *change);
@@ -117,7 +117,7 @@
     else if (catalog::order_outcome const* const order =
                  std::get_if<catalog::order_outcome>(&found->second))
     {
-        this->hold_confirmation(requester, index, *order);
+        this->hold_confirmation(requester, *order);
     }
     else if (absl::Status const* const failed =
                  std::get_if<absl::Status>(&found->second))
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -45,7 +45,7 @@
     /// Time from a change of leader until the entry hosts have linked to the
     /// new leader, also after a restart of all control hosts. Until then it
     /// does not know which of them must have a change in force.
-    duration entry_link_time = std::chrono::seconds(1);
+    duration entry_link_time = std::chrono::milliseconds(500);
     /// Interval at which the leader advances the log's time. Half of the
     /// largest step that the state machine counts in full, so that a delayed
     /// step loses no time.
--- a/bilberrylead/control/held_confirmation.hpp
+++ b/bilberrylead/control/held_confirmation.hpp
@@ -17,11 +17,11 @@
     std::uint64_t number = 0;
     /// What the operator is told.
     operator_reply reply;
-    /// Index of the change in the replicated log.
+    /// Index in the replicated log that put the awaited revision in force.
     std::uint64_t index = 0;
     /// Revision that must be in force.
     revision awaited = 0;
-    /// When the change was known to be committed.
+    /// When that was known to be committed, or the leadership began.
     instant accepted_at;
 };
 
--- a/bilberrylead/distribution/revision_exchange.cpp
+++ b/bilberrylead/distribution/revision_exchange.cpp
@@ -64,11 +64,24 @@
 
 bool revision_exchange::is_in_force_at_all(revision number) const
 {
-    std::map<host_id, revision> const revisions = this->peer_revisions();
-    return std::all_of(revisions.begin(), revisions.end(),
-                       [number](auto const& entry)
+    return std::all_of(this->links.begin(), this->links.end(),
+                       [this, number](link_map::value_type const& row)
                        {
-                           return entry.second >= number;
+                           return !row.second.subscribed ||
+                                  row.second.revision_in_force >= number ||
+                                  this->is_in_force_at(row.second.peer.id,
+                                                       number);
+                       });
+}
+
+bool revision_exchange::is_in_force_at(host_id const& host,
+                                       revision number) const
+{
+    return std::any_of(this->links.begin(), this->links.end(),
+                       [&host, number](link_map::value_type const& row)
+                       {
+                           return row.second.revision_in_force >= number &&
+                                  row.second.peer.id == host;
                        });
 }
 
--- a/bilberrylead/distribution/revision_exchange.hpp
+++ b/bilberrylead/distribution/revision_exchange.hpp
@@ -53,6 +53,7 @@
     bool is_in_force_at_all(revision number) const;
 
 private:
+    bool is_in_force_at(host_id const& host, revision number) const;
     /// State of one link.
     struct peer_link
     {
--- a/tests/unit/agreement/codec_test.cpp
+++ b/tests/unit/agreement/codec_test.cpp
@@ -67,6 +67,15 @@
 
 } // namespace
 
+// Hosts of the version before do not report what they know to be committed.
+Test(codec, reply_without_a_commit_index_is_read_as_such)
+{
+    message const sent{5, 2, append_reply{77, true, 10, 11, 12, {}}};
+    absl::StatusOr<message> const read = decode_message(encode_message(sent));
+    cr_assert(read.ok());
+    cr_expect(*read == sent);
+}
+
 Test(codec, every_message_when_written_and_read_is_the_same)
 {
     for (message const& one : every_message())
--- a/tests/unit/control/confirmed_change_test.cpp
+++ b/tests/unit/control/confirmed_change_test.cpp
@@ -21,16 +21,10 @@
 
 constexpr duration confirmation_wait = 500ms;
 /// Ticks after which the entry hosts have linked to a new leader.
-constexpr int linking_ticks = 15;
+constexpr int linking_ticks = 8;
 /// Ticks after which a confirmation is overdue.
 constexpr int overdue_ticks = 9;
 
-void waiting(control::control_reducer_settings& settings,
-             control::control_started&)
-{
-    settings.confirmation_wait = confirmation_wait;
-}
-
 control::submit_change change(char const* name, revision base)
 {
     return {{change_id(name), base, "operator", {}, {'{', '}'}}};
@@ -40,7 +34,13 @@
 /// host and receives pushes from one that does not lead.
 struct watched_group : control_group
 {
-    watched_group() : control_group(std::nullopt, waiting)
+    explicit watched_group(duration wait = confirmation_wait)
+        : control_group(std::nullopt,
+                        [wait](control::control_reducer_settings& settings,
+                               control::control_started&)
+                        {
+                            settings.confirmation_wait = wait;
+                        })
     {
         this->leader = this->wait_for_leader();
         this->pushing = (this->leader + 1) % hosts;
@@ -120,6 +120,22 @@
         }
     }
 
+    /// Delivers until the leader, and nobody else, knows a first change.
+    void deliver_until_committed()
+    {
+        while (this->nodes.at(this->leader)
+                   ->state()
+                   .configurations()
+                   .current_revision() == 0)
+        {
+            cr_assert_not(this->in_flight.empty());
+            control_group::envelope const next = this->in_flight.front();
+            this->in_flight.pop_front();
+            this->dispatch(next.to,
+                           {control::peer_message{next.from, next.content}});
+        }
+    }
+
     bool is_answered(std::uint64_t number) const
     {
         auto const found = this->answers.find(number);
@@ -196,17 +212,7 @@
 {
     watched_group group;
     group.request(group.leader, 1, change("a", 0));
-    while (group.nodes.at(group.leader)
-               ->state()
-               .configurations()
-               .current_revision() == 0)
-    {
-        cr_assert_not(group.in_flight.empty());
-        control_group::envelope const next = group.in_flight.front();
-        group.in_flight.pop_front();
-        group.dispatch(next.to,
-                       {control::peer_message{next.from, next.content}});
-    }
+    group.deliver_until_committed();
     std::size_t const old = group.leader;
     group.isolated = {old};
     std::size_t const next = group.wait_for_leader();
@@ -223,18 +229,75 @@
     cr_expect(group.is_accepted(2));
 }
 
-// A change that is sent again is confirmed by the same rule.
-Test(confirmed_change, when_sent_again_before_it_is_in_force_waits_too)
+// Guards against the same once the confirmation is overdue: a lease that still
+// holds says nothing of what the others know.
+Test(confirmed_change,
+     when_overdue_and_known_to_the_leader_only_is_not_confirmed)
+{
+    for (duration const wait : {200ms, 500ms})
+    {
+        watched_group group(wait);
+        group.request(group.leader, 1, change("a", 0));
+        group.deliver_until_committed();
+        group.isolated = {group.leader};
+        group.in_flight.clear();
+        group.time += wait + 10ms;
+        cr_assert(group.nodes.at(group.leader)->log().holds_lease(group.time));
+        group.dispatch(group.leader, {control::control_tick{}});
+        cr_expect_not(group.is_answered(1));
+    }
+}
+
+// Guards against a leader that has no lease any more, since a handover failed,
+// and confirms nothing beside an entry host that is late.
+Test(confirmed_change, when_a_handover_has_failed_is_confirmed_all_the_same)
+{
+    watched_group group;
+    group.request(group.leader, 1, control::hand_over{});
+    group.in_flight.clear();
+    group.advance(20);
+    cr_assert(group.nodes.at(group.leader)->log().role() ==
+              agreement::role::leader);
+    cr_assert_not(group.nodes.at(group.leader)->log().holds_lease(group.time));
+    group.is_silent = true;
+    group.request(group.leader, 2, change("a", 0));
+    group.deliver_everything();
+    cr_expect_not(group.is_answered(2));
+    group.advance(overdue_ticks);
+    cr_expect(group.is_accepted(2));
+}
+
+// A change that is sent again is confirmed by the same rule, and waits from its
+// first commit: an operator whose calls are short must get an answer.
+Test(confirmed_change, when_sent_again_before_it_is_in_force_waits_the_rest)
 {
     watched_group group;
     group.is_silent = true;
     group.request(group.leader, 1, change("a", 0));
     group.deliver_everything();
+    group.advance(overdue_ticks / 2);
     group.request(group.leader, 2, change("a", 0));
     group.deliver_everything();
     cr_expect_not(group.is_answered(2));
-    group.advance(overdue_ticks);
+    group.advance(overdue_ticks - overdue_ticks / 2);
+    cr_expect(group.is_accepted(1));
     cr_expect(group.is_accepted(2));
+    group.request(group.leader, 3, change("a", 0));
+    group.deliver_everything();
+    cr_expect(group.is_accepted(3));
+}
+
+// Orders are confirmed by the same rule.
+Test(confirmed_change, when_orders_are_not_in_force_yet_waits)
+{
+    watched_group group;
+    group.is_silent = true;
+    group.request(group.leader, 1, control::submit_orders{{5, bytes{'a'}}});
+    group.deliver_everything();
+    cr_expect_not(group.is_answered(1));
+    group.advance(overdue_ticks);
+    cr_expect(
+        std::holds_alternative<catalog::order_outcome>(group.answer_to(1)));
 }
 
 // A new leader does not know yet which entry hosts there are.
