--- a/bilberrylead/agreement/replica.hpp
+++ b/bilberrylead/agreement/replica.hpp
@@ -60,8 +60,8 @@
     std::uint64_t commit_index() const;
 
     /// Highest index that a quorum knows to be committed, as far as this
-    /// replica has heard; 0 unless it leads. Any successor applies entries up
-    /// to there without an election in between.
+    /// replica has heard; 0 unless it leads. These members have applied the
+    /// entries up to there, whatever becomes of this replica.
     std::uint64_t quorum_commit_index() const;
 
     /// Index of the last entry in the log, committed or not.
