--- a/bilberrylead/agreement/record_reader.cpp
+++ b/bilberrylead/agreement/record_reader.cpp
@@ -75,7 +75,7 @@
 
 std::uint64_t record_reader::number_or(char const* name, std::uint64_t fallback)
 {
-    return this->source.contains(name) ? this->number(name) : fallback;
+    return this->optional_number(name).value_or(fallback);
 }
 
 std::optional<std::uint64_t> record_reader::optional_number(char const* name)
--- a/bilberrylead/control/control_reducer_settings.hpp
+++ b/bilberrylead/control/control_reducer_settings.hpp
@@ -38,9 +38,10 @@
     catalog::catalog_settings catalog;
     /// Limits on the run-at-most-once records.
     once::once_settings once;
-    /// How long the confirmation of a change may wait until a quorum knows that
-    /// the change is committed and all linked entry hosts have it in force.
-    /// Zero: it is confirmed as soon as this host knows.
+    /// How long the confirmation of a change may wait until all linked entry
+    /// hosts have it in force. It waits without a bound until a quorum knows
+    /// that the change is committed. Zero: it is confirmed as soon as this host
+    /// knows, and waits for neither.
     duration confirmation_wait{};
     /// Time from a change of leader until the entry hosts have linked to the
     /// new leader, also after a restart of all control hosts. Until then it
--- a/bilberrylead/daemon/listing_log.cpp
+++ b/bilberrylead/daemon/listing_log.cpp
@@ -3,6 +3,7 @@
 #include "bilberrylead/control/control_effect.hpp"
 #include "bilberrylead/core/log.hpp"
 #include "bilberrylead/core/log_line.hpp"
+#include "bilberrylead/daemon/delivery_fields.hpp"
 
 #include <fmt/format.h>
 
@@ -43,13 +44,9 @@
 
 void log_delivery(discovery::listing_delivery_report const& report)
 {
-    log_line("control", "listing_delivered")
-        .text("listing", text_of(report.position))
-        .number("hosts", static_cast<std::int64_t>(report.hosts))
-        .number("confirmed", static_cast<std::int64_t>(report.confirmed))
-        .text("slowest", report.slowest.text())
-        .time("slowest_ms", report.slowest_time)
-        .write();
+    log_line line("control", "listing_delivered");
+    line.text("listing", text_of(report.position));
+    add_delivery(line, report).write();
 }
 
 } // namespace bilberrylead::daemon
--- a/bilberrylead/daemon/revision_log.cpp
+++ b/bilberrylead/daemon/revision_log.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/control/control_effect.hpp"
 #include "bilberrylead/core/log_line.hpp"
+#include "bilberrylead/daemon/delivery_fields.hpp"
 
 #include <cstdint>
 
@@ -21,13 +22,9 @@
 
 void log_delivery(delivery_report<revision> const& report)
 {
-    log_line("control", "revision_delivered")
-        .number("revision", static_cast<std::int64_t>(report.position))
-        .number("hosts", static_cast<std::int64_t>(report.hosts))
-        .number("confirmed", static_cast<std::int64_t>(report.confirmed))
-        .text("slowest", report.slowest.text())
-        .time("slowest_ms", report.slowest_time)
-        .write();
+    log_line line("control", "revision_delivered");
+    line.number("revision", static_cast<std::int64_t>(report.position));
+    add_delivery(line, report).write();
 }
 
 } // namespace bilberrylead::daemon
--- a/bilberrylead/distribution/revision_exchange.hpp
+++ b/bilberrylead/distribution/revision_exchange.hpp
@@ -53,7 +53,6 @@
     bool is_in_force_at_all(revision number) const;
 
 private:
-    bool is_in_force_at(host_id const& host, revision number) const;
     /// State of one link.
     struct peer_link
     {
@@ -99,6 +98,7 @@
     void record_report(link::link_number number, revision reported);
     bool is_missing_from(peer_link const& peer) const;
     bool is_missing_any() const;
+    bool is_in_force_at(host_id const& host, revision number) const;
     void fetch_missing();
     link::link_number next_link_to_fetch_from();
     void send(link::link_number to, link::message content);
--- a/tests/unit/agreement/election_time_test.cpp
+++ b/tests/unit/agreement/election_time_test.cpp
@@ -80,8 +80,8 @@
 
 } // namespace
 
-// Guards against an election that waits for a second timeout because a voter
-// heard the lost leader a moment later than the first candidate.
+// Guards against an election that waits for a second timeout because two hosts
+// stood within a message's way of each other and split the votes.
 Test(election_time, group_when_its_leader_is_lost_has_another_in_two_timeouts)
 {
     expect_within(times_after_losses(0), bound_of({}), "leader lost");
--- a/tests/unit/control/confirmed_change_test.cpp
+++ b/tests/unit/control/confirmed_change_test.cpp
@@ -120,6 +120,16 @@
         }
     }
 
+    /// Delivers the oldest message between control hosts; there must be one.
+    void deliver_next()
+    {
+        cr_assert_not(this->in_flight.empty());
+        control_group::envelope const next = this->in_flight.front();
+        this->in_flight.pop_front();
+        this->dispatch(next.to,
+                       {control::peer_message{next.from, next.content}});
+    }
+
     /// Delivers until the leader, and nobody else, knows a first change.
     void deliver_until_committed()
     {
@@ -128,11 +138,7 @@
                    .configurations()
                    .current_revision() == 0)
         {
-            cr_assert_not(this->in_flight.empty());
-            control_group::envelope const next = this->in_flight.front();
-            this->in_flight.pop_front();
-            this->dispatch(next.to,
-                           {control::peer_message{next.from, next.content}});
+            this->deliver_next();
         }
     }
 
@@ -173,10 +179,7 @@
         }
         else
         {
-            control_group::envelope const next = group.in_flight.front();
-            group.in_flight.pop_front();
-            group.dispatch(next.to,
-                           {control::peer_message{next.from, next.content}});
+            group.deliver_next();
         }
     }
     cr_assert(group.is_accepted(1));
--- a/tests/unit/entry/routed_request_test.cpp
+++ b/tests/unit/entry/routed_request_test.cpp
@@ -192,7 +192,7 @@
 Test(routed_request, request_that_may_outlast_a_bounded_stop_is_not_run)
 {
     routed_entry host;
-    auto const changed =
+    std::shared_ptr<config::configuration> const changed =
         std::make_shared<config::configuration>(*host.configuration);
     changed->request_routes[2].timeout = 4s;
     host.reduce(configuration_received{2, changed});
