Answers with an invalid status are not passed on, recorded or believed

Cause: the parser takes any three digits, and the exchange only asked whether a status is 1xx or 2xx. The first number that counts as a failure is 500, so 000 to 099 went the way of a success: streamed, held for its turn, recorded for a key and given out again, counted as the sign of a healthy upstream. Its other headers were read as well: a "not run" beside such a status had a request that must run once sent to a second upstream.

Change: the exchange fails as a bad answer when the status lies outside 100 to 599, before any header of the answer is read, whoever sent it and whatever is done with it: passed on, collected for a key, held, skipped, relayed by another entry host. What may be repeated is tried again; all else ends as 502 with the outcome unknown.

600 to 999 are treated like 000 to 099. RFC 9110, 15 gives no meaning to either, names 600 to 999 as numbers that implementations use within themselves, and has a client process any of them as a 5xx; for a gateway an invalid answer of the inbound server is a 502 (15.6.3). The users' pages name none of these statuses.

--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -1,5 +1,6 @@
 #include "bilberrylead/http/upstream_exchange.hpp"
 
+#include "bilberrylead/core/http_status.hpp"
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/region_header.hpp"
@@ -331,6 +332,11 @@
                            : entry::exchange_fault::connection_lost);
             co_return false;
         }
+        if (!is_valid_status(this->parser->get().result_int()))
+        {
+            this->fail(entry::exchange_fault::bad_answer);
+            co_return false;
+        }
         this->connection->last_heard = clock_now();
     } while (class_of(*this->parser) ==
              beast::http::status_class::informational);
--- a/tests/unit/http/relayed_request_test.cpp
+++ b/tests/unit/http/relayed_request_test.cpp
@@ -71,6 +71,8 @@
 
     std::mutex guard;
     std::optional<request_text> last;
+    /// What the upstream sends instead of an answer, if it is not empty.
+    std::string broken_answer;
     fake_upstream upstream{
         [this](wire& connection, int)
         {
@@ -79,7 +81,10 @@
             {
                 std::lock_guard<std::mutex> const lock(this->guard);
                 this->last = request;
-                connection.send(whole_answer_text(request->body() + " read"));
+                connection.send(
+                    this->broken_answer.empty()
+                        ? whole_answer_text(request->body() + " read")
+                        : this->broken_answer);
             }
         }};
     running_server sound;
@@ -147,3 +152,23 @@
     cr_assert(answer.has_value());
     cr_expect_eq(answer->result_int(), 503U);
 }
+
+// Guards against a status without meaning that one entry host reads and another
+// one passes on.
+Test(relayed_request, invalid_status_reaches_no_caller)
+{
+    two_entry_hosts hosts;
+    for (std::string const status : {"000", "099", "600", "999"})
+    {
+        {
+            std::lock_guard<std::mutex> const lock(hosts.guard);
+            hosts.broken_answer =
+                "HTTP/1.1 " + status + " No\r\nContent-Length: 0\r\n\r\n";
+        }
+        std::optional<answer_text> const answer = hosts.ask("/s/x");
+        cr_assert(answer.has_value());
+        cr_expect_eq(answer->result_int(), 502U, "%u for %s",
+                     answer->result_int(), status.c_str());
+        cr_expect((*answer)["Bilberry-Outcome"] == "unknown");
+    }
+}
