Our tools: an answer with an invalid status is no answer

What was seen: bilberryctl took a document under status 000, 099, 600 or 999 for the accepted configuration (it reads the body of any answer that is not 421, 503 or 504), and could have edited and proposed it. The load tool counted such an answer as "refused", one of an upstream's, so that a test over the real programs could not see that it had reached a caller.

Change: operator_client fails the call, with the outcome of a change left open; the load tool counts the answer as damaged.

--- a/bilberrylead/ctl/operator_client.cpp
+++ b/bilberrylead/ctl/operator_client.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/ctl/operator_client.hpp"
 
 #include "bilberrylead/core/error.hpp"
+#include "bilberrylead/core/http_status.hpp"
 #include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/ctl/report.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
@@ -62,8 +63,17 @@
                               "Check that the host runs and the address is "
                               "its operator address.");
         }
-        return operator_answer{this->parser.get().result_int(),
-                               std::move(this->parser.get().body()), 0};
+        unsigned const status = this->parser.get().result_int();
+        if (!is_valid_status(status))
+        {
+            return make_error(
+                error_kind::connection,
+                fmt::format("{}:{} answers with the invalid status {:03}.",
+                            address.address().to_string(), address.port(),
+                            status),
+                "Check that the address is its operator address.");
+        }
+        return operator_answer{status, std::move(this->parser.get().body()), 0};
     }
 
     /// True if a part of the request may have reached the host.
--- a/bilberrylead/load/answer_kind.cpp
+++ b/bilberrylead/load/answer_kind.cpp
@@ -1,5 +1,7 @@
 #include "bilberrylead/load/answer_kind.hpp"
 
+#include "bilberrylead/core/http_status.hpp"
+
 #include <array>
 #include <cstddef>
 
@@ -28,6 +30,10 @@
 answer_kind claimed_kind(unsigned status, std::string_view outcome,
                          bool not_run)
 {
+    if (!is_valid_status(status))
+    {
+        return answer_kind::not_whole;
+    }
     if (status == status_ok && (outcome.empty() || outcome == "done"))
     {
         return answer_kind::done;
--- a/bilberrylead/load/answer_kind.hpp
+++ b/bilberrylead/load/answer_kind.hpp
@@ -19,8 +19,9 @@
     in_progress,
     /// Another final answer: a bad request, an upstream's error.
     refused,
-    /// A "done" answer that is complete and yet not what it must be: damaged
-    /// bytes or another length. Its caller cannot tell.
+    /// An answer that is complete and yet not what it must be: a "done" one
+    /// with damaged bytes or another length, whose caller cannot tell, or any
+    /// with an invalid status.
     not_whole,
     /// A "done" answer that belongs to another request.
     not_own,
--- a/tests/unit/load/request_plan_test.cpp
+++ b/tests/unit/load/request_plan_test.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 using bilberrylead::load::answer_kind;
 using bilberrylead::load::choose_host;
@@ -121,6 +122,21 @@
     cr_assert(claimed_kind(404, "done", false) == answer_kind::refused);
 }
 
+// Guards against an answer without meaning that reaches a caller and counts as
+// one of an upstream.
+Test(answer_kind, invalid_status_is_a_damaged_answer)
+{
+    for (unsigned const status : {0U, 1U, 99U, 600U, 700U, 999U})
+    {
+        for (std::string_view const outcome : {"", "done", "unknown"})
+        {
+            cr_expect(claimed_kind(status, outcome, false) ==
+                          answer_kind::not_whole,
+                      "%u", status);
+        }
+    }
+}
+
 Test(steering_answer, page_when_parsed_is_chosen_from_by_weight)
 {
     std::optional<steering_answer> const answer = parse_steering_answer(
