An answer that ends with its connection is whole only behind a whole request

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset once per socket. The write of the upload took the error; the exchange then looks for an answer all the same, as an upstream may refuse an upload early, and read what had come before the reset and then a plain end of stream. An answer without a length takes that end for its own. The same part was recorded for a key, to be given out again. A close with unread bytes, and an end of the upstream's direction followed by a reset, look alike.

Beside it: where the rest of the upload fits into the kernel's buffer, the write ends without an error. An upstream that ends the connection then, without having received the request, still seemed to have ended its answer.

What an upstream has read it has acknowledged, at the latest with its own end. An answer with a length or in chunks shows its end itself and is still passed on after a failed write.

--- a/bilberrylead/http/upstream_connection.cpp
+++ b/bilberrylead/http/upstream_connection.cpp
@@ -2,6 +2,9 @@
 
 #include "bilberrylead/link/quiet_socket.hpp"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace bilberrylead::http
 {
 
@@ -11,4 +14,12 @@
            !link::is_quiet(this->socket.native_handle());
 }
 
+bool upstream_connection::has_unacknowledged()
+{
+    // Where the system does not tell, what was written counts as received.
+    int count = 0;
+    return ::ioctl(this->socket.native_handle(), SIOCOUTQ, &count) == 0 &&
+           count > 0;
+}
+
 } // namespace bilberrylead::http
--- a/bilberrylead/http/upstream_connection.hpp
+++ b/bilberrylead/http/upstream_connection.hpp
@@ -26,6 +26,9 @@
     /// nothing: whatever comes next on it cannot be told apart.
     bool spoiled();
 
+    /// True if the other side has not acknowledged all bytes that were written.
+    bool has_unacknowledged();
+
     /// The socket.
     tcp_socket socket;
     /// Bytes read beyond what was parsed.
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -102,6 +102,8 @@
     void address_upstream(request_message& message) const;
     void address_entry_host(request_message& message) const;
     bool is_reusable() const;
+    bool can_end() const;
+    void check_end(error_code& error) const;
     void finish();
     entry::exchange_fault fault_of(error_code const& error) const;
     void fail(entry::exchange_fault fault);
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -196,6 +196,7 @@
         {
             error = {};
         }
+        this->check_end(error);
         if (error)
         {
             this->fail(this->fault_of(error));
@@ -251,7 +252,12 @@
         {
             co_return;
         }
-        if (error && error != beast::http::error::need_buffer)
+        if (error == beast::http::error::need_buffer)
+        {
+            error = {};
+        }
+        this->check_end(error);
+        if (error)
         {
             this->fail(this->fault_of(error));
             co_return;
@@ -285,6 +291,25 @@
                                                  std::move(answer)});
 }
 
+/// False if the answer ends with its connection, and writing the request has
+/// failed. The system reports a reset once: the write took it, so that a read
+/// finds what came before the reset and then what looks like a plain end.
+bool upstream_exchange::can_end() const
+{
+    return this->request_sent || !this->parser->need_eof();
+}
+
+/// An upstream that ended the connection before it had received the whole
+/// request may have ended for any reason, also in the middle of its answer.
+void upstream_exchange::check_end(error_code& error) const
+{
+    if (!error && this->parser->is_done() && this->parser->need_eof() &&
+        this->connection->has_unacknowledged())
+    {
+        error = beast::http::error::partial_message;
+    }
+}
+
 /// An upstream may answer before it has read the whole request. What is written
 /// next would then be read as the rest of that request.
 bool upstream_exchange::is_reusable() const
