An upstream that changes the protocol unasked has given no answer

What callers saw: an upstream answered 101 to a request that asked for no other protocol; what followed on the connection, if it looked like HTTP, was passed on as the answer, and otherwise the caller waited for its deadline.

Cause: every status 1xx was read as interim. Behind a 101 the bytes belong to another protocol (RFC 9110, 15.2.2). Requests to upstreams never name one: the connection's headers, Upgrade among them, are taken out.

Change: a 101 is a bad answer, like a status without meaning: 502 and the outcome unknown. Other interim answers are read as before.

Evidence: upstream_failure/answer_behind_a_change_of_protocol_is_not_passed_on failed before (the caller got 200).

--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -337,7 +337,7 @@
                            : entry::exchange_fault::connection_lost);
             co_return false;
         }
-        if (!is_valid_status(this->parser->get().result_int()))
+        if (!this->has_usable_status())
         {
             this->fail(entry::exchange_fault::bad_answer);
             co_return false;
@@ -348,6 +348,14 @@
     co_return true;
 }
 
+/// No request asks for a change of protocol, so what follows one is no answer.
+bool upstream_exchange::has_usable_status() const
+{
+    return is_valid_status(this->parser->get().result_int()) &&
+           this->parser->get().result() !=
+               beast::http::status::switching_protocols;
+}
+
 task<bool> upstream_exchange::skip_answer()
 {
     std::vector<char> waste(piece_size);
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -88,6 +88,7 @@
     task<bool> read_head();
     task<bool> read_one_head();
     task<bool> skip_answer();
+    bool has_usable_status() const;
     bool answers_another() const;
     bool is_genuine() const;
     bool has_known_coding() const;
--- a/tests/unit/http/upstream_failure_test.cpp
+++ b/tests/unit/http/upstream_failure_test.cpp
@@ -465,3 +465,25 @@
         }
     }
 }
+
+// Guards against bytes of another protocol that are passed on as an answer: no
+// request asks for a change of protocol.
+Test(upstream_failure, answer_behind_a_change_of_protocol_is_not_passed_on)
+{
+    fake_upstream upstream(
+        [](wire& connection, int)
+        {
+            connection.request();
+            connection.send("HTTP/1.1 101 Switching Protocols\r\n"
+                            "Connection: Upgrade\r\nUpgrade: other\r\n\r\n" +
+                            whole_answer_text("other"));
+            connection.closed();
+        });
+    running_server entry;
+    entry.configure({upstream.port()}, not_repeatable);
+    std::optional<answer_text> const answer =
+        entry.ask(get("/s/1", "Connection: Upgrade\r\nUpgrade: other\r\n"));
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->result_int(), 502, "%u", answer->result_int());
+    cr_expect_eq(outcome_of(answer), "unknown");
+}
