An answer broken off to an HTTP/1.0 caller always ends with a reset

What callers would see: an answer without a length goes to an HTTP/1.0 caller up to the end of its connection. When the entry host stopped in the middle of it, or gave up a caller that read too slowly, the connection ended like that of a whole answer. docs/CALLERS.md promises a reset.

Cause: only an answer that the upstream broke off was ended with a reset; every other way out closed the connection as it was.

Change: such a connection is set to end with a reset before its answer begins, and back to a plain close once all of it is written. So whatever ends it in between, the end of the process too, is seen by the caller. Answers with a length or in chunks are not touched and cost no call more.

The end of a process by a signal was not played.

--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -107,6 +107,7 @@
     task<bool> stream_answer(caller_request& request,
                              std::shared_ptr<upstream_exchange> exchange);
     task<void> wait_for_turn(std::size_t passed, std::size_t count);
+    void reset_on_close(bool resets);
     task<bool> write_whole(caller_request& request, whole_answer answer,
                            std::string_view id);
     task<bool> refuse(caller_request& request, beast::http::status status,
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -213,7 +213,13 @@
     keep = keep && (bodyless || measured || request.version >= 11);
     answer.version(request.version);
     answer.keep_alive(keep);
-    if (!bodyless && !measured && request.version >= 11)
+    bool const ends_with_connection =
+        !bodyless && !measured && request.version < 11;
+    if (ends_with_connection)
+    {
+        this->reset_on_close(true);
+    }
+    else if (!bodyless && !measured)
     {
         answer.chunked(true);
     }
@@ -252,7 +258,7 @@
         {
             // The caller must see that its answer is not whole.
             ++this->core->counters().answers_cut;
-            this->socket.set_option(asio::socket_base::linger(true, 0), error);
+            this->reset_on_close(true);
             co_return false;
         }
         co_await this->wait_for_turn(passed, count);
@@ -282,6 +288,10 @@
             co_return false;
         }
     }
+    if (ends_with_connection)
+    {
+        this->reset_on_close(false);
+    }
     if (!request.parser.is_done())
     {
         co_await this->linger();
@@ -289,6 +299,15 @@
     co_return keep;
 }
 
+/// A reset shows a caller that an answer without a length is not whole, also
+/// when this process ends in the middle of it.
+void caller_connection::reset_on_close(bool resets)
+{
+    // Fails only on a connection that is closed already.
+    error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 task<void> caller_connection::wait_for_turn(std::size_t passed,
                                             std::size_t count)
 {
