Tests: malformed heads, cut lists and malformed requests, all handled already

Report: an answer in whose head the name of a field held a blank or a control byte reached clients of other systems of this kind.

Result: not here.

--- a/tests/unit/http/bad_caller_test.cpp
+++ b/tests/unit/http/bad_caller_test.cpp
@@ -19,7 +19,7 @@
 {
     std::string const start = "POST /s/x HTTP/1.1\r\nHost: h\r\n";
     std::string const long_line(20000, 'a');
-    return {
+    std::vector<bad_input> inputs = {
         {"two lengths",
          start + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", 400},
         {"two equal lengths",
@@ -63,7 +63,24 @@
         {"truncated body", start + "Content-Length: 9\r\n\r\nabc", 0, true},
         {"slow head", "GET /s/x HTTP/1.1\r\nHo", 408},
         {"slow body", start + "Content-Length: 9\r\n\r\nabc", 408},
+        {"tab before the colon of a length",
+         start + "Content-Length\t: 3\r\n\r\nabc", 400},
+        {"space before the colon of a coding",
+         start + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400},
+        {"tab before the colon of a coding",
+         start + "Transfer-Encoding\t: chunked\r\n\r\n0\r\n\r\n", 400},
+        {"line without a colon", get("/s/x", "no colon\r\n"), 400},
+        {"empty name", get("/s/x", ": b\r\n"), 400},
+        {"bare carriage return", get("/s/x", "X-Of: b\rc\r\n"), 400},
     };
+    for (char const byte : {'\0', '\x01', '\x07', '\t', '\x0b', '\x1f', ' ',
+                            '\x7f', '\x80', '\xff'})
+    {
+        inputs.push_back({"byte outside a name",
+                          get("/s/x", std::string("X-") + byte + "Of: b\r\n"),
+                          400});
+    }
+    return inputs;
 }
 
 server_settings impatient_settings()
--- a/tests/unit/link/http_caller_test.cpp
+++ b/tests/unit/link/http_caller_test.cpp
@@ -75,6 +75,13 @@
                     scripted ? std::exchange(this->answers[place], {})
                              : answer_text("next");
                 asio::write(*socket, asio::buffer(answer), error);
+                if (this->ends_connections)
+                {
+                    socket->set_option(
+                        asio::socket_base::linger(this->resets, 0), error);
+                    socket->close(error);
+                    return;
+                }
                 this->read(socket, place);
             });
     }
@@ -89,6 +96,9 @@
     std::vector<std::string> answers;
     std::vector<std::shared_ptr<tcp::socket>> sockets;
     std::size_t taken = 0;
+    /// True if each answer ends its connection, and then with a reset or not.
+    bool ends_connections = false;
+    bool resets = false;
 };
 
 /// Calls a scripted server.
@@ -100,19 +110,25 @@
     {
     }
 
-    std::string call()
+    absl::StatusOr<link::http_result> get()
     {
-        std::optional<std::string> body;
+        std::optional<absl::StatusOr<link::http_result>> answer;
         this->caller.get("/list",
-                         [&body](absl::StatusOr<link::http_result> result)
+                         [&answer](absl::StatusOr<link::http_result> result)
                          {
-                             body = result.ok() ? result->body : "failed";
+                             answer = std::move(result);
                          });
-        while (!body.has_value())
+        while (!answer.has_value())
         {
             this->io.run_one();
         }
-        return *body;
+        return *answer;
+    }
+
+    std::string call()
+    {
+        absl::StatusOr<link::http_result> const result = this->get();
+        return result.ok() ? result->body : "failed";
     }
 
     asio::io_context io;
@@ -140,3 +156,36 @@
     client.server.sockets.back()->close();
     cr_expect_eq(client.call(), "next");
 }
+
+// Guards against a list that lost its end, from which upstreams would vanish.
+Test(http_caller, list_that_is_cut_is_no_list)
+{
+    std::string const without_length = "HTTP/1.1 200 OK\r\n\r\n{\"a\":";
+    for (bool const resets : {false, true})
+    {
+        calling_client client(
+            {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"a\":",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "5\r\n{\"a\":\r\n"});
+        client.server.ends_connections = true;
+        client.server.resets = resets;
+        cr_expect_eq(client.call(), "failed");
+        cr_expect_eq(client.call(), "failed");
+    }
+    calling_client client({without_length});
+    client.server.ends_connections = true;
+    client.server.resets = true;
+    cr_expect_eq(client.call(), "failed");
+}
+
+// Guards against an answer without meaning that is taken for a list.
+Test(http_caller, invalid_status_is_not_the_one_of_a_list)
+{
+    for (std::string const status : {"000", "099", "600", "999"})
+    {
+        calling_client client(
+            {"HTTP/1.1 " + status + " No\r\nContent-Length: 2\r\n\r\n{}"});
+        absl::StatusOr<link::http_result> const result = client.get();
+        cr_expect(!result.ok() || result->status != 200, "%s", status.c_str());
+    }
+}
