A refusal "not run" without a length is believed after a failed write

What callers would see: since an upload whose upstream answered 503 "not run" without a length, and closed while the upload was being written, ended as 502 with the outcome unknown. Before, the caller heard 503 "not run" and could send it again at once.

Whether a body has an end that can be known matters only where the body is passed on; of a request that was not run it is not, and the head is whole.

Change: the check stands where an answer's body begins to be passed on or collected, behind what the head says of the upstream and of the run.

--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -291,11 +291,6 @@
                 this->fail(entry::exchange_fault::bad_answer);
                 co_return false;
             }
-            if (!this->can_end())
-            {
-                this->fail(entry::exchange_fault::connection_lost);
-                co_return false;
-            }
             co_return true;
         }
 
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -97,6 +97,7 @@
     void add_rest(entry::upstream_signals_received& signals) const;
     void add_limit(entry::upstream_signals_received& signals) const;
     task<void> report_head();
+    void start_answer(entry::upstream_head_received const& head);
     task<void> collect_body(std::size_t largest_answer,
                             std::size_t largest_record);
     void prepare_message();
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -103,9 +103,7 @@
     {
         // Whatever another entry host answers is its own final answer.
         head.misdirected = false;
-        this->give_up_at = instant::max();
-        this->phase = entry::exchange_phase::answer_started;
-        this->report(head);
+        this->start_answer(head);
         co_return;
     }
     head.not_run = head.misdirected || this->says_not_run();
@@ -146,6 +144,18 @@
             this->finish();
         }
     }
+    this->start_answer(head);
+}
+
+/// Reports a head, unless the body behind it could never be shown to be whole.
+/// The body of an answer "not run" is not passed on.
+void upstream_exchange::start_answer(entry::upstream_head_received const& head)
+{
+    if (!head.not_run && !this->can_end())
+    {
+        this->fail(entry::exchange_fault::connection_lost);
+        return;
+    }
     this->give_up_at = instant::max();
     this->phase = entry::exchange_phase::answer_started;
     this->report(head);
--- a/tests/unit/http/early_answer_test.cpp
+++ b/tests/unit/http/early_answer_test.cpp
@@ -255,6 +255,25 @@
     }
 }
 
+// Guards against a "not run" that is lost because its body has no end that can
+// be known: the head says it, and the body is not passed on.
+Test(early_answer, not_run_without_a_length_is_believed_after_a_failed_write)
+{
+    for (ending const how : endings)
+    {
+        fake_upstream upstream(early("HTTP/1.1 503 Busy\r\n"
+                                     "Bilberry-Not-Run: 1\r\n\r\npart",
+                                     how));
+        running_server entry;
+        entry.configure({upstream.port()}, takes_large);
+        std::optional<answer_text> const answer =
+            ask(entry, upload("1.1", blocking_size));
+        cr_assert(answer.has_value());
+        cr_expect_eq(answer->result_int(), 503);
+        cr_expect((*answer)["Bilberry-Outcome"] == "not-run");
+    }
+}
+
 // Guards against a part that passes for a whole answer because it has a frame
 // that nobody checks.
 Test(early_answer, broken_frame_before_a_reset_is_broken_off)
