Test: an upload that a deadline ends cannot end before it

Cause, of the test alone: its sender could write all 64 MiB within the deadline of 200 ms, so that the upload came whole and was answered 200 (printed in two of six further runs, one for each failure). The test is about an upload that goes on when its deadline passes.

Change: the upload has 4 GiB, so that it always goes on. The deadline, the rounds and all checks are as they were.

--- a/tests/unit/http/left_upload_test.cpp
+++ b/tests/unit/http/left_upload_test.cpp
@@ -217,7 +217,8 @@
 Test(left_upload, deadline_that_passes_in_it_is_answered_while_bytes_come)
 {
     constexpr int rounds = 10;
-    constexpr std::size_t large = std::size_t{64} << 20U;
+    // No sender ends it before its deadline.
+    constexpr std::size_t large = std::size_t{4} << 30U;
     uploading_entry host({}, std::chrono::hours(1), large);
     for (int round = 1; round <= rounds; ++round)
     {
