--- a/tests/unit/http/bodiless_answer_test.cpp
+++ b/tests/unit/http/bodiless_answer_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/unit/http/pipelining_fixture.hpp"
 
+#include <fmt/format.h>
+
 #include <optional>
 #include <string>
 
@@ -21,18 +23,18 @@
 Test(bodiless_answer, bytes_behind_it_reach_no_caller)
 {
     std::string const stray = whole_answer_text("stray");
-    std::string const length =
-        "Content-Length: " + std::to_string(stray.size()) + "\r\n\r\n" + stray;
     for (std::string const status : {"204", "304"})
     {
+        std::string const first =
+            fmt::format("HTTP/1.1 {} No\r\nContent-Length: {}\r\n\r\n{}",
+                        status, stray.size(), stray);
         pipelined_pair pair(pipelining(1),
                             answering(
-                                [&](request_text const& request)
+                                [&first](request_text const& request)
                                 {
                                     std::string const target(request.target());
                                     return target == "/s/1"
-                                               ? "HTTP/1.1 " + status +
-                                                     " No\r\n" + length
+                                               ? first
                                                : whole_answer_text(target);
                                 }));
         pair.caller->send(get("/s/1"));
