Test of old callers: the caller's socket outlives the entry host

The whole check script ended red on: in its sanitizer stage old_caller/ answer_cut_by_a_stop_ends_with_a_reset used memory after it was freed, in the test alone: it destroyed the fixture that holds the I/O context of the caller's socket, and the socket after it. Now the test ends the server in the fixture and keeps the fixture.

--- a/tests/unit/http/old_caller_test.cpp
+++ b/tests/unit/http/old_caller_test.cpp
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -67,11 +66,15 @@
             connection.send(std::string(chunked_head) + "4\r\npart\r\n");
             connection.closed();
         });
-    std::unique_ptr<running_server> entry = std::make_unique<running_server>();
-    entry->configure({upstream.port()});
-    wire caller = entry->connect();
+    running_server entry;
+    entry.configure({upstream.port()});
+    wire caller = entry.connect();
     begin_answer(caller, "part");
-    entry.reset();
+    entry.call(
+        [&entry]
+        {
+            entry.server.reset();
+        });
     expect_reset(caller);
 }
 
