--- a/review/stand_ins_2/backend.cpp
+++ b/review/stand_ins_2/backend.cpp
@@ -8,23 +8,89 @@
 
 backend::backend(std::string id, std::string service, address const& at,
                  milliseconds work, record& lines)
-    : name(std::move(id)), of_service(std::move(service)), work(work),
+    : at(at), of_service(std::move(service)), work(work), name(std::move(id)),
       lines(lines)
 {
-    this->port = std::make_unique<listener>(at,
+    this->open();
+}
+
+backend::~backend() = default;
+
+void backend::open()
+{
+    this->port = std::make_unique<listener>(this->at,
                                             [this](connection& from)
                                             {
-                                                this->serve(from);
+                                                this->serve_all(from);
                                             });
 }
 
+std::string backend::id() const
+{
+    std::lock_guard const hold(this->mutex);
+    return this->name;
+}
+
+void backend::crash_on(std::string target, milliseconds away, bool keeps_id)
+{
+    std::lock_guard const hold(this->mutex);
+    this->crash_target = std::move(target);
+    this->away = away;
+    this->keeps_id = keeps_id;
+}
+
+/// Ends as a process that crashes does, and starts again.
+void backend::crash()
+{
+    if (this->is_down.exchange(true))
+    {
+        return;
+    }
+    this->lines.line("backend " + this->id() + " crashes");
+    this->port = nullptr;
+    {
+        std::lock_guard const hold(this->mutex);
+        for (connection* const each : this->served)
+        {
+            each->abort();
+        }
+    }
+    std::thread(
+        [this]
+        {
+            std::this_thread::sleep_for(this->away);
+            {
+                std::lock_guard const hold(this->mutex);
+                if (!this->keeps_id)
+                {
+                    this->name += "n";
+                }
+            }
+            this->is_down = false;
+            this->open();
+            this->lines.line("backend " + this->id() + " is back");
+        })
+        .detach();
+}
+
+void backend::serve_all(connection& from)
+{
+    {
+        std::lock_guard const hold(this->mutex);
+        this->served.insert(&from);
+    }
+    this->serve(from);
+    std::lock_guard const hold(this->mutex);
+    this->served.erase(&from);
+}
+
 std::map<std::string, std::string>
 backend::answer_headers(http_message const& request) const
 {
     std::map<std::string, std::string> headers{
         {"Bilberrylead-Attempt-Id", request.header("bilberrylead-attempt-id")},
         {"Bilberrylead-Response-Signature",
-         this->name + "." + request.header("bilberrylead-attempt-id")},
+         this->id() + "." + request.header("bilberrylead-attempt-id")},
         {"Bilberrylead-Server-Load", "1,0,3"},
         {"Keep-Alive", "timeout=10"}};
     if (this->leaving)
@@ -43,9 +109,10 @@
         std::string const expected =
             request.header("bilberrylead-expect-instance");
         std::string const attempt = request.header("bilberrylead-attempt-id");
-        if (!expected.empty() && expected != this->name)
+        std::string const own = this->id();
+        if (!expected.empty() && expected != own)
         {
-            std::string text = "backend " + this->name;
+            std::string text = "backend " + own;
             text.append(" turns away ").append(attempt);
             text.append(" meant for ").append(expected);
             this->lines.line(text);
@@ -56,17 +123,28 @@
             continue;
         }
         ++this->run_count;
-        std::string text = "backend " + this->name;
+        std::string text = "backend " + own;
         text.append(" runs ").append(attempt);
         text.append(" (").append(request.start).append(")");
         this->lines.line(text);
+        if (!this->crash_target.empty() &&
+            request.target() == this->crash_target)
+        {
+            ++this->crash_count;
+            this->crash();
+            return;
+        }
         std::this_thread::sleep_for(this->work);
+        if (this->is_down)
+        {
+            return;
+        }
         if (this->spoil && this->spoil(from, request))
         {
             return;
         }
         if (!from.send(to_text("HTTP/1.1 200 OK", this->answer_headers(request),
-                               "bytes of " + this->name)))
+                               "bytes of " + own)))
         {
             return;
         }
--- a/review/stand_ins_2/backend.hpp
+++ b/review/stand_ins_2/backend.hpp
@@ -7,6 +7,8 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace bilberrylead::review
@@ -22,10 +24,11 @@
     backend(std::string id, std::string service, address const& at,
             milliseconds work, record& lines);
 
-    std::string const& id() const
-    {
-        return this->name;
-    }
+    ~backend();
+    backend(backend const&) = delete;
+    backend& operator=(backend const&) = delete;
+
+    std::string id() const;
 
     std::string const& service() const
     {
@@ -34,7 +37,16 @@
 
     address where() const
     {
-        return this->port->where();
+        return this->at;
+    }
+
+    /// From now on a request to this target crashes it; it is back after that
+    /// time, under the id that it had or under a new one.
+    void crash_on(std::string target, milliseconds away, bool keeps_id);
+    /// Requests to that target that it began to work on.
+    unsigned crashes() const
+    {
+        return this->crash_count;
     }
 
     /// Requests that it began to work on.
@@ -60,10 +72,21 @@
 
 private:
     void serve(connection& from);
+    void serve_all(connection& from);
+    void open();
+    void crash();
 
-    std::string name;
+    address at;
     std::string of_service;
     milliseconds work;
+    mutable std::mutex mutex;
+    std::string name;
+    std::set<connection*> served;
+    std::string crash_target;
+    milliseconds away{};
+    bool keeps_id = true;
+    std::atomic<unsigned> crash_count{0};
+    std::atomic<bool> is_down{false};
     record& lines;
     spoiler spoil;
     std::atomic<unsigned> run_count{0};
--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -353,30 +353,45 @@
     return answer.has_value() && answer->status() == 200;
 }
 
+std::optional<http_message> deployment::call_core(std::size_t tries,
+                                                  std::string const& method,
+                                                  std::string const& target,
+                                                  std::string const& body)
+{
+    // A second without a response, more for large bodies.
+    milliseconds const longest(1000 + body.size() / 1000);
+    machine const& core =
+        this->core_machines[tries % this->core_machines.size()];
+    address to{core.ip,
+               static_cast<std::uint16_t>(this->base_port + control_port)};
+    std::optional<http_message> answer =
+        call(to, method, target, body, longest);
+    for (int hop = 0; hop < 2 && answer.has_value() && answer->status() == 307;
+         ++hop)
+    {
+        std::string const location = answer->header("location");
+        std::size_t const host = location.find("//") + 2;
+        to = address::parse(
+            location.substr(host, location.find('/', host) - host));
+        answer = call(to, method, target, body, longest);
+    }
+    return answer;
+}
+
 unsigned deployment::order(std::string const& target, std::string const& body,
                            milliseconds longest)
 {
     clock::time_point const until = clock::now() + longest;
     for (std::size_t tries = 0; clock::now() < until; ++tries)
     {
-        machine const& core =
-            this->core_machines[tries % this->core_machines.size()];
-        address to{core.ip,
-                   static_cast<std::uint16_t>(this->base_port + control_port)};
-        std::optional<http_message> answer =
-            call(to, "POST", target, body, std::chrono::seconds(1));
-        for (int hop = 0;
-             hop < 2 && answer.has_value() && answer->status() == 307; ++hop)
+        std::optional<http_message> const answer =
+            this->call_core(tries, "POST", target, body);
+        unsigned const status = answer.has_value() ? answer->status() : 0;
+        if (status != 200)
         {
-            std::string const location = answer->header("location");
-            std::size_t const host = location.find("//") + 2;
-            to = address::parse(
-                location.substr(host, location.find('/', host) - host));
-            answer = call(to, "POST", target, body, std::chrono::seconds(1));
+            this->lines.line("operator " + target + " -> " +
+                             std::to_string(status));
         }
-        unsigned const status = answer.has_value() ? answer->status() : 0;
-        this->lines.line("operator " + target + " at " + to.text() + " -> " +
-                         std::to_string(status));
         if (status == 200 ||
             (status >= 400 && status < 500 && status != 408 && status != 429))
         {
@@ -387,6 +402,40 @@
     return 0;
 }
 
+std::string deployment::read_version(milliseconds longest)
+{
+    clock::time_point const until = clock::now() + longest;
+    for (std::size_t tries = 0; clock::now() < until; ++tries)
+    {
+        std::optional<http_message> const answer =
+            this->call_core(tries, "GET", "/api/config/get", "");
+        if (answer.has_value() && answer->status() == 200)
+        {
+            json const held = json::parse(answer->body, nullptr, false);
+            return held.is_object() ? held.value("version", "unreadable")
+                                    : "unreadable";
+        }
+        std::this_thread::sleep_for(milliseconds(200));
+    }
+    return "";
+}
+
+double deployment::memory_mb(machine const& of)
+{
+    constexpr double kilobytes_in_megabyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(of.process) + "/status");
+    std::string word;
+    double kilobytes = 0;
+    while (status >> word)
+    {
+        if (word == "RssAnon:")
+        {
+            status >> kilobytes;
+        }
+    }
+    return kilobytes / kilobytes_in_megabyte;
+}
+
 void deployment::start(std::string const& configuration)
 {
     for (machine& each : this->core_machines)
--- a/review/stand_ins_2/deployment.hpp
+++ b/review/stand_ins_2/deployment.hpp
@@ -94,6 +94,12 @@
         return this->core_machines[place];
     }
 
+    /// One read of the configuration at any core machine; the version, or an
+    /// empty text if none was told in that time.
+    std::string read_version(milliseconds longest);
+    /// Memory of a process that no file backs, in MB.
+    static double memory_mb(machine const& of);
+
     /// Notes processes that have ended by themselves; true if any has.
     bool check_processes();
     /// Ends the case with the reason in the record.
@@ -106,6 +112,10 @@
     std::string settings_of(machine const& of, bool is_first) const;
     void start_process(machine& of, bool is_first);
     void serve_list(connection& from);
+    std::optional<http_message> call_core(std::size_t tries,
+                                          std::string const& method,
+                                          std::string const& target,
+                                          std::string const& body);
     void stop_all();
 
     record& lines;
--- a/review/stand_ins_2/sockets.cpp
+++ b/review/stand_ins_2/sockets.cpp
@@ -301,6 +301,14 @@
     }
 }
 
+void connection::abort()
+{
+    linger const at_once{1, 0};
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &at_once,
+                 sizeof(at_once));
+    ::shutdown(this->descriptor, SHUT_RDWR);
+}
+
 /// What the listener and its threads share; threads outlive nothing else.
 struct listener::shared
 {
--- a/review/stand_ins_2/sockets.hpp
+++ b/review/stand_ins_2/sockets.hpp
@@ -69,6 +69,8 @@
     /// Waits until the other side closes, at most until then; true if it did.
     bool wait_for_close(clock::time_point until);
     void close();
+    /// Ends the connection as a process that crashes does; from any thread.
+    void abort();
 
 private:
     bool read_more(clock::time_point until, bool& ended);
