--- a/review/stand_ins_2/sockets.cpp
+++ b/review/stand_ins_2/sockets.cpp
@@ -283,6 +283,15 @@
     return read_end::whole;
 }
 
+bool connection::wait_for_bytes(clock::time_point until)
+{
+    bool ended = false;
+    while (this->buffer.empty() && this->read_more(until, ended))
+    {
+    }
+    return !this->buffer.empty();
+}
+
 bool connection::wait_for_close(clock::time_point until)
 {
     bool ended = false;
--- a/review/stand_ins_2/sockets.hpp
+++ b/review/stand_ins_2/sockets.hpp
@@ -66,6 +66,8 @@
 
     bool send(std::string_view text);
     read_end read(http_message& message, clock::time_point until);
+    /// Waits until some bytes of a message have come; true if they have.
+    bool wait_for_bytes(clock::time_point until);
     /// Waits until the other side closes, at most until then; true if it did.
     bool wait_for_close(clock::time_point until);
     void close();
