--- a/review/7/crashing_request.cpp
+++ b/review/6/crashing_request.cpp
@@ -17,9 +17,9 @@
 constexpr milliseconds work{50};
 constexpr milliseconds away{3000};
 constexpr milliseconds contact{4000};
-constexpr milliseconds of_test{30'000};
+constexpr milliseconds of_test{45'000};
 constexpr milliseconds between_crashing{1000};
-constexpr unsigned clients_of_each_edge = 6;
+constexpr unsigned clients_of_each_edge = 10;
 constexpr char const* crashing_target = "/songs/crashing";
 
 /// One request on a connection of its own; the first line of the answer.
--- a/review/stand_ins_2/backend.cpp
+++ b/review/stand_ins_2/backend.cpp
@@ -39,6 +39,16 @@
     this->keeps_id = keeps_id;
 }
 
+void backend::restart(milliseconds away, bool keeps_id)
+{
+    {
+        std::lock_guard const hold(this->mutex);
+        this->away = away;
+        this->keeps_id = keeps_id;
+    }
+    this->crash();
+}
+
 /// Ends as a process that crashes does, and starts again.
 void backend::crash()
 {
@@ -46,7 +56,7 @@
     {
         return;
     }
-    this->lines.line("backend " + this->id() + " crashes");
+    this->lines.line("backend " + this->id() + " ends");
     this->port = nullptr;
     {
         std::lock_guard const hold(this->mutex);
@@ -66,6 +76,7 @@
                     this->name += "n";
                 }
             }
+            this->leaving = false;
             this->is_down = false;
             this->open();
             this->lines.line("backend " + this->id() + " is back");
--- a/review/stand_ins_2/backend.hpp
+++ b/review/stand_ins_2/backend.hpp
@@ -43,6 +43,14 @@
     /// From now on a request to this target crashes it; it is back after that
     /// time, under the id that it had or under a new one.
     void crash_on(std::string target, milliseconds away, bool keeps_id);
+    /// Ends and starts again after that time.
+    void restart(milliseconds away, bool keeps_id);
+    /// True while it has ended and not started again.
+    bool is_away() const
+    {
+        return this->is_down;
+    }
+
     /// Requests to that target that it began to work on.
     unsigned crashes() const
     {
