--- a/review/5/same_id.cpp
+++ b/review/5/same_id.cpp
@@ -16,8 +16,8 @@
 using namespace bilberrylead::review;
 
 constexpr std::size_t backends_of_each = 4;
-constexpr unsigned clients_of_each_edge = 4;
-constexpr milliseconds work{50};
+constexpr unsigned clients_of_each_edge = 8;
+constexpr milliseconds work{100};
 constexpr milliseconds list_lag{800};
 /// drain_timeout_s and a little longer.
 constexpr milliseconds drain{3500};
@@ -67,7 +67,7 @@
         {
             kept = nullptr;
         }
-        std::this_thread::sleep_for(milliseconds(60));
+        std::this_thread::sleep_for(milliseconds(40));
     }
 }
 
--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -402,40 +402,6 @@
     return 0;
 }
 
-std::string deployment::read_version(milliseconds longest)
-{
-    clock::time_point const until = clock::now() + longest;
-    for (std::size_t tries = 0; clock::now() < until; ++tries)
-    {
-        std::optional<http_message> const answer =
-            this->call_core(tries, "GET", "/api/config/get", "");
-        if (answer.has_value() && answer->status() == 200)
-        {
-            json const held = json::parse(answer->body, nullptr, false);
-            return held.is_object() ? held.value("version", "unreadable")
-                                    : "unreadable";
-        }
-        std::this_thread::sleep_for(milliseconds(200));
-    }
-    return "";
-}
-
-double deployment::memory_mb(machine const& of)
-{
-    constexpr double kilobytes_in_megabyte = 1024;
-    std::ifstream status("/proc/" + std::to_string(of.process) + "/status");
-    std::string word;
-    double kilobytes = 0;
-    while (status >> word)
-    {
-        if (word == "RssAnon:")
-        {
-            status >> kilobytes;
-        }
-    }
-    return kilobytes / kilobytes_in_megabyte;
-}
-
 void deployment::start(std::string const& configuration)
 {
     for (machine& each : this->core_machines)
--- a/review/stand_ins_2/deployment.hpp
+++ b/review/stand_ins_2/deployment.hpp
@@ -94,12 +94,6 @@
         return this->core_machines[place];
     }
 
-    /// One read of the configuration at any core machine; the version, or an
-    /// empty text if none was told in that time.
-    std::string read_version(milliseconds longest);
-    /// Memory of a process that no file backs, in MB.
-    static double memory_mb(machine const& of);
-
     /// Notes processes that have ended by themselves; true if any has.
     bool check_processes();
     /// Ends the case with the reason in the record.
