A field that the library cannot hold ends its message, not the process

A head with such a field did the same where the configuration allows heads over 64 KiB.

Cause: the container of fields throws std::length_error on a name or value over 65,533 bytes. The parser's limit of heads does not cover fields behind a body. The exception leaves an operation that a coroutine waits for, so it passes through io_context::run, which nothing guarded.

Change: one parser for all HTTP readers (callers, upstreams, operators' port, list client, bilberryctl, load tool, stand-in) refuses a name or value over that size and more than 32 KiB of fields behind a body: 431 for a request, a bad answer for an answer. Fields behind a body are dropped; they stood among those of the head, where the caller's account is read. Second line: connection_guard and run_event_loop end the one connection whose handler an exception ended, with a log line. Decisions, timers and acceptors are noexcept, so that an exception there still ends the process instead of leaving its state unknown.

Ruled out: a try block around the loop alone. The coroutine would be destroyed and its requests would wait for their deadlines.

--- a/bilberrylead/ctl/operator_client.cpp
+++ b/bilberrylead/ctl/operator_client.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/http_status.hpp"
 #include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/ctl/report.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -114,7 +115,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_unparsed_bytes};
     http::request<http::string_body> request;
-    http::response_parser<http::string_body> parser;
+    link::response_parser<http::string_body> parser;
     error_code failed;
     bool sent = false;
 };
--- a/bilberrylead/daemon/control_program.cpp
+++ b/bilberrylead/daemon/control_program.cpp
@@ -4,6 +4,7 @@
 #include "bilberrylead/core/process_seed.hpp"
 #include "bilberrylead/daemon/listing_log.hpp"
 #include "bilberrylead/daemon/revision_log.hpp"
+#include "bilberrylead/link/run_event_loop.hpp"
 #include "bilberrylead/presence/control_link_settings.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -320,7 +321,7 @@
                });
 }
 
-void control_program::implementation::flush()
+void control_program::implementation::flush() noexcept
 {
     this->flush_is_due = false;
     std::vector<control::control_event> const events =
@@ -544,7 +545,7 @@
     instant const due = clock_now() + interval;
     this->ticker.expires_after(interval);
     this->ticker.async_wait(
-        [this, due](error_code const& error)
+        [this, due](error_code const& error) noexcept
         {
             if (!error)
             {
@@ -563,7 +564,7 @@
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.async_wait(
-        [this](error_code const& error, int)
+        [this](error_code const& error, int) noexcept
         {
             if (error)
             {
@@ -592,7 +593,7 @@
     }
     this->stopper.expires_after(std::chrono::milliseconds(20));
     this->stopper.async_wait(
-        [this, deadline](error_code const&)
+        [this, deadline](error_code const&) noexcept
         {
             this->stop_when_handed_over(deadline);
         });
@@ -620,7 +621,7 @@
     this->impl->start_ticking();
     this->impl->watch.start();
     this->impl->wait_for_stop();
-    this->impl->io.run();
+    link::run_event_loop(this->impl->io);
     return this->impl->ended_by;
 }
 
--- a/bilberrylead/daemon/control_program_disk.cpp
+++ b/bilberrylead/daemon/control_program_disk.cpp
@@ -27,7 +27,7 @@
 {
     this->disk_timer.expires_after(disk_pause);
     this->disk_timer.async_wait(
-        [this](error_code const& error)
+        [this](error_code const& error) noexcept
         {
             if (!error && !this->reopen())
             {
--- a/bilberrylead/daemon/control_program_parts.hpp
+++ b/bilberrylead/daemon/control_program_parts.hpp
@@ -59,7 +59,7 @@
     bool forms_itself() const;
     bool founds_group() const;
     void take(control::control_event event);
-    void flush();
+    void flush() noexcept;
     void wait_for_disk();
     bool reopen();
     void refuse_open_calls();
--- a/bilberrylead/daemon/entry_program.cpp
+++ b/bilberrylead/daemon/entry_program.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/daemon/entry_program_parts.hpp"
 
 #include "bilberrylead/core/process_clock.hpp"
+#include "bilberrylead/link/run_event_loop.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -299,7 +300,7 @@
 }
 
 void entry_program::implementation::on_exchange(
-    distribution::exchange_event const& what)
+    distribution::exchange_event const& what) noexcept
 {
     for (distribution::exchange_effect const& effect :
          this->exchange.reduce(what, clock_now()))
@@ -317,7 +318,7 @@
 }
 
 void entry_program::implementation::on_claims(
-    once_client::once_client_event const& what)
+    once_client::once_client_event const& what) noexcept
 {
     for (once_client::once_client_effect const& effect :
          this->claims.reduce(what, clock_now()))
@@ -375,7 +376,7 @@
     bool const listed = this->settings.forms_itself();
     this->ticker.expires_after(listed ? listed_tick_interval : tick_interval);
     this->ticker.async_wait(
-        [this](error_code const& error)
+        [this](error_code const& error) noexcept
         {
             if (error)
             {
@@ -393,7 +394,7 @@
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
     this->signals.async_wait(
-        [this](error_code const& error, int)
+        [this](error_code const& error, int) noexcept
         {
             if (!error)
             {
@@ -428,7 +429,7 @@
     this->impl->start_heartbeats();
     this->impl->watch.start();
     this->impl->wait_for_stop();
-    this->impl->io.run();
+    link::run_event_loop(this->impl->io);
     return absl::OkStatus();
 }
 
--- a/bilberrylead/daemon/entry_program_parts.hpp
+++ b/bilberrylead/daemon/entry_program_parts.hpp
@@ -81,8 +81,8 @@
     void on_message(link::link_number number, bytes const& said);
     void on_disconnected(link::link_number number);
     void on_effect_of_server(entry::effect const& wanted);
-    void on_exchange(distribution::exchange_event const& what);
-    void on_claims(once_client::once_client_event const& what);
+    void on_exchange(distribution::exchange_event const& what) noexcept;
+    void on_claims(once_client::once_client_event const& what) noexcept;
     void install(distribution::install_revision const& wanted);
     void send(link::link_number to, link::message const& content);
     void start_ticking();
--- a/bilberrylead/daemon/entry_program_peers.cpp
+++ b/bilberrylead/daemon/entry_program_peers.cpp
@@ -461,7 +461,7 @@
 {
     this->heartbeat.expires_after(pause);
     this->heartbeat.async_wait(
-        [this](error_code const& error)
+        [this](error_code const& error) noexcept
         {
             if (error)
             {
--- a/bilberrylead/daemon/settings_watch.cpp
+++ b/bilberrylead/daemon/settings_watch.cpp
@@ -36,7 +36,7 @@
 {
     this->timer.expires_after(look_interval);
     this->timer.async_wait(
-        [this](error_code const& error)
+        [this](error_code const& error) noexcept
         {
             if (!error)
             {
@@ -49,7 +49,7 @@
 void settings_watch::wait_for_signal()
 {
     this->signals.async_wait(
-        [this](error_code const& error, int)
+        [this](error_code const& error, int) noexcept
         {
             if (!error)
             {
--- a/bilberrylead/http/caller_connection.cpp
+++ b/bilberrylead/http/caller_connection.cpp
@@ -1,14 +1,15 @@
 #include "bilberrylead/http/caller_connection.hpp"
 
+#include "bilberrylead/core/log.hpp"
 #include "bilberrylead/core/read_limits.hpp"
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/local_answer.hpp"
 #include "bilberrylead/http/server_core.hpp"
 #include "bilberrylead/http/steering_page.hpp"
+#include "bilberrylead/link/connection_guard.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -27,6 +28,7 @@
 using beast::http::field;
 using beast::http::status;
 
+constexpr part_log log{"http"};
 /// Bytes of further requests that are taken while one is under way. A
 /// caller that sends more ahead is no longer watched for going away.
 constexpr std::size_t largest_ahead = std::size_t{16} << 10U;
@@ -74,7 +76,20 @@
         {
             co_await self->run();
         },
-        asio::detached);
+        link::connection_guard(this->core->place(),
+                               [self = this->shared_from_this()]
+                               {
+                                   self->end_by_exception();
+                               }));
+}
+
+void caller_connection::end_by_exception()
+{
+    log.error("The connection of the caller {} is ended by an exception.",
+              this->address);
+    this->note_caller_gone();
+    this->abandon_requests();
+    this->cut();
 }
 
 void caller_connection::expire(instant now)
@@ -469,7 +484,13 @@
     this->watching = true;
     this->socket.async_read_some(
         asio::buffer(this->arrived),
-        [self = this->shared_from_this()](error_code error, std::size_t count)
+        [self = this->shared_from_this(),
+         guard = link::connection_guard(this->core->place(),
+                                        [self = this->shared_from_this()]
+                                        {
+                                            self->end_by_exception();
+                                        })](error_code error,
+                                            std::size_t count) mutable
         {
             self->watching = false;
             self->buffer.commit(
@@ -487,6 +508,7 @@
                 self->start_watch();
             }
             self->wake.notify();
+            guard.release();
         });
 }
 
--- a/bilberrylead/http/caller_connection.hpp
+++ b/bilberrylead/http/caller_connection.hpp
@@ -64,6 +64,7 @@
     };
 
     task<void> run();
+    void end_by_exception();
     task<bool> serve_one();
     task<bool> serve_next();
     task<bool> wait_for_byte();
--- a/bilberrylead/http/caller_connection_answer.cpp
+++ b/bilberrylead/http/caller_connection_answer.cpp
@@ -5,9 +5,9 @@
 #include "bilberrylead/http/local_answer.hpp"
 #include "bilberrylead/http/server_core.hpp"
 #include "bilberrylead/http/upstream_exchange.hpp"
+#include "bilberrylead/link/connection_guard.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -57,7 +57,11 @@
             {
                 co_await self->hold_answer(request, exchange);
             },
-            asio::detached);
+            link::connection_guard(this->core->place(),
+                                   [self = this->shared_from_this()]
+                                   {
+                                       self->end_by_exception();
+                                   }));
     }
     this->wake.notify();
 }
--- a/bilberrylead/http/caller_connection_request.cpp
+++ b/bilberrylead/http/caller_connection_request.cpp
@@ -99,6 +99,38 @@
     return std::chrono::milliseconds(std::min(count, longest_deadline_ms));
 }
 
+status status_of_body_error(error_code const& error)
+{
+    if (error == beast::http::error::body_limit)
+    {
+        return status::payload_too_large;
+    }
+    return error == beast::http::error::header_limit
+               ? status::request_header_fields_too_large
+               : status::bad_request;
+}
+
+/// Sets a flag for its own lifetime, also if an exception ends that.
+class scoped_flag
+{
+public:
+    explicit scoped_flag(bool& chosen) : flag(chosen)
+    {
+        this->flag = true;
+    }
+
+    ~scoped_flag()
+    {
+        this->flag = false;
+    }
+
+    scoped_flag(scoped_flag const&) = delete;
+    scoped_flag& operator=(scoped_flag const&) = delete;
+
+private:
+    bool& flag;
+};
+
 /// True if nothing more can come from the other side.
 bool is_end_of_connection(error_code const& error)
 {
@@ -358,12 +390,13 @@
     {
         co_return 0;
     }
-    this->reading_rest = true;
-    this->set_limit(this->core->settings().body_timeout);
-    std::size_t const count =
-        co_await this->read_some(request->parser, piece, error);
-    this->clear_limit();
-    this->reading_rest = false;
+    std::size_t count = 0;
+    {
+        scoped_flag const reading(this->reading_rest);
+        this->set_limit(this->core->settings().body_timeout);
+        count = co_await this->read_some(request->parser, piece, error);
+        this->clear_limit();
+    }
     if (this->rest_unwanted && !error)
     {
         error = asio::error::operation_aborted;
@@ -445,6 +478,13 @@
                                         "The request's body is too large.",
                                         "Send a smaller one.");
     }
+    if (error == beast::http::error::header_limit)
+    {
+        co_return co_await this->refuse(
+            request, status::request_header_fields_too_large,
+            "The fields behind the request's body are too large.",
+            "Send them in its head.");
+    }
     if (is_end_of_connection(error))
     {
         co_return false;
@@ -460,11 +500,8 @@
 {
     ++this->core->counters().bad_requests;
     this->window.close_after_first();
-    bool const too_large = request.body_error == beast::http::error::body_limit;
     co_return co_await this->write_whole(
-        request,
-        make_body_problem(too_large ? status::payload_too_large
-                                    : status::bad_request),
+        request, make_body_problem(status_of_body_error(request.body_error)),
         request.carried->id);
 }
 
--- a/bilberrylead/http/caller_server.cpp
+++ b/bilberrylead/http/caller_server.cpp
@@ -45,7 +45,8 @@
 void caller_server::implementation::accept_next()
 {
     this->acceptor.async_accept(
-        [self = this->shared_from_this()](error_code error, tcp_socket socket)
+        [self = this->shared_from_this()](error_code error,
+                                          tcp_socket socket) noexcept
         {
             if (!self->acceptor.is_open())
             {
@@ -61,7 +62,7 @@
             }
             self->pause.expires_after(accept_pause);
             self->pause.async_wait(
-                [self](error_code stopped)
+                [self](error_code stopped) noexcept
                 {
                     if (!stopped && self->acceptor.is_open())
                     {
--- a/bilberrylead/http/net.hpp
+++ b/bilberrylead/http/net.hpp
@@ -6,6 +6,7 @@
 
 #include "bilberrylead/core/process_clock.hpp"
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/basic_stream_socket.hpp>
@@ -18,7 +19,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
@@ -54,9 +54,9 @@
 }
 
 /// A request's head and, in pieces, its body.
-using request_parser = beast::http::request_parser<beast::http::buffer_body>;
+using request_parser = link::request_parser<beast::http::buffer_body>;
 /// An answer's head and, in pieces, its body.
-using answer_parser = beast::http::response_parser<beast::http::buffer_body>;
+using answer_parser = link::response_parser<beast::http::buffer_body>;
 /// A request that is sent in pieces.
 using request_message = beast::http::request<beast::http::buffer_body>;
 /// An answer that is sent in pieces.
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -62,7 +62,7 @@
 {
     this->clock.expires_after(this->chosen.entry.tick);
     this->clock.async_wait(
-        [self = this->shared_from_this()](error_code error)
+        [self = this->shared_from_this()](error_code error) noexcept
         {
             if (error || self->stopped)
             {
@@ -133,7 +133,7 @@
     }
 }
 
-void server_core::dispatch(entry::event happened)
+void server_core::dispatch(entry::event happened) noexcept
 {
     this->queue.push_back(std::move(happened));
     if (this->dispatching)
--- a/bilberrylead/http/server_core.hpp
+++ b/bilberrylead/http/server_core.hpp
@@ -50,8 +50,10 @@
     void stop();
 
     /// Hands an event to the reducer and carries out the effects. From
-    /// within an effect the event waits until the others are carried out.
-    void dispatch(entry::event happened);
+    /// within an effect the event waits until the others are carried out. An
+    /// exception in a decision leaves the shared state unknown: the process
+    /// ends.
+    void dispatch(entry::event happened) noexcept;
 
     /// A new request, with a number and an id.
     std::shared_ptr<carried_request> make_request();
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -1,14 +1,15 @@
 #include "bilberrylead/http/upstream_exchange.hpp"
 
 #include "bilberrylead/core/http_status.hpp"
+#include "bilberrylead/core/log.hpp"
 #include "bilberrylead/http/header_names.hpp"
 #include "bilberrylead/http/header_rules.hpp"
 #include "bilberrylead/http/region_header.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
+#include "bilberrylead/link/connection_guard.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -28,6 +29,7 @@
 namespace
 {
 
+constexpr part_log log{"http"};
 constexpr std::size_t piece_size = std::size_t{16} << 10U;
 /// Answers to earlier requests that are skipped in front of the own one.
 constexpr unsigned most_skipped_answers = 2;
@@ -63,7 +65,21 @@
         {
             co_await self->run();
         },
-        asio::detached);
+        link::connection_guard(this->where,
+                               [self = this->shared_from_this()]
+                               {
+                                   self->end_by_exception();
+                               }));
+}
+
+void upstream_exchange::end_by_exception()
+{
+    log.error("An exchange with the upstream {} is ended by an exception.",
+              this->order.upstream.text());
+    if (!this->over)
+    {
+        this->fail(entry::exchange_fault::bad_answer);
+    }
 }
 
 task<void> upstream_exchange::run()
--- a/bilberrylead/http/upstream_exchange.hpp
+++ b/bilberrylead/http/upstream_exchange.hpp
@@ -81,6 +81,7 @@
 
 private:
     task<void> run();
+    void end_by_exception();
     task<bool> connect();
     bool withdraw();
     task<bool> send();
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -7,9 +7,9 @@
 #include "bilberrylead/http/retry_after_header.hpp"
 #include "bilberrylead/http/upstream_connection.hpp"
 #include "bilberrylead/http/upstream_pool.hpp"
+#include "bilberrylead/link/connection_guard.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -179,9 +179,10 @@
     {
         return entry::exchange_fault::no_response;
     }
-    return error == beast::http::error::buffer_overflow
-               ? entry::exchange_fault::bad_answer
-               : entry::exchange_fault::connection_lost;
+    bool const too_large = error == beast::http::error::buffer_overflow ||
+                           error == beast::http::error::header_limit;
+    return too_large ? entry::exchange_fault::bad_answer
+                     : entry::exchange_fault::connection_lost;
 }
 
 task<std::size_t> upstream_exchange::read_some(std::span<char> piece,
@@ -238,7 +239,11 @@
         {
             co_await self->collect_body(largest_answer, largest_record);
         },
-        asio::detached);
+        link::connection_guard(this->where,
+                               [self = this->shared_from_this()]
+                               {
+                                   self->end_by_exception();
+                               }));
 }
 
 task<void> upstream_exchange::collect_body(std::size_t largest_answer,
--- a/bilberrylead/link/http_caller.cpp
+++ b/bilberrylead/link/http_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/core/error.hpp"
 #include "bilberrylead/core/read_limits.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/link/quiet_socket.hpp"
 
@@ -56,7 +57,7 @@
     bool connected = false;
     beast::flat_buffer buffer{max_unparsed_bytes};
     http::request<http::empty_body> request;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<response_parser<http::string_body>> parser;
     result_function done;
 };
 
--- a/bilberrylead/link/http_endpoint.cpp
+++ b/bilberrylead/link/http_endpoint.cpp
@@ -1,6 +1,8 @@
 #include "bilberrylead/link/http_endpoint.hpp"
 
+#include "bilberrylead/core/log.hpp"
 #include "bilberrylead/core/read_limits.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -9,7 +11,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <exception>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace bilberrylead::link
@@ -24,6 +28,8 @@
 using asio::ip::tcp;
 using error_code = boost::system::error_code;
 
+constexpr part_log log{"http endpoint"};
+
 /// One connection; kept alive by its own pending operations.
 class http_session : public std::enable_shared_from_this<http_session>
 {
@@ -35,10 +41,21 @@
           open(std::move(open))
     {
         ++*this->open;
+        error_code error;
+        tcp::endpoint const from = this->stream.socket().remote_endpoint(error);
+        if (!error)
+        {
+            this->peer = from.address().to_string();
+        }
     }
 
     ~http_session()
     {
+        if (std::uncaught_exceptions() > 0)
+        {
+            log.error("The connection of {} is ended by an exception.",
+                      this->peer);
+        }
         --*this->open;
     }
 
@@ -106,11 +123,12 @@
     }
 
     beast::tcp_stream stream;
+    std::string peer;
     http_endpoint::handler const& serve;
     http_endpoint_settings const& settings;
     std::shared_ptr<std::size_t> open;
     beast::flat_buffer buffer{max_unparsed_bytes};
-    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<request_parser<http::string_body>> parser;
     http::response<http::string_body> answer;
     bool keep_alive = false;
 };
@@ -131,7 +149,7 @@
     {
         this->acceptor.async_accept(
             [self = this->shared_from_this()](error_code const& error,
-                                              tcp::socket socket)
+                                              tcp::socket socket) noexcept
             {
                 if (error == asio::error::operation_aborted)
                 {
--- a/bilberrylead/link/peer_node.cpp
+++ b/bilberrylead/link/peer_node.cpp
@@ -97,7 +97,7 @@
 void peer_node::implementation::accept_next()
 {
     this->acceptor.async_accept(
-        [this](error_code const& error, tcp::socket socket)
+        [this](error_code const& error, tcp::socket socket) noexcept
         {
             if (error == asio::error::operation_aborted)
             {
@@ -201,7 +201,7 @@
     }
     from->timer.expires_after(from->pause.next());
     from->timer.async_wait(
-        [this, from](error_code const& error)
+        [this, from](error_code const& error) noexcept
         {
             if (!error && !from->forgotten)
             {
--- a/bilberrylead/link/peer_session.cpp
+++ b/bilberrylead/link/peer_session.cpp
@@ -219,7 +219,7 @@
     this->watch.expires_after(this->settings.silence_timeout /
                               watches_per_silence);
     this->watch.async_wait(
-        [self = this->shared_from_this()](error_code const& error)
+        [self = this->shared_from_this()](error_code const& error) noexcept
         {
             if (!error && self->now_in == phase::open)
             {
--- a/bilberrylead/load/caller_exchange.cpp
+++ b/bilberrylead/load/caller_exchange.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/load/caller_exchange.hpp"
 
 #include "bilberrylead/config/decimal.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 #include "bilberrylead/load/beast_text.hpp"
 #include "bilberrylead/load/body_pattern.hpp"
 #include "bilberrylead/load/wire.hpp"
@@ -41,7 +42,7 @@
 constexpr std::uint64_t longest_come_back_s = 3'600;
 constexpr std::size_t chunk_bytes = std::size_t{16} << 10U;
 
-using answer_parser = http::response_parser<http::buffer_body>;
+using answer_parser = link::response_parser<http::buffer_body>;
 
 http::request<http::string_body> make_request(exchange_request const& given)
 {
@@ -267,7 +268,7 @@
     co_await http::async_write(
         connection->stream, request,
         asio::redirect_error(asio::use_awaitable, error));
-    http::response_parser<http::string_body> parser;
+    link::response_parser<http::string_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (!error)
     {
--- a/bilberrylead/load/stand_in_connection.cpp
+++ b/bilberrylead/load/stand_in_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "bilberrylead/config/decimal.hpp"
 #include "bilberrylead/core/process_clock.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 #include "bilberrylead/load/beast_text.hpp"
 #include "bilberrylead/load/stand_in_admin.hpp"
 #include "bilberrylead/load/wire.hpp"
@@ -77,7 +78,7 @@
     bool open = true;
     while (open)
     {
-        http::request_parser<http::string_body> parser;
+        link::request_parser<http::string_body> parser;
         parser.body_limit(largest_body);
         co_await http::async_read(
             this->stream, this->buffer, parser,
--- a/bilberrylead/load/stand_in_server.cpp
+++ b/bilberrylead/load/stand_in_server.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/load/stand_in_server.hpp"
 
 #include "bilberrylead/core/process_clock.hpp"
+#include "bilberrylead/link/bounded_parser.hpp"
 #include "bilberrylead/link/open_acceptor.hpp"
 #include "bilberrylead/load/stand_in_admin.hpp"
 #include "bilberrylead/load/stand_in_connection.hpp"
@@ -50,7 +51,7 @@
     beast::error_code error;
     while (!error)
     {
-        http::request_parser<http::string_body> parser;
+        link::request_parser<http::string_body> parser;
         parser.body_limit(largest_admin_body);
         co_await http::async_read(
             stream, buffer, parser,
--- a/tests/unit/http/caller_server_test.cpp
+++ b/tests/unit/http/caller_server_test.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
+#include <tuple>
 #include <variant>
 
 using namespace bilberrylead;
@@ -129,3 +131,21 @@
     }
     cr_assert_eq(upstream.connections.load(), 1);
 }
+
+// Guards against decisions that go on from a state that an exception has left
+// incomplete.
+Test(caller_server, exception_in_a_decision_ends_the_process, .signal = SIGABRT)
+{
+    running_server entry;
+    entry.outside = [](entry::effect const&)
+    {
+        throw std::logic_error("an invariant is broken");
+    };
+    entry.configure({1},
+                    [](config::service& service)
+                    {
+                        service.idempotent = false;
+                        service.guarded = true;
+                    });
+    std::ignore = entry.ask(post("/s/x", "body", "Idempotency-Key: k\r\n"));
+}
