A crash record is withdrawn only by what the next incarnation cannot show

Cause: an answer of an upstream withdrew the crash records that named it. That proves that it had not ended only where an id names one incarnation; upstreams may start again under their ids. Related: records were sets of ids, so that a request could crash the same two upstreams for ever, and a loss within 10 s of an end was booked on that end without a probe.

Change: an answer withdraws a record only if its request was sent after the record and its connection was opened before the loss. A host that is cut off alone (another host passes on an upstream's success for 2 s while no upstream accepts a connection here) withdraws what it recorded since its last connection. Records count each incarnation: a request that was sent after an end was known has ended a later one; hosts merge by the larger count. A loss of a request that was sent after the known end is probed anew.

Ruled out: withdrawing once the way to all upstreams is lost; a request that ends all of a few upstreams looks the same.

--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -9,6 +9,7 @@
 #include "bilberrylead/entry/entry_settings.hpp"
 #include "bilberrylead/entry/event.hpp"
 #include "bilberrylead/entry/live_request.hpp"
+#include "bilberrylead/entry/own_crash.hpp"
 #include "bilberrylead/entry/routing_table.hpp"
 #include "bilberrylead/entry/service_state.hpp"
 #include "bilberrylead/policy/admission_demand.hpp"
@@ -237,7 +238,8 @@
     void refuse_unplaced(live_request& request);
     void record_complete_answer(live_request const& request);
     void record_upstream_end(upstream_id const& upstream);
-    void record_crash(std::uint64_t digest, upstream_id const& upstream);
+    void record_crash(policy::lost_request const& request,
+                      upstream_id const& upstream);
     void find_ended_upstreams();
     void repeat_probes();
     void record_sign_of_life(upstream_signals_received const& event);
@@ -252,7 +254,10 @@
     void record_connection_failure(upstream_id const& upstream,
                                    zone_id const& zone);
     void record_connection(upstream_id const& upstream);
-    void withdraw_crashes(upstream_id const& upstream);
+    void withdraw_disproved_crashes(upstream_signals_received const& event);
+    void withdraw_crashes_of_cut();
+    template <class Predicate>
+    void withdraw_crashes(Predicate is_disproved);
     void probe_for_contact();
     std::vector<config::upstream const*> choose_probes(std::size_t count);
     void configure_contact();
@@ -336,9 +341,12 @@
     // Requests that each of these carries for this host now.
     std::map<host_id, std::uint32_t> relays_in_flight;
     instant next_contact_probe{};
-    // Upstreams that this host took for ended, and the digests of the requests
-    // that it recorded for them.
-    std::deque<std::pair<upstream_id, std::uint64_t>> own_crashes;
+    std::deque<own_crash> own_crashes;
+    // Time at which an upstream last accepted a connection of this host.
+    instant last_connection_at{};
+    // While no upstream is reached: since when an upstream has answered another
+    // entry host and none has accepted a connection of this one.
+    std::optional<instant> only_others_reach_since;
     policy::customer_limits customer_limits;
     std::map<service_id, policy::rank_admission> admissions;
     // The leader that made the last admission plan.
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -216,6 +216,7 @@
     this->send_changed_crashes();
     this->repeat_probes();
     this->probe_for_contact();
+    this->withdraw_crashes_of_cut();
     this->losses.expire(this->now);
     this->check_drain_progress();
 }
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -1,6 +1,7 @@
 #include "bilberrylead/entry/entry_reducer.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 /// Requests during whose runs upstreams end.
@@ -12,6 +13,10 @@
 
 /// Crash records that can be withdrawn.
 constexpr std::size_t max_own_crashes = 1000;
+/// Time for which upstreams must answer other hosts and accept no connection of
+/// this one until it counts as partitioned from them. When all upstreams start
+/// again after crashes, the others reach them sooner only by a few probes.
+constexpr duration partition_confirmation = std::chrono::seconds(2);
 
 } // namespace
 
@@ -54,7 +59,8 @@
         return;
     }
     upstream_id const& upstream = request.tried.back();
-    switch (this->losses.record_loss(upstream, request.digest, this->now))
+    policy::lost_request const lost{request.digest, request.sent_at};
+    switch (this->losses.record_loss(upstream, lost, this->now))
     {
     case policy::connection_loss_action::probe:
         // An upstream that rests or leaves is left alone; the upstream list
@@ -68,7 +74,7 @@
     case policy::connection_loss_action::wait:
         return;
     case policy::connection_loss_action::upstream_ended:
-        this->record_crash(request.digest, upstream);
+        this->record_crash(lost, upstream);
         return;
     }
 }
@@ -160,61 +166,91 @@
 
 void entry_reducer::record_upstream_end(upstream_id const& upstream)
 {
-    std::vector<std::uint64_t> const digests =
+    std::vector<policy::lost_request> const requests =
         this->losses.record_ended(upstream, this->now);
-    if (!digests.empty())
+    if (!requests.empty())
     {
         this->pending_effects.push_back(
             connection_loss_resolved{upstream, true});
     }
-    for (std::uint64_t const digest : digests)
+    for (policy::lost_request const& each : requests)
     {
-        this->record_crash(digest, upstream);
+        this->record_crash(each, upstream);
     }
 }
 
-void entry_reducer::record_crash(std::uint64_t digest,
+void entry_reducer::record_crash(policy::lost_request const& request,
                                  upstream_id const& upstream)
 {
     std::optional<policy::crash_record> const changed =
-        this->crashes.record_crash(digest, upstream, this->now);
+        this->crashes.record_crash(request.digest, upstream, request.sent,
+                                   this->now);
     if (changed.has_value())
     {
-        this->own_crashes.emplace_back(upstream, digest);
+        this->own_crashes.push_back(
+            {upstream, request.digest,
+             this->losses.lost_at(upstream).value_or(this->now), this->now});
         if (this->own_crashes.size() > max_own_crashes)
         {
             this->own_crashes.pop_front();
         }
         this->publish_crash_record(*changed);
-        this->refuse_crashing(digest);
+        this->refuse_crashing(request.digest);
     }
 }
 
-/// An answer shows that an upstream which was taken for ended had not: this
-/// host had lost its way to it. Withdraws the records that say otherwise, since
-/// all hosts would hold innocent requests back.
-void entry_reducer::withdraw_crashes(upstream_id const& upstream)
+/// Withdraws the crash records that this host made and that satisfy the
+/// predicate: all hosts would hold innocent requests back.
+template <class Predicate>
+void entry_reducer::withdraw_crashes(Predicate is_disproved)
 {
-    if (!this->host_settings.upstreams_are_listed)
-    {
-        // The next incarnation may have the same id.
-        return;
-    }
-    for (auto const& [ended, digest] : this->own_crashes)
+    for (own_crash const& each : this->own_crashes)
     {
         std::optional<policy::crash_record> const cleared =
-            ended == upstream ? this->crashes.clear(digest, this->now)
-                              : std::nullopt;
+            is_disproved(each) ? this->crashes.clear(each.digest, this->now)
+                               : std::nullopt;
         if (cleared.has_value())
         {
             this->publish_crash_record(*cleared);
         }
     }
-    std::erase_if(this->own_crashes,
-                  [&upstream](auto const& entry)
-                  {
-                      return entry.first == upstream;
-                  });
+    std::erase_if(this->own_crashes, is_disproved);
+}
+
+/// An upstream that answers a later request on a connection from before the
+/// loss had not ended: this host had lost its way to it. An answer on a later
+/// connection may come from the next incarnation, which has the same id.
+void entry_reducer::withdraw_disproved_crashes(
+    upstream_signals_received const& event)
+{
+    live_request const* const request = this->find(event.request);
+    if (request == nullptr)
+    {
+        return;
+    }
+    this->withdraw_crashes(
+        [&event, sent = request->sent_at](own_crash const& each)
+        {
+            return each.upstream == event.upstream &&
+                   event.connected_at < each.lost_at && each.recorded_at < sent;
+        });
+}
+
+/// This host alone reaches no upstream, so the upstreams that it has taken for
+/// ended since it last reached one had not.
+void entry_reducer::withdraw_crashes_of_cut()
+{
+    if (!this->contact.is_lost() ||
+        !this->only_others_reach_since.has_value() ||
+        this->now < *this->only_others_reach_since + partition_confirmation)
+    {
+        return;
+    }
+    this->withdraw_crashes(
+        [since = this->last_connection_at](own_crash const& each)
+        {
+            return each.lost_at >= since;
+        });
 }
 
 void entry_reducer::record_complete_answer(live_request const& request)
--- a/bilberrylead/entry/entry_reducer_relay.cpp
+++ b/bilberrylead/entry/entry_reducer_relay.cpp
@@ -26,6 +26,11 @@
 /// another configuration.
 constexpr std::uint16_t status_misdirected = 421;
 
+bool is_success(std::uint16_t status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace
 
 config::upstream const*
@@ -72,6 +77,8 @@
 
 void entry_reducer::record_connection(upstream_id const& upstream)
 {
+    this->last_connection_at = this->now;
+    this->only_others_reach_since.reset();
     if (this->contact.record_accepted(upstream) !=
         policy::contact_change::restored)
     {
@@ -247,6 +254,11 @@
         this->relay_elsewhere(request);
         return;
     }
+    bool const was_run = is_success(event.status) && this->contact.is_lost();
+    if (was_run && !this->only_others_reach_since.has_value())
+    {
+        this->only_others_reach_since = this->now;
+    }
     request.status = event.status;
     request.time_to_head = this->now - request.sent_at;
     request.life_cycle.stream();
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -17,7 +17,7 @@
         return;
     }
     this->record_sign_of_life(event);
-    this->withdraw_crashes(event.upstream);
+    this->withdraw_disproved_crashes(event);
     this->record_limit(event);
     if (event.leaving)
     {
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -170,6 +170,8 @@
     service_id service;
     /// The upstream to which the request was sent.
     upstream_id upstream;
+    /// Time at which the connection was opened; the latest of all if unknown.
+    instant connected_at = instant::max();
     /// True if the address now belongs to another upstream. The other signals
     /// are then empty, since they are not about `upstream`.
     bool misdirected = false;
--- a/bilberrylead/http/upstream_connection.hpp
+++ b/bilberrylead/http/upstream_connection.hpp
@@ -35,6 +35,8 @@
     beast::flat_buffer buffer{largest_answer_head + max_unparsed_bytes};
     /// Where it leads.
     config::endpoint upstream;
+    /// When it was opened.
+    instant connected_at = instant::max();
     /// When the other side was last heard.
     instant last_heard{};
     /// True once it has carried a whole exchange.
--- a/bilberrylead/http/upstream_exchange.cpp
+++ b/bilberrylead/http/upstream_exchange.cpp
@@ -139,6 +139,7 @@
         this->fail(entry::exchange_fault::connect_failed);
         co_return false;
     }
+    this->connection->connected_at = clock_now();
     this->connection->socket.set_option(asio::ip::tcp::no_delay(true), error);
     if (!this->order.to_entry_host)
     {
--- a/bilberrylead/policy/connection_losses.cpp
+++ b/bilberrylead/policy/connection_losses.cpp
@@ -21,23 +21,30 @@
 
 connection_loss_action
 connection_losses::record_loss(upstream_id const& upstream,
-                               std::uint64_t digest, instant now)
+                               lost_request const& request, instant now)
 {
+    auto const earlier = this->losses.find(upstream);
+    if (earlier != this->losses.end() && earlier->second.ended)
+    {
+        if (request.sent <= earlier->second.updated_at)
+        {
+            return connection_loss_action::upstream_ended;
+        }
+        this->losses.erase(earlier);
+    }
     auto const [position, is_new] = this->losses.try_emplace(upstream);
     if (is_new)
     {
+        position->second.lost_at = now;
         position->second.updated_at = now;
     }
-    if (position->second.ended)
-    {
-        return connection_loss_action::upstream_ended;
-    }
-    position->second.digests.insert(digest);
+    instant& sent = position->second.requests[request.digest];
+    sent = std::max(sent, request.sent);
     return is_new ? connection_loss_action::probe
                   : connection_loss_action::wait;
 }
 
-std::vector<std::uint64_t>
+std::vector<lost_request>
 connection_losses::record_ended(upstream_id const& upstream, instant now)
 {
     auto const position = this->losses.find(upstream);
@@ -48,8 +55,22 @@
     loss& entry = position->second;
     entry.updated_at = now;
     entry.ended = true;
-    std::set<std::uint64_t> const digests = std::exchange(entry.digests, {});
-    return {digests.begin(), digests.end()};
+    std::vector<lost_request> requests;
+    requests.reserve(entry.requests.size());
+    for (auto const& [digest, sent] : std::exchange(entry.requests, {}))
+    {
+        requests.push_back({digest, sent});
+    }
+    return requests;
+}
+
+std::optional<instant>
+connection_losses::lost_at(upstream_id const& upstream) const
+{
+    auto const position = this->losses.find(upstream);
+    return position == this->losses.end()
+               ? std::nullopt
+               : std::optional(position->second.lost_at);
 }
 
 bool connection_losses::record_accepted(upstream_id const& upstream,
@@ -117,7 +138,7 @@
         this->losses.begin(), this->losses.end(),
         [digest](auto const& item)
         {
-            return !item.second.ended && item.second.digests.contains(digest);
+            return !item.second.ended && item.second.requests.contains(digest);
         }));
 }
 
--- a/bilberrylead/policy/connection_losses.hpp
+++ b/bilberrylead/policy/connection_losses.hpp
@@ -4,11 +4,12 @@
 #include "bilberrylead/core/ids.hpp"
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/policy/connection_loss_action.hpp"
+#include "bilberrylead/policy/lost_request.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace bilberrylead::policy
@@ -22,18 +23,27 @@
 /// refused a connection or is no longer listed. It is discarded once the
 /// upstream has answered a later request, or has accepted connections for a
 /// while: the listener of a process that ends may outlive its connections.
+///
+/// An upstream may start again under its id. What it loses then is a loss of
+/// its own: only requests that were sent before the end was known were lost
+/// with it.
 class connection_losses
 {
 public:
     /// Records that the connection of a request to the upstream was lost while
     /// the request may have been running there.
     connection_loss_action record_loss(upstream_id const& upstream,
-                                       std::uint64_t digest, instant now);
+                                       lost_request const& request,
+                                       instant now);
 
     /// Records that the upstream refused a connection or is no longer listed.
-    /// Returns the digests of the requests that it may have been running.
-    std::vector<std::uint64_t> record_ended(upstream_id const& upstream,
-                                            instant now);
+    /// Returns the requests that it may have been running.
+    std::vector<lost_request> record_ended(upstream_id const& upstream,
+                                           instant now);
+
+    /// Time of the first connection that was lost with the upstream; empty if
+    /// none is known.
+    std::optional<instant> lost_at(upstream_id const& upstream) const;
 
     /// Records that the upstream accepted a connection. Returns true if it has
     /// done so often enough to be taken as responsive; else it is to be probed
@@ -62,12 +72,14 @@
 private:
     struct loss
     {
+        instant lost_at{};
         instant updated_at{};
         bool ended = false;
         // Connections that were accepted since the loss.
         unsigned accepted = 0;
         instant next_probe = instant::max();
-        std::set<std::uint64_t> digests;
+        // When each request was sent last, by digest.
+        std::map<std::uint64_t, instant> requests;
     };
 
     std::map<upstream_id, loss> losses;
--- a/bilberrylead/policy/crash_history.cpp
+++ b/bilberrylead/policy/crash_history.cpp
@@ -105,19 +105,42 @@
 
 std::optional<crash_record>
 crash_history::record_crash(std::uint64_t digest, upstream_id const& upstream,
-                            instant now)
+                            instant sent, instant now)
 {
     entry& held = this->entry_of(digest, now);
-    if (held.record.ended_upstreams.size() >=
-            this->settings.crashes_to_refuse ||
-        !held.record.ended_upstreams.insert(upstream).second)
+    auto const known = held.known_at.find(upstream);
+    bool const is_known = known != held.known_at.end() && sent <= known->second;
+    if (is_known ||
+        held.record.ended_upstreams.size() >= this->settings.crashes_to_refuse)
     {
         return std::nullopt;
     }
+    held.record.ended_upstreams.insert(upstream);
+    held.known_at[upstream] = now;
     held.last_seen = now;
     return held.record;
 }
 
+void crash_history::replace(entry& held, crash_record record, instant now)
+{
+    std::erase_if(held.known_at,
+                  [&record](auto const& each)
+                  {
+                      return !record.ended_upstreams.contains(each.first);
+                  });
+    for (upstream_id const& each : record.ended_upstreams)
+    {
+        bool const is_new = record.ended_upstreams.count(each) >
+                            held.record.ended_upstreams.count(each);
+        if (is_new || record.generation != held.record.generation)
+        {
+            held.known_at[each] = now;
+        }
+    }
+    held.record = std::move(record);
+    held.last_seen = now;
+}
+
 std::optional<crash_record> crash_history::clear(std::uint64_t digest,
                                                  instant now)
 {
@@ -130,6 +153,7 @@
     entry& held = found->second;
     ++held.record.generation;
     held.record.ended_upstreams.clear();
+    held.known_at.clear();
     held.last_seen = now;
     return held.record;
 }
@@ -161,8 +185,14 @@
         }
         else if (received.generation == merged.generation)
         {
-            merged.ended_upstreams.insert(received.ended_upstreams.begin(),
-                                          received.ended_upstreams.end());
+            // Several hosts see the same end, so the larger count is taken.
+            merged.ended_upstreams.clear();
+            std::set_union(held.record.ended_upstreams.begin(),
+                           held.record.ended_upstreams.end(),
+                           received.ended_upstreams.begin(),
+                           received.ended_upstreams.end(),
+                           std::inserter(merged.ended_upstreams,
+                                         merged.ended_upstreams.end()));
         }
         // Every host keeps the same upstreams, so that the records converge.
         while (merged.ended_upstreams.size() > this->settings.crashes_to_refuse)
@@ -176,8 +206,7 @@
         }
         if (merged != held.record)
         {
-            held.record = std::move(merged);
-            held.last_seen = now;
+            replace(held, std::move(merged), now);
             result.changed.push_back(held.record);
         }
     }
--- a/bilberrylead/policy/crash_history.hpp
+++ b/bilberrylead/policy/crash_history.hpp
@@ -41,11 +41,13 @@
     crash_verdict verdict_of_retry(std::uint64_t digest,
                                    std::size_t unresolved) const;
 
-    /// Records that the upstream ended while it ran the request. Returns the
-    /// record if it changed.
+    /// Records that the upstream ended while it ran the request, which was sent
+    /// to it at `sent`. Returns the record if it changed. A request that was
+    /// sent after the last end of the upstream was known here has ended a later
+    /// incarnation.
     std::optional<crash_record> record_crash(std::uint64_t digest,
                                              upstream_id const& upstream,
-                                             instant now);
+                                             instant sent, instant now);
 
     /// Clears the request, after a complete answer or by order of an operator.
     /// Returns the record if upstreams had ended while they ran it.
@@ -86,6 +88,8 @@
     {
         crash_record record;
         instant last_seen;
+        // When each end in the record became known here.
+        std::map<upstream_id, instant> known_at = {};
     };
 
     using entry_map = std::map<std::uint64_t, entry>;
@@ -93,6 +97,7 @@
     entry& entry_of(std::uint64_t digest, instant now);
     entry_map::const_iterator eviction_candidate() const;
     bool accepts(crash_record const& received) const;
+    static void replace(entry& held, crash_record record, instant now);
 
     crash_history_settings settings;
     entry_map entries;
--- a/bilberrylead/policy/crash_record.hpp
+++ b/bilberrylead/policy/crash_record.hpp
@@ -18,8 +18,9 @@
     std::uint64_t digest = 0;
     /// Incremented each time the request is cleared.
     std::uint64_t generation = 0;
-    /// Incarnations of upstreams that ended since it was last cleared.
-    std::set<upstream_id> ended_upstreams;
+    /// Upstreams that ended since it was last cleared, each as often as
+    /// incarnations of it ended. An upstream may start again under its id.
+    std::multiset<upstream_id> ended_upstreams;
 
     friend bool operator==(crash_record const&, crash_record const&) = default;
 };
--- a/tests/unit/entry/crashing_request_test.cpp
+++ b/tests/unit/entry/crashing_request_test.cpp
@@ -71,6 +71,23 @@
     }
 }
 
+// Guards against a request that is allowed again once the upstreams that it
+// ended are back under their ids and answer other requests.
+Test(crashing_request, stays_refused_when_upstreams_are_back_under_their_ids)
+{
+    for (std::size_t const upstreams : {2, 4, 18})
+    {
+        for (std::size_t const hosts : fleet_sizes)
+        {
+            upstream_fleet fleet(
+                {.hosts = hosts, .upstreams = upstreams, .keeps_ids = true});
+            repeat_crashing_request(fleet, 200ms, 40s);
+            cr_expect_geq(fleet.ended_upstreams(), 3U);
+            expect_budget_kept(fleet, "same ids");
+        }
+    }
+}
+
 // Guards against a crash that is not counted because the listener of the ended
 // upstream accepts the probe.
 Test(crashing_request, listener_that_outlives_its_process_hides_no_crash)
--- a/tests/unit/entry/relayed_request_test.cpp
+++ b/tests/unit/entry/relayed_request_test.cpp
@@ -60,6 +60,42 @@
         return this->sent_to();
     }
 
+    /// Lets a request with that digest lose its upstream, which then refuses
+    /// connections. Returns the upstream.
+    std::string record_crash(std::uint64_t number, std::uint64_t digest)
+    {
+        std::string const upstream = this->arrive_with_digest(number, digest);
+        this->fail(number, exchange_phase::maybe_sent,
+                   exchange_fault::connection_lost);
+        this->reduce(
+            upstream_probed{upstream_id(upstream), probe_outcome::refused});
+        cr_assert_eq(this->crashes_of_first(), 1U);
+        this->advance(policy::crash_report_queue::interval);
+        return upstream;
+    }
+
+    /// Passes an answer of that upstream to a request that is sent 4 s from
+    /// now.
+    void answer_later(std::string const& upstream, instant connected_at)
+    {
+        this->now += 4s;
+        this->arrive_with_digest(9, 78);
+        upstream_signals_received signals;
+        signals.request = static_cast<request_number>(9);
+        signals.service = service_id("read");
+        signals.upstream = upstream_id(upstream);
+        signals.connected_at = connected_at;
+        this->reduce(signals);
+    }
+
+    /// Ends of upstreams in the first crash record.
+    std::size_t crashes_of_first() const
+    {
+        std::vector<policy::crash_record> const records =
+            this->reducer.crash_records().records();
+        return records.empty() ? 0 : records.front().ended_upstreams.size();
+    }
+
     /// Port of the entry host that the last event passed a request on to; 0 if
     /// none.
     std::uint16_t relayed_to() const
@@ -243,28 +279,81 @@
 Test(relayed_request, answer_of_an_upstream_taken_for_ended_withdraws_records)
 {
     cut_off_entry entry;
-    std::string const upstream = entry.arrive_with_digest(1, 77);
-    entry.fail(1, exchange_phase::maybe_sent, exchange_fault::connection_lost);
-    entry.reduce(
-        upstream_probed{upstream_id(upstream), probe_outcome::refused});
-    cr_assert_eq(entry.reducer.crash_records().records().size(), 1U);
-    cr_assert_eq(
-        entry.reducer.crash_records().records().front().ended_upstreams.size(),
-        1U);
-    upstream_signals_received signals;
-    signals.request = static_cast<request_number>(9);
-    signals.service = service_id("read");
-    signals.upstream = upstream_id(upstream);
-    entry.reduce(signals);
-    entry.advance(policy::crash_report_queue::interval);
+    std::string const upstream = entry.record_crash(1, 77);
+    entry.answer_later(upstream, entry.now - 10s);
     cr_assert_not_null(entry.find<send_crash_records>());
     cr_expect(entry.find<send_crash_records>()
                   ->records.front()
                   .ended_upstreams.empty());
-    cr_expect(entry.reducer.crash_records()
-                  .records()
-                  .front()
-                  .ended_upstreams.empty());
+    cr_expect_eq(entry.crashes_of_first(), 0U);
+}
+
+// Guards against a request that ends upstreams for ever, since an answer of the
+// next incarnation, which has the same id, withdraws its record.
+Test(relayed_request, answer_on_a_later_connection_withdraws_no_records)
+{
+    cut_off_entry entry;
+    std::string const upstream = entry.record_crash(1, 77);
+    entry.answer_later(upstream, entry.now + 3s);
+    cr_expect_null(entry.find<send_crash_records>());
+    cr_expect_eq(entry.crashes_of_first(), 1U);
+}
+
+// Guards against the same by an answer that the ended process had sent before.
+Test(relayed_request, answer_to_an_earlier_request_withdraws_no_records)
+{
+    cut_off_entry entry;
+    entry.arrive_with_digest(2, 78);
+    std::string const upstream = entry.record_crash(1, 77);
+    upstream_signals_received signals;
+    signals.request = static_cast<request_number>(2);
+    signals.service = service_id("read");
+    signals.upstream = upstream_id(upstream);
+    signals.connected_at = entry.now - 10s;
+    entry.reduce(signals);
+    cr_expect_eq(entry.crashes_of_first(), 1U);
+}
+
+// Guards against innocent requests that are held back on all hosts after a cut
+// between this host and all upstreams, whose connections were reset.
+Test(relayed_request, cut_that_others_do_not_share_withdraws_records)
+{
+    cut_off_entry entry;
+    entry.record_crash(1, 77);
+    entry.cut();
+    entry.arrive(2, "/r/x");
+    cr_assert_neq(entry.relayed_to(), 0);
+    upstream_head_received head;
+    head.request = static_cast<request_number>(2);
+    head.status = 200;
+    entry.reduce(head);
+    entry.advance(1s);
+    cr_expect_eq(entry.crashes_of_first(), 1U);
+    entry.advance(1s);
+    cr_expect_eq(entry.crashes_of_first(), 0U);
+    cr_expect_not_null(entry.find<send_crash_records>());
+}
+
+// Guards against a request that ends all of a few upstreams and is allowed
+// again, since that looks like a cut.
+Test(relayed_request, crash_of_all_upstreams_withdraws_no_records)
+{
+    cut_off_entry entry;
+    std::string const upstream = entry.record_crash(1, 77);
+    entry.cut();
+    entry.arrive(2, "/r/x");
+    entry.advance(3s);
+    cr_expect_eq(entry.crashes_of_first(), 1U);
+    // One upstream is back, and another host reached it first.
+    upstream_head_received head;
+    head.request = static_cast<request_number>(2);
+    head.status = 200;
+    entry.reduce(head);
+    entry.advance(500ms);
+    entry.reduce(
+        upstream_probed{upstream_id(upstream), probe_outcome::accepted});
+    entry.advance(3s);
+    cr_expect_eq(entry.crashes_of_first(), 1U);
 }
 
 // Guards against crash records of requests whose upstreams this host cannot
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -23,8 +23,10 @@
 {
     std::size_t hosts = 10;
     std::size_t upstreams = 18;
-    /// Time after which an upstream that ended is back under a new id.
+    /// Time after which an upstream that ended is back.
     duration restart = 3s;
+    /// True if it is back under its id.
+    bool keeps_ids = false;
     /// How long an upstream that ended still accepts connections.
     duration listener_lag{};
     /// Delay of changes in the upstream list.
@@ -118,6 +120,7 @@
         }
         ended.is_running = false;
         ended.ended_at = this->now;
+        ended.connected_at.clear();
         ++this->ended_count;
         std::map<request_number, run> const lost =
             std::exchange(ended.running, {});
@@ -140,6 +143,7 @@
     /// Resets every connection to an upstream, which keeps running.
     void reset_upstream(std::size_t slot)
     {
+        this->upstream_slots[slot].connected_at.clear();
         std::map<request_number, run> const lost =
             std::exchange(this->upstream_slots[slot].running, {});
         for (auto const& [number, each] : lost)
@@ -406,11 +410,14 @@
         bool is_running = true;
         instant ended_at{};
         std::map<request_number, run> running = {};
+        // When each host opened its connection.
+        std::map<std::size_t, instant> connected_at = {};
     };
 
-    static std::string name_of(std::size_t slot, std::uint64_t incarnation)
+    std::string name_of(std::size_t slot, std::uint64_t incarnation) const
     {
-        return fmt::format("u{}-{}", slot, incarnation);
+        return fmt::format("u{}-{}", slot,
+                           this->settings.keeps_ids ? 0 : incarnation);
     }
 
     std::shared_ptr<listed_upstreams const> listing() const
@@ -520,8 +527,11 @@
                                 exchange_fault::connect_failed});
             return;
         }
-        this->deliver_later(1ms, host, incarnation,
-                            upstream_connected{order.upstream});
+        if (upstream.connected_at.try_emplace(host, this->now).second)
+        {
+            this->deliver_later(1ms, host, incarnation,
+                                upstream_connected{order.upstream});
+        }
         if (!is_same)
         {
             upstream_signals_received signals;
@@ -679,6 +689,7 @@
         signals.request = order.request;
         signals.service = order.service;
         signals.upstream = order.upstream;
+        signals.connected_at = this->upstream_slots[slot].connected_at[host];
         if (slot == 0)
         {
             signals.limit = this->settings.limit;
--- a/tests/unit/policy/crash_history_test.cpp
+++ b/tests/unit/policy/crash_history_test.cpp
@@ -30,7 +30,7 @@
     crash_history history;
     for (char const* const name : ended)
     {
-        history.record_crash(request, upstream(name), start);
+        history.record_crash(request, upstream(name), start, start);
     }
     return history;
 }
@@ -57,6 +57,31 @@
     cr_expect(history.verdict_of(request) == crash_verdict::unrestricted);
 }
 
+// Guards against a request that ends the same few upstreams for ever, since
+// they start again under their ids.
+Test(crash_history, each_incarnation_of_an_upstream_counts)
+{
+    crash_history history = history_of({"a", "b"});
+    cr_expect(
+        history.record_crash(request, upstream("a"), start + 1s, start + 2s)
+            .has_value());
+    cr_expect(history.verdict_of(request) == crash_verdict::refused);
+}
+
+// Guards against counting one crash twice, since another host saw it too and a
+// third one heard of it before it lost its own request.
+Test(crash_history, end_that_is_known_counts_once)
+{
+    crash_history history;
+    history.merge({{request, 0, {upstream("a"), upstream("a")}}}, start);
+    cr_expect(history.verdict_of(request) == crash_verdict::restricted);
+    cr_expect_not(
+        history.record_crash(request, upstream("a"), start - 1ms, start + 1s)
+            .has_value());
+    history.merge({{request, 0, {upstream("a")}}}, start + 1s);
+    cr_expect(history.verdict_of(request) == crash_verdict::restricted);
+}
+
 // Guards against refusing harmless requests because they ran concurrently with
 // one that crashes upstreams.
 Test(crash_history, complete_answer_clears_on_all_hosts)
@@ -110,11 +135,11 @@
     crash_history history(settings);
     for (char const* const name : {"a", "b", "c"})
     {
-        history.record_crash(request, upstream(name), start);
+        history.record_crash(request, upstream(name), start, start);
     }
     for (std::uint64_t other = 100; other < 200; ++other)
     {
-        history.record_crash(other, upstream("a"), start + 1s);
+        history.record_crash(other, upstream("a"), start + 1s, start + 1s);
     }
     cr_expect_eq(history.size(), 4U);
     cr_expect_eq(history.evicted_count(), 97U);
