What was learnt of an upstream ends with its incarnation

Cause: the id of a listed upstream was taken for one incarnation. A hold by what it said (it leaves, 421) ended only when the id was gone from the list for ten minutes. Upstreams may start again under their ids; nothing read their start time.

Change: the reader of the list finds out when an entry is of a later incarnation (another start time; ready after it was listed as leaving; another address or service; missing in two whole readings) and hands that on with the entry, as the position of the listing in which it stood first. It never goes back, through changes of leader too, and reaches hosts that missed the listings in between. Each request, signal and record at an entry host bears the incarnation it belongs to; what comes from an ended one is booked on no record.

Ruled out: each host comparing the listings that it gets; one that misses the gap never sees it.

--- a/bilberrylead/control/control_reducer_group.cpp
+++ b/bilberrylead/control/control_reducer_group.cpp
@@ -273,8 +273,9 @@
     if (upstreams.has_value())
     {
         this->check_listing_budget();
-        changes = this->listing.apply_reading(*upstreams, this->replica.term(),
-                                              this->time);
+        changes = this->listing.apply_reading(
+            *upstreams, this->replica.term(), this->time,
+            this->reader->is_last_reading_whole());
     }
     else if (this->time >= this->listing_sent_at + early_listing_interval)
     {
--- a/bilberrylead/daemon/own_control_adapter.cpp
+++ b/bilberrylead/daemon/own_control_adapter.cpp
@@ -37,9 +37,10 @@
     json const slots = entry.value("slots", json(1U));
     json const leaving = entry.value("leaving", json(false));
     json const cold = entry.value("cold_ms", json(0U));
+    json const started = entry.value("started_ms", json(0U));
     if (!address.has_value() || !slots.is_number_unsigned() ||
         slots.get<std::uint64_t>() == 0 || !leaving.is_boolean() ||
-        !cold.is_number_unsigned())
+        !cold.is_number_unsigned() || !started.is_number_unsigned())
     {
         return std::nullopt;
     }
@@ -50,6 +51,11 @@
     upstream.slots = slots.get<std::uint32_t>();
     upstream.leaving = leaving.get<bool>();
     told.cold_remaining = std::chrono::milliseconds(cold.get<std::uint32_t>());
+    if (started.get<std::uint64_t>() != 0)
+    {
+        told.started_at =
+            wall_time(std::chrono::milliseconds(started.get<std::int64_t>()));
+    }
     return told;
 }
 
--- a/bilberrylead/daemon/own_control_adapter.hpp
+++ b/bilberrylead/daemon/own_control_adapter.hpp
@@ -31,7 +31,7 @@
     /// /upstreams?zone=ZONE&page=PAGE
     static std::string list_target(discovery::page_call const& call);
     /// {"upstreams": [{"name", "service", "zone", "address", "slots",
-    /// "leaving", "cold_ms"}], "next": "PAGE"}
+    /// "leaving", "cold_ms", "started_ms"}], "next": "PAGE"}
     static absl::StatusOr<discovery::list_page>
     read_list_page(std::string const& body);
 };
--- a/bilberrylead/discovery/list_changes.hpp
+++ b/bilberrylead/discovery/list_changes.hpp
@@ -6,6 +6,7 @@
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/discovery/list_position.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace bilberrylead::discovery
@@ -19,6 +20,10 @@
     config::upstream upstream;
     /// How much longer it is cold, counted from the time of sending.
     duration cold_remaining{};
+    /// Time at which it started, as it states it; empty if it states none.
+    std::optional<wall_time> started_at = std::nullopt;
+    /// The listing in which its incarnation stood first; zero in a reading.
+    list_position incarnation = {};
 };
 
 /// A listing, either in full or as the difference from another listing.
--- a/bilberrylead/discovery/list_part.hpp
+++ b/bilberrylead/discovery/list_part.hpp
@@ -36,6 +36,8 @@
     std::string next_page;
     /// Number of pages read so far.
     std::size_t pages = 0;
+    /// Entries on these pages that could not be decoded.
+    std::size_t unreadable = 0;
     /// Upstreams on these pages.
     std::vector<listed_upstream> upstreams;
     /// True once the last page has been read.
@@ -96,6 +98,7 @@
         this->not_before = when;
         this->next_page.clear();
         this->pages = 0;
+        this->unreadable = 0;
         this->upstreams.clear();
         this->complete = false;
     }
--- a/bilberrylead/discovery/list_reader.cpp
+++ b/bilberrylead/discovery/list_reader.cpp
@@ -305,9 +305,11 @@
     }
     this->record_round_trip(*part, number, now);
     part->advance(page.next, this->settings.max_pages);
+    part->unreadable += page.unreadable;
     for (reported_upstream const& each : page.upstreams)
     {
-        part->upstreams.push_back({each.upstream, now + each.cold_remaining});
+        part->upstreams.push_back(
+            {each.upstream, now + each.cold_remaining, each.started_at});
         if (each.upstream.leaving)
         {
             this->leaving.push_back(part->upstreams.back());
@@ -322,6 +324,12 @@
         return std::nullopt;
     }
     std::vector<listed_upstream> all_upstreams = this->collect_upstreams();
+    this->last_reading_is_whole =
+        std::all_of(this->parts.begin(), this->parts.end(),
+                    [](list_part const& each)
+                    {
+                        return each.unreadable == 0;
+                    });
     this->pages_per_part =
         std::max_element(this->parts.begin(), this->parts.end(),
                          [](list_part const& one, list_part const& other)
--- a/bilberrylead/discovery/list_reader.hpp
+++ b/bilberrylead/discovery/list_reader.hpp
@@ -63,6 +63,13 @@
     /// `retry_delay`.
     void call_failed(std::uint64_t number, instant now);
 
+    /// True if every entry of the last complete reading could be decoded, so
+    /// that an upstream that it lacks is not listed.
+    bool is_last_reading_whole() const
+    {
+        return this->last_reading_is_whole;
+    }
+
     /// The leaving upstreams on the pages of the current reading.
     std::vector<listed_upstream> const& leaving_so_far() const
     {
@@ -131,6 +138,7 @@
     // True once the full scan has had a call in the current reading.
     bool full_scan_has_called = false;
     std::vector<listed_upstream> leaving;
+    bool last_reading_is_whole = false;
     std::optional<instant> last_read_at;
 };
 
--- a/bilberrylead/discovery/upstream_listing.hpp
+++ b/bilberrylead/discovery/upstream_listing.hpp
@@ -29,15 +29,23 @@
 /// The upstreams as held by one process, either read from the upstream list
 /// or received from another process. Its position never decreases. For use by
 /// one thread.
+///
+/// Finds out when an upstream has started again under its id. All processes
+/// learn it from the listing, also those that have missed the listings in
+/// between. What shows a later incarnation: another start time; the same id
+/// listed as ready after it was listed as leaving, at another address or for
+/// another service, or after two whole readings that lacked it. An equal start
+/// time shows the same incarnation.
 class upstream_listing
 {
 public:
     /// Applies a complete reading of the upstream list. The position increases
     /// if anything has changed or `term` is newer. Returns the changes to send
-    /// to other processes, or nothing if there are none.
+    /// to other processes, or nothing if there are none. `is_whole`: every
+    /// entry of the list could be decoded.
     std::optional<list_changes>
     apply_reading(std::vector<listed_upstream> const& found, std::uint64_t term,
-                  instant now);
+                  instant now, bool is_whole = true);
 
     /// Applies the part of an incomplete reading that cannot wait for the
     /// rest: upstreams that are leaving and were not before. Returns the
@@ -87,11 +95,29 @@
         std::vector<upstream_id> upstreams;
     };
 
+    /// An upstream that is not listed any more.
+    struct departed_upstream
+    {
+        /// Its last entry.
+        listed_upstream last;
+        /// Since when it is not listed.
+        instant since{};
+        /// Whole readings since then.
+        unsigned readings = 0;
+    };
+
+    list_position next_position(std::uint64_t term) const;
+    list_position incarnation_of(listed_upstream const& found,
+                                 list_position next) const;
+    void depart(upstream_id const& id, listed_upstream const& last,
+                instant now);
+    void record_departures(instant now, bool is_whole);
     void advance(list_changes& changes, std::uint64_t term);
     void record_change(list_changes const& changes);
 
     list_position current;
     std::map<upstream_id, listed_upstream> entries;
+    std::map<upstream_id, departed_upstream> departed;
     /// In sequence; the last one led to the current listing.
     std::deque<recent_change> recent;
 };
--- a/bilberrylead/entry/effect.hpp
+++ b/bilberrylead/entry/effect.hpp
@@ -58,6 +58,8 @@
     /// all, and the revision by which its route was found.
     std::vector<region_id> regions;
     bilberrylead::revision routed_by = 0;
+    /// Incarnation of the upstream, which the signals of its answer repeat.
+    discovery::list_position incarnation = {};
 };
 
 /// The way to all upstreams is lost from now on, or there again: reports it to
@@ -270,6 +272,15 @@
     bool from_peer = false;
 };
 
+/// Reports that upstreams have started again under their ids, and that this
+/// host has discarded what it knew of them. For the log.
+struct upstreams_restarted
+{
+    std::vector<upstream_id> upstreams;
+    /// The listing that showed it.
+    discovery::list_position listing;
+};
+
 /// Reports that the objects of a service have their homes among other upstreams
 /// than before. For the log.
 struct home_scope_changed
@@ -361,7 +372,7 @@
     limited_request_sent, upstream_limit_changed, upstream_rest_requested,
     upstream_leaving_noticed, close_idle_connections, crash_record_changed,
     send_crash_records, send_limits, send_customer_report,
-    upstream_contact_changed, home_scope_changed>;
+    upstream_contact_changed, home_scope_changed, upstreams_restarted>;
 
 /// Effects in the order in which they must be performed.
 using effects = std::vector<effect>;
--- a/bilberrylead/entry/entry_reducer.cpp
+++ b/bilberrylead/entry/entry_reducer.cpp
@@ -314,7 +314,7 @@
         if (event.leaving)
         {
             state.record_leaving(
-                event.upstream,
+                state.current_incarnation(event.upstream),
                 this->now + this->host_settings.leaving_retention, this->now);
         }
     }
--- a/bilberrylead/entry/entry_reducer.hpp
+++ b/bilberrylead/entry/entry_reducer.hpp
@@ -241,6 +241,7 @@
     void record_crash(policy::lost_request const& request,
                       upstream_id const& upstream);
     void find_ended_upstreams();
+    void find_restarted_upstreams();
     void repeat_probes();
     void record_sign_of_life(upstream_signals_received const& event);
     void publish_crash_record(policy::crash_record const& record);
--- a/bilberrylead/entry/entry_reducer_answers.cpp
+++ b/bilberrylead/entry/entry_reducer_answers.cpp
@@ -46,7 +46,8 @@
         return;
     }
     assert(!request.tried.empty());
-    this->state_of(request.service).release_slot(request.tried.back());
+    this->state_of(request.service)
+        .release_slot({request.tried.back(), request.incarnation});
     this->services_to_dispatch.insert(request.service);
 }
 
--- a/bilberrylead/entry/entry_reducer_configuration.cpp
+++ b/bilberrylead/entry/entry_reducer_configuration.cpp
@@ -71,6 +71,7 @@
     this->upstream_list = event.upstreams;
     this->listing_position = event.position;
     this->find_ended_upstreams();
+    this->find_restarted_upstreams();
     this->rebuild();
 }
 
@@ -284,8 +285,11 @@
             configured.closed = this->closed.contains(each->zone);
             discovery::listed_upstream const* const listed =
                 this->routing->find_listed_upstream(each->id);
-            configured.cold_until =
-                listed == nullptr ? instant{} : listed->cold_until;
+            if (listed != nullptr)
+            {
+                configured.cold_until = listed->cold_until;
+                configured.incarnation = listed->incarnation;
+            }
             upstreams.push_back(configured);
         }
         std::sort(
--- a/bilberrylead/entry/entry_reducer_crashes.cpp
+++ b/bilberrylead/entry/entry_reducer_crashes.cpp
@@ -164,6 +164,31 @@
     }
 }
 
+/// Treats upstreams that are listed as another incarnation as ended: what they
+/// were running was lost with the one before.
+void entry_reducer::find_restarted_upstreams()
+{
+    upstreams_restarted restarted;
+    for (discovery::listed_upstream const& each : *this->upstream_list)
+    {
+        auto const state = this->service_states.find(each.upstream.service);
+        if (state == this->service_states.end() ||
+            !state->second.has_record(each.upstream.id) ||
+            each.incarnation <=
+                state->second.current_incarnation(each.upstream.id).number)
+        {
+            continue;
+        }
+        restarted.upstreams.push_back(each.upstream.id);
+        this->record_upstream_end(each.upstream.id);
+    }
+    if (!restarted.upstreams.empty())
+    {
+        restarted.listing = this->listing_position;
+        this->pending_effects.push_back(std::move(restarted));
+    }
+}
+
 void entry_reducer::record_upstream_end(upstream_id const& upstream)
 {
     std::vector<policy::lost_request> const requests =
--- a/bilberrylead/entry/entry_reducer_limits.cpp
+++ b/bilberrylead/entry/entry_reducer_limits.cpp
@@ -18,7 +18,8 @@
         return;
     }
     if (this->state_of(event.service)
-            .record_limit(event.upstream, event.limit, this->now))
+            .record_limit({event.upstream, event.incarnation}, event.limit,
+                          this->now))
     {
         this->pending_effects.push_back(
             upstream_limit_changed{event.upstream, event.limit});
--- a/bilberrylead/entry/entry_reducer_placement.cpp
+++ b/bilberrylead/entry/entry_reducer_placement.cpp
@@ -321,6 +321,7 @@
             limited_request_sent{request.number, upstream->id, *limited});
     }
     request.tried.push_back(upstream->id);
+    request.incarnation = state.current_incarnation(upstream->id).number;
     request.placed_by = this->listing_position;
     request.sent_to = upstream->address;
     request.crosses_zones = upstream->zone != this->host_settings.zone;
@@ -341,7 +342,9 @@
                                                    !request.repeatable,
                                                    request.tried.size() > 1,
                                                    false,
-                                                   {}});
+                                                   {},
+                                                   0,
+                                                   request.incarnation});
 }
 
 } // namespace bilberrylead::entry
--- a/bilberrylead/entry/entry_reducer_signals.cpp
+++ b/bilberrylead/entry/entry_reducer_signals.cpp
@@ -10,6 +10,12 @@
 
 void entry_reducer::on(upstream_signals_received const& event)
 {
+    if (!this->state_of(event.service)
+             .is_current({event.upstream, event.incarnation}))
+    {
+        // The next incarnation has said nothing of the kind.
+        return;
+    }
     if (event.misdirected)
     {
         this->record_leaving(event);
@@ -31,14 +37,15 @@
 
 void entry_reducer::record_leaving(upstream_signals_received const& event)
 {
-    // The id of a listed upstream names one incarnation, so that it leaves for
-    // good. A configured id may be taken by the next incarnation.
+    // An incarnation leaves for good, and the list shows the next one. Nothing
+    // shows the next one of a configured upstream.
     instant const until =
         this->host_settings.upstreams_are_listed
             ? instant::max()
             : this->now + this->host_settings.leaving_retention;
     service_state& state = this->state_of(event.service);
-    bool const is_new = state.record_leaving(event.upstream, until, this->now);
+    bool const is_new = state.record_leaving(
+        {event.upstream, event.incarnation}, until, this->now);
     if (!is_new)
     {
         return;
@@ -66,7 +73,8 @@
         return;
     }
     service_state& state = this->state_of(event.service);
-    if (!state.record_rest(event.upstream, *event.rest, this->now))
+    if (!state.record_rest({event.upstream, event.incarnation}, *event.rest,
+                           this->now))
     {
         return;
     }
--- a/bilberrylead/entry/entry_reducer_upstream.cpp
+++ b/bilberrylead/entry/entry_reducer_upstream.cpp
@@ -38,7 +38,7 @@
 void entry_reducer::record_failure(live_request const& request)
 {
     this->state_of(request.service)
-        .record_failure(request.tried.back(), this->now);
+        .record_failure({request.tried.back(), request.incarnation}, this->now);
 }
 
 void entry_reducer::on(upstream_head_received const& event)
@@ -54,7 +54,8 @@
         this->on_relay_head(*request, event);
         return;
     }
-    upstream_id const upstream = request->tried.back();
+    upstream_incarnation const upstream{request->tried.back(),
+                                        request->incarnation};
     service_state& state = this->state_of(request->service);
     if (event.not_run)
     {
@@ -116,7 +117,7 @@
     service_state& state = this->state_of(request->service);
     if (request->life_cycle.current() == request_state::streaming)
     {
-        state.record_slot_time(request->tried.back(),
+        state.record_slot_time({request->tried.back(), request->incarnation},
                                this->now - request->sent_at);
         this->record_complete_answer(*request);
         this->release_slot(*request);
@@ -129,7 +130,8 @@
         return;
     }
     this->record_complete_answer(*request);
-    state.record_slot_time(request->tried.back(), this->now - request->sent_at);
+    state.record_slot_time({request->tried.back(), request->incarnation},
+                           this->now - request->sent_at);
     this->release_slot(*request);
     this->pending_effects.push_back(
         report_completion{request->number, request->claim, *event.collected});
@@ -267,7 +269,8 @@
                  took / min_run_divisor);
     duration const usual(static_cast<std::int64_t>(
         static_cast<double>(run.count()) / request.run_factor));
-    state.record_run(request.tried.back(), usual, request.object, this->now);
+    state.record_run({request.tried.back(), request.incarnation}, usual,
+                     request.object, this->now);
 }
 
 std::optional<duration> entry_reducer::acquire_retry(live_request& request,
--- a/bilberrylead/entry/event.hpp
+++ b/bilberrylead/entry/event.hpp
@@ -170,6 +170,8 @@
     service_id service;
     /// The upstream to which the request was sent.
     upstream_id upstream;
+    /// Its incarnation, as in the order to send the request.
+    discovery::list_position incarnation;
     /// Time at which the connection was opened; the latest of all if unknown.
     instant connected_at = instant::max();
     /// True if the address now belongs to another upstream. The other signals
--- a/bilberrylead/entry/live_request.hpp
+++ b/bilberrylead/entry/live_request.hpp
@@ -102,6 +102,8 @@
     std::vector<host_id> relayed_to;
     /// True if another entry host passed the request on to this one.
     bool is_relayed = false;
+    /// Incarnation of the upstream that runs it.
+    discovery::list_position incarnation;
     /// Listing by which the last upstream was selected.
     discovery::list_position placed_by;
     /// Address of the last attempted upstream.
--- a/bilberrylead/entry/service_state.hpp
+++ b/bilberrylead/entry/service_state.hpp
@@ -7,6 +7,7 @@
 #include "bilberrylead/core/time.hpp"
 #include "bilberrylead/entry/home_scope_status.hpp"
 #include "bilberrylead/entry/limit_use.hpp"
+#include "bilberrylead/entry/upstream_incarnation.hpp"
 #include "bilberrylead/entry/upstream_load.hpp"
 #include "bilberrylead/entry/upstream_record.hpp"
 #include "bilberrylead/policy/admission_queue.hpp"
@@ -59,6 +60,8 @@
     bool closed = false;
     /// Time until which the upstream is cold, from the upstream list.
     instant cold_until{};
+    /// The listing in which its incarnation stood first; zero if unknown.
+    discovery::list_position incarnation = {};
     /// Number of the upstream's zone, for placement; see placement_candidate.
     std::uint32_t zone = policy::placement_candidate::own_zone;
     /// True if the upstream is in this host's region.
@@ -161,14 +164,20 @@
     void set_host_shares(policy::cold_share const& cold_share,
                          double saved_retries);
 
+    /// True if what is learnt from that incarnation concerns the current one.
+    bool is_current(upstream_incarnation const& from) const;
+
+    /// The current incarnation of an upstream.
+    upstream_incarnation current_incarnation(upstream_id const& id) const;
+
     /// Records the load that an upstream reported with an answer.
-    void record_load(upstream_id const& id, upstream_load const& load,
-                     instant now);
+    void record_load(upstream_incarnation const& from,
+                     upstream_load const& load, instant now);
 
     /// Records the rate limit that the upstream set in an answer; empty if it
     /// set none. Returns true if the limit changed.
-    bool record_limit(upstream_id const& id, std::optional<double> limit,
-                      instant now);
+    bool record_limit(upstream_incarnation const& from,
+                      std::optional<double> limit, instant now);
 
     /// Records the report of another entry host about an upstream's limit.
     /// Returns true if this changed the limit.
@@ -190,7 +199,8 @@
 
     /// Records that the upstream wants no requests of this host for that time.
     /// Returns true if this began or extended a rest.
-    bool record_rest(upstream_id const& id, duration time, instant now);
+    bool record_rest(upstream_incarnation const& from, duration time,
+                     instant now);
 
     /// Time until the rest of the upstream ends; zero if it has none.
     duration rest_remaining(upstream_id const& id, instant now);
@@ -210,8 +220,8 @@
     /// if the object were known there, and the object, 0 for none. The load
     /// that came with the same answer must be recorded first, since the speed
     /// in it applies to this run.
-    void record_run(upstream_id const& id, duration time, std::uint64_t object,
-                    instant now);
+    void record_run(upstream_incarnation const& from, duration time,
+                    std::uint64_t object, instant now);
 
     /// Marks the upstreams of the zone as cold until the given time.
     void record_cold_zone(zone_id const& zone, instant until);
@@ -248,21 +258,22 @@
     std::optional<limit_use> acquire_slot(upstream_id const& id, instant now);
 
     /// Releases a slot after the request ended in any way.
-    void release_slot(upstream_id const& id);
+    void release_slot(upstream_incarnation const& from);
 
     /// Records the time from the sending of a request to the head of its
     /// answer.
-    void record_answer(upstream_id const& id, duration took, instant now);
+    void record_answer(upstream_incarnation const& from, duration took,
+                       instant now);
 
     /// Records how long a slot was held for a complete answer.
-    void record_slot_time(upstream_id const& id, duration time);
+    void record_slot_time(upstream_incarnation const& from, duration time);
 
     /// Records a failure of the upstream.
-    void record_failure(upstream_id const& id, instant now);
+    void record_failure(upstream_incarnation const& from, instant now);
 
     /// Records that the upstream refused a request: all of its slots are in
     /// use.
-    void record_refusal(upstream_id const& id, instant now);
+    void record_refusal(upstream_incarnation const& from, instant now);
 
     /// Records the number of slots in use that the upstream reported.
     void record_load_report(upstream_id const& id, std::uint32_t slots_in_use,
@@ -270,7 +281,8 @@
 
     /// Excludes the upstream from new requests until the given time, and longer
     /// if it is excluded already. Returns true if it was not excluded.
-    bool record_leaving(upstream_id const& id, instant until, instant now);
+    bool record_leaving(upstream_incarnation const& from, instant until,
+                        instant now);
 
     /// Forgets the failures of all upstreams, after they turned out to be this
     /// host's own.
@@ -315,6 +327,7 @@
     static constexpr double max_region_shift_per_s = 0.045;
 
     upstream_record& record_of(upstream_id const& id);
+    upstream_record& record_of(upstream_incarnation const& from);
     void set_limit_hosts(upstream_record& record, instant now);
     bool is_in_service(std::size_t index, instant now) const;
     bool is_held_back(std::size_t index, instant now) const;
@@ -357,6 +370,8 @@
     policy::arrival_rate arrivals{demand_window};
     policy::region_shares shares{max_region_shift_per_s};
     std::unordered_map<upstream_id, upstream_record> records;
+    // Takes what was learnt from incarnations that have ended. Never read.
+    upstream_record ended_record{1};
     // Upstreams whose limits or request counts have not been sent to the other
     // entry hosts yet.
     std::set<upstream_id> unsent_limits;
--- a/bilberrylead/entry/service_state_limits.cpp
+++ b/bilberrylead/entry/service_state_limits.cpp
@@ -16,17 +16,17 @@
 
 } // namespace
 
-bool service_state::record_limit(upstream_id const& id,
+bool service_state::record_limit(upstream_incarnation const& from,
                                  std::optional<double> limit, instant now)
 {
-    upstream_record& record = this->record_of(id);
+    upstream_record& record = this->record_of(from);
     this->set_limit_hosts(record, now);
     bool const changed = record.limit.observe(limit, now);
     bool const is_old =
         now - record.sent_limit_seen_at >= limit_report_interval;
     if (changed || (limit.has_value() && is_old))
     {
-        this->unsent_limits.insert(id);
+        this->unsent_limits.insert(from.id);
     }
     return changed;
 }
--- a/bilberrylead/entry/service_state_placement.cpp
+++ b/bilberrylead/entry/service_state_placement.cpp
@@ -67,10 +67,10 @@
     }
 }
 
-void service_state::record_load(upstream_id const& id,
+void service_state::record_load(upstream_incarnation const& from,
                                 upstream_load const& load, instant now)
 {
-    upstream_record& record = this->record_of(id);
+    upstream_record& record = this->record_of(from);
     std::uint32_t const slots_held = load.running + load.waiting;
     record.estimate.record_report(slots_held, record.in_flight, now);
     double const others =
@@ -84,12 +84,12 @@
     }
 }
 
-void service_state::record_run(upstream_id const& id, duration time,
+void service_state::record_run(upstream_incarnation const& from, duration time,
                                std::uint64_t object, instant now)
 {
     // The mean must follow upstreams of usual speed; a slow upstream must not
     // raise the usual run time.
-    upstream_record& record = this->record_of(id);
+    upstream_record& record = this->record_of(from);
     policy::mean_load& siblings = this->mean_load_in(record.region);
     // A momentary slowness must not enter the lasting one.
     duration const at_usual_speed =
--- a/bilberrylead/entry/service_state_rests.cpp
+++ b/bilberrylead/entry/service_state_rests.cpp
@@ -6,10 +6,10 @@
 namespace bilberrylead::entry
 {
 
-bool service_state::record_rest(upstream_id const& id, duration time,
+bool service_state::record_rest(upstream_incarnation const& from, duration time,
                                 instant now)
 {
-    return this->record_of(id).rest.request(time, now, this->random);
+    return this->record_of(from).rest.request(time, now, this->random);
 }
 
 duration service_state::rest_remaining(upstream_id const& id, instant now)
--- a/bilberrylead/entry/upstream_record.hpp
+++ b/bilberrylead/entry/upstream_record.hpp
@@ -2,6 +2,7 @@
 #define BILBERRYLEAD_ENTRY_UPSTREAM_RECORD_HPP
 
 #include "bilberrylead/core/time.hpp"
+#include "bilberrylead/discovery/list_position.hpp"
 #include "bilberrylead/policy/momentary_slowdown.hpp"
 #include "bilberrylead/policy/recent_objects.hpp"
 #include "bilberrylead/policy/service_time_estimate.hpp"
@@ -17,8 +18,8 @@
 namespace bilberrylead::entry
 {
 
-/// State that this entry host keeps for an upstream in addition to its
-/// configuration. Outlives configurations.
+/// State that this entry host keeps for an incarnation of an upstream in
+/// addition to its configuration. Outlives configurations.
 struct upstream_record
 {
     /// Creates the record of an unused upstream with that many slots.
@@ -26,6 +27,8 @@
     {
     }
 
+    /// The listing in which the incarnation stood first; zero if unknown.
+    discovery::list_position incarnation;
     /// True while the configuration contains it, it is not listed as leaving
     /// and its zone is open.
     bool in_service = false;
@@ -33,7 +36,7 @@
     std::uint32_t region = 0;
     /// Hash of its id, by which objects are distributed.
     std::uint64_t hash = 0;
-    /// Requests of this entry host that hold a slot of the upstream.
+    /// Requests of this entry host that hold a slot of this incarnation.
     std::uint32_t in_flight = 0;
     /// Slots used by other hosts, from its last report or refusal.
     std::uint32_t in_use_by_others = 0;
--- a/bilberrylead/http/decision_log.cpp
+++ b/bilberrylead/http/decision_log.cpp
@@ -162,6 +162,16 @@
         .write();
 }
 
+void log_restarts(entry::upstreams_restarted const& restarted)
+{
+    log_line("entry", "upstreams_restarted")
+        .text("upstreams",
+              names_of(restarted.upstreams.begin(), restarted.upstreams.end()))
+        .text("listing", fmt::format("{}.{}", restarted.listing.term,
+                                     restarted.listing.number))
+        .write();
+}
+
 void log_rest(entry::upstream_rest_requested const& requested,
               std::string const& id)
 {
--- a/bilberrylead/http/decision_log.hpp
+++ b/bilberrylead/http/decision_log.hpp
@@ -8,6 +8,7 @@
 struct crash_record_changed;
 struct connection_loss_resolved;
 struct home_scope_changed;
+struct upstreams_restarted;
 struct limited_request_sent;
 struct request_ended;
 struct upstream_leaving_noticed;
@@ -35,6 +36,9 @@
 /// Writes that the objects of a service have their homes elsewhere.
 void log_home_scope(entry::home_scope_changed const& changed);
 
+/// Writes which upstreams have started again under their ids.
+void log_restarts(entry::upstreams_restarted const& restarted);
+
 /// Writes that an upstream asked for a rest; `id` is that of the request which
 /// it answered so.
 void log_rest(entry::upstream_rest_requested const& requested,
--- a/bilberrylead/http/server_core.cpp
+++ b/bilberrylead/http/server_core.cpp
@@ -253,6 +253,11 @@
     {
         log_limit(*limited);
     }
+    else if (entry::upstreams_restarted const* restarted =
+                 std::get_if<entry::upstreams_restarted>(&decided))
+    {
+        log_restarts(*restarted);
+    }
     else if (entry::home_scope_changed const* scope =
                  std::get_if<entry::home_scope_changed>(&decided))
     {
--- a/bilberrylead/http/upstream_exchange_answer.cpp
+++ b/bilberrylead/http/upstream_exchange_answer.cpp
@@ -48,6 +48,7 @@
     signals.request = this->request->number;
     signals.service = this->order.service;
     signals.upstream = this->order.upstream;
+    signals.incarnation = this->order.incarnation;
     signals.connected_at = this->connection->connected_at;
     signals.misdirected = misdirected;
     if (!misdirected)
--- a/bilberrylead/link/message_reader.cpp
+++ b/bilberrylead/link/message_reader.cpp
@@ -332,6 +332,12 @@
     told.upstream.slots = fields.take_unsigned_32();
     told.upstream.leaving = fields.take_bool();
     told.cold_remaining = duration(fields.take_signed());
+    std::chrono::milliseconds const started(fields.take_signed());
+    if (started != std::chrono::milliseconds::zero())
+    {
+        told.started_at = wall_time(started);
+    }
+    told.incarnation = take_position(fields);
     return told;
 }
 
--- a/bilberrylead/link/message_writer.cpp
+++ b/bilberrylead/link/message_writer.cpp
@@ -391,6 +391,10 @@
         record.push_back(told.upstream.slots);
         record.push_back(told.upstream.leaving);
         record.push_back(told.cold_remaining.count());
+        record.push_back(told.started_at.has_value()
+                             ? told.started_at->time_since_epoch().count()
+                             : 0);
+        put_position(told.incarnation, record);
     }
 };
 
--- a/tests/unit/discovery/upstream_listing_test.cpp
+++ b/tests/unit/discovery/upstream_listing_test.cpp
@@ -31,6 +31,48 @@
     return made;
 }
 
+/// An entry that states when it started.
+listed_upstream started(std::string const& id, int at, bool leaving = false)
+{
+    listed_upstream made = entry(id, leaving);
+    made.started_at = wall_time(std::chrono::milliseconds(at));
+    return made;
+}
+
+/// A listing that has been read once, and the incarnation of "a" in it.
+struct read_listing : upstream_listing
+{
+    explicit read_listing(listed_upstream const& first)
+    {
+        this->apply_reading({entry("b")}, 3, start);
+        this->apply_reading({first, entry("b")}, 3, start);
+        this->before = this->incarnation();
+    }
+
+    discovery::list_position incarnation() const
+    {
+        return this->upstreams().at(upstream_id("a")).incarnation;
+    }
+
+    /// Reads it without "a".
+    void read_without(int times, bool is_whole = true)
+    {
+        for (int count = 0; count < times; ++count)
+        {
+            this->apply_reading({entry("b")}, 3, start, is_whole);
+        }
+    }
+
+    /// True if a reading of that entry shows a later incarnation.
+    bool shows_restart(listed_upstream const& found, std::uint64_t term = 3)
+    {
+        this->apply_reading({found, entry("b")}, term, start);
+        return this->incarnation() > this->before;
+    }
+
+    discovery::list_position before;
+};
+
 } // namespace
 
 Test(upstream_listing, unchanged_reading_produces_no_changes)
@@ -223,3 +265,76 @@
     }
     cr_expect(source.changes_since(held, start).is_full);
 }
+
+// Guards against an upstream that is held back, or refused to, for what its
+// last incarnation was.
+Test(upstream_listing, later_incarnation_under_the_same_id_is_greater)
+{
+    read_listing after_leaving(entry("a", true));
+    cr_expect(after_leaving.shows_restart(entry("a")));
+    read_listing after_leaving_and_gap(entry("a", true));
+    after_leaving_and_gap.read_without(1);
+    cr_expect(after_leaving_and_gap.shows_restart(entry("a")));
+    read_listing after_gap(entry("a"));
+    after_gap.read_without(2);
+    cr_expect(after_gap.shows_restart(entry("a")));
+    read_listing moved(entry("a"));
+    listed_upstream elsewhere = entry("a");
+    elsewhere.upstream.address.port = 81;
+    cr_expect(moved.shows_restart(elsewhere));
+    read_listing started_again(started("a", 1));
+    cr_expect(started_again.shows_restart(started("a", 2)));
+    read_listing leaves_at_once(started("a", 1));
+    leaves_at_once.apply_leaving({started("a", 2, true)}, 3, start);
+    cr_expect(leaves_at_once.incarnation() > leaves_at_once.before);
+}
+
+// Guards against discarding what is known of an upstream that has not
+// restarted.
+Test(upstream_listing, same_incarnation_keeps_its_number)
+{
+    read_listing leaving(entry("a"));
+    cr_expect_not(leaving.shows_restart(entry("a", true)));
+    read_listing missed_once(entry("a"));
+    missed_once.read_without(1);
+    cr_expect_not(missed_once.shows_restart(entry("a")));
+    read_listing unreadable(entry("a"));
+    unreadable.read_without(5, false);
+    cr_expect_not(unreadable.shows_restart(entry("a")));
+    read_listing same_start(started("a", 1, true));
+    same_start.read_without(5);
+    cr_expect_not(same_start.shows_restart(started("a", 1)));
+    read_listing other_term(entry("a"));
+    cr_expect_not(other_term.shows_restart(entry("a"), 4));
+}
+
+// Guards against hosts that miss the listings between two incarnations, and
+// against a new leader that has not read the one before.
+Test(upstream_listing, incarnation_is_handed_on)
+{
+    read_listing leader(entry("a", true));
+    upstream_listing next_leader;
+    upstream_listing host;
+    next_leader.apply(leader.full_listing(start), start);
+    host.apply(leader.full_listing(start), start);
+    leader.read_without(1);
+    next_leader.apply(leader.full_listing(start), start);
+    next_leader.apply_reading({entry("a"), entry("b")}, 4, start);
+    host.apply(next_leader.full_listing(start), start);
+    upstream_id const id("a");
+    cr_expect(host.upstreams().at(id).incarnation > leader.before);
+    cr_expect(host.upstreams().at(upstream_id("b")).incarnation ==
+              leader.upstreams().at(upstream_id("b")).incarnation);
+}
+
+// Guards against a leader without a listing to which all upstreams seem to have
+// restarted at once.
+Test(upstream_listing, first_listing_of_all_shows_no_incarnations)
+{
+    upstream_listing listing;
+    listing.apply_reading({entry("a"), entry("b")}, 9, start);
+    for (auto const& [id, each] : listing.upstreams())
+    {
+        cr_expect(each.incarnation == discovery::list_position{});
+    }
+}
--- a/tests/unit/entry/resting_upstream_test.cpp
+++ b/tests/unit/entry/resting_upstream_test.cpp
@@ -69,21 +69,25 @@
 // asked for nothing.
 Test(resting_upstream, next_incarnation_owes_no_rest)
 {
-    upstream_fleet fleet({.hosts = 2,
-                          .upstreams = 3,
-                          .restart = 500ms,
-                          .listing_lag = 100ms,
-                          .rest = 60s});
-    send_requests(fleet, 40, 2s);
-    fleet.set_refusing(true);
-    send_requests(fleet, 40, 2s);
-    fleet.end_upstream(0);
-    fleet.set_refusing(false);
-    send_requests(fleet, 40, 1s);
-    instant const begin = fleet.now;
-    send_requests(fleet, 40, 4s);
-    cr_expect_gt(fleet.limited_since(begin), 10U, "%zu requests in 4 s",
-                 fleet.limited_since(begin));
+    for (bool const keeps_ids : {false, true})
+    {
+        upstream_fleet fleet({.hosts = 2,
+                              .upstreams = 3,
+                              .restart = 500ms,
+                              .keeps_ids = keeps_ids,
+                              .listing_lag = 100ms,
+                              .rest = 60s});
+        send_requests(fleet, 40, 2s);
+        fleet.set_refusing(true);
+        send_requests(fleet, 40, 2s);
+        fleet.end_upstream(0);
+        fleet.set_refusing(false);
+        send_requests(fleet, 40, 1s);
+        instant const begin = fleet.now;
+        send_requests(fleet, 40, 4s);
+        cr_expect_gt(fleet.limited_since(begin), 10U, "%zu requests in 4 s",
+                     fleet.limited_since(begin));
+    }
 }
 
 // Guards against a wave of requests of all hosts at the end of a rest.
--- a/tests/unit/entry/routed_entry.hpp
+++ b/tests/unit/entry/routed_entry.hpp
@@ -125,6 +125,20 @@
         return this->reduce(arrival);
     }
 
+    /// Lists an upstream as that incarnation, the others as before.
+    void restart(upstream_id const& id, discovery::list_position incarnation)
+    {
+        auto const all = this->listing();
+        for (discovery::listed_upstream& each : *all)
+        {
+            if (each.upstream.id == id)
+            {
+                each.incarnation = incarnation;
+            }
+        }
+        this->reduce(upstreams_listed{all});
+    }
+
     template <class Effect>
     Effect const* find() const
     {
@@ -163,6 +177,7 @@
         {
             signals.service = order->second.service;
             signals.upstream = order->second.upstream;
+            signals.incarnation = order->second.incarnation;
         }
         return signals;
     }
--- a/tests/unit/entry/upstream_fleet.hpp
+++ b/tests/unit/entry/upstream_fleet.hpp
@@ -136,6 +136,10 @@
                        {
                            ++this->upstream_slots[slot].incarnation;
                            this->upstream_slots[slot].is_running = true;
+                           if (slot == 0)
+                           {
+                               this->forget_signals();
+                           }
                            this->publish_listing_later();
                        });
     }
@@ -430,10 +434,28 @@
                 3));
             all->back().upstream.address.port =
                 static_cast<std::uint16_t>(slot + 1);
+            all->back().incarnation = {
+                1, this->upstream_slots[slot].incarnation + 1};
         }
         return all;
     }
 
+    /// Upstream 0 knows nothing of what its last incarnation said.
+    void forget_signals()
+    {
+        this->is_leaving = false;
+        for (auto* const said : {&this->rests, &this->leavings})
+        {
+            for (auto& [host, spans] : *said)
+            {
+                for (auto& [begin, end] : spans)
+                {
+                    end = std::min(end, this->now);
+                }
+            }
+        }
+    }
+
     void publish_listing_later()
     {
         std::shared_ptr<listed_upstreams const> const all = this->listing();
@@ -689,6 +711,7 @@
         signals.request = order.request;
         signals.service = order.service;
         signals.upstream = order.upstream;
+        signals.incarnation = order.incarnation;
         signals.connected_at = this->upstream_slots[slot].connected_at[host];
         if (slot == 0)
         {
--- a/tests/unit/platform/platform_adapter_test.cpp
+++ b/tests/unit/platform/platform_adapter_test.cpp
@@ -317,3 +317,25 @@
     cr_assert_not_null(whole->content.get());
     cr_expect_eq(whole->content->services.size(), 2U);
 }
+
+// Guards against a backend that started again under its id and is taken for the
+// one before.
+Test(platform_adapter, start_time_of_a_back_end_is_a_whole_number)
+{
+    auto const page = platform_control_adapter::read_list_page(
+        R"({"instances":{"columns":["id","service","address","zone","born"],)"
+        R"("rows":[["i-1","s","127.0.0.1:80","z",1765000000123],)"
+        R"(["i-2","s","127.0.0.1:81","z",null],)"
+        R"(["i-3","s","127.0.0.1:82","z"],)"
+        R"(["i-4","s","127.0.0.1:83","z",1.5],)"
+        R"(["i-5","s","127.0.0.1:84","z",-1],)"
+        R"(["i-6","s","127.0.0.1:85","z","1765000000123"],)"
+        R"(["i-7","s","127.0.0.1:86","z",1e300]]},"next_token":null})");
+    cr_assert(page.ok());
+    cr_assert_eq(page->upstreams.size(), 3U);
+    cr_expect(page->upstreams[0].started_at ==
+              wall_time(std::chrono::milliseconds(1'765'000'000'123)));
+    cr_expect_not(page->upstreams[1].started_at.has_value());
+    cr_expect_not(page->upstreams[2].started_at.has_value());
+    cr_expect_eq(page->unreadable, 4U);
+}
