--- a/tests/unit/entry/leaving_upstream_test.cpp
+++ b/tests/unit/entry/leaving_upstream_test.cpp
@@ -16,6 +16,18 @@
 constexpr duration grace = 100ms;
 constexpr double rate = 60;
 
+/// Gives the host a listing that lacks one upstream.
+void list_without(routed_entry& entry, upstream_id const& id)
+{
+    auto const listing = entry.listing();
+    std::erase_if(*listing,
+                  [&id](discovery::listed_upstream const& each)
+                  {
+                      return each.upstream.id == id;
+                  });
+    entry.reduce(upstreams_listed{listing});
+}
+
 } // namespace
 
 // Guards against new requests to an upstream that said in an answer that it is
@@ -128,13 +140,7 @@
     entry.arrive(2, "/r/x");
     entry.reduce(caller_gone{static_cast<request_number>(1)});
     entry.reduce(caller_gone{static_cast<request_number>(2)});
-    auto const without = entry.listing();
-    std::erase_if(*without,
-                  [&order](discovery::listed_upstream const& each)
-                  {
-                      return each.upstream.id == order.upstream;
-                  });
-    entry.reduce(upstreams_listed{without});
+    list_without(entry, order.upstream);
     upstream_signals_received signals = entry.signals_of(1);
     signals.incarnation = {1, 7};
     signals.leaving = true;
@@ -199,13 +205,7 @@
     routed_entry entry;
     entry.arrive(1, "/r/x");
     start_upstream const order = *entry.find<start_upstream>();
-    auto const listing = entry.listing();
-    std::erase_if(*listing,
-                  [&order](discovery::listed_upstream const& each)
-                  {
-                      return each.upstream.id == order.upstream;
-                  });
-    entry.reduce(upstreams_listed{listing});
+    list_without(entry, order.upstream);
     cr_expect_not(
         entry.reducer.accepts_requests(order.service, order.upstream));
 }
